mesh: framed msgpack streams with flow control and a shared secret

Cause: the fleet's processes need one transport that keeps streams apart, ends them explicitly and lets no slow reader stall another stream. Conclusion: the transport stands; TLS is in the configuration and not yet tested.

--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -40,6 +40,7 @@
 
 // FencingNumber orders the holders of an upstream. It only grows.
 type FencingNumber uint64
+
 // Member is one router in the committed membership.
 type Member struct {
 	ID   InstanceID       `msg:"id"`
--- /dev/null
+++ b/internal/mesh/config.go
@@ -0,0 +1,64 @@
+package mesh
+
+import (
+	"crypto/tls"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// Defaults of a Config's fields.
+const (
+	DefaultWindowBytes    = 256 << 10
+	DefaultMaxStreams     = 20_000
+	DefaultDialTimeout    = time.Second
+	DefaultMaxConnections = 4096
+)
+
+// Config holds what both ends of the mesh need.
+type Config struct {
+	// Instance is this process, as peers see it.
+	Instance fleet.InstanceID
+	// Secret is the fleet's shared secret.
+	Secret []byte
+	// ServerTLS and ClientTLS switch TLS on; both nil means plain TCP.
+	ServerTLS, ClientTLS *tls.Config
+	// MaxFrameBytes bounds one message; 0 means DefaultMaxFrameBytes.
+	MaxFrameBytes int
+	// WindowBytes bounds the unread bytes of one direction of a stream; 0 means
+	// DefaultWindowBytes. It must be the same on every instance.
+	WindowBytes int
+	// MaxStreams bounds the open streams of one connection; 0 means
+	// DefaultMaxStreams.
+	MaxStreams int
+	// MaxConnections bounds the accepted connections; 0 means
+	// DefaultMaxConnections.
+	MaxConnections int
+	// DialTimeout bounds connecting and the handshake; 0 means DefaultDialTimeout.
+	DialTimeout time.Duration
+	// Logger receives refused handshakes and lost connections; nil means none.
+	Logger hclog.Logger
+}
+
+func (c Config) withDefaults() *Config {
+	if c.MaxFrameBytes == 0 {
+		c.MaxFrameBytes = DefaultMaxFrameBytes
+	}
+	if c.WindowBytes == 0 {
+		c.WindowBytes = DefaultWindowBytes
+	}
+	if c.MaxStreams == 0 {
+		c.MaxStreams = DefaultMaxStreams
+	}
+	if c.MaxConnections == 0 {
+		c.MaxConnections = DefaultMaxConnections
+	}
+	if c.DialTimeout == 0 {
+		c.DialTimeout = DefaultDialTimeout
+	}
+	if c.Logger == nil {
+		c.Logger = hclog.NewNullLogger()
+	}
+	return &c
+}
--- /dev/null
+++ b/internal/mesh/connection.go
@@ -0,0 +1,192 @@
+package mesh
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+)
+
+const readBufferBytes = 32 << 10
+
+// connection is one TCP connection with its streams.
+type connection struct {
+	cfg  *Config
+	conn net.Conn
+	in   *bufio.Reader
+	out  *frameWriter
+	peer string
+	// accept starts a stream that the peer opened; nil on a dialled connection.
+	accept func(*Stream, openBody)
+
+	mu      sync.Mutex
+	streams map[uint32]*Stream
+	next    uint32
+	lost    bool
+	done    chan struct{}
+}
+
+func newConnection(cfg *Config, conn net.Conn, in *bufio.Reader, peer string) *connection {
+	return &connection{
+		cfg: cfg, conn: conn, in: in, peer: peer,
+		out:     newFrameWriter(conn),
+		streams: make(map[uint32]*Stream),
+		done:    make(chan struct{}),
+	}
+}
+
+// run reads and writes frames until the connection is lost.
+func (c *connection) run() {
+	go func() {
+		if err := c.out.run(); err != nil {
+			c.cfg.Logger.Debug("mesh write failed", "peer", c.peer, "error", err)
+		}
+		_ = c.conn.Close()
+	}()
+	err := c.read()
+	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		c.cfg.Logger.Info("mesh connection lost", "peer", c.peer, "error", err)
+	}
+	c.lose()
+}
+
+func (c *connection) read() error {
+	for {
+		f, err := readFrame(c.in, c.cfg.MaxFrameBytes)
+		if err != nil {
+			return err
+		}
+		if err := c.handle(f); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *connection) handle(f frame) error {
+	if f.kind == frameOpen {
+		return c.handleOpen(f)
+	}
+	s := c.stream(f.stream)
+	if s == nil {
+		return nil // a frame that crossed the stream's end
+	}
+	switch f.kind {
+	case frameData:
+		if !s.deliver(f.body) {
+			return fmt.Errorf("stream %d overran its window", f.stream)
+		}
+	case frameWindow:
+		if len(f.body) != 4 {
+			return errors.New("malformed window frame")
+		}
+		s.grant(int(binary.BigEndian.Uint32(f.body)))
+	case frameReset:
+		c.forget(f.stream)
+		s.fail(ErrReset)
+	case frameEnd:
+		return c.handleEnd(s, f)
+	default:
+		return fmt.Errorf("unexpected frame of kind %d", f.kind)
+	}
+	return nil
+}
+
+func (c *connection) handleOpen(f frame) error {
+	var body openBody
+	if _, err := body.UnmarshalMsg(f.body); err != nil || c.accept == nil {
+		return errors.New("malformed or misdirected open frame")
+	}
+	s := newStream(c, f.stream, false)
+	c.mu.Lock()
+	full := len(c.streams) >= c.cfg.MaxStreams
+	if !full {
+		c.streams[f.stream] = s
+	}
+	c.mu.Unlock()
+	if full {
+		s.end(endBody{Code: CodeTooManyStreams, Step: "mesh.open", Message: "too many streams"})
+		return nil
+	}
+	c.accept(s, body)
+	return nil
+}
+
+func (c *connection) handleEnd(s *Stream, f frame) error {
+	var body endBody
+	if _, err := body.UnmarshalMsg(f.body); err != nil {
+		return errors.New("malformed end frame")
+	}
+	if s.opener {
+		c.forget(f.stream)
+	}
+	if body.Code == "" {
+		s.fail(io.EOF)
+		return nil
+	}
+	s.fail(&RemoteError{Code: body.Code, Step: body.Step, Peer: body.Peer, Message: body.Message})
+	return nil
+}
+
+// open starts a stream with its first message.
+func (c *connection) open(method string, message []byte) (*Stream, error) {
+	body, err := openBody{Method: method, Message: message}.marshal()
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > c.cfg.MaxFrameBytes-frameOverheadBytes {
+		return nil, errFrameTooLong
+	}
+	c.mu.Lock()
+	if c.lost {
+		c.mu.Unlock()
+		return nil, ErrConnectionLost
+	}
+	c.next++
+	s := newStream(c, c.next, true)
+	c.streams[s.id] = s
+	c.mu.Unlock()
+	c.out.write(frameOpen, s.id, body)
+	return s, nil
+}
+
+func (b openBody) marshal() ([]byte, error) { return b.MarshalMsg(nil) }
+
+func (c *connection) stream(id uint32) *Stream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.streams[id]
+}
+
+func (c *connection) forget(id uint32) {
+	c.mu.Lock()
+	delete(c.streams, id)
+	c.mu.Unlock()
+}
+
+// lose ends every stream with ErrConnectionLost.
+func (c *connection) lose() {
+	c.mu.Lock()
+	if c.lost {
+		c.mu.Unlock()
+		return
+	}
+	c.lost = true
+	streams := c.streams
+	c.streams = nil
+	c.mu.Unlock()
+	close(c.done)
+	c.out.close()
+	_ = c.conn.Close()
+	for _, s := range streams {
+		s.fail(ErrConnectionLost)
+	}
+}
+
+func (c *connection) isLost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lost
+}
--- /dev/null
+++ b/internal/mesh/frame.go
@@ -0,0 +1,96 @@
+package mesh
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/tinylib/msgp/msgp"
+)
+
+// protocolVersion changes with every incompatible change of the frames.
+const protocolVersion = 1
+
+const (
+	frameLengthBytes = 4
+	frameFields      = 3
+	// frameOverheadBytes bounds what a frame's msgpack fields add to its body.
+	frameOverheadBytes = 16
+)
+
+// DefaultMaxFrameBytes is the largest frame that is accepted by default.
+const DefaultMaxFrameBytes = 8 << 20
+
+type frameKind uint8
+
+const (
+	frameHello  frameKind = iota + 1 // handshake, body is a hello
+	frameProof                       // handshake, body is a proof
+	frameOpen                        // body is an openBody
+	frameData                        // body is one message
+	frameEnd                         // the sender's messages are complete, body is an endBody
+	frameReset                       // the opener gave the stream up
+	frameWindow                      // body is the count of bytes that were read
+)
+
+type frame struct {
+	kind   frameKind
+	stream uint32
+	body   []byte
+}
+
+var errFrameTooLong = errors.New("frame exceeds the limit")
+
+// appendFrame appends the encoded frame to buf.
+func appendFrame(buf []byte, kind frameKind, stream uint32, body []byte) []byte {
+	start := len(buf)
+	buf = append(buf, 0, 0, 0, 0)
+	buf = msgp.AppendArrayHeader(buf, frameFields)
+	buf = msgp.AppendUint8(buf, uint8(kind))
+	buf = msgp.AppendUint32(buf, stream)
+	buf = msgp.AppendBytes(buf, body)
+	binary.BigEndian.PutUint32(buf[start:], uint32(len(buf)-start-frameLengthBytes))
+	return buf
+}
+
+// readFrame reads one frame. The body is newly allocated and belongs to the
+// caller.
+func readFrame(r io.Reader, maxBytes int) (frame, error) {
+	var head [frameLengthBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return frame{}, err
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if uint64(size) > uint64(maxBytes) {
+		return frame{}, fmt.Errorf("%w: %d bytes, at most %d", errFrameTooLong, size, maxBytes)
+	}
+	buf := make([]byte, size)
+	if _, err := io.ReadFull(r, buf); err != nil {
+		return frame{}, err
+	}
+	return decodeFrame(buf)
+}
+
+func decodeFrame(buf []byte) (frame, error) {
+	fields, buf, err := msgp.ReadArrayHeaderBytes(buf)
+	if err != nil {
+		return frame{}, err
+	}
+	if fields != frameFields {
+		return frame{}, fmt.Errorf("frame has %d fields, want %d", fields, frameFields)
+	}
+	kind, buf, err := msgp.ReadUint8Bytes(buf)
+	if err != nil {
+		return frame{}, err
+	}
+	stream, buf, err := msgp.ReadUint32Bytes(buf)
+	if err != nil {
+		return frame{}, err
+	}
+	body, _, err := msgp.ReadBytesZC(buf)
+	if err != nil {
+		return frame{}, err
+	}
+	return frame{kind: frameKind(kind), stream: stream, body: body}, nil
+}
--- /dev/null
+++ b/internal/mesh/handshake.go
@@ -0,0 +1,111 @@
+package mesh
+
+import (
+	"bufio"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"fmt"
+	"net"
+)
+
+const (
+	nonceBytes = 16
+	// handshakeMaxBytes bounds frames from a peer that has not proved itself.
+	handshakeMaxBytes = 1024
+)
+
+// Labels keep a proof of one side from being replayed as the other's.
+const (
+	dialerLabel   = "wigeonflow mesh dialler"
+	acceptorLabel = "wigeonflow mesh acceptor"
+)
+
+func proofOf(secret []byte, label string, nonces ...[]byte) []byte {
+	mac := hmac.New(sha256.New, secret)
+	mac.Write([]byte(label))
+	for _, nonce := range nonces {
+		mac.Write(nonce)
+	}
+	return mac.Sum(nil)
+}
+
+func newNonce() []byte {
+	nonce := make([]byte, nonceBytes)
+	_, _ = rand.Read(nonce) // never fails, see crypto/rand
+	return nonce
+}
+
+// dialHandshake proves this side to the acceptor and checks the acceptor.
+func dialHandshake(conn net.Conn, r *bufio.Reader, cfg *Config) (peer string, err error) {
+	mine := hello{Version: protocolVersion, Instance: string(cfg.Instance), Nonce: newNonce()}
+	if err := writeHandshake(conn, frameHello, &mine); err != nil {
+		return "", err
+	}
+	theirs, err := readHello(r)
+	if err != nil {
+		return "", err
+	}
+	want := proofOf(cfg.Secret, acceptorLabel, mine.Nonce, theirs.Nonce)
+	if !hmac.Equal(want, theirs.Proof) {
+		return "", fmt.Errorf("%w: %s does not know the fleet's secret", ErrHandshake, theirs.Instance)
+	}
+	p := proof{Proof: proofOf(cfg.Secret, dialerLabel, theirs.Nonce, mine.Nonce)}
+	return theirs.Instance, writeHandshake(conn, frameProof, &p)
+}
+
+// acceptHandshake checks the dialler and proves this side to it.
+func acceptHandshake(conn net.Conn, r *bufio.Reader, cfg *Config) (peer string, err error) {
+	theirs, err := readHello(r)
+	if err != nil {
+		return "", err
+	}
+	mine := hello{Version: protocolVersion, Instance: string(cfg.Instance), Nonce: newNonce()}
+	mine.Proof = proofOf(cfg.Secret, acceptorLabel, theirs.Nonce, mine.Nonce)
+	if err := writeHandshake(conn, frameHello, &mine); err != nil {
+		return "", err
+	}
+	f, err := readFrame(r, handshakeMaxBytes)
+	if err != nil {
+		return "", err
+	}
+	var p proof
+	if _, err := p.UnmarshalMsg(f.body); err != nil || f.kind != frameProof {
+		return "", fmt.Errorf("%w: malformed proof", ErrHandshake)
+	}
+	if !hmac.Equal(proofOf(cfg.Secret, dialerLabel, mine.Nonce, theirs.Nonce), p.Proof) {
+		return "", fmt.Errorf("%w: %s does not know the fleet's secret", ErrHandshake, theirs.Instance)
+	}
+	return theirs.Instance, nil
+}
+
+func readHello(r *bufio.Reader) (hello, error) {
+	var h hello
+	f, err := readFrame(r, handshakeMaxBytes)
+	if err != nil {
+		return h, err
+	}
+	if f.kind != frameHello {
+		return h, fmt.Errorf("%w: first frame is no hello", ErrHandshake)
+	}
+	if _, err := h.UnmarshalMsg(f.body); err != nil {
+		return h, fmt.Errorf("%w: malformed hello", ErrHandshake)
+	}
+	if h.Version != protocolVersion {
+		return h, fmt.Errorf("%w: peer speaks version %d, want %d", ErrHandshake, h.Version, protocolVersion)
+	}
+	return h, nil
+}
+
+type marshaler interface {
+	MarshalMsg([]byte) ([]byte, error)
+}
+
+func writeHandshake(conn net.Conn, kind frameKind, m marshaler) error {
+	body, err := m.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	_, err = conn.Write(appendFrame(nil, kind, 0, body))
+	return err
+}
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,239 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func startServer(t *testing.T, cfg Config, handlers map[string]Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(cfg)
+	for method, h := range handlers {
+		server.Handle(method, h)
+	}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = server.Shutdown(ctx)
+	})
+	return l.Addr().String()
+}
+
+func testPool(t *testing.T, cfg Config) *Pool {
+	p := NewPool(cfg)
+	t.Cleanup(p.Close)
+	return p
+}
+
+var testConfig = Config{Instance: "a", Secret: []byte("test secret"), WindowBytes: 1024}
+
+func countTo(n int) Handler {
+	return func(ctx context.Context, s *Stream, message []byte) error {
+		for i := range n {
+			if err := s.Send(ctx, fmt.Appendf(nil, "%s %d", message, i)); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+func TestStreamsDeliverInOrderToTheirOwnReader(t *testing.T) {
+	is := is.New(t)
+	const streams, messages = 20, 500
+	addr := startServer(t, testConfig, map[string]Handler{"count": countTo(messages)})
+	pool := testPool(t, testConfig)
+	ctx := context.Background()
+	var open []*Stream
+	for i := range streams {
+		s, err := pool.Open(ctx, addr, "count", fmt.Appendf(nil, "stream-%d", i))
+		is.NoErr(err)
+		open = append(open, s)
+	}
+	for i, s := range open {
+		for j := range messages {
+			got, err := s.Recv(ctx)
+			is.NoErr(err)
+			is.Equal(string(got), fmt.Sprintf("stream-%d %d", i, j))
+		}
+		_, err := s.Recv(ctx)
+		is.Equal(err, io.EOF)
+	}
+}
+
+func TestUnreadStreamHoldsItsSenderAndNoOther(t *testing.T) {
+	is := is.New(t)
+	sent := make(chan int, 10_000)
+	flood := func(ctx context.Context, s *Stream, _ []byte) error {
+		for i := 0; ; i++ {
+			if err := s.Send(ctx, make([]byte, 100)); err != nil {
+				return err
+			}
+			sent <- i
+		}
+	}
+	addr := startServer(t, testConfig, map[string]Handler{"flood": flood, "count": countTo(100)})
+	pool := testPool(t, testConfig)
+	ctx := context.Background()
+	slow, err := pool.Open(ctx, addr, "flood", nil)
+	is.NoErr(err)
+	quick, err := pool.Open(ctx, addr, "count", []byte("x"))
+	is.NoErr(err)
+	for range 100 {
+		_, err := quick.Recv(ctx)
+		is.NoErr(err)
+	}
+	// The window is 1024 bytes and may be overdrawn by one message.
+	for range 11 {
+		<-sent
+	}
+	is.Equal(len(sent), 0)
+	slow.Close()
+}
+
+func TestStreamEnds(t *testing.T) {
+	cases := []struct {
+		name    string
+		handler Handler
+		check   func(error) bool
+	}{
+		{"success is EOF", func(context.Context, *Stream, []byte) error { return nil },
+			func(err error) bool { return errors.Is(err, io.EOF) }},
+		{"a typed error keeps code, step and peer", func(context.Context, *Stream, []byte) error {
+			return &RemoteError{Code: "full", Step: "admit", Peer: "engine-1", Message: "no room"}
+		}, func(err error) bool {
+			var remote *RemoteError
+			return errors.As(err, &remote) && remote.Code == "full" && remote.Step == "admit" && remote.Peer == "engine-1"
+		}},
+		{"a lost connection is no EOF", func(_ context.Context, s *Stream, _ []byte) error {
+			s.conn.lose()
+			return nil
+		}, func(err error) bool { return errors.Is(err, ErrConnectionLost) }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			addr := startServer(t, testConfig, map[string]Handler{"m": tc.handler})
+			pool := testPool(t, testConfig)
+			s, err := pool.Open(context.Background(), addr, "m", nil)
+			is.NoErr(err)
+			_, err = s.Recv(context.Background())
+			is.True(tc.check(err))
+		})
+	}
+}
+
+func TestCloseCancelsTheHandler(t *testing.T) {
+	is := is.New(t)
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	addr := startServer(t, testConfig, map[string]Handler{"wait": func(ctx context.Context, _ *Stream, _ []byte) error {
+		close(started)
+		<-ctx.Done()
+		close(cancelled)
+		return ctx.Err()
+	}})
+	pool := testPool(t, testConfig)
+	s, err := pool.Open(context.Background(), addr, "wait", nil)
+	is.NoErr(err)
+	<-started
+	s.Close()
+	<-cancelled
+}
+
+func TestRefusedPeers(t *testing.T) {
+	cases := []struct {
+		name string
+		cfg  Config
+	}{
+		{"another secret", Config{Instance: "b", Secret: []byte("other")}},
+		{"no secret", Config{Instance: "b"}},
+	}
+	addr := startServer(t, testConfig, map[string]Handler{"count": countTo(1)})
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := testPool(t, tc.cfg).Open(context.Background(), addr, "count", nil)
+			var dial *DialError
+			is.True(errors.As(err, &dial))
+			is.True(errors.Is(err, ErrHandshake))
+		})
+	}
+}
+
+func TestMalformedFramesEndTheConnection(t *testing.T) {
+	cases := []struct {
+		name  string
+		bytes []byte
+	}{
+		{"a frame beyond the limit", []byte{0xff, 0xff, 0xff, 0xff}},
+		{"no msgpack", []byte{0, 0, 0, 2, 0xc1, 0xc1}},
+		{"another version", func() []byte {
+			body, _ := (&hello{Version: protocolVersion + 1, Nonce: newNonce()}).MarshalMsg(nil)
+			return appendFrame(nil, frameHello, 0, body)
+		}()},
+	}
+	addr := startServer(t, testConfig, nil)
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			conn, err := net.Dial("tcp", addr)
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = conn.Write(tc.bytes)
+			is.NoErr(err)
+			_, err = conn.Read(make([]byte, 1))
+			is.True(err != nil) // closed without an answer
+		})
+	}
+}
+
+func FuzzDecodeFrame(f *testing.F) {
+	f.Add(appendFrame(nil, frameData, 7, []byte("x"))[frameLengthBytes:])
+	f.Add([]byte{0xc1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, _ = decodeFrame(data)
+	})
+}
+
+func BenchmarkStreamMessage(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	cfg := Config{Instance: "a", Secret: []byte("s")}
+	server := NewServer(cfg)
+	server.Handle("flood", func(ctx context.Context, s *Stream, _ []byte) error {
+		message := make([]byte, 200)
+		for range b.N {
+			if err := s.Send(ctx, message); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	go func() { _ = server.Serve(l) }()
+	pool := NewPool(cfg)
+	defer pool.Close()
+	b.ReportAllocs()
+	b.ResetTimer()
+	s, err := pool.Open(context.Background(), l.Addr().String(), "flood", nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for {
+		if _, err := s.Recv(context.Background()); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/pool.go
@@ -0,0 +1,164 @@
+package mesh
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// Pool dials peers and keeps one connection to each.
+type Pool struct {
+	cfg *Config
+
+	mu     sync.Mutex
+	conns  map[string]*pooled
+	closed bool
+}
+
+// pooled is the connection to one address, or the attempt to make it.
+type pooled struct {
+	ready chan struct{} // closed once conn or err is set
+	conn  *connection
+	err   error
+}
+
+// NewPool returns a pool without connections.
+func NewPool(cfg Config) *Pool {
+	return &Pool{cfg: cfg.withDefaults(), conns: make(map[string]*pooled)}
+}
+
+// Open starts a stream of a method at a peer. A *DialError means that nothing
+// was sent.
+func (p *Pool) Open(ctx context.Context, addr, method string, message []byte) (*Stream, error) {
+	conn, err := p.connect(ctx, addr)
+	if err != nil {
+		return nil, fleet.At(&DialError{Addr: addr, Err: err}, "mesh.dial", addr)
+	}
+	s, err := conn.open(method, message)
+	if errors.Is(err, ErrConnectionLost) {
+		return nil, fleet.At(&DialError{Addr: addr, Err: err}, "mesh.open", addr)
+	}
+	return s, fleet.At(err, "mesh.open", addr)
+}
+
+// Call sends one request and waits for its one reply.
+func (p *Pool) Call(ctx context.Context, addr, method string, request msgp.Marshaler, reply msgp.Unmarshaler) error {
+	message, err := request.MarshalMsg(nil)
+	if err != nil {
+		return fleet.At(err, "mesh.encode", addr)
+	}
+	s, err := p.Open(ctx, addr, method, message)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	answer, err := s.Recv(ctx)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return fleet.At(err, method, addr)
+	}
+	_, err = reply.UnmarshalMsg(answer)
+	return fleet.At(err, "mesh.decode", addr)
+}
+
+// connect returns the live connection to addr, dialling where there is none.
+// Callers that arrive during a dial share its result.
+func (p *Pool) connect(ctx context.Context, addr string) (*connection, error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, ErrClosed
+	}
+	entry := p.conns[addr]
+	if entry == nil || entry.failed() {
+		entry = &pooled{ready: make(chan struct{})}
+		p.conns[addr] = entry
+		go p.dial(addr, entry)
+	}
+	p.mu.Unlock()
+	select {
+	case <-entry.ready:
+		return entry.conn, entry.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (e *pooled) failed() bool {
+	select {
+	case <-e.ready:
+		return e.err != nil || e.conn.isLost()
+	default:
+		return false
+	}
+}
+
+func (p *Pool) dial(addr string, entry *pooled) {
+	defer close(entry.ready)
+	conn, err := net.DialTimeout("tcp", addr, p.cfg.DialTimeout)
+	if err != nil {
+		entry.err = err
+		return
+	}
+	if p.cfg.ClientTLS != nil {
+		conn = tls.Client(conn, p.cfg.ClientTLS)
+	}
+	_ = conn.SetDeadline(time.Now().Add(p.cfg.DialTimeout))
+	r := bufio.NewReaderSize(conn, readBufferBytes)
+	peer, err := dialHandshake(conn, r, p.cfg)
+	if err != nil {
+		_ = conn.Close()
+		entry.err = err
+		return
+	}
+	_ = conn.SetDeadline(time.Time{})
+	entry.conn = newConnection(p.cfg, conn, r, peer)
+	go entry.conn.run()
+}
+
+// Close ends every connection and its streams.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	conns := p.conns
+	p.conns = nil
+	p.mu.Unlock()
+	for _, entry := range conns {
+		<-entry.ready
+		if entry.conn != nil {
+			entry.conn.lose()
+		}
+	}
+}
+
+// Unary adapts a function of one request and one reply to a Handler.
+func Unary[Q any, QP interface {
+	*Q
+	msgp.Unmarshaler
+}, R msgp.Marshaler](f func(ctx context.Context, peer string, request QP) (R, error)) Handler {
+	return func(ctx context.Context, s *Stream, message []byte) error {
+		request := QP(new(Q))
+		if _, err := request.UnmarshalMsg(message); err != nil {
+			return fleet.At(err, "mesh.decode", s.Peer())
+		}
+		reply, err := f(ctx, s.Peer(), request)
+		if err != nil {
+			return err
+		}
+		answer, err := reply.MarshalMsg(nil)
+		if err != nil {
+			return fleet.At(err, "mesh.encode", s.Peer())
+		}
+		return s.Send(ctx, answer)
+	}
+}
--- /dev/null
+++ b/internal/mesh/server.go
@@ -0,0 +1,168 @@
+package mesh
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// Handler serves one stream that a peer opened with message. The stream ends
+// with the error it returns; ctx ends when the opener gives up or is lost.
+type Handler func(ctx context.Context, s *Stream, message []byte) error
+
+// Server accepts connections and serves their streams.
+type Server struct {
+	cfg      *Config
+	handlers map[string]Handler
+
+	mu       sync.Mutex
+	conns    map[*connection]struct{}
+	listener net.Listener
+	closed   bool
+	streams  sync.WaitGroup
+}
+
+// NewServer returns a server without handlers.
+func NewServer(cfg Config) *Server {
+	return &Server{cfg: cfg.withDefaults(), handlers: make(map[string]Handler), conns: make(map[*connection]struct{})}
+}
+
+// Handle registers the handler of a method. It must not be called after Serve.
+func (s *Server) Handle(method string, h Handler) { s.handlers[method] = h }
+
+// Serve accepts connections until the server is closed. It closes the listener.
+func (s *Server) Serve(l net.Listener) error {
+	if s.cfg.ServerTLS != nil {
+		l = tls.NewListener(l, s.cfg.ServerTLS)
+	}
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return errors.Join(ErrClosed, l.Close())
+	}
+	s.listener = l
+	s.mu.Unlock()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if s.isClosed() {
+				return nil
+			}
+			var temporary net.Error
+			if errors.As(err, &temporary) && temporary.Timeout() {
+				continue
+			}
+			return fleet.At(err, "mesh.accept", l.Addr().String())
+		}
+		go s.serveConn(conn)
+	}
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	r := bufio.NewReaderSize(conn, readBufferBytes)
+	_ = conn.SetDeadline(time.Now().Add(s.cfg.DialTimeout))
+	peer, err := acceptHandshake(conn, r, s.cfg)
+	if err != nil {
+		s.cfg.Logger.Warn("mesh handshake refused", "peer", conn.RemoteAddr().String(), "error", err)
+		_ = conn.Close()
+		return
+	}
+	_ = conn.SetDeadline(time.Time{})
+	c := newConnection(s.cfg, conn, r, peer)
+	c.accept = func(st *Stream, body openBody) { s.start(st, body) }
+	if !s.add(c) {
+		_ = conn.Close()
+		return
+	}
+	c.run()
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
+
+func (s *Server) add(c *connection) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= s.cfg.MaxConnections {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+// start runs the handler of a stream in its own goroutine.
+func (s *Server) start(st *Stream, body openBody) {
+	h := s.handlers[body.Method]
+	if h == nil {
+		st.end(endBody{Code: CodeUnknownMethod, Step: "mesh.open", Message: body.Method})
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	st.mu.Lock()
+	st.cancel = cancel
+	st.mu.Unlock()
+	s.streams.Add(1)
+	go func() {
+		defer s.streams.Done()
+		defer cancel()
+		st.end(endOf(h(ctx, st, body.Message)))
+	}()
+}
+
+func endOf(err error) endBody {
+	if err == nil {
+		return endBody{}
+	}
+	var remote *RemoteError
+	if errors.As(err, &remote) {
+		return endBody{Code: remote.Code, Step: remote.Step, Peer: remote.Peer, Message: remote.Message}
+	}
+	step, peer := fleet.Located(err)
+	return endBody{Code: CodeFailed, Step: step, Peer: peer, Message: err.Error()}
+}
+
+// Shutdown stops accepting connections, waits until every stream has ended or
+// ctx has, and closes what is left.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.closed = true
+	listener := s.listener
+	s.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
+	idle := make(chan struct{})
+	go func() {
+		s.streams.Wait()
+		close(idle)
+	}()
+	var err error
+	select {
+	case <-idle:
+		// Ends that were queued last are still to be written.
+		time.Sleep(flushGrace)
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		go c.lose()
+	}
+	return err
+}
+
+// flushGrace is the time left for writing the last frames at a shutdown.
+const flushGrace = 50 * time.Millisecond
