--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -1,6 +1,7 @@
 package fleet
 
 //go:generate go tool msgp -tests=false -io=false -file types.go
+//go:generate go tool msgp -tests=false -io=false -file outcome.go
 
 // InstanceID names one process of the fleet. It stays the same across restarts.
 type InstanceID string
--- /dev/null
+++ b/internal/owner/messages.go
@@ -0,0 +1,158 @@
+package owner
+
+import "github.com/wigeonflow/wigeonflow/internal/fleet"
+
+//go:generate go tool msgp -tests=false -io=false -file messages.go
+
+// Methods that an owner serves on the mesh.
+const (
+	// MethodChat runs a chat at an engine: a ChatRequest opens the stream, a
+	// Verdict and then Events answer it.
+	MethodChat = "owner.chat"
+	// MethodCall runs a request at a plain service: a CallRequest opens the
+	// stream, a Verdict and then one CallReply answer it.
+	MethodCall = "owner.call"
+)
+
+// Codes of a mesh.RemoteError that ends an owner's stream after an admission.
+const (
+	// CodeUpstreamCut means that the upstream's answer broke off and could not
+	// be resumed there.
+	CodeUpstreamCut = "upstream-cut"
+	// CodeUpstreamRefused means that the upstream answered with an error before
+	// it ran the request.
+	CodeUpstreamRefused = "upstream-refused"
+	// CodeNotSent means that no byte of the request can have left for the upstream.
+	CodeNotSent = "not-sent"
+)
+
+// Header tells an owner what it needs for admitting any request.
+type Header struct {
+	Request   fleet.RequestID   `msg:"r"`
+	Attempt   string            `msg:"a"`
+	Workspace fleet.WorkspaceID `msg:"w"`
+	Upstream  fleet.UpstreamID  `msg:"u"`
+	Priority  fleet.Priority    `msg:"p"`
+	// BudgetMillis is the time left until the caller's deadline.
+	BudgetMillis uint32 `msg:"b"`
+	// MayQueue allows the owner to hold the request until it has capacity.
+	MayQueue bool `msg:"q"`
+	// Trace is the W3C traceparent of the sender's span; empty without one.
+	Trace string `msg:"t"`
+}
+
+// ChatRequest asks an owner to run a chat at one engine.
+type ChatRequest struct {
+	Header Header `msg:"h"`
+	// Chat is the hash under which the chat is placed.
+	Chat uint64 `msg:"c"`
+	// CacheKey is the prompt_cache_key that the engine sees.
+	CacheKey string `msg:"k"`
+	// ResumeAfter is the last offset the entry has; 0 starts the answer.
+	ResumeAfter uint64 `msg:"o"`
+	Body        []byte `msg:"d"`
+}
+
+// Verdict is an owner's answer to a request before any of it leaves for the
+// upstream.
+type Verdict struct {
+	Admitted bool `msg:"a"`
+	// Reason is a Refusal where the request was not admitted.
+	Reason           Refusal `msg:"r"`
+	RetryAfterMillis uint32  `msg:"m"`
+	// Epoch is the membership epoch the owner acts under.
+	Epoch fleet.Epoch `msg:"e"`
+}
+
+// Refusal says why an owner did not admit a request.
+type Refusal uint8
+
+const (
+	// RefusedNone is the zero value of an admitted request.
+	RefusedNone Refusal = iota
+	// RefusedNotOwner means that another instance owns the upstream, or that
+	// the hand-over to this one is not settled.
+	RefusedNotOwner
+	// RefusedNoLease means that the owner's session lease has run out.
+	RefusedNoLease
+	// RefusedFull means that the load bound, the ramp or the queue is full.
+	RefusedFull
+	// RefusedOut means that the upstream, its zone or the owner takes no new work.
+	RefusedOut
+	// RefusedUnknownUpstream means that the owner does not know the upstream.
+	RefusedUnknownUpstream
+	// RefusedDeadline means that the request cannot be served before its deadline.
+	RefusedDeadline
+)
+
+var refusalNames = [...]string{"none", "not-owner", "no-lease", "full", "out", "unknown-upstream", "deadline"}
+
+// String returns the refusal's name in logs and metrics.
+func (r Refusal) String() string {
+	if int(r) < len(refusalNames) {
+		return refusalNames[r]
+	}
+	return "unknown"
+}
+
+//msgp:tuple Event
+
+// Event is one part of an engine's answer.
+type Event struct {
+	// Offset counts the token events from 1; 0 for usage and the end.
+	Offset uint64
+	// Data is the JSON of one chunk.
+	Data []byte
+	// Done marks the explicit end of the answer; Data is empty.
+	Done bool
+}
+
+// CallRequest asks an owner to run one request at a plain service.
+type CallRequest struct {
+	Header  Header        `msg:"h"`
+	Service string        `msg:"s"`
+	Method  string        `msg:"m"`
+	Path    string        `msg:"p"`
+	Fields  []HeaderField `msg:"f"`
+	Body    []byte        `msg:"d"`
+	// Repeatable requests may run more than once.
+	Repeatable bool `msg:"e"`
+	// IdempotencyKey is the caller's key; empty without one.
+	IdempotencyKey string `msg:"k"`
+	// LookupPath answers what became of a key; empty without one.
+	LookupPath string `msg:"l"`
+}
+
+// HeaderField is one HTTP header field.
+type HeaderField struct {
+	Name  string `msg:"n"`
+	Value string `msg:"v"`
+}
+
+// CallReply is what became of a CallRequest.
+type CallReply struct {
+	Outcome fleet.Outcome `msg:"o"`
+	// Status is the HTTP status for the caller; 0 where Outcome is not ran.
+	Status int           `msg:"s"`
+	Fields []HeaderField `msg:"f"`
+	Body   []byte        `msg:"d"`
+	// Replayed marks a stored answer of an earlier request.
+	Replayed bool `msg:"y"`
+	// Conflict says why a keyed request was refused; empty otherwise.
+	Conflict Conflict `msg:"c"`
+	// Step and Message describe an outcome other than ran.
+	Step    string `msg:"t"`
+	Message string `msg:"m"`
+}
+
+// Conflict is the reason for refusing a keyed request.
+type Conflict uint8
+
+const (
+	// ConflictNone is the zero value.
+	ConflictNone Conflict = iota
+	// ConflictInProgress means that the first request under the key still runs.
+	ConflictInProgress
+	// ConflictBody means that the key belongs to a request with another body.
+	ConflictBody
+)
