Answer core and upstream clients, first usable version

Ruled out: httptrace.WroteHeaders as proof of not-run, since the writer runs in a goroutine of its own and may write after RoundTrip has returned; a gate in the connection's Write settles it for calls that may not be repeated. Change: internal/answer (outcome, retry decision, SSE parser and writer, assembler, whole completion, refusals) and internal/upstream (engine, service, platform over HTTP).

--- /dev/null
+++ b/internal/answer/refusal.go
@@ -0,0 +1,123 @@
+package answer
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// Names of the headers that answers and refusals carry.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderOutcome        = "Wigeonflow-Outcome"
+	HeaderRetryAfter     = "Retry-After"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// Types of errors in the OpenAI error body.
+const (
+	TypeInvalidRequest = "invalid_request_error"
+	TypeAuthentication = "authentication_error"
+	TypePermission     = "permission_error"
+	TypeRateLimit      = "rate_limit_error"
+	TypeServer         = "server_error"
+)
+
+// ErrorDetail is the "error" object of the OpenAI error body.
+type ErrorDetail struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code,omitempty"`
+}
+
+// ErrorBody is the OpenAI error body.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// Refusal is an error that goes to a caller in place of an answer.
+type Refusal struct {
+	Status    int
+	Outcome   fleet.Outcome
+	RequestID fleet.RequestID
+	// Code is a stable, machine-readable reason.
+	Code    string
+	Message string
+	// RetryAfter is how long to wait before another try; 0 leaves it out.
+	RetryAfter time.Duration
+}
+
+// SetHeader sets the refusal's headers in h.
+func (r Refusal) SetHeader(h http.Header) {
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, r.Outcome.String())
+	if r.RequestID != "" {
+		h.Set(HeaderRequestID, string(r.RequestID))
+	}
+	if r.RetryAfter > 0 {
+		h.Set(HeaderRetryAfter, strconv.Itoa(retrySeconds(r.RetryAfter)))
+	}
+}
+
+// retrySeconds rounds up, so that a caller never comes back too early.
+func retrySeconds(wait time.Duration) int {
+	return int((wait + time.Second - 1) / time.Second)
+}
+
+// Body returns the OpenAI error body.
+func (r Refusal) Body() []byte {
+	body, err := json.Marshal(ErrorBody{Error: r.detail()})
+	if err != nil {
+		return []byte(`{"error":{"message":"internal error","type":"server_error","param":null}}`)
+	}
+	return body
+}
+
+func (r Refusal) detail() ErrorDetail {
+	return ErrorDetail{Message: r.Message, Type: errorType(r.Status), Code: r.Code}
+}
+
+// Write sends the refusal. It must be the first use of w.
+func (r Refusal) Write(w http.ResponseWriter) error {
+	r.SetHeader(w.Header())
+	w.WriteHeader(r.Status)
+	_, err := w.Write(r.Body())
+	return err
+}
+
+// AppendEvent appends the refusal as the last event of a stream to dst. The
+// event takes the place of [DONE]: a client that counts on [DONE] can't take
+// the stream for whole.
+func (r Refusal) AppendEvent(dst []byte) []byte {
+	type detail struct {
+		ErrorDetail
+		Outcome   string          `json:"outcome"`
+		RequestID fleet.RequestID `json:"request_id,omitempty"`
+	}
+	body, err := json.Marshal(struct {
+		Error detail `json:"error"`
+	}{detail{r.detail(), r.Outcome.String(), r.RequestID}})
+	if err != nil {
+		body = r.Body()
+	}
+	return AppendData(dst, body)
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return TypeAuthentication
+	case status == http.StatusForbidden:
+		return TypePermission
+	case status == http.StatusTooManyRequests:
+		return TypeRateLimit
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
+		return TypeInvalidRequest
+	default:
+		return TypeServer
+	}
+}
--- /dev/null
+++ b/internal/answer/status.go
@@ -0,0 +1,25 @@
+package answer
+
+import (
+	"net/http"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// status returns the HTTP status for a request that failed before any byte of
+// an answer went to its caller.
+func (p *Progress) status(end End) int {
+	if p.outcome != fleet.OutcomeNotRun && (p.kind == KindKeyed || p.kind == KindUnkeyed) {
+		return http.StatusConflict
+	}
+	switch end {
+	case EndBadRequest:
+		return http.StatusBadRequest
+	case EndDeadline:
+		return http.StatusGatewayTimeout
+	case EndCut, EndCrossed, EndOwnerLost, EndResumeDeclined:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/internal/upstream/chat_stream.go
@@ -0,0 +1,274 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/answer"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// chatStream is a ChatStream over HTTP.
+type chatStream struct {
+	engine  *HTTPEngine
+	attempt answer.AttemptID
+	resp    *http.Response
+	parser  answer.Parser
+	facts   answer.Facts
+	failed  error
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	stall  *stallTimer
+
+	mu     sync.Mutex
+	ended  bool // the stream ended or failed: nothing is left to cancel
+	whole  bool // the stream was read to its end
+	closed bool
+}
+
+// startChat sends one attempt and reads the answer's headers.
+func (e *HTTPEngine) startChat(ctx context.Context, req ChatRequest) (*chatStream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &chatStream{engine: e, attempt: req.Attempt, ctx: ctx, cancel: cancel}
+	s.stall = newStallTimer(req.MaxStall, cancel)
+	if err := s.open(req); err != nil {
+		s.release(false)
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *chatStream) open(req ChatRequest) error {
+	if err := req.beforeWrite(); err != nil {
+		return s.fail(answer.EndRefused, err)
+	}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	out, err := s.engine.newChat(httptrace.WithClientTrace(s.ctx, trace), req)
+	if err != nil {
+		return s.fail(answer.EndBadRequest, err)
+	}
+	s.resp, err = s.engine.base.transport.RoundTrip(out)
+	s.facts.MayHaveLeft = connected.Load()
+	if err != nil {
+		return s.failOpen(err)
+	}
+	return s.checkHeaders(req)
+}
+
+func (s *chatStream) failOpen(err error) error {
+	if !s.facts.MayHaveLeft {
+		return s.fail(answer.EndNotConnected, err)
+	}
+	return s.fail(answer.EndCut, s.cutCause(err))
+}
+
+// checkHeaders accepts the answer only if it names the attempt, whatever its
+// status.
+func (s *chatStream) checkHeaders(req ChatRequest) error {
+	if got := s.resp.Header.Get(answer.HeaderRequestID); got != string(req.Attempt) {
+		return s.fail(answer.EndCrossed, ErrCrossed.New("answer names attempt %q", got))
+	}
+	if s.resp.StatusCode != http.StatusOK {
+		return s.failStatus(req)
+	}
+	kind, _, err := mime.ParseMediaType(s.resp.Header.Get("Content-Type"))
+	if err != nil || kind != "text/event-stream" {
+		return s.fail(answer.EndCut, ErrBadAnswer.New("answer is %q, not a stream", kind))
+	}
+	s.facts.Accepted = true
+	return nil
+}
+
+// failStatus reads an error answer. Only a whole one counts as the engine's
+// word.
+func (s *chatStream) failStatus(req ChatRequest) error {
+	body, err := readBounded(s.resp.Body, maxErrorBody)
+	if err != nil {
+		return s.fail(answer.EndCut, s.cutCause(err))
+	}
+	status := s.resp.StatusCode
+	end := answer.EndBadRequest
+	switch {
+	case status == http.StatusConflict && req.Resume:
+		end = answer.EndResumeDeclined
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		end = answer.EndDeclined
+		s.facts.Declined = true
+	case status >= http.StatusInternalServerError:
+		end = answer.EndCut
+	}
+	s.facts.Whole = end != answer.EndCut
+	failure := s.fail(end, ErrUnexpectedStatus.New("status %d", status))
+	failure.Status, failure.Body = status, body
+	failure.RetryAfter = retryAfter(s.resp.Header)
+	return failure
+}
+
+// Next implements ChatStream.
+func (s *chatStream) Next(ctx context.Context) (answer.Event, error) {
+	if s.failed != nil {
+		return answer.Event{}, s.failed
+	}
+	if ctx.Done() != nil && ctx != s.ctx {
+		stop := context.AfterFunc(ctx, s.cancel)
+		defer stop()
+	}
+	for {
+		ev, ok, err := s.parser.Next()
+		if err == nil && ok {
+			return s.event(ev), nil
+		}
+		if err == nil {
+			err = s.read()
+		}
+		if err != nil {
+			s.failed = s.fail(answer.EndCut, s.cutCause(err))
+			return answer.Event{}, s.failed
+		}
+	}
+}
+
+func (s *chatStream) event(ev answer.Event) answer.Event {
+	if ev.Done {
+		s.facts.Whole = true
+		s.failed = io.EOF
+		s.end(true)
+	}
+	return ev
+}
+
+// read takes what the connection has. Bytes come before an error, so that no
+// event is lost to the cut behind it.
+func (s *chatStream) read() error {
+	space, err := s.parser.Space()
+	if err != nil {
+		return err
+	}
+	n, err := s.resp.Body.Read(space)
+	s.parser.Advance(n)
+	if n > 0 {
+		s.stall.reset()
+		return nil
+	}
+	if errors.Is(err, io.EOF) {
+		return ErrCut.New("stream has no end")
+	}
+	return err
+}
+
+// cutCause tells a stall from other cuts.
+func (s *chatStream) cutCause(err error) error {
+	if s.stall.fired() {
+		return ErrStalled.Wrap(err, "no byte for %s", s.stall.limit)
+	}
+	return err
+}
+
+// fail ends the stream and returns its error.
+func (s *chatStream) fail(end answer.End, cause error) *AttemptError {
+	s.end(false)
+	return &AttemptError{End: end, Facts: s.facts, Cause: fleet.At(cause, "engine.chat", s.engine.base.addr)}
+}
+
+func (s *chatStream) end(whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended, s.whole = true, whole
+}
+
+// BootID implements ChatStream.
+func (s *chatStream) BootID() fleet.BootID {
+	return fleet.BootID(s.resp.Header.Get(headerEngineBoot))
+}
+
+// Facts implements ChatStream.
+func (s *chatStream) Facts() answer.Facts { return s.facts }
+
+// Close implements ChatStream.
+func (s *chatStream) Close() error {
+	state := s.shut()
+	if state.closed {
+		return nil
+	}
+	s.release(state.whole)
+	if state.ended {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), CancelTimeout)
+	defer cancel()
+	return s.engine.Cancel(ctx, s.attempt)
+}
+
+// Detach implements ChatStream.
+func (s *chatStream) Detach() error {
+	if state := s.shut(); !state.closed {
+		s.release(state.whole)
+	}
+	return nil
+}
+
+// streamState is what shut found.
+type streamState struct{ ended, whole, closed bool }
+
+// shut marks the stream closed and returns its state before.
+func (s *chatStream) shut() streamState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := streamState{ended: s.ended, whole: s.whole, closed: s.closed}
+	s.closed = true
+	return state
+}
+
+// release gives the connection back if the answer was read to its end, and
+// breaks it off otherwise.
+func (s *chatStream) release(whole bool) {
+	s.stall.stop()
+	if s.resp != nil {
+		if whole {
+			_, _ = io.CopyN(io.Discard, s.resp.Body, maxDrain)
+		}
+		_ = s.resp.Body.Close()
+	}
+	s.cancel()
+}
+
+// stallTimer cancels a stream that pauses for longer than a limit.
+type stallTimer struct {
+	limit time.Duration
+	timer *time.Timer
+	late  atomic.Bool
+}
+
+func newStallTimer(limit time.Duration, cancel context.CancelFunc) *stallTimer {
+	t := &stallTimer{limit: limit}
+	if limit > 0 {
+		t.timer = time.AfterFunc(limit, func() {
+			t.late.Store(true)
+			cancel()
+		})
+	}
+	return t
+}
+
+func (t *stallTimer) reset() {
+	if t.timer != nil {
+		t.timer.Reset(t.limit)
+	}
+}
+
+func (t *stallTimer) stop() {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+}
+
+func (t *stallTimer) fired() bool { return t.late.Load() }
--- /dev/null
+++ b/internal/upstream/service.go
@@ -0,0 +1,63 @@
+package upstream
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/wigeonflow/wigeonflow/internal/answer"
+)
+
+// Service is one replica of a plain service. Its methods may be called
+// concurrently.
+type Service interface {
+	// Do makes one attempt at a call. The facts hold whether or not there is an
+	// error; errors are *AttemptError.
+	Do(ctx context.Context, req CallRequest) (CallAnswer, answer.Facts, error)
+	// Lookup asks what became of the call under key.
+	Lookup(ctx context.Context, path, key string) (LookupAnswer, error)
+}
+
+// CallRequest is one attempt at a call of a service.
+type CallRequest struct {
+	Attempt answer.AttemptID
+	Method  string
+	// Target is the path behind the service's name, with the query.
+	Target string
+	Header http.Header
+	Body   []byte
+	// IdempotencyKey is passed on to the service; "" for none.
+	IdempotencyKey string
+	// Repeatable lets the call use pooled connections, on which the transport may
+	// send it a second time. Without it the call is written at most once.
+	Repeatable bool
+	// BeforeWrite, if set, is asked directly before the first byte is handed to
+	// the network. An error from it ends the attempt as not run.
+	BeforeWrite func() error
+	// MaxAnswer bounds the answer's body in bytes; 0 means DefaultMaxAnswer.
+	MaxAnswer int64
+}
+
+// DefaultMaxAnswer is the most bytes of a service's answer.
+const DefaultMaxAnswer = 8 << 20
+
+// CallAnswer is a service's whole answer.
+type CallAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Lookup states.
+const (
+	LookupRan     = "ran"
+	LookupRunning = "running"
+	LookupNever   = "never"
+)
+
+// LookupAnswer is what a service says of a call. Status and Body are those of
+// the call's answer where State is LookupRan.
+type LookupAnswer struct {
+	State  string `json:"state"`
+	Status int    `json:"status"`
+	Body   string `json:"body"`
+}
--- /dev/null
+++ b/internal/upstream/service_http.go
@@ -0,0 +1,224 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"strings"
+	"sync/atomic"
+
+	"github.com/wigeonflow/wigeonflow/internal/answer"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// HTTPService is a Service over HTTP.
+type HTTPService struct {
+	base   client
+	dialer net.Dialer
+
+	pooled bool // test builds that send every call over pooled connections
+}
+
+// NewService returns the service at addr, an IP:port. The client serves
+// repeatable calls and lookups only; see NewHTTPClient.
+func NewService(addr string, httpClient *http.Client) *HTTPService {
+	return &HTTPService{
+		base:   newClient(addr, httpClient),
+		dialer: net.Dialer{Timeout: dialTimeout},
+	}
+}
+
+var _ Service = (*HTTPService)(nil)
+
+// Do implements Service.
+func (s *HTTPService) Do(ctx context.Context, req CallRequest) (CallAnswer, answer.Facts, error) {
+	call := &call{service: s, req: req}
+	got, err := call.run(ctx)
+	if err != nil {
+		return CallAnswer{}, call.facts, call.fail(err)
+	}
+	return got, call.facts, nil
+}
+
+// Lookup implements Service.
+func (s *HTTPService) Lookup(ctx context.Context, path, key string) (LookupAnswer, error) {
+	var found LookupAnswer
+	err := s.base.getJSON(ctx, "service.lookup", path+"?key="+url.QueryEscape(key), &found)
+	if err != nil {
+		return LookupAnswer{}, err
+	}
+	switch found.State {
+	case LookupRan, LookupRunning, LookupNever:
+		return found, nil
+	default:
+		cause := ErrBadAnswer.New("lookup state %q", found.State)
+		return LookupAnswer{}, fleet.At(cause, "service.lookup", s.base.addr)
+	}
+}
+
+// call is one attempt at a call.
+type call struct {
+	service *HTTPService
+	req     CallRequest
+	facts   answer.Facts
+	end     answer.End
+}
+
+func (c *call) fail(cause error) error {
+	return &AttemptError{End: c.end, Facts: c.facts, Cause: fleet.At(cause, "service.call", c.service.base.addr)}
+}
+
+func (c *call) run(ctx context.Context) (CallAnswer, error) {
+	out, err := c.newRequest(ctx)
+	if err != nil {
+		c.end = answer.EndBadRequest
+		return CallAnswer{}, err
+	}
+	if c.req.Repeatable || c.service.pooled {
+		return c.runPooled(out)
+	}
+	return c.runOnce(out)
+}
+
+// newRequest builds the request. Hop-by-hop headers (RFC 9110, section 7.6.1)
+// stay behind, and so does the workspace's key. The body is at hand, so that
+// there is nothing to wait for with Expect.
+func (c *call) newRequest(ctx context.Context) (*http.Request, error) {
+	out, err := http.NewRequestWithContext(ctx, c.req.Method, c.service.base.url(c.req.Target), bytes.NewReader(c.req.Body))
+	if err != nil {
+		return nil, err
+	}
+	out.GetBody = nil
+	out.Header = endToEnd(c.req.Header)
+	out.Header.Del("Authorization")
+	out.Header.Del("Expect")
+	out.Header.Set(answer.HeaderRequestID, string(c.req.Attempt))
+	if c.req.IdempotencyKey != "" {
+		out.Header.Set(answer.HeaderIdempotencyKey, c.req.IdempotencyKey)
+	}
+	return out, nil
+}
+
+// runPooled sends a call that may be repeated.
+func (c *call) runPooled(out *http.Request) (CallAnswer, error) {
+	if err := c.beforeWrite(); err != nil {
+		c.end = answer.EndRefused
+		return CallAnswer{}, err
+	}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	out = out.WithContext(httptrace.WithClientTrace(out.Context(), trace))
+	resp, err := c.service.base.transport.RoundTrip(out)
+	c.facts.MayHaveLeft = connected.Load()
+	return c.finish(resp, err)
+}
+
+// runOnce sends a call that may not be repeated. It opens one connection, and
+// the transport it uses knows no other, so that there is nothing to send the
+// request on a second time, whatever the transport thinks of its headers.
+func (c *call) runOnce(out *http.Request) (CallAnswer, error) {
+	conn, err := c.service.dialer.DialContext(out.Context(), "tcp", c.service.base.addr)
+	if err != nil {
+		c.end = answer.EndNotConnected
+		return CallAnswer{}, err
+	}
+	defer conn.Close()
+	gate := &gatedConn{Conn: conn, beforeWrite: c.beforeWrite}
+	transport := &http.Transport{
+		DialContext:            gate.take,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeader,
+	}
+	resp, err := transport.RoundTrip(out)
+	c.facts.MayHaveLeft = !gate.seal()
+	return c.finish(resp, err)
+}
+
+func (c *call) beforeWrite() error {
+	if c.req.BeforeWrite == nil {
+		return nil
+	}
+	return c.req.BeforeWrite()
+}
+
+// finish reads the answer to its end.
+func (c *call) finish(resp *http.Response, err error) (CallAnswer, error) {
+	if err != nil {
+		c.end = endOfTransport(c.facts)
+		return CallAnswer{}, err
+	}
+	defer resp.Body.Close()
+	if got := resp.Header.Get(answer.HeaderRequestID); got != string(c.req.Attempt) {
+		c.end = answer.EndCrossed
+		return CallAnswer{}, ErrCrossed.New("answer names attempt %q", got)
+	}
+	c.end = answer.EndCut
+	c.facts.Accepted = true
+	if !delimited(resp, c.req.Method) {
+		return CallAnswer{}, ErrCut.New("answer has no explicit length")
+	}
+	body, err := readBounded(resp.Body, c.maxAnswer())
+	if err != nil {
+		return CallAnswer{}, err
+	}
+	c.facts.Whole = true
+	c.end = answer.EndWhole
+	return CallAnswer{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}, nil
+}
+
+func (c *call) maxAnswer() int64 {
+	if c.req.MaxAnswer <= 0 {
+		return DefaultMaxAnswer
+	}
+	return c.req.MaxAnswer
+}
+
+func endOfTransport(facts answer.Facts) answer.End {
+	if facts.MayHaveLeft {
+		return answer.EndCut
+	}
+	return answer.EndNotConnected
+}
+
+// delimited tells whether the answer's end can be told from a cut. One that
+// ends with its connection can't.
+func delimited(resp *http.Response, method string) bool {
+	if method == http.MethodHead || resp.ContentLength >= 0 {
+		return true
+	}
+	for _, coding := range resp.TransferEncoding {
+		if coding == "chunked" {
+			return true
+		}
+	}
+	return false
+}
+
+// hopByHop lists the headers that concern one connection.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// endToEnd returns a copy of h without the hop-by-hop headers, those that
+// Connection names included.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = make(http.Header)
+	}
+	for _, field := range h["Connection"] {
+		for name := range strings.SplitSeq(field, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
