standin: engine, service and platform for trials

Cause: trials and tests of the router need upstreams that batch, cache, run cold, report late and fail on demand, and whose answers can be recomputed. Ruled out: recording real answers (a checker could not know the whole answer of a new prompt) and keeping generated tokens in memory (a resume only needs the seed and the offset). Change: Engine, Service and Platform as http.Handlers with plain cores (batch, prefix cache, event log) under them, and the command wigeonflow standin.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,6 +9,8 @@
 	"io"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/wigeonflow/wigeonflow/internal/standin"
 )
 
 // Exit codes of every command.
@@ -37,6 +39,7 @@
 // commands lists every subcommand, in the order that help prints them.
 func commands(stdout, stderr io.Writer) []*ffcli.Command {
 	return []*ffcli.Command{
+		standin.Commands(stdout, stderr),
 		versionCommand(stdout),
 	}
 }
--- /dev/null
+++ b/internal/standin/chat.go
@@ -0,0 +1,167 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+var (
+	errFull      = errors.New("the engine is full")
+	errDuplicate = errors.New("a generation with this id exists")
+	errNoResume  = errors.New("no generation to resume at this offset")
+)
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	var req ChatRequest
+	body := http.MaxBytesReader(w, r.Body, e.cfg.MaxBodyBytes)
+	if err := json.NewDecoder(body).Decode(&req); err != nil {
+		writeError(w, http.StatusBadRequest, "malformed request: "+err.Error())
+		return
+	}
+	if len(req.Messages) == 0 {
+		writeError(w, http.StatusBadRequest, "messages is empty")
+		return
+	}
+	if !e.serves(req.Model) {
+		writeError(w, http.StatusNotFound, "model is not loaded: "+req.Model)
+		return
+	}
+	offset, err := resumeOffset(r)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "malformed "+HeaderResumeOffset)
+		return
+	}
+	id := requestID(r)
+	fault := e.faults.take()
+	if fault.Kind == FaultLate && !wait(r, fault.duration()) {
+		return
+	}
+	g, rd, err := e.open(id, &req, r.Header.Get(HeaderPriority), offset)
+	if err != nil {
+		refuse(w, id, err)
+		return
+	}
+	s := &stream{engine: e, g: g, reader: rd, sent: max(offset, 0), fault: fault, w: w, r: r}
+	defer e.detach(g, rd)
+	if req.Stream {
+		s.serve(req.StreamOptions != nil && req.StreamOptions.IncludeUsage)
+		return
+	}
+	s.serveWhole()
+}
+
+// resumeOffset returns the offset to resume after, or -1 for a new request.
+func resumeOffset(r *http.Request) (int, error) {
+	text := r.Header.Get(HeaderResumeOffset)
+	if text == "" {
+		return -1, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err == nil && n < 0 {
+		err = strconv.ErrRange
+	}
+	return n, err
+}
+
+func refuse(w http.ResponseWriter, id string, err error) {
+	w.Header().Set(HeaderRequestID, id)
+	if errors.Is(err, errFull) {
+		w.Header().Set("Retry-After", "1")
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeError(w, http.StatusConflict, err.Error())
+}
+
+// open starts a generation, or joins the one to resume, with a new reader.
+func (e *Engine) open(id string, req *ChatRequest, priority string, offset int) (*generation, *reader, error) {
+	g := e.newGeneration(id, req, priority)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stats.Requests++
+	known := e.generations[id]
+	if offset >= 0 {
+		return e.resume(known, g.seed, offset)
+	}
+	if known != nil {
+		e.stats.Refused++
+		return nil, nil, errDuplicate
+	}
+	if !e.batch.add(g, e.cold(time.Now())) {
+		e.stats.Refused++
+		return nil, nil, errFull
+	}
+	g.reader = newReader()
+	e.generations[id] = g
+	select {
+	case e.work <- struct{}{}:
+	default:
+	}
+	return g, g.reader, nil
+}
+
+// resume gives g a new reader; a reader that it still has is cut off.
+func (e *Engine) resume(g *generation, seed uint64, offset int) (*generation, *reader, error) {
+	if g == nil || g.seed != seed || offset > g.produced {
+		e.stats.Refused++
+		return nil, nil, errNoResume
+	}
+	e.stats.Resumed++
+	if g.reader != nil {
+		close(g.reader.gone)
+	}
+	g.reader = newReader()
+	g.notify()
+	return g, g.reader, nil
+}
+
+func (e *Engine) newGeneration(id string, req *ChatRequest, priority string) *generation {
+	g := &generation{
+		id: id, model: req.Model, cacheKey: req.PromptCacheKey,
+		seed: answerSeed(req.Messages), chain: promptChain(req.Messages),
+		maxTokens: e.cfg.DefaultTokens, finish: finishStop, created: time.Now().Unix(),
+	}
+	if n := max(req.MaxTokens, req.MaxCompletionTokens); n > 0 {
+		g.maxTokens, g.finish = n, finishLength
+	}
+	g.maxTokens = min(g.maxTokens, e.cfg.MaxTokens)
+	g.priority, _ = strconv.Atoi(priority)
+	return g
+}
+
+// detach leaves g without a reader, unless another one has taken over.
+func (e *Engine) detach(g *generation, rd *reader) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if g.reader != rd {
+		return
+	}
+	g.reader = nil
+	e.forgetLater(g)
+}
+
+// progress returns how far g has come.
+func (e *Engine) progress(g *generation) (produced int, done, cancelled bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return g.produced, g.done, g.cancelled
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	g := e.generations[mux.Vars(r)["id"]]
+	if g != nil {
+		e.cancel(g)
+	}
+	e.mu.Unlock()
+	if g == nil {
+		writeError(w, http.StatusNotFound, "no such request")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/config.go
@@ -0,0 +1,114 @@
+package standin
+
+import "time"
+
+// EngineConfig configures an Engine. The zero value of each field means the
+// default that its comment names.
+type EngineConfig struct {
+	// Models are the models loaded at the start; none means every model is served.
+	Models []string
+	// Role is the role at the start; default "mixed".
+	Role string
+	// StepTime is how long a decode step takes; default 8 ms.
+	StepTime time.Duration
+	// StepTimePerRequest lengthens a step for each running request; default 20 µs.
+	StepTimePerRequest time.Duration
+	// PrefillTime is the cost of one prompt token that is not cached; default 20 µs.
+	PrefillTime time.Duration
+	// PrefillChunk is the most prompt tokens that one step covers; default 512.
+	PrefillChunk int
+	// MaxRunning is the most requests in one batch; default 64.
+	MaxRunning int
+	// MaxWaiting is the most requests that wait for a batch; default 256.
+	MaxWaiting int
+	// KVCapacity is the memory for running requests, in tokens; default 1,000,000.
+	KVCapacity int
+	// CacheTokens is the memory for cached prefixes, in tokens; default 200,000.
+	CacheTokens int
+	// DefaultTokens is the length of an answer without max_tokens; default 64.
+	DefaultTokens int
+	// MaxTokens bounds the length of an answer; default 65,536.
+	MaxTokens int
+	// ColdTime is how long the engine is cold after its start; default 0, warm at once.
+	ColdTime time.Duration
+	// ColdConcurrency is the most requests a cold engine bears; default 2.
+	ColdConcurrency int
+	// ColdSlowdown multiplies the step time of a cold engine above
+	// ColdConcurrency; default 8.
+	ColdSlowdown int
+	// LoadLag is the age that a load report may reach; default 500 ms.
+	LoadLag time.Duration
+	// EventDelay is how late a cache event is published; default 500 ms.
+	EventDelay time.Duration
+	// EventGapEvery drops every n-th cache event; default 0, none.
+	EventGapEvery int
+	// EventCapacity is how many cache events are kept; default 4,096.
+	EventCapacity int
+	// ResumeTime is how long a generation without a reader stays resumable;
+	// default 10 s.
+	ResumeTime time.Duration
+	// IgnoreFence accepts orders with an old fencing number.
+	IgnoreFence bool
+	// OrderTime is how long an order takes; default 0.
+	OrderTime time.Duration
+	// KVBytesPerToken is the size of an exported token; default 64 bytes.
+	KVBytesPerToken int
+	// MaxBodyBytes bounds a request's body; default 16 MiB.
+	MaxBodyBytes int64
+	// BootID names this start; default a random one.
+	BootID string
+}
+
+// coldRefusalFactor times the cold bound is where a cold engine refuses.
+const coldRefusalFactor = 4
+
+func (c EngineConfig) withDefaults() EngineConfig {
+	setDefault(&c.Role, "mixed")
+	setDefault(&c.StepTime, 8*time.Millisecond)
+	setDefault(&c.StepTimePerRequest, 20*time.Microsecond)
+	setDefault(&c.PrefillTime, 20*time.Microsecond)
+	setDefault(&c.PrefillChunk, 512)
+	setDefault(&c.MaxRunning, 64)
+	setDefault(&c.MaxWaiting, 256)
+	setDefault(&c.KVCapacity, 1_000_000)
+	setDefault(&c.CacheTokens, 200_000)
+	setDefault(&c.DefaultTokens, 64)
+	setDefault(&c.MaxTokens, 1<<16)
+	setDefault(&c.ColdConcurrency, 2)
+	setDefault(&c.ColdSlowdown, 8)
+	setDefault(&c.LoadLag, 500*time.Millisecond)
+	setDefault(&c.EventDelay, 500*time.Millisecond)
+	setDefault(&c.EventCapacity, 4096)
+	setDefault(&c.ResumeTime, 10*time.Second)
+	setDefault(&c.KVBytesPerToken, 64)
+	setDefault(&c.MaxBodyBytes, 16<<20)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// ServiceConfig configures a Service. The zero value of each field means the
+// default that its comment names.
+type ServiceConfig struct {
+	// WorkTime is how long a booking or lookup takes; default 2 ms.
+	WorkTime time.Duration
+	// MaxInFlight is the most requests at once, above which it answers 503;
+	// default 1,024.
+	MaxInFlight int
+	// MaxBodyBytes bounds a request's body; default 1 MiB.
+	MaxBodyBytes int64
+	// BootID names this start; default a random one.
+	BootID string
+}
+
+func (c ServiceConfig) withDefaults() ServiceConfig {
+	setDefault(&c.WorkTime, 2*time.Millisecond)
+	setDefault(&c.MaxInFlight, 1024)
+	setDefault(&c.MaxBodyBytes, 1<<20)
+	return c
+}
--- /dev/null
+++ b/internal/standin/core_test.go
@@ -0,0 +1,139 @@
+package standin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func newTestBatch(cfg EngineConfig) *batch {
+	cfg = cfg.withDefaults()
+	return &batch{cfg: cfg, cache: newPrefixCache(cfg.CacheTokens, func(string) {})}
+}
+
+func newTestGeneration(id string, promptTokens, answerTokens int) *generation {
+	g := &generation{id: id, maxTokens: answerTokens, finish: finishStop}
+	for i := range promptTokens {
+		g.chain.add(fmt.Sprintf("%s-%d", id, i))
+	}
+	return g
+}
+
+func TestBatchSharesEachStep(t *testing.T) {
+	is := is.New(t)
+	b := newTestBatch(EngineConfig{StepTime: 10, StepTimePerRequest: 1, PrefillTime: 2, PrefillChunk: 8})
+	short, long := newTestGeneration("a", 4, 2), newTestGeneration("b", 10, 1)
+	is.True(b.add(short, false))
+	is.True(b.add(long, false))
+	is.Equal(b.plan(false), time.Duration(10+2+16)) // 4 prompt tokens of a, 4 of b
+	made, _ := b.finish()
+	is.Equal(made, 1)                               // only a's prompt is complete
+	is.Equal(b.plan(false), time.Duration(10+2+12)) // the other 6 of b
+	made, ended := b.finish()
+	is.Equal(made, 2)
+	is.Equal(ended, []*generation{short, long})
+	is.Equal(b.kvUsed, 0)
+}
+
+func TestColdBatchSlowsDownThenRefuses(t *testing.T) {
+	is := is.New(t)
+	b := newTestBatch(EngineConfig{StepTime: 10, StepTimePerRequest: 1, PrefillTime: 1, ColdConcurrency: 2, ColdSlowdown: 3})
+	for i := range 2 {
+		is.True(b.add(newTestGeneration(fmt.Sprint(i), 0, 9), true))
+	}
+	is.Equal(b.plan(true), time.Duration(12))
+	is.Equal(b.coldOver, 0)
+	for i := range 6 {
+		is.True(b.add(newTestGeneration(fmt.Sprint(i), 0, 9), true))
+	}
+	is.Equal(b.plan(true), time.Duration(3*18))
+	is.True(!b.add(newTestGeneration("x", 0, 9), true))
+	is.Equal(b.coldOver, 7)
+	is.True(b.add(newTestGeneration("x", 0, 9), false))
+}
+
+func TestInteractiveRequestsGoFirst(t *testing.T) {
+	is := is.New(t)
+	b := newTestBatch(EngineConfig{MaxRunning: 1, MaxWaiting: 3})
+	batchWork, person := newTestGeneration("a", 1, 1), newTestGeneration("b", 1, 1)
+	person.priority = 1
+	is.True(b.add(batchWork, false))
+	is.True(b.add(person, false))
+	b.plan(false)
+	is.Equal(b.running, []*generation{person})
+	is.True(b.add(newTestGeneration("c", 1, 1), false))
+	is.True(b.add(newTestGeneration("d", 1, 1), false))
+	is.True(!b.add(newTestGeneration("e", 1, 1), false)) // the queue is full
+}
+
+func TestBatchNeverExceedsItsMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newTestBatch(EngineConfig{MaxRunning: 4, KVCapacity: 100, CacheTokens: 160})
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			g := newTestGeneration(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "chat")),
+				rapid.IntRange(1, 50).Draw(t, "prompt"), rapid.IntRange(1, 50).Draw(t, "answer"))
+			b.add(g, false)
+			if rapid.Bool().Draw(t, "remove") {
+				b.remove(g)
+			}
+			b.plan(false)
+			used := 0
+			for _, r := range b.running {
+				used += r.context()
+			}
+			if used != b.kvUsed || b.kvUsed > 100 || len(b.running) > 4 || b.cache.tokens() > 160 {
+				t.Fatalf("step %d: used %d, counted %d, running %d, cached %d", i, used, b.kvUsed, len(b.running), b.cache.tokens())
+			}
+			b.finish()
+		}
+	})
+}
+
+func TestPrefixCacheEvictsTheLeastRecentlyUsedChat(t *testing.T) {
+	is := is.New(t)
+	var evicted []string
+	c := newPrefixCache(4*blockTokens, func(key string) { evicted = append(evicted, key) })
+	c.store("a", []uint64{1, 2})
+	c.store("b", []uint64{3, 4})
+	c.store("a", []uint64{1, 2})
+	c.store("c", []uint64{5})
+	is.Equal(c.match([]uint64{3, 4}), blockTokens) // the end of b went first
+	c.store("d", []uint64{6})
+	is.Equal(evicted, []string{"b"})
+	is.Equal(c.match([]uint64{1, 2}), 2*blockTokens)
+	is.Equal(c.export("a"), []uint64{1, 2})
+	c.clear()
+	is.Equal(c.tokens(), 0)
+	is.Equal(len(c.keys), 0)
+}
+
+func TestCacheEventsAreLateAndHaveGaps(t *testing.T) {
+	is := is.New(t)
+	l := newEventLog(EngineConfig{EventDelay: time.Second, EventGapEvery: 3}.withDefaults())
+	start := time.Unix(0, 0)
+	l.stored(start, "a", 16)
+	l.stored(start, "b", 32)
+	l.evicted(start, "a")
+	l.evicted(start, "a") // told once
+	l.stored(start.Add(time.Second), "c", 48)
+	is.Equal(l.after(start, 0), CacheEvents{First: 1, Next: 1, Events: []CacheEvent{}})
+	got := l.after(start.Add(time.Second), 1)
+	is.Equal(got.Next, int64(4))
+	is.Equal(got.Events, []CacheEvent{{Seq: 2, Kind: EventStored, Key: "b", Tokens: 32}}) // 3 is lost, 4 is late
+}
+
+func TestLoadReportLags(t *testing.T) {
+	is := is.New(t)
+	e := NewEngine(EngineConfig{LoadLag: time.Second})
+	defer e.Close()
+	start := time.Unix(100, 0)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	is.Equal(e.load(start).TokensPerSecond, 0.0)
+	e.stats.Tokens = 500
+	is.Equal(e.load(start.Add(time.Second-1)).TokensPerSecond, 0.0)
+	is.Equal(e.load(start.Add(time.Second)).TokensPerSecond, 500.0)
+}
--- /dev/null
+++ b/internal/standin/events.go
@@ -0,0 +1,101 @@
+package standin
+
+import "time"
+
+// Kinds of cache event.
+const (
+	// EventStored says that a chat's prefix is resident.
+	EventStored = "stored"
+	// EventEvicted says that the last block of a chat's prefix has gone.
+	EventEvicted = "evicted"
+)
+
+// CacheEvent tells of one change of the prefix cache.
+type CacheEvent struct {
+	Seq  int64  `json:"seq"`
+	Kind string `json:"kind"`
+	// Key is the prompt_cache_key of the requests that the prefix belongs to.
+	Key string `json:"key"`
+	// Tokens is the length of the prefix that was stored or evicted.
+	Tokens int `json:"tokens"`
+}
+
+// CacheEvents answers GET /cache/events.
+type CacheEvents struct {
+	BootID string `json:"boot_id"`
+	// First is the lowest sequence number still kept.
+	First int64 `json:"first"`
+	// Next is the sequence number of the next event to be published.
+	Next   int64        `json:"next"`
+	Events []CacheEvent `json:"events"`
+}
+
+// eventLog keeps cache events and publishes each one late. Some are dropped, so
+// that sequence numbers have gaps.
+type eventLog struct {
+	delay    time.Duration
+	gapEvery int
+	capacity int
+	next     int64
+	entries  []timedEvent
+	// announced is the length last told for each key.
+	announced map[string]int
+}
+
+type timedEvent struct {
+	at    time.Time
+	event CacheEvent
+	lost  bool
+}
+
+func newEventLog(c EngineConfig) *eventLog {
+	return &eventLog{
+		delay: c.EventDelay, gapEvery: c.EventGapEvery, capacity: c.EventCapacity,
+		next: 1, announced: make(map[string]int),
+	}
+}
+
+func (l *eventLog) stored(now time.Time, key string, tokens int) {
+	if key == "" || tokens == 0 {
+		return
+	}
+	l.announced[key] = tokens
+	l.append(now, EventStored, key, tokens)
+}
+
+func (l *eventLog) evicted(now time.Time, key string) {
+	tokens, ok := l.announced[key]
+	if !ok {
+		return
+	}
+	delete(l.announced, key)
+	l.append(now, EventEvicted, key, tokens)
+}
+
+func (l *eventLog) append(now time.Time, kind, key string, tokens int) {
+	e := timedEvent{at: now, event: CacheEvent{Seq: l.next, Kind: kind, Key: key, Tokens: tokens}}
+	e.lost = l.gapEvery > 0 && l.next%int64(l.gapEvery) == 0
+	l.next++
+	l.entries = append(l.entries, e)
+	if len(l.entries) > l.capacity {
+		l.entries = append(l.entries[:0:0], l.entries[len(l.entries)-l.capacity/2:]...)
+	}
+}
+
+// after returns the events published by now whose number is above seq.
+func (l *eventLog) after(now time.Time, seq int64) CacheEvents {
+	out := CacheEvents{First: l.next, Next: l.next, Events: []CacheEvent{}}
+	if len(l.entries) > 0 {
+		out.First = l.entries[0].event.Seq
+	}
+	for _, e := range l.entries {
+		if now.Sub(e.at) < l.delay {
+			out.Next = e.event.Seq
+			return out
+		}
+		if e.event.Seq > seq && !e.lost {
+			out.Events = append(out.Events, e.event)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/order.go
@@ -0,0 +1,139 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Order tells an engine to load or unload a model or to change its role.
+type Order struct {
+	// Kind is "load", "unload" or "role".
+	Kind    string `json:"kind"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter"`
+	Version string `json:"version"`
+	Role    string `json:"role"`
+	// Fence orders the holders of the engine.
+	Fence uint64 `json:"fence"`
+}
+
+// Kinds of order.
+const (
+	OrderLoad   = "load"
+	OrderUnload = "unload"
+	OrderRole   = "role"
+)
+
+// name returns the entry of the model list: MODEL[:ADAPTER][@VERSION].
+func (o Order) name() string {
+	name := o.Model
+	if o.Adapter != "" {
+		name += ":" + o.Adapter
+	}
+	if o.Version != "" {
+		name += "@" + o.Version
+	}
+	return name
+}
+
+// Orders answers GET /orders.
+type Orders struct {
+	Fence  uint64   `json:"fence"`
+	Models []string `json:"models"`
+	Role   string   `json:"role"`
+}
+
+// fenceRefusal answers an order with an old fencing number.
+type fenceRefusal struct {
+	Fence uint64 `json:"fence"`
+}
+
+// orderState is what the orders so far have led to.
+type orderState struct {
+	ignoreFence bool
+	fence       uint64
+	role        string
+	models      []string
+	// any is set while every model is served: none was configured or ordered.
+	any bool
+}
+
+func newOrderState(c EngineConfig) orderState {
+	return orderState{
+		ignoreFence: c.IgnoreFence, role: c.Role,
+		models: slices.Clone(c.Models), any: len(c.Models) == 0,
+	}
+}
+
+// apply obeys o. It returns false when o's fencing number is below the highest
+// one seen.
+func (s *orderState) apply(o Order) bool {
+	if o.Fence < s.fence && !s.ignoreFence {
+		return false
+	}
+	s.fence = max(s.fence, o.Fence)
+	switch o.Kind {
+	case OrderRole:
+		s.role = o.Role
+	case OrderLoad:
+		s.any = false
+		if !slices.Contains(s.models, o.name()) {
+			s.models = append(s.models, o.name())
+		}
+	case OrderUnload:
+		s.any = false
+		s.models = slices.DeleteFunc(s.models, func(m string) bool { return m == o.name() })
+	}
+	return true
+}
+
+// serves tells whether a request may name model: MODEL or MODEL:ADAPTER.
+func (s *orderState) serves(model string) bool {
+	if s.any {
+		return true
+	}
+	return slices.ContainsFunc(s.models, func(entry string) bool {
+		name, _, _ := strings.Cut(entry, "@")
+		return name == model
+	})
+}
+
+// list returns the models, never nil.
+func (s *orderState) list() []string { return append([]string{}, s.models...) }
+
+func (e *Engine) serves(model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orders.serves(model)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, e.cfg.MaxBodyBytes)).Decode(&o)
+	if err != nil || !slices.Contains([]string{OrderLoad, OrderUnload, OrderRole}, o.Kind) {
+		writeError(w, http.StatusBadRequest, "an order needs the kind load, unload or role")
+		return
+	}
+	if e.cfg.OrderTime > 0 && !wait(r, e.cfg.OrderTime) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.orders.apply(o) {
+		writeJSON(w, http.StatusConflict, fenceRefusal{Fence: e.orders.fence})
+		return
+	}
+	if o.Kind == OrderLoad {
+		e.coldUntil = time.Now().Add(e.cfg.ColdTime)
+	}
+	writeJSON(w, http.StatusOK, Orders{Fence: e.orders.fence, Models: e.orders.list(), Role: e.orders.role})
+}
+
+func (e *Engine) serveOrders(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, http.StatusOK, Orders{Fence: e.orders.fence, Models: e.orders.list(), Role: e.orders.role})
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,231 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/gorilla/mux"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// PlatformConfig configures a Platform. The zero value of each field means the
+// default that its comment names.
+type PlatformConfig struct {
+	// Instances is the list at the start; default empty.
+	Instances []fleet.Upstream
+	// Lag is how late readers see a change; default 0.
+	Lag time.Duration
+	// Probe lists only instances that answer GET /healthz.
+	Probe bool
+	// ProbeInterval is the time between two probes; default 1 s.
+	ProbeInterval time.Duration
+	// ProbeTimeout bounds one probe; default 500 ms.
+	ProbeTimeout time.Duration
+	// MaxBodyBytes bounds a list that is put; default 16 MiB.
+	MaxBodyBytes int64
+}
+
+func (c PlatformConfig) withDefaults() PlatformConfig {
+	setDefault(&c.ProbeInterval, time.Second)
+	setDefault(&c.ProbeTimeout, 500*time.Millisecond)
+	setDefault(&c.MaxBodyBytes, 16<<20)
+	return c
+}
+
+// Platform answers the list of live and leaving instances with a lag. It is an
+// http.Handler. Close ends its probes.
+type Platform struct {
+	cfg    PlatformConfig
+	router *mux.Router
+	stop   context.CancelFunc
+	done   chan struct{}
+
+	mu       sync.Mutex
+	wanted   []fleet.Upstream
+	versions []InstanceList
+	healthy  map[fleet.UpstreamID]fleet.BootID
+}
+
+// InstanceList answers GET /instances.
+type InstanceList struct {
+	// AsOfMs is when the list was true, in milliseconds since the Unix epoch.
+	AsOfMs    int64            `json:"as_of_ms"`
+	Instances []fleet.Upstream `json:"instances"`
+}
+
+// NewPlatform returns a platform.
+func NewPlatform(cfg PlatformConfig) *Platform {
+	cfg = cfg.withDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	p := &Platform{cfg: cfg, stop: stop, done: make(chan struct{}), wanted: slices.Clone(cfg.Instances)}
+	p.versions = []InstanceList{p.version(time.Now().Add(-cfg.Lag))}
+	m := mux.NewRouter()
+	m.HandleFunc("/instances", p.serveGet).Methods(http.MethodGet)
+	m.HandleFunc("/instances", p.servePut).Methods(http.MethodPut)
+	m.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {}).Methods(http.MethodGet)
+	p.router = m
+	go p.probeLoop(ctx)
+	return p
+}
+
+// Close ends the probes.
+func (p *Platform) Close() {
+	p.stop()
+	<-p.done
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.router.ServeHTTP(w, r) }
+
+// Put replaces the whole list; readers see it after the lag.
+func (p *Platform) Put(list []fleet.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wanted = slices.Clone(list)
+	p.publish(time.Now())
+}
+
+// version returns the list as it is at now.
+func (p *Platform) version(now time.Time) InstanceList {
+	list := InstanceList{AsOfMs: now.UnixMilli(), Instances: []fleet.Upstream{}}
+	for _, u := range p.wanted {
+		boot, ok := p.healthy[u.ID]
+		if p.healthy != nil && !ok {
+			continue
+		}
+		if u.Boot == "" {
+			u.Boot = boot
+		}
+		list.Instances = append(list.Instances, u)
+	}
+	return list
+}
+
+func (p *Platform) publish(now time.Time) {
+	p.versions = append(p.versions, p.version(now))
+	p.forget(now)
+}
+
+// forget drops the versions that no reader can see any more.
+func (p *Platform) forget(now time.Time) {
+	visible := 0
+	for i, v := range p.versions {
+		if v.AsOfMs <= now.Add(-p.cfg.Lag).UnixMilli() {
+			visible = i
+		}
+	}
+	p.versions = slices.Delete(p.versions, 0, visible)
+}
+
+// visible returns the newest version that is as old as the lag.
+func (p *Platform) visible(now time.Time) InstanceList {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forget(now)
+	return p.versions[0]
+}
+
+func (p *Platform) serveGet(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, p.visible(time.Now()))
+}
+
+func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
+	var list InstanceList
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, p.cfg.MaxBodyBytes)).Decode(&list); err != nil {
+		writeError(w, http.StatusBadRequest, "malformed list: "+err.Error())
+		return
+	}
+	p.Put(list.Instances)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) probeLoop(ctx context.Context) {
+	defer close(p.done)
+	if !p.cfg.Probe {
+		return
+	}
+	for {
+		p.probeAll(ctx)
+		if !sleepUntil(ctx, time.Now().Add(p.cfg.ProbeInterval)) {
+			return
+		}
+	}
+}
+
+// probeAll asks every wanted instance at once and publishes what it found.
+func (p *Platform) probeAll(ctx context.Context) {
+	p.mu.Lock()
+	wanted := slices.Clone(p.wanted)
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.ProbeTimeout)
+	defer cancel()
+	boots := make([]string, len(wanted))
+	alive := make([]bool, len(wanted))
+	var wg sync.WaitGroup
+	for i, u := range wanted {
+		wg.Go(func() { boots[i], alive[i] = probe(ctx, u.Addr) })
+	}
+	wg.Wait()
+	healthy := make(map[fleet.UpstreamID]fleet.BootID)
+	for i, u := range wanted {
+		if alive[i] {
+			healthy[u.ID] = fleet.BootID(boots[i])
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.healthy = healthy
+	p.publish(time.Now())
+}
+
+// probe asks one instance for its health and learns its boot ID.
+func probe(ctx context.Context, addr string) (boot string, alive bool) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/healthz", nil)
+	if err != nil {
+		return "", false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", false
+	}
+	_ = resp.Body.Close()
+	return resp.Header.Get(HeaderBootID), resp.StatusCode == http.StatusOK
+}
+
+// instanceFile is a YAML file of instances.
+type instanceFile struct {
+	Instances []fileInstance `yaml:"instances"`
+}
+
+type fileInstance struct {
+	ID      fleet.UpstreamID       `yaml:"id"`
+	Pool    fleet.PoolID           `yaml:"pool"`
+	Addr    string                 `yaml:"addr"`
+	Zone    fleet.AvailabilityZone `yaml:"zone"`
+	Boot    fleet.BootID           `yaml:"boot"`
+	Leaving bool                   `yaml:"leaving"`
+}
+
+// ReadInstances reads a YAML file with a list "instances".
+func ReadInstances(path string) ([]fleet.Upstream, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var file instanceFile
+	if err := yaml.UnmarshalWithOptions(data, &file, yaml.Strict()); err != nil {
+		return nil, fleet.At(err, "standin.read instances", path)
+	}
+	list := make([]fleet.Upstream, 0, len(file.Instances))
+	for _, i := range file.Instances {
+		list = append(list, fleet.Upstream(i))
+	}
+	return list, nil
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,291 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+)
+
+// Service is a plain service that books and looks up. It is an http.Handler. It
+// runs every booking it is sent and counts the runs of each Idempotency-Key, so
+// that a doubled run shows.
+type Service struct {
+	cfg    ServiceConfig
+	router *mux.Router
+	faults faultQueue
+
+	mu        sync.Mutex
+	runs      map[string]int
+	records   map[string]KeyRecord
+	inFlight  int
+	coldUntil time.Time
+	stats     ServiceStats
+}
+
+// States of a KeyRecord.
+const (
+	KeyRan     = "ran"
+	KeyRunning = "running"
+	KeyNever   = "never"
+)
+
+// KeyRecord answers GET /keys?key=K.
+type KeyRecord struct {
+	State  string `json:"state"`
+	Status int    `json:"status,omitempty"`
+	Body   string `json:"body,omitempty"`
+}
+
+// Booking answers a booking.
+type Booking struct {
+	ID     string `json:"id"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	// BodySHA256 is the hex digest of the request's own body.
+	BodySHA256 string `json:"body_sha256"`
+	Key        string `json:"key,omitempty"`
+	// Run counts the runs of the key, this one included.
+	Run int `json:"run"`
+}
+
+// Lookup answers a lookup.
+type Lookup struct {
+	Method     string `json:"method"`
+	Path       string `json:"path"`
+	Query      string `json:"query,omitempty"`
+	BodySHA256 string `json:"body_sha256"`
+	Quantity   int    `json:"quantity"`
+}
+
+// Runs answers GET /standin/runs.
+type Runs struct {
+	Runs map[string]int `json:"runs"`
+}
+
+// ServiceStats answers GET /standin/stats of a service.
+type ServiceStats struct {
+	BootID       string `json:"boot_id"`
+	Requests     int64  `json:"requests"`
+	Refused      int64  `json:"refused"`
+	Bookings     int64  `json:"bookings"`
+	Lookups      int64  `json:"lookups"`
+	InFlight     int    `json:"in_flight"`
+	PeakInFlight int    `json:"peak_in_flight"`
+}
+
+// NewService returns a service.
+func NewService(cfg ServiceConfig) *Service {
+	cfg = cfg.withDefaults()
+	setDefault(&cfg.BootID, uuid.NewString())
+	s := &Service{cfg: cfg, runs: make(map[string]int), records: make(map[string]KeyRecord)}
+	m := mux.NewRouter()
+	m.HandleFunc("/pickups", s.serveBooking).Methods(http.MethodPost)
+	m.HandleFunc("/dispatches", s.serveBooking).Methods(http.MethodPost)
+	m.PathPrefix("/stock/").HandlerFunc(s.serveLookup).Methods(http.MethodGet)
+	m.HandleFunc("/orders/{id}", s.serveLookup).Methods(http.MethodGet)
+	m.HandleFunc("/keys", s.serveKey).Methods(http.MethodGet)
+	m.HandleFunc("/standin/runs", s.serveRuns).Methods(http.MethodGet)
+	m.HandleFunc("/standin/stats", s.serveStats).Methods(http.MethodGet)
+	m.HandleFunc("/standin/faults", s.faults.handler(s.turnCold)).Methods(http.MethodPost)
+	m.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {}).Methods(http.MethodGet)
+	s.router = m
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderBootID, s.cfg.BootID)
+	if id := r.Header.Get(HeaderRequestID); id != "" {
+		w.Header().Set(HeaderRequestID, id)
+	}
+	s.router.ServeHTTP(w, r)
+}
+
+func (s *Service) serveBooking(w http.ResponseWriter, r *http.Request) {
+	digest, ok := s.admit(w, r)
+	if !ok {
+		return
+	}
+	defer s.leave()
+	fault := s.faults.take()
+	if fault.Kind == FaultStall {
+		wait(r, fault.duration())
+	}
+	key := r.Header.Get(HeaderIdempotencyKey)
+	run := s.begin(key)
+	time.Sleep(s.cfg.WorkTime)
+	body, _ := json.Marshal(Booking{
+		ID: uuid.NewString(), Method: r.Method, Path: r.URL.Path, BodySHA256: digest, Key: key, Run: run,
+	})
+	s.ran(key, KeyRecord{State: KeyRan, Status: http.StatusCreated, Body: string(body)})
+	if fault.Kind == FaultCross {
+		body = crossedBooking(r)
+	}
+	s.answer(w, r, fault, http.StatusCreated, body)
+}
+
+func (s *Service) serveLookup(w http.ResponseWriter, r *http.Request) {
+	digest, ok := s.admit(w, r)
+	if !ok {
+		return
+	}
+	defer s.leave()
+	fault := s.faults.take()
+	if fault.Kind == FaultStall && !wait(r, fault.duration()) {
+		return
+	}
+	time.Sleep(s.cfg.WorkTime)
+	answer := ExpectedLookup(r.URL.Path)
+	if fault.Kind == FaultCross {
+		answer = ExpectedLookup("/stock/" + crossedID)
+	}
+	answer.Query, answer.BodySHA256 = r.URL.RawQuery, digest
+	body, _ := json.Marshal(answer)
+	s.mu.Lock()
+	s.stats.Lookups++
+	s.mu.Unlock()
+	s.answer(w, r, fault, http.StatusOK, body)
+}
+
+// ExpectedLookup returns what every service answers to GET path without a query
+// or body.
+func ExpectedLookup(path string) Lookup {
+	return Lookup{
+		Method: http.MethodGet, Path: path, BodySHA256: digestOf(nil),
+		Quantity: int(answerSeed([]Message{{Content: path}}) % 1000),
+	}
+}
+
+func crossedBooking(r *http.Request) []byte {
+	body, _ := json.Marshal(Booking{
+		ID: crossedID, Method: r.Method, Path: r.URL.Path, BodySHA256: digestOf([]byte(crossedID)),
+		Key: crossedID, Run: 1,
+	})
+	return body
+}
+
+func digestOf(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// admit reads the body and takes a place; it answers the request itself when it
+// returns false.
+func (s *Service) admit(w http.ResponseWriter, r *http.Request) (digest string, ok bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "unreadable body")
+		return "", false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Requests++
+	if s.inFlight >= s.cfg.MaxInFlight || time.Now().Before(s.coldUntil) {
+		s.stats.Refused++
+		w.Header().Set("Retry-After", "1")
+		writeError(w, http.StatusServiceUnavailable, "the service is cold or full")
+		return "", false
+	}
+	s.inFlight++
+	s.stats.PeakInFlight = max(s.stats.PeakInFlight, s.inFlight)
+	return digestOf(body), true
+}
+
+func (s *Service) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+}
+
+// begin counts a run of key, which may be empty, and returns the count.
+func (s *Service) begin(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Bookings++
+	if key == "" {
+		return 1
+	}
+	s.runs[key]++
+	s.records[key] = KeyRecord{State: KeyRunning}
+	return s.runs[key]
+}
+
+func (s *Service) ran(key string, record KeyRecord) {
+	if key == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records[key] = record
+}
+
+// answer writes the body, or fails as the fault says.
+func (s *Service) answer(w http.ResponseWriter, r *http.Request, fault Fault, status int, body []byte) {
+	switch fault.Kind {
+	case FaultLate, FaultSlow:
+		if !wait(r, fault.duration()) {
+			return
+		}
+	case FaultCross:
+		w.Header().Set(HeaderRequestID, crossedID)
+	case FaultCut:
+		s.answerCut(w, status, body, fault.After)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+// answerCut writes the first n bytes of the body and ends the connection.
+func (s *Service) answerCut(w http.ResponseWriter, status int, body []byte, n int) {
+	if n > 0 {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(status)
+		_, _ = w.Write(body[:min(n, len(body)-1)])
+		_ = http.NewResponseController(w).Flush()
+	}
+	cut()
+}
+
+func (s *Service) serveKey(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	record, ok := s.records[r.URL.Query().Get("key")]
+	s.mu.Unlock()
+	if !ok {
+		record = KeyRecord{State: KeyNever}
+	}
+	writeJSON(w, http.StatusOK, record)
+}
+
+func (s *Service) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	runs := maps.Clone(s.runs)
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, Runs{Runs: runs})
+}
+
+func (s *Service) serveStats(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	stats := s.stats
+	stats.BootID, stats.InFlight = s.cfg.BootID, s.inFlight
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, stats)
+}
+
+// turnCold makes the service answer 503 for d.
+func (s *Service) turnCold(d time.Duration) {
+	if d == 0 {
+		d = defaultColdFault
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldUntil = time.Now().Add(d)
+}
--- /dev/null
+++ b/internal/standin/stream.go
@@ -0,0 +1,207 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// stream writes one generation to one connection.
+type stream struct {
+	engine *Engine
+	g      *generation
+	reader *reader
+	sent   int
+	fault  Fault
+	w      http.ResponseWriter
+	r      *http.Request
+	buf    []byte
+	prefix []byte
+}
+
+// crossedID is the id that a crossed answer carries.
+const crossedID = "crossed"
+
+// seed and id return those of another request once a cross fault has set in.
+func (s *stream) seed() uint64 {
+	if s.crossed() {
+		return ^s.g.seed
+	}
+	return s.g.seed
+}
+
+func (s *stream) id() string {
+	if s.crossed() {
+		return crossedID
+	}
+	return s.g.id
+}
+
+func (s *stream) crossed() bool { return s.fault.Kind == FaultCross && s.sent >= s.fault.After }
+
+// serve writes the answer as server-sent events, one for each token.
+func (s *stream) serve(usage bool) {
+	h := s.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-cache")
+	h.Set(HeaderRequestID, s.id())
+	s.w.WriteHeader(http.StatusOK)
+	s.flush()
+	for {
+		produced, done, cancelled := s.engine.progress(s.g)
+		if cancelled {
+			cut()
+		}
+		s.writeTokens(produced)
+		if done {
+			s.end(usage)
+			return
+		}
+		s.await()
+	}
+}
+
+// await returns once there is more to read. It cuts the connection when another
+// one has taken over or the caller has left.
+func (s *stream) await() {
+	select {
+	case <-s.reader.wake:
+	case <-s.reader.gone:
+		cut()
+	case <-s.r.Context().Done():
+		cut()
+	}
+}
+
+// writeTokens writes the events up to token produced in one go, or one at a time
+// while a fault is due.
+func (s *stream) writeTokens(produced int) {
+	for s.sent < produced {
+		s.beforeToken()
+		s.sent++
+		s.appendEvent(s.sent)
+		if s.fault.Kind != "" {
+			s.flush()
+		}
+	}
+	s.flush()
+}
+
+// beforeToken lets a fault take effect.
+func (s *stream) beforeToken() {
+	switch {
+	case s.fault.Kind == FaultSlow:
+		if !wait(s.r, s.fault.duration()) {
+			cut()
+		}
+	case s.sent != s.fault.After:
+	case s.fault.Kind == FaultStall:
+		if !wait(s.r, s.fault.duration()) {
+			cut()
+		}
+	case s.fault.Kind == FaultCut:
+		cut()
+	case s.fault.Kind == FaultCross:
+		s.prefix = nil
+	}
+}
+
+// appendEvent appends the event of token n.
+func (s *stream) appendEvent(n int) {
+	if s.prefix == nil {
+		s.prefix = chunkPrefix(s.id(), s.g)
+	}
+	b := append(s.buf, "id: "...)
+	b = strconv.AppendInt(b, int64(n), 10)
+	b = append(b, s.prefix...)
+	if n == 1 {
+		b = append(b, `"role":"assistant",`...)
+	}
+	b = append(b, `"content":"`...)
+	b = appendToken(b, s.seed(), n)
+	b = append(b, `"},"finish_reason":`...)
+	if n == s.g.maxTokens {
+		b = append(b, '"')
+		b = append(b, s.g.finish...)
+		b = append(b, '"')
+	} else {
+		b = append(b, "null"...)
+	}
+	s.buf = append(b, "}]}\n\n"...)
+}
+
+// chunkPrefix renders what every chunk of a stream has between its event id and
+// its delta.
+func chunkPrefix(id string, g *generation) []byte {
+	chunkID, _ := json.Marshal(idPrefix + id)
+	model, _ := json.Marshal(g.model)
+	b := append([]byte("\ndata: {\"id\":"), chunkID...)
+	b = append(b, `,"object":"`+objectChunk+`","created":`...)
+	b = strconv.AppendInt(b, g.created, 10)
+	b = append(b, `,"model":`...)
+	b = append(b, model...)
+	return append(b, `,"choices":[{"index":0,"delta":{`...)
+}
+
+// end writes the usage and the end of the stream.
+func (s *stream) end(usage bool) {
+	if usage {
+		chunk, _ := json.Marshal(usageChunk{
+			ID: idPrefix + s.id(), Object: objectChunk, Created: s.g.created,
+			Model: s.g.model, Choices: []struct{}{}, Usage: s.g.usage(),
+		})
+		s.buf = append(s.buf, "data: "...)
+		s.buf = append(s.buf, chunk...)
+		s.buf = append(s.buf, "\n\n"...)
+	}
+	s.buf = append(s.buf, "data: [DONE]\n\n"...)
+	s.flush()
+}
+
+func (s *stream) flush() {
+	if len(s.buf) > 0 {
+		if _, err := s.w.Write(s.buf); err != nil {
+			cut()
+		}
+		s.buf = s.buf[:0]
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		cut()
+	}
+}
+
+// serveWhole waits for the end and writes the answer as one JSON object.
+func (s *stream) serveWhole() {
+	for {
+		produced, done, cancelled := s.engine.progress(s.g)
+		if cancelled {
+			cut()
+		}
+		for s.sent < produced {
+			s.beforeToken()
+			s.sent++
+		}
+		if done {
+			break
+		}
+		s.await()
+	}
+	s.w.Header().Set(HeaderRequestID, s.id())
+	writeJSON(s.w, http.StatusOK, chatCompletion{
+		ID: idPrefix + s.id(), Object: objectWhole, Created: time.Now().Unix(), Model: s.g.model,
+		Choices: []chatChoice{{
+			Message:      Message{Role: roleAssistant, Content: expectedText(s.seed(), s.g.maxTokens)},
+			FinishReason: s.g.finish,
+		}},
+		Usage: s.g.usage(),
+	})
+}
+
+func (g *generation) usage() Usage {
+	return Usage{
+		PromptTokens: g.chain.tokens, CompletionTokens: g.maxTokens,
+		TotalTokens:         g.chain.tokens + g.maxTokens,
+		PromptTokensDetails: PromptDetails{CachedTokens: g.cachedTokens},
+	}
+}
