--- /dev/null
+++ b/internal/settings/defaults.go
@@ -0,0 +1,52 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+)
+
+// Leaf is one setting that has a value of its own.
+type Leaf struct {
+	// Path is the setting's name in the file, such as "limits.max_body_bytes". It
+	// is also the name of its flag.
+	Path string
+	// Default is the text of the default; empty means none.
+	Default string
+	// Type is the Go type of the value.
+	Type  reflect.Type
+	value reflect.Value
+}
+
+// Leaves lists every setting in the order of the struct.
+func Leaves() []Leaf { return leavesOf(&Settings{}) }
+
+func leavesOf(s *Settings) []Leaf {
+	var leaves []Leaf
+	eachLeaf(reflect.ValueOf(s).Elem(), "", func(l Leaf) { leaves = append(leaves, l) })
+	return leaves
+}
+
+func eachLeaf(v reflect.Value, path string, visit func(Leaf)) {
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		name := join(path, yamlName(field))
+		if field.Type.Kind() == reflect.Struct {
+			eachLeaf(v.Field(i), name, visit)
+			continue
+		}
+		visit(Leaf{Path: name, Default: field.Tag.Get("default"), Type: field.Type, value: v.Field(i)})
+	}
+}
+
+// applyDefaults sets every zero setting to its default.
+func applyDefaults(s *Settings) {
+	for _, leaf := range leavesOf(s) {
+		unset := leaf.value.IsZero() || leaf.value.Kind() == reflect.Slice && leaf.value.Len() == 0
+		if leaf.Default == "" || !unset {
+			continue
+		}
+		if err := setText(leaf.value, leaf.Default); err != nil {
+			panic(fmt.Sprintf("settings: default of %s: %v", leaf.Path, err))
+		}
+	}
+}
