--- /dev/null
+++ b/internal/consensus/core.go
@@ -0,0 +1,457 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Role is what a member does in its term.
+type Role uint8
+
+const (
+	// RoleFollower follows a leader or waits for one.
+	RoleFollower Role = iota
+	// RolePreCandidate asks whether an election could succeed.
+	RolePreCandidate
+	// RoleCandidate asks for votes.
+	RoleCandidate
+	// RoleLeader appends to the log of every member.
+	RoleLeader
+)
+
+// String returns the role's name in lower case.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Defaults and limits.
+const (
+	// DefaultElectionTimeout is the silence after which a follower may stand for
+	// election, at the least.
+	DefaultElectionTimeout = time.Second
+	// DefaultHeartbeat is the time between two heartbeats of a leader.
+	DefaultHeartbeat = 100 * time.Millisecond
+	// DefaultClockDrift is the most that a clock may run fast or slow, as a share
+	// of the time it measures.
+	DefaultClockDrift = 0.01
+
+	maxAppendBytes   = 256 << 10 // of entries in one message
+	maxUncommitted   = 8192      // entries that a leader holds before it refuses more
+	maxInflight      = 4096      // entries sent to one member ahead of its acknowledgement
+	entryOverhead    = 16        // bytes of one entry beside its data
+	helloInterval    = 500 * time.Millisecond
+	snapshotInterval = 2 * time.Second // before a snapshot is sent once more
+)
+
+// Peer is a member that a new group is formed from.
+type Peer struct {
+	ID   MemberID
+	Addr string
+}
+
+// Options sets up a Core.
+type Options struct {
+	ID    MemberID
+	Addr  string
+	Store StoreID
+	// Peers are the members that a group is formed from, this one included.
+	Peers []Peer
+	// Bootstrap allows a member without a log to form a group with Peers. The
+	// peer with the lowest ID does so, once every peer has told that it has no
+	// log either. Without it the member waits to be added as a learner.
+	Bootstrap bool
+	// ElectionTimeout is also the time in which a follower that heard from a
+	// leader grants no vote. 0 means DefaultElectionTimeout.
+	ElectionTimeout time.Duration
+	Heartbeat       time.Duration // 0 means DefaultHeartbeat
+	ClockDrift      float64       // 0 means DefaultClockDrift
+	// Rand draws the election timeouts.
+	Rand *rand.Rand
+
+	faults faults
+}
+
+// faults turns mechanisms off, so that tests can show what each one prevents.
+type faults struct {
+	grantWithinLease bool // grant votes in spite of a live leader
+	ignoreStores     bool // accept messages from and for any data folder
+	skipSync         bool // acknowledge before the disk has synced
+	acceptUncaughtUp bool // promote learners at once
+}
+
+// Core decides what one member does. It does no I/O and isn't safe for
+// concurrent use. After each call the owner takes Ready, carries it out in
+// order, and calls Advance.
+type Core struct {
+	opts Options
+	log  entryLog
+
+	hard        HardState
+	hardChanged bool
+	role        Role
+	leader      MemberID
+
+	members  []membersAt // the last one is in force (thesis §4.1)
+	snapshot Snapshot    // position and members of the newest one; no data
+	incoming *Snapshot   // received, not yet handed to Ready
+
+	heard            bool          // whether lastHeard counts
+	lastHeard        time.Duration // from a leader, or as one
+	electionDeadline time.Duration
+
+	votes map[MemberID]bool // answers to the current election
+
+	leadership leadership // valid for RoleLeader only
+	formation  formation
+	waiting    map[MemberID]WaitingStore
+
+	early    []Message // may leave before the sync
+	messages []Message
+	dropped  uint64 // messages that named another data folder
+	failure  error
+}
+
+// State is what a data folder held at start.
+type State struct {
+	Hard     HardState
+	Snapshot Snapshot // without data
+	Base     uint64   // the entry before Entries
+	BaseTerm uint64
+	Entries  []Entry
+}
+
+// Ready is what the owner of a Core must do, in the order of the fields: send
+// Early, sync the next three, send Messages, apply Committed.
+type Ready struct {
+	Early     []Message
+	HardState *HardState // nil when unchanged
+	Snapshot  *Snapshot  // to be saved and restored; nil when none arrived
+	// Entries are to be synced; the first one replaces whatever the log holds
+	// from its index on.
+	Entries   []Entry
+	Messages  []Message
+	Committed []Entry
+	// Err is set when the log broke one of its own rules; the member must stop.
+	Err error
+}
+
+// NewCore continues from what the data folder held. A member that has a log may
+// have acknowledged a leader's heartbeat just before it stopped, so it grants no
+// vote within the first election timeout.
+func NewCore(now time.Duration, opts Options, st State) *Core {
+	if opts.ElectionTimeout == 0 {
+		opts.ElectionTimeout = DefaultElectionTimeout
+	}
+	if opts.Heartbeat == 0 {
+		opts.Heartbeat = DefaultHeartbeat
+	}
+	if opts.ClockDrift == 0 {
+		opts.ClockDrift = DefaultClockDrift
+	}
+	c := &Core{opts: opts, hard: st.Hard, snapshot: st.Snapshot, waiting: map[MemberID]WaitingStore{}}
+	c.log = entryLog{base: st.Base, baseTerm: st.BaseTerm, entries: st.Entries}
+	c.log.stable = c.log.last()
+	c.log.commit, c.log.applied = st.Snapshot.Index, st.Snapshot.Index
+	if st.Snapshot.Index > 0 {
+		c.members = append(c.members, membersAt{st.Snapshot.Index, st.Snapshot.Members})
+	}
+	for _, e := range st.Entries {
+		if e.Index > st.Snapshot.Index {
+			c.noteMembers(e)
+		}
+	}
+	if !c.blank() {
+		c.heard, c.lastHeard = true, now
+	}
+	c.resetElection(now)
+	c.electAloneAtOnce(now)
+	c.startFormation(now)
+	return c
+}
+
+// electAloneAtOnce skips the wait when no other member can have a say.
+func (c *Core) electAloneAtOnce(now time.Duration) {
+	set := c.current()
+	if set.Voters() == 1 && set.Voter(c.opts.ID, c.opts.Store) {
+		c.campaign(now, false)
+	}
+}
+
+// blank reports whether the member has neither a log nor a snapshot.
+func (c *Core) blank() bool { return len(c.members) == 0 }
+
+// current returns the membership in force: the last one in the log.
+func (c *Core) current() MemberSet {
+	if c.blank() {
+		return MemberSet{}
+	}
+	return c.members[len(c.members)-1].set
+}
+
+func (c *Core) lastChange() uint64 {
+	if c.blank() {
+		return 0
+	}
+	return c.members[len(c.members)-1].index
+}
+
+// noteMembers puts the membership of an appended entry in force.
+func (c *Core) noteMembers(e Entry) {
+	if e.Kind != EntryMembers {
+		return
+	}
+	var set MemberSet
+	if _, err := set.UnmarshalMsg(e.Data); err != nil {
+		c.fail(ErrInvariant.Wrap(err, "entry %d holds no membership", e.Index))
+		return
+	}
+	c.members = append(c.members, membersAt{e.Index, set})
+}
+
+// forgetMembers takes memberships from index on out of force.
+func (c *Core) forgetMembers(index uint64) {
+	for len(c.members) > 0 && c.members[len(c.members)-1].index >= index {
+		c.members = c.members[:len(c.members)-1]
+	}
+}
+
+func (c *Core) fail(err error) {
+	if c.failure == nil {
+		c.failure = err
+	}
+}
+
+// Tick does whatever is due at now.
+func (c *Core) Tick(now time.Duration) {
+	if c.blank() {
+		c.tickFormation(now)
+		return
+	}
+	if c.role == RoleLeader {
+		c.tickLeader(now)
+		return
+	}
+	if now >= c.electionDeadline {
+		c.campaign(now, false)
+	}
+}
+
+// Deadline returns when Tick is due next.
+func (c *Core) Deadline() time.Duration {
+	switch {
+	case c.blank():
+		return c.formation.nextHello
+	case c.role == RoleLeader:
+		return c.leadership.nextHeartbeat
+	default:
+		return c.electionDeadline
+	}
+}
+
+// Step takes a message in.
+func (c *Core) Step(now time.Duration, m Message) {
+	if !c.admit(m) {
+		c.dropped++
+		return
+	}
+	switch {
+	case m.Type == MessageHello:
+		c.handleHello(now, m)
+	case m.Type == MessageHelloResponse:
+		c.handleHelloResponse(now, m)
+	case m.Term < c.hard.Term:
+		c.answerOldTerm(m)
+	case m.Term > c.hard.Term && !c.enterTerm(now, m):
+	default:
+		c.dispatch(now, m)
+	}
+}
+
+// admit drops messages for another data folder, and answers from a folder other
+// than the one that the membership names. Requests are judged by their receiver's
+// store alone: whoever sent one has taken it from its own membership, and the
+// receiver's may be the older of the two.
+func (c *Core) admit(m Message) bool {
+	if c.opts.faults.ignoreStores {
+		return true
+	}
+	switch m.Type {
+	case MessageHello:
+		return m.FromStore != 0
+	case MessageHelloResponse:
+		return m.ToStore == c.opts.Store
+	}
+	if m.ToStore != c.opts.Store {
+		return false
+	}
+	if c.blank() {
+		return c.admitBlank(m)
+	}
+	if m.Type.answer() {
+		from := c.current().Find(m.From)
+		return from != nil && from.Store == m.FromStore
+	}
+	return true
+}
+
+// answer reports whether the message counts for a quorum of its receiver.
+func (t MessageType) answer() bool {
+	switch t {
+	case MessagePreVoteResponse, MessageVoteResponse, MessageAppendResponse, MessageHeartbeatResponse:
+		return true
+	}
+	return false
+}
+
+// enterTerm moves to the higher term of m and reports whether m is to be handled.
+func (c *Core) enterTerm(now time.Duration, m Message) bool {
+	switch m.Type {
+	case MessagePreVote:
+		return true // moves nobody's term
+	case MessagePreVoteResponse:
+		if !m.Reject {
+			return true // names the term that was asked about
+		}
+	case MessageVote:
+		if c.withinLease(now, m) {
+			return false
+		}
+	}
+	c.becomeFollower(now, m.Term, "")
+	return true
+}
+
+// answerOldTerm tells a former leader or candidate about the current term.
+func (c *Core) answerOldTerm(m Message) {
+	switch m.Type {
+	case MessageAppend, MessageHeartbeat, MessageSnapshot:
+		c.reply(m, Message{Type: MessageAppendResponse, Reject: true})
+	case MessagePreVote:
+		c.reply(m, Message{Type: MessagePreVoteResponse, Reject: true})
+	}
+}
+
+func (c *Core) dispatch(now time.Duration, m Message) {
+	switch m.Type {
+	case MessagePreVote:
+		c.handlePreVote(now, m)
+	case MessageVote:
+		c.handleVote(now, m)
+	case MessagePreVoteResponse, MessageVoteResponse:
+		c.handleBallot(now, m)
+	case MessageAppend:
+		c.followLeader(now, m)
+		c.handleAppend(m)
+	case MessageHeartbeat:
+		c.followLeader(now, m)
+		c.handleHeartbeat(m)
+	case MessageSnapshot:
+		c.followLeader(now, m)
+		c.handleSnapshot(m)
+	case MessageAppendResponse:
+		c.handleAppendResponse(now, m)
+	case MessageHeartbeatResponse:
+		c.handleHeartbeatResponse(now, m)
+	case MessageTimeoutNow:
+		c.handleTimeoutNow(now)
+	}
+}
+
+// reply answers m in the current term, unless r names one. Answers wait for the
+// sync, since they promise what the disk must keep.
+func (c *Core) reply(m Message, r Message) {
+	r.To, r.ToStore = m.From, m.FromStore
+	c.messages = append(c.messages, c.stamp(r))
+}
+
+// sendEarly sends a leader's message. What it carries promises nothing about the
+// leader's own disk, so it may leave before the sync (thesis §10.2.1).
+func (c *Core) sendEarly(to Member, m Message) {
+	m.To, m.ToStore = to.ID, to.Store
+	c.early = append(c.early, c.stamp(m))
+}
+
+func (c *Core) stamp(m Message) Message {
+	m.From, m.FromStore = c.opts.ID, c.opts.Store
+	if m.Term == 0 {
+		m.Term = c.hard.Term
+	}
+	return m
+}
+
+// HasReady reports whether Ready has anything to do.
+func (c *Core) HasReady() bool {
+	return c.hardChanged || c.incoming != nil || c.log.stable < c.log.last() ||
+		len(c.early)+len(c.messages) > 0 || c.log.applied < c.applicable() || c.failure != nil
+}
+
+// applicable is the last index that may be applied: committed, and on this disk.
+func (c *Core) applicable() uint64 { return min(c.log.commit, c.log.stable) }
+
+// Ready returns what is to be done now. No other method but Advance may be called
+// until it is.
+func (c *Core) Ready() Ready {
+	rd := Ready{
+		Snapshot:  c.incoming,
+		Entries:   c.log.slice(c.log.stable+1, c.log.last()),
+		Messages:  c.messages,
+		Committed: c.log.slice(c.log.applied+1, c.applicable()),
+		Err:       c.failure,
+	}
+	if c.hardChanged {
+		hs := c.hard
+		rd.HardState = &hs
+		// The term of a new leader's first messages isn't synced yet.
+		rd.Messages = append(c.early, rd.Messages...)
+	} else {
+		rd.Early = c.early
+	}
+	c.early, c.messages = nil, nil
+	return rd
+}
+
+// Advance tells that rd is done: synced, sent and applied.
+func (c *Core) Advance(rd Ready) {
+	if rd.HardState != nil {
+		c.hardChanged = false
+	}
+	if rd.Snapshot != nil {
+		c.incoming = nil
+	}
+	if n := len(rd.Entries); n > 0 {
+		c.log.stable = rd.Entries[n-1].Index
+	}
+	if n := len(rd.Committed); n > 0 {
+		c.log.applied = rd.Committed[n-1].Index
+	}
+	if c.role == RoleLeader {
+		c.advanceCommit()
+	}
+}
+
+// Compacted tells that a snapshot up to and including snap.Index is on disk; the
+// log up to keep is dropped from memory.
+func (c *Core) Compacted(snap Snapshot, keep uint64) {
+	snap.Data = nil
+	c.snapshot = snap
+	c.log.compact(min(keep, snap.Index))
+	for len(c.members) > 1 && c.members[1].index <= snap.Index {
+		c.members = c.members[1:]
+	}
+}
+
+// membersUpTo returns the membership that the log up to index had put in force.
+func (c *Core) membersUpTo(index uint64) MemberSet {
+	set := MemberSet{}
+	for _, m := range c.members {
+		if m.index <= index {
+			set = m.set
+		}
+	}
+	return set
+}
+
+// state returns what the data folder must hold beside the snapshot.
+func (c *Core) state() State {
+	return State{Hard: c.hard, Base: c.log.base, BaseTerm: c.log.baseTerm, Entries: c.log.entries}
+}
--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,152 @@
+package consensus
+
+import "time"
+
+// resetElection waits for a leader for one to one and a half election timeouts
+// (thesis §3.4).
+func (c *Core) resetElection(now time.Duration) {
+	e := c.opts.ElectionTimeout
+	c.electionDeadline = now + e + c.random(e/2)
+}
+
+// retryElection waits less than resetElection: a pre-vote disturbs nobody, and a
+// split vote is settled by the spread of the waits.
+func (c *Core) retryElection(now time.Duration) {
+	e := c.opts.ElectionTimeout
+	c.electionDeadline = now + e/8 + c.random(e/4)
+}
+
+func (c *Core) random(limit time.Duration) time.Duration {
+	return time.Duration(c.opts.Rand.Int64N(int64(limit) + 1))
+}
+
+func (c *Core) setTerm(term uint64) {
+	if term == c.hard.Term {
+		return
+	}
+	c.hard.Term, c.hard.Vote, c.hard.VoteStore = term, "", 0
+	c.hardChanged = true
+}
+
+func (c *Core) becomeFollower(now time.Duration, term uint64, leader MemberID) {
+	c.setTerm(term)
+	c.role, c.leader = RoleFollower, leader
+	c.leadership = leadership{}
+	c.votes = nil
+	c.resetElection(now)
+}
+
+// campaign starts a pre-vote (thesis §9.6). A leadership transfer skips it, and
+// the lease of the former leader with it.
+func (c *Core) campaign(now time.Duration, forced bool) {
+	c.retryElection(now)
+	if !c.current().Voter(c.opts.ID, c.opts.Store) {
+		return
+	}
+	c.leader = ""
+	if forced {
+		c.standForElection(now, true)
+		return
+	}
+	c.role = RolePreCandidate
+	c.votes = map[MemberID]bool{c.opts.ID: true}
+	c.askVoters(Message{Type: MessagePreVote, Term: c.hard.Term + 1})
+	c.countVotes(now)
+}
+
+func (c *Core) standForElection(now time.Duration, forced bool) {
+	c.retryElection(now)
+	c.setTerm(c.hard.Term + 1)
+	c.hard.Vote, c.hard.VoteStore = c.opts.ID, c.opts.Store
+	c.role = RoleCandidate
+	c.votes = map[MemberID]bool{c.opts.ID: true}
+	c.askVoters(Message{Type: MessageVote, Term: c.hard.Term, Forced: forced})
+	c.countVotes(now)
+}
+
+func (c *Core) askVoters(m Message) {
+	m.Index, m.LogTerm = c.log.last(), c.log.lastTerm()
+	for _, member := range c.current().Members {
+		if member.ID == c.opts.ID || member.Learner {
+			continue
+		}
+		m.To, m.ToStore = member.ID, member.Store
+		c.messages = append(c.messages, c.stamp(m))
+	}
+}
+
+// withinLease reports whether a vote must be refused because a leader may still
+// hold a lease that this member acknowledged (thesis §6.4.1). A leader counts as
+// heard by itself whenever it sends a heartbeat.
+func (c *Core) withinLease(now time.Duration, m Message) bool {
+	if m.Forced || !c.heard || c.opts.faults.grantWithinLease {
+		return false
+	}
+	return now-c.lastHeard < c.opts.ElectionTimeout
+}
+
+func (c *Core) handlePreVote(now time.Duration, m Message) {
+	grant := m.Term > c.hard.Term && !c.withinLease(now, m) && c.log.upToDate(m.Index, m.LogTerm)
+	r := Message{Type: MessagePreVoteResponse, Reject: !grant}
+	if grant {
+		r.Term = m.Term
+	}
+	c.reply(m, r)
+}
+
+func (c *Core) handleVote(now time.Duration, m Message) {
+	free := c.hard.Vote == "" || (c.hard.Vote == m.From && c.hard.VoteStore == m.FromStore)
+	grant := free && !c.withinLease(now, m) && c.log.upToDate(m.Index, m.LogTerm)
+	if grant && c.hard.Vote == "" {
+		c.hard.Vote, c.hard.VoteStore = m.From, m.FromStore
+		c.hardChanged = true
+		c.resetElection(now)
+	}
+	c.reply(m, Message{Type: MessageVoteResponse, Reject: !grant})
+}
+
+// handleBallot counts an answer. Answers to a former election name another term.
+func (c *Core) handleBallot(now time.Duration, m Message) {
+	pre := c.role == RolePreCandidate && m.Type == MessagePreVoteResponse && m.Term == c.hard.Term+1
+	real := c.role == RoleCandidate && m.Type == MessageVoteResponse && m.Term == c.hard.Term
+	if m.Reject || !(pre || real) {
+		return
+	}
+	c.votes[m.From] = true
+	c.countVotes(now)
+}
+
+func (c *Core) countVotes(now time.Duration) {
+	set := c.current()
+	granted := 0
+	for _, member := range set.Members {
+		if !member.Learner && c.votes[member.ID] {
+			granted++
+		}
+	}
+	switch {
+	case granted < set.Quorum():
+	case c.role == RolePreCandidate:
+		c.standForElection(now, false)
+	case c.role == RoleCandidate:
+		c.becomeLeader(now)
+	}
+}
+
+// handleTimeoutNow starts the election of a transfer. The former leader gave up
+// its lease for this term before it sent the message.
+func (c *Core) handleTimeoutNow(now time.Duration) {
+	if c.role != RoleLeader {
+		c.campaign(now, true)
+	}
+}
+
+// followLeader notes a message of the term's leader.
+func (c *Core) followLeader(now time.Duration, m Message) {
+	if c.role == RoleLeader {
+		c.fail(ErrInvariant.New("%s and %s both lead term %d", c.opts.ID, m.From, m.Term))
+		return
+	}
+	c.becomeFollower(now, m.Term, m.From)
+	c.heard, c.lastHeard = true, now
+}
--- /dev/null
+++ b/internal/consensus/formation.go
@@ -0,0 +1,141 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+// formation is how members without a log form a group or wait to be added.
+//
+// The peer with the lowest ID, the founder, writes the first entry once every
+// other peer has told that it has no log. A peer that tells so first syncs the
+// founder's store and then takes no log from another store under that ID, so
+// that a founder whose disk was emptied and that starts over can't meet entries
+// of its former store.
+type formation struct {
+	nextHello time.Duration
+	ready     map[MemberID]uint64 // peers without a log, and their terms
+	refused   bool                // a peer has a log: wait to be added instead
+}
+
+// WaitingStore is a data folder that waits to be added to the group.
+type WaitingStore struct {
+	ID    MemberID
+	Addr  string
+	Store StoreID
+}
+
+func (c *Core) founder() MemberID {
+	if len(c.opts.Peers) == 0 {
+		return c.opts.ID
+	}
+	return slices.MinFunc(c.opts.Peers, func(a, b Peer) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	}).ID
+}
+
+func (c *Core) startFormation(now time.Duration) {
+	c.formation.ready = map[MemberID]uint64{}
+	if c.blank() {
+		c.tryFound(now)
+	}
+}
+
+func (c *Core) tickFormation(now time.Duration) {
+	if now < c.formation.nextHello {
+		return
+	}
+	c.formation.nextHello = now + helloInterval
+	for _, p := range c.opts.Peers {
+		if p.ID != c.opts.ID {
+			m := c.stamp(Message{Type: MessageHello, To: p.ID, Addr: c.opts.Addr})
+			c.messages = append(c.messages, m)
+		}
+	}
+}
+
+// handleHello answers a member without a log, and remembers it as waiting.
+func (c *Core) handleHello(now time.Duration, m Message) {
+	if !c.blank() {
+		if known := c.current().Find(m.From); known == nil || known.Store != m.FromStore {
+			c.waiting[m.From] = WaitingStore{ID: m.From, Addr: m.Addr, Store: m.FromStore}
+		}
+		c.reply(m, Message{Type: MessageHelloResponse, Reject: true})
+		return
+	}
+	if !c.opts.Bootstrap || m.From != c.founder() {
+		return
+	}
+	if c.hard.Founder != m.FromStore {
+		c.hard.Founder = m.FromStore
+		c.hardChanged = true
+	}
+	c.reply(m, Message{Type: MessageHelloResponse})
+}
+
+func (c *Core) handleHelloResponse(now time.Duration, m Message) {
+	if !c.blank() {
+		return
+	}
+	if m.Reject {
+		c.formation.refused = true
+		return
+	}
+	// A repeated answer of another store replaces the former one.
+	c.formation.ready[m.From] = m.Term
+	c.waiting[m.From] = WaitingStore{ID: m.From, Store: m.FromStore}
+	c.tryFound(now)
+}
+
+// tryFound writes the first entry when every peer is known to have no log.
+func (c *Core) tryFound(now time.Duration) {
+	if !c.opts.Bootstrap || c.formation.refused || c.founder() != c.opts.ID {
+		return
+	}
+	set, term := MemberSet{}, c.hard.Term
+	peers := slices.Clone(c.opts.Peers)
+	if len(peers) == 0 {
+		peers = []Peer{{ID: c.opts.ID, Addr: c.opts.Addr}}
+	}
+	slices.SortFunc(peers, func(a, b Peer) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	for _, p := range peers {
+		store := c.opts.Store
+		if p.ID != c.opts.ID {
+			peerTerm, ok := c.formation.ready[p.ID]
+			if !ok {
+				return
+			}
+			store, term = c.waiting[p.ID].Store, max(term, peerTerm)
+		}
+		set.Members = append(set.Members, Member{ID: p.ID, Addr: p.Addr, Store: store})
+	}
+	c.found(now, set, term+1)
+}
+
+func (c *Core) found(now time.Duration, set MemberSet, term uint64) {
+	data, err := set.MarshalMsg(nil)
+	if err != nil {
+		c.fail(ErrInvariant.Wrap(err, "encode the membership"))
+		return
+	}
+	c.setTerm(term)
+	c.appendOwn(Entry{Kind: EntryMembers, Data: data})
+	c.waiting = map[MemberID]WaitingStore{}
+	c.campaign(now, false)
+}
+
+// admitBlank drops what a former store of the founder still has on its way.
+func (c *Core) admitBlank(m Message) bool {
+	if c.hard.Founder != 0 && m.From == c.founder() {
+		return m.FromStore == c.hard.Founder
+	}
+	return true
+}
--- /dev/null
+++ b/internal/consensus/group_test.go
@@ -0,0 +1,232 @@
+package consensus
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// journal is a state machine that keeps its commands.
+type journal struct {
+	mu       sync.Mutex
+	commands []string
+}
+
+func (j *journal) Apply(index uint64, command []byte) []byte {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commands = append(j.commands, string(command))
+	return fmt.Appendf(nil, "%d", len(j.commands))
+}
+
+func (j *journal) Snapshot() ([]byte, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var b []byte
+	for _, c := range j.commands {
+		b = append(append(b, c...), '\n')
+	}
+	return b, nil
+}
+
+func (j *journal) Restore(snapshot []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commands = splitLines(string(snapshot))
+	return nil
+}
+
+func (j *journal) len() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.commands)
+}
+
+func splitLines(s string) []string {
+	var lines []string
+	start := 0
+	for i := range len(s) {
+		if s[i] == '\n' {
+			lines = append(lines, s[start:i])
+			start = i + 1
+		}
+	}
+	return lines
+}
+
+// switchboard delivers messages between groups of one process, encoded.
+type switchboard struct {
+	mu     sync.Mutex
+	groups map[MemberID]*Group
+	bytes  int
+}
+
+func (s *switchboard) Send(to MemberID, m Message) {
+	b, err := m.MarshalMsg(nil)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	g := s.groups[to]
+	s.bytes += len(b)
+	s.mu.Unlock()
+	var got Message
+	if _, err := got.UnmarshalMsg(b); err != nil {
+		panic(err)
+	}
+	if g != nil {
+		g.Receive(got)
+	}
+}
+
+func (s *switchboard) set(id MemberID, g *Group) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.groups[id] = g
+}
+
+// cluster is a few groups on real folders.
+type cluster struct {
+	t        testing.TB
+	board    *switchboard
+	dirs     map[MemberID]string
+	machines map[MemberID]*journal
+	peers    []Peer
+}
+
+func newCluster(t testing.TB, ids ...MemberID) *cluster {
+	c := &cluster{
+		t: t, board: &switchboard{groups: map[MemberID]*Group{}},
+		dirs: map[MemberID]string{}, machines: map[MemberID]*journal{},
+	}
+	for _, id := range ids {
+		c.peers = append(c.peers, Peer{ID: id, Addr: "127.0.0.1:" + string(id)})
+		c.dirs[id] = t.TempDir()
+	}
+	for _, id := range ids {
+		c.start(id, true)
+	}
+	t.Cleanup(func() {
+		for id := range c.dirs {
+			c.kill(id)
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(id MemberID, bootstrap bool) *Group {
+	c.t.Helper()
+	c.machines[id] = &journal{}
+	g, err := Start(Config{
+		Group: "test", ID: id, Addr: "127.0.0.1:" + string(id), Dir: c.dirs[id], Peers: c.peers,
+		Bootstrap: bootstrap, ElectionTimeout: 300 * time.Millisecond, Heartbeat: 30 * time.Millisecond,
+		SnapshotThreshold: 100, Machine: c.machines[id], Transport: c.board,
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.board.set(id, g)
+	return g
+}
+
+func (c *cluster) group(id MemberID) *Group {
+	c.board.mu.Lock()
+	defer c.board.mu.Unlock()
+	return c.board.groups[id]
+}
+
+func (c *cluster) kill(id MemberID) {
+	if g := c.group(id); g != nil {
+		c.board.set(id, nil)
+		g.Close()
+	}
+}
+
+// do calls f on one member after the other until one succeeds or ctx ends.
+func (c *cluster) do(ctx context.Context, f func(*Group) error) (MemberID, error) {
+	for {
+		for _, p := range c.peers {
+			g := c.group(p.ID)
+			if g == nil {
+				continue
+			}
+			err := f(g)
+			if err == nil {
+				return p.ID, nil
+			}
+			var notLeader *NotLeaderError
+			if !errors.As(err, &notLeader) && ctx.Err() == nil {
+				c.t.Logf("%s: %v", p.ID, err)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return "", ctx.Err()
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func (c *cluster) propose(ctx context.Context, command string) (MemberID, error) {
+	return c.do(ctx, func(g *Group) error {
+		_, err := g.Propose(ctx, []byte(command))
+		return err
+	})
+}
+
+func TestGroupOfOneAnswersAndRestarts(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	c := newCluster(t, "a")
+	for i := range 350 {
+		_, err := c.propose(ctx, fmt.Sprint(i))
+		is.NoErr(err)
+	}
+	c.kill("a")
+	g := c.start("a", true)
+	_, err := c.do(ctx, func(g *Group) error { return g.Barrier(ctx) })
+	is.NoErr(err)
+	is.Equal(c.machines["a"].len(), 350)
+	_, leased := g.LeaderLease()
+	is.True(leased)
+}
+
+func TestGroupSurvivesLeaderKillAndRepair(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	c := newCluster(t, "a", "b", "c")
+	for i := range 250 {
+		_, err := c.propose(ctx, fmt.Sprint(i))
+		is.NoErr(err)
+	}
+	lost, err := c.propose(ctx, "before the kill")
+	is.NoErr(err)
+	c.kill(lost)
+	_, err = c.propose(ctx, "after the kill")
+	is.NoErr(err)
+
+	c.dirs[lost] = t.TempDir() // the disk is lost too
+	c.start(lost, true)
+	_, err = c.do(ctx, func(g *Group) error { return g.AddLearner(ctx, lost, "", 0) })
+	is.NoErr(err)
+	_, err = c.do(ctx, func(g *Group) error { return g.Promote(ctx, lost) })
+	is.NoErr(err)
+
+	second, err := c.propose(ctx, "after the repair")
+	is.NoErr(err)
+	c.kill(second)
+	_, err = c.propose(ctx, "after the second loss")
+	is.NoErr(err)
+	leader, err := c.do(ctx, func(g *Group) error { return g.Barrier(ctx) })
+	is.NoErr(err)
+	is.Equal(c.machines[leader].len(), 254)
+}
--- /dev/null
+++ b/internal/consensus/leader.go
@@ -0,0 +1,315 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+// leadership is what only a leader keeps, for one term.
+type leadership struct {
+	progress  map[MemberID]*progress
+	termStart uint64 // index of the entry that started the term
+	// rounds are the newest heartbeats; an older one gives no lease anyway.
+	rounds        []round
+	round         uint64
+	nextHeartbeat time.Duration
+	transfer      *transfer
+	leaseGivenUp  bool
+	removed       bool // the membership in force lacks the leader
+}
+
+// round is one heartbeat to every member.
+type round struct {
+	number uint64
+	sent   time.Duration
+}
+
+// progress is what a leader knows about one member's log.
+type progress struct {
+	store        StoreID
+	match        uint64 // acknowledged as synced
+	next         uint64
+	probing      bool // next is a guess
+	stalled      bool // entries were on their way at the last heartbeat's answer
+	round        uint64
+	lastActive   time.Duration
+	snapshotSent time.Duration // 0 when none is on its way
+}
+
+// transfer is a leadership transfer on its way (thesis §3.10).
+type transfer struct {
+	target   MemberID
+	deadline time.Duration
+}
+
+func (c *Core) becomeLeader(now time.Duration) {
+	c.role, c.leader, c.votes = RoleLeader, c.opts.ID, nil
+	c.leadership = leadership{progress: map[MemberID]*progress{}, termStart: c.log.last() + 1}
+	c.syncProgress(now)
+	c.appendOwn(Entry{Kind: EntryNoop})
+	c.heartbeat(now)
+	for _, m := range c.current().Members {
+		if m.ID != c.opts.ID {
+			c.sendEntries(now, m)
+		}
+	}
+}
+
+// syncProgress follows a change of membership. A member with another store
+// starts from nothing.
+func (c *Core) syncProgress(now time.Duration) {
+	set := c.current()
+	known := c.leadership.progress
+	for id := range known {
+		if set.Find(id) == nil {
+			delete(known, id)
+		}
+	}
+	for _, m := range set.Members {
+		if p := known[m.ID]; p == nil || p.store != m.Store {
+			known[m.ID] = &progress{store: m.Store, next: c.log.last() + 1, probing: true, lastActive: now}
+		}
+	}
+}
+
+// appendOwn adds an entry of the current term and returns its index.
+func (c *Core) appendOwn(e Entry) uint64 {
+	e.Index, e.Term = c.log.last()+1, c.hard.Term
+	c.log.append(e)
+	c.noteMembers(e)
+	return e.Index
+}
+
+// Propose appends a command and returns its index and term. It refuses without
+// appending when the member doesn't lead, hands its leadership over, or holds too
+// many commands that aren't committed.
+func (c *Core) Propose(now time.Duration, data []byte) (index, term uint64, err error) {
+	if err := c.mayPropose(); err != nil {
+		return 0, 0, err
+	}
+	index = c.appendOwn(Entry{Kind: EntryCommand, Data: data})
+	return index, c.hard.Term, nil
+}
+
+// Flush sends the entries that were proposed since the last call.
+func (c *Core) Flush(now time.Duration) {
+	if c.role == RoleLeader {
+		c.broadcastEntries(now)
+	}
+}
+
+func (c *Core) mayPropose() error {
+	if c.role != RoleLeader {
+		return c.notLeader()
+	}
+	if t := c.leadership.transfer; t != nil {
+		return &NotLeaderError{Leader: t.target, Addr: c.addr(t.target)}
+	}
+	if c.log.last()-c.log.commit >= maxUncommitted {
+		return &NotProposedError{Cause: ErrChange.New("%d entries wait for a quorum", maxUncommitted)}
+	}
+	return nil
+}
+
+func (c *Core) notLeader() error {
+	return &NotLeaderError{Leader: c.leader, Addr: c.addr(c.leader)}
+}
+
+func (c *Core) addr(id MemberID) string {
+	if m := c.current().Find(id); m != nil {
+		return m.Addr
+	}
+	return ""
+}
+
+func (c *Core) tickLeader(now time.Duration) {
+	if c.stepDownWhenDue(now) {
+		return
+	}
+	if now >= c.leadership.nextHeartbeat {
+		c.heartbeat(now)
+	}
+}
+
+// stepDownWhenDue is check-quorum (thesis §6.2): a leader that a majority hasn't
+// answered for an election timeout makes room, and so does one that was removed
+// or whose transfer got no answer.
+func (c *Core) stepDownWhenDue(now time.Duration) bool {
+	l := &c.leadership
+	if l.removed && l.progress[c.opts.ID] == nil && c.log.commit >= c.lastChange() {
+		c.becomeFollower(now, c.hard.Term, "")
+		return true
+	}
+	active := 0
+	for _, m := range c.current().Members {
+		if !m.Learner && (m.ID == c.opts.ID || c.active(now, m.ID)) {
+			active++
+		}
+	}
+	if active < c.current().Quorum() {
+		c.becomeFollower(now, c.hard.Term, "")
+		return true
+	}
+	if l.transfer != nil && now >= l.transfer.deadline {
+		l.transfer = nil
+		if l.leaseGivenUp {
+			c.becomeFollower(now, c.hard.Term, "")
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) active(now time.Duration, id MemberID) bool {
+	p := c.leadership.progress[id]
+	return p != nil && now-p.lastActive < c.opts.ElectionTimeout
+}
+
+// heartbeat starts a round. The leader counts as having heard itself, so that it
+// grants no vote either while its lease may run.
+func (c *Core) heartbeat(now time.Duration) {
+	l := &c.leadership
+	l.nextHeartbeat = now + c.opts.Heartbeat
+	l.round++
+	l.rounds = append(l.rounds, round{l.round, now})
+	l.rounds = slices.DeleteFunc(l.rounds, func(r round) bool { return now-r.sent > 2*c.opts.ElectionTimeout })
+	c.heard, c.lastHeard = true, now
+	for _, m := range c.current().Members {
+		if m.ID == c.opts.ID {
+			continue
+		}
+		commit := min(c.log.commit, l.progress[m.ID].match)
+		c.sendEarly(m, Message{Type: MessageHeartbeat, Commit: commit, Round: l.round})
+	}
+}
+
+func (c *Core) handleHeartbeatResponse(now time.Duration, m Message) {
+	p := c.leadership.progress[m.From]
+	if c.role != RoleLeader || p == nil {
+		return
+	}
+	p.lastActive = now
+	p.round = max(p.round, m.Round)
+	c.resend(now, p, m.From)
+}
+
+// resend starts again from the last acknowledged entry once two heartbeats were
+// answered without any acknowledgement of the entries on their way.
+func (c *Core) resend(now time.Duration, p *progress, id MemberID) {
+	if p.match >= c.log.last() {
+		p.stalled = false
+		return
+	}
+	if !p.stalled {
+		p.stalled = true
+		return
+	}
+	p.stalled = false
+	if !p.probing {
+		p.next = p.match + 1
+	} else if p.next > c.log.last() {
+		p.next = c.log.last()
+	}
+	c.sendEntries(now, *c.current().Find(id))
+}
+
+// quorumValue returns the largest value that a majority of the voters has
+// reached; own is this member's.
+func (c *Core) quorumValue(own uint64, value func(*progress) uint64) uint64 {
+	var values []uint64
+	for _, m := range c.current().Members {
+		switch {
+		case m.Learner:
+		case m.ID == c.opts.ID:
+			values = append(values, own)
+		default:
+			values = append(values, value(c.leadership.progress[m.ID]))
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)-c.current().Quorum()]
+}
+
+// QuorumRound returns the newest heartbeat that a majority has answered.
+func (c *Core) QuorumRound() uint64 {
+	if c.role != RoleLeader {
+		return 0
+	}
+	return c.quorumValue(c.leadership.round, func(p *progress) uint64 { return p.round })
+}
+
+// LeaseUntil returns until when no other member can have been elected, and false
+// when this member can't prove that it leads with the whole committed log.
+//
+// A majority has heard the heartbeat after it was sent, and grants no vote for an
+// election timeout of its own clocks. That is at least ElectionTimeout/(1+d) of
+// true time for a drift d, and a lease of (1-2d)*ElectionTimeout on this clock is
+// at most that (thesis §6.4.1).
+func (c *Core) LeaseUntil() (time.Duration, bool) {
+	l := &c.leadership
+	if c.role != RoleLeader || l.leaseGivenUp || c.log.commit < l.termStart {
+		return 0, false
+	}
+	number := c.QuorumRound()
+	for _, r := range l.rounds {
+		if r.number == number {
+			e := float64(c.opts.ElectionTimeout)
+			return r.sent + time.Duration(e*(1-2*c.opts.ClockDrift)), true
+		}
+	}
+	return 0, false
+}
+
+// ReadPoint returns the index that a linearizable read must wait for (thesis
+// §6.4), and the heartbeat round that must have been answered by a majority
+// first: 0 under a lease.
+func (c *Core) ReadPoint(now time.Duration) (index, number uint64, err error) {
+	if c.role != RoleLeader {
+		return 0, 0, c.notLeader()
+	}
+	index = max(c.log.commit, c.leadership.termStart)
+	if until, ok := c.LeaseUntil(); ok && now < until {
+		return index, 0, nil
+	}
+	c.heartbeat(now)
+	return index, c.leadership.round, nil
+}
+
+// TransferLeadership makes target the next leader once its log is complete. Until
+// then, or until an election timeout has passed, proposals are refused.
+func (c *Core) TransferLeadership(now time.Duration, target MemberID) error {
+	if c.role != RoleLeader {
+		return c.notLeader()
+	}
+	m := c.current().Find(target)
+	if m == nil || m.Learner || target == c.opts.ID {
+		return ErrChange.New("%s can't take the leadership over", target)
+	}
+	if c.leadership.transfer != nil {
+		return ErrChange.New("a transfer is on its way")
+	}
+	c.leadership.transfer = &transfer{target, now + c.opts.ElectionTimeout}
+	c.sendEntries(now, *m)
+	c.continueTransfer(now)
+	return nil
+}
+
+// continueTransfer lets the target stand for election once its log is complete.
+// The lease is given up for the rest of the term first, since the target's
+// election passes over it however late it takes place.
+func (c *Core) continueTransfer(now time.Duration) {
+	l := &c.leadership
+	if c.role != RoleLeader || l.transfer == nil || l.leaseGivenUp {
+		return
+	}
+	p := l.progress[l.transfer.target]
+	if p == nil || p.match < c.log.last() {
+		return
+	}
+	l.leaseGivenUp = true
+	l.transfer.deadline = now + c.opts.ElectionTimeout
+	c.sendEarly(*c.current().Find(l.transfer.target), Message{Type: MessageTimeoutNow})
+}
--- /dev/null
+++ b/internal/consensus/members.go
@@ -0,0 +1,113 @@
+package consensus
+
+import "slices"
+
+// ChangeKind tells how a Change alters the membership.
+type ChangeKind uint8
+
+const (
+	// ChangeAddLearner adds a learner. When a member with the same ID but another
+	// store exists, the learner replaces it.
+	ChangeAddLearner ChangeKind = iota + 1
+	// ChangePromote makes a learner a voter.
+	ChangePromote
+	// ChangeRemove removes a member.
+	ChangeRemove
+)
+
+// Change alters the membership by one member (thesis §4.1). Any majority of the
+// voters before it overlaps any majority after it, since it adds or removes at
+// most one voter.
+type Change struct {
+	Kind  ChangeKind
+	ID    MemberID
+	Addr  string
+	Store StoreID
+}
+
+// Find returns the member with the ID, or nil.
+func (s MemberSet) Find(id MemberID) *Member {
+	for i := range s.Members {
+		if s.Members[i].ID == id {
+			return &s.Members[i]
+		}
+	}
+	return nil
+}
+
+// Voter reports whether the member with this ID and store counts in quorums.
+func (s MemberSet) Voter(id MemberID, store StoreID) bool {
+	m := s.Find(id)
+	return m != nil && m.Store == store && !m.Learner
+}
+
+// Voters counts the voters.
+func (s MemberSet) Voters() int {
+	n := 0
+	for _, m := range s.Members {
+		if !m.Learner {
+			n++
+		}
+	}
+	return n
+}
+
+// Quorum returns the size of the smallest majority of the voters.
+func (s MemberSet) Quorum() int { return s.Voters()/2 + 1 }
+
+// apply returns the set after the change.
+func (s MemberSet) apply(ch Change) (MemberSet, error) {
+	next := MemberSet{Members: slices.Clone(s.Members)}
+	current := next.Find(ch.ID)
+	switch ch.Kind {
+	case ChangeAddLearner:
+		return next.addLearner(current, ch)
+	case ChangePromote:
+		if current == nil || !current.Learner {
+			return s, ErrChange.New("%s is not a learner", ch.ID)
+		}
+		current.Learner = false
+	case ChangeRemove:
+		if current == nil {
+			return s, ErrChange.New("%s is not a member", ch.ID)
+		}
+		next.remove(ch.ID)
+	default:
+		return s, ErrChange.New("unknown kind of change %d", ch.Kind)
+	}
+	if next.Voters() == 0 {
+		return s, ErrChange.New("%s is the last voter", ch.ID)
+	}
+	return next, nil
+}
+
+func (s MemberSet) addLearner(current *Member, ch Change) (MemberSet, error) {
+	if ch.Store == 0 {
+		return s, ErrChange.New("the store of %s is unknown; start it first", ch.ID)
+	}
+	if current != nil && current.Store == ch.Store {
+		return s, ErrChange.New("%s is a member already", ch.ID)
+	}
+	s.remove(ch.ID)
+	s.Members = append(s.Members, Member{ID: ch.ID, Addr: ch.Addr, Store: ch.Store, Learner: true})
+	slices.SortFunc(s.Members, func(a, b Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	if s.Voters() == 0 {
+		return s, ErrChange.New("%s is the last voter", ch.ID)
+	}
+	return s, nil
+}
+
+func (s *MemberSet) remove(id MemberID) {
+	s.Members = slices.DeleteFunc(s.Members, func(m Member) bool { return m.ID == id })
+}
+
+// membersAt is a membership and the log index that put it in force.
+type membersAt struct {
+	index uint64
+	set   MemberSet
+}
--- /dev/null
+++ b/internal/consensus/replica.go
@@ -0,0 +1,256 @@
+package consensus
+
+import (
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// StateMachine is what the log drives. Apply must be deterministic; it is called
+// with every committed command once, in the order of the log, from one goroutine.
+type StateMachine interface {
+	// Apply carries a command out and returns the answer for its proposer.
+	Apply(index uint64, command []byte) (result []byte)
+	// Snapshot returns the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state by one that Snapshot returned.
+	Restore(snapshot []byte) error
+}
+
+// Transport sends a message to a member. It never blocks and may drop messages.
+type Transport interface {
+	Send(to MemberID, m Message)
+}
+
+// DefaultSnapshotThreshold is how many entries are applied between two snapshots.
+const DefaultSnapshotThreshold = 4096
+
+// replica carries out what a Core decides, on a store and a state machine. It
+// isn't safe for concurrent use.
+type replica struct {
+	core      *Core
+	store     *store
+	machine   StateMachine
+	transport Transport
+	threshold uint64
+	pending   map[uint64]pendingProposal // by index
+	reads     []pendingRead
+	leading   bool // whether the last call of notice found this member leading
+	leadTerm  uint64
+}
+
+type pendingProposal struct {
+	term uint64
+	done func(result []byte, err error)
+}
+
+type pendingRead struct {
+	index uint64
+	round uint64
+	term  uint64
+	done  func(error)
+}
+
+// openReplica reads the data folder and restores the state machine from it.
+func openReplica(now time.Duration, disk Disk, group string, opts Options, machine StateMachine, t Transport) (*replica, error) {
+	s, st, err := openStore(disk, group, opts.ID, opts.Rand)
+	if err != nil {
+		return nil, err
+	}
+	s.noSync = opts.faults.skipSync
+	if st.Snapshot.Index > 0 {
+		snap, err := s.readSnapshot()
+		if err != nil {
+			return nil, err
+		}
+		if err := machine.Restore(snap.Data); err != nil {
+			return nil, ErrStorage.Wrap(err, "restore snapshot %d", snap.Index)
+		}
+	}
+	opts.Store = s.id
+	return &replica{
+		core: NewCore(now, opts, st), store: s, machine: machine, transport: t,
+		threshold: DefaultSnapshotThreshold, pending: map[uint64]pendingProposal{},
+	}, nil
+}
+
+// propose appends a command; done is called once with its result.
+func (r *replica) propose(now time.Duration, command []byte, done func([]byte, error)) {
+	index, term, err := r.core.Propose(now, command)
+	r.await(index, term, err, done)
+}
+
+// change proposes a change of membership; done is called once.
+func (r *replica) change(now time.Duration, ch Change, done func([]byte, error)) {
+	index, term, err := r.core.ProposeChange(now, ch)
+	r.await(index, term, err, done)
+}
+
+func (r *replica) await(index, term uint64, err error, done func([]byte, error)) {
+	if err != nil {
+		done(nil, err)
+		return
+	}
+	r.pending[index] = pendingProposal{term, done}
+}
+
+// read calls done once every command that was committed before the call is
+// applied, or with an error when this member can't tell.
+func (r *replica) read(now time.Duration, done func(error)) {
+	index, round, err := r.core.ReadPoint(now)
+	if err != nil {
+		done(err)
+		return
+	}
+	r.reads = append(r.reads, pendingRead{index, round, r.core.hard.Term, done})
+}
+
+// process carries out everything that the core has ready.
+func (r *replica) process(now time.Duration) error {
+	r.core.Flush(now)
+	for r.core.HasReady() {
+		if err := r.handle(r.core.Ready()); err != nil {
+			return err
+		}
+	}
+	if err := r.compact(); err != nil {
+		return err
+	}
+	r.notice()
+	r.answerReads()
+	return nil
+}
+
+func (r *replica) handle(rd Ready) error {
+	if rd.Err != nil {
+		return rd.Err
+	}
+	if err := r.send(rd.Early); err != nil {
+		return err
+	}
+	if err := r.persist(rd); err != nil {
+		return err
+	}
+	if err := r.send(rd.Messages); err != nil {
+		return err
+	}
+	for _, e := range rd.Committed {
+		r.apply(e)
+	}
+	r.core.Advance(rd)
+	return nil
+}
+
+func (r *replica) persist(rd Ready) error {
+	if rd.Snapshot == nil {
+		return r.store.Save(rd.HardState, rd.Entries)
+	}
+	if err := r.store.SaveSnapshot(*rd.Snapshot, r.core.state()); err != nil {
+		return err
+	}
+	if err := r.machine.Restore(rd.Snapshot.Data); err != nil {
+		return ErrStorage.Wrap(err, "restore snapshot %d", rd.Snapshot.Index)
+	}
+	return nil
+}
+
+func (r *replica) send(messages []Message) error {
+	for _, m := range messages {
+		if m.Type == MessageSnapshot {
+			snap, err := r.store.readSnapshot()
+			if err != nil {
+				return err
+			}
+			m.Snapshot = &snap
+		}
+		r.transport.Send(m.To, m)
+	}
+	return nil
+}
+
+func (r *replica) apply(e Entry) {
+	var result []byte
+	if e.Kind == EntryCommand {
+		result = r.machine.Apply(e.Index, e.Data)
+	}
+	p, ok := r.pending[e.Index]
+	if !ok {
+		return
+	}
+	delete(r.pending, e.Index)
+	if p.term != e.Term { // another entry took the place: this one never commits
+		p.done(nil, r.core.notLeader())
+		return
+	}
+	p.done(result, nil)
+}
+
+// compact takes a snapshot when enough entries were applied since the last one.
+// Half as many stay in the log for members that are a little behind.
+func (r *replica) compact() error {
+	applied := r.core.log.applied
+	if applied-r.core.snapshot.Index < r.threshold {
+		return nil
+	}
+	data, err := r.machine.Snapshot()
+	if err != nil {
+		return ErrStorage.Wrap(err, "snapshot at %d", applied)
+	}
+	term, _ := r.core.log.term(applied)
+	snap := Snapshot{Index: applied, Term: term, Members: r.core.membersUpTo(applied), Data: data}
+	r.core.Compacted(snap, applied-r.threshold/2)
+	return r.store.SaveSnapshot(snap, r.core.state())
+}
+
+// notice answers every open proposal of a leadership that is over.
+func (r *replica) notice() {
+	leads, term := r.core.role == RoleLeader, r.core.hard.Term
+	if r.leading && (!leads || term != r.leadTerm) {
+		cause := errorx.IllegalState.New("the leadership of term %d is over", r.leadTerm)
+		r.abandon(cause, func(p pendingProposal) bool { return !leads || p.term != term })
+	}
+	r.leading, r.leadTerm = leads, term
+}
+
+// abandon tells the proposers of the chosen proposals that the outcome is unknown.
+func (r *replica) abandon(cause error, chosen func(pendingProposal) bool) {
+	for index, p := range r.pending {
+		if chosen(p) {
+			delete(r.pending, index)
+			p.done(nil, &UnknownOutcomeError{Index: index, Term: p.term, Cause: cause})
+		}
+	}
+}
+
+// answerReads answers the reads whose round a majority has answered and whose
+// entries are applied.
+func (r *replica) answerReads() {
+	if len(r.reads) == 0 {
+		return
+	}
+	leads, term := r.core.role == RoleLeader, r.core.hard.Term
+	round, applied := r.core.QuorumRound(), r.core.log.applied
+	open := r.reads[:0]
+	for _, read := range r.reads {
+		switch {
+		case !leads || read.term != term:
+			read.done(r.core.notLeader())
+		case read.round <= round && read.index <= applied:
+			read.done(nil)
+		default:
+			open = append(open, read)
+		}
+	}
+	clear(r.reads[len(open):])
+	r.reads = open
+}
+
+// stop answers everything open and releases the files.
+func (r *replica) stop(cause error) error {
+	r.abandon(cause, func(pendingProposal) bool { return true })
+	for _, read := range r.reads {
+		read.done(cause)
+	}
+	r.reads = nil
+	return r.store.Close()
+}
--- /dev/null
+++ b/internal/consensus/status.go
@@ -0,0 +1,117 @@
+package consensus
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Status describes one member and, on the leader, the whole group.
+type Status struct {
+	ID           MemberID
+	Store        StoreID
+	Role         string
+	Term         uint64
+	Leader       MemberID // empty when unknown
+	LeaderAddr   string
+	Commit       uint64
+	Applied      uint64
+	Last         uint64
+	Snapshot     uint64 // index of the newest snapshot
+	Transferring bool
+	Members      []MemberStatus
+	// Waiting are data folders that ask to be added.
+	Waiting []WaitingStore
+	// LossesLeft is how many more voters may be lost before nothing can be
+	// committed, as the leader sees it; -1 on other members.
+	LossesLeft int
+	// Dropped counts messages that named another data folder.
+	Dropped uint64
+}
+
+// MemberStatus is one member as the membership in force records it.
+type MemberStatus struct {
+	Member
+	// Match is the last entry that the member is known to have synced, and
+	// Active whether it was heard within an election timeout. Both are known to
+	// the leader only.
+	Match  uint64
+	Active bool
+}
+
+// Status returns the member's view.
+func (g *Group) Status(ctx context.Context) (Status, error) {
+	var s Status
+	_, err := g.submit(ctx, func(now time.Duration, done func([]byte, error)) {
+		s = g.replica.core.Status(now)
+		done(nil, nil)
+	})
+	if err != nil {
+		return Status{}, err
+	}
+	return s, nil
+}
+
+// Status returns the member's view at now.
+func (c *Core) Status(now time.Duration) Status {
+	s := Status{
+		ID: c.opts.ID, Store: c.opts.Store, Role: c.role.String(), Term: c.hard.Term,
+		Leader: c.leader, LeaderAddr: c.addr(c.leader),
+		Commit: c.log.commit, Applied: c.log.applied, Last: c.log.last(), Snapshot: c.snapshot.Index,
+		Transferring: c.leadership.transfer != nil, LossesLeft: -1, Dropped: c.dropped,
+	}
+	for _, m := range c.current().Members {
+		s.Members = append(s.Members, c.memberStatus(now, m))
+	}
+	for _, w := range c.waiting {
+		s.Waiting = append(s.Waiting, w)
+	}
+	slices.SortFunc(s.Waiting, func(a, b WaitingStore) int { return cmp.Compare(a.ID, b.ID) })
+	if c.role == RoleLeader {
+		set := c.current()
+		s.LossesLeft = max(0, c.liveVoters(now, set)-set.Quorum())
+	}
+	return s
+}
+
+func (c *Core) memberStatus(now time.Duration, m Member) MemberStatus {
+	s := MemberStatus{Member: m}
+	switch p := c.leadership.progress[m.ID]; {
+	case m.ID == c.opts.ID:
+		s.Match, s.Active = c.log.stable, true
+	case p != nil:
+		s.Match, s.Active = p.match, c.active(now, m.ID)
+	}
+	return s
+}
+
+// meters are the metrics of one member.
+type meters struct {
+	term, commit, applied, last, leading, syncs metrics.Gauge
+	dropped                                     metrics.Counter
+}
+
+func newMeters(r metrics.Registry) meters {
+	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge("consensus."+name, r) }
+	return meters{
+		term: gauge("term"), commit: gauge("commit"), applied: gauge("applied"), last: gauge("last"),
+		leading: gauge("leading"), syncs: gauge("syncs"),
+		dropped: metrics.GetOrRegisterCounter("consensus.inbox_dropped", r),
+	}
+}
+
+func (m meters) update(r *replica) {
+	m.term.Update(int64(r.core.hard.Term))
+	m.commit.Update(int64(r.core.log.commit))
+	m.applied.Update(int64(r.core.log.applied))
+	m.last.Update(int64(r.core.log.last()))
+	m.syncs.Update(int64(r.store.syncs))
+	leading := int64(0)
+	if r.core.role == RoleLeader {
+		leading = 1
+	}
+	m.leading.Update(leading)
+}
--- /dev/null
+++ b/internal/consensus/store.go
@@ -0,0 +1,382 @@
+package consensus
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+)
+
+const (
+	identityFile   = "store"
+	logPrefix      = "log-"
+	snapshotPrefix = "snapshot-"
+	tempSuffix     = ".tmp"
+)
+
+// store keeps the log, the hard state and the newest snapshot in a data folder.
+// Every method that returns without error has made its change last. After an
+// error the store must not be used: what a failed sync left on disk is unknown.
+type store struct {
+	disk     Disk
+	id       StoreID
+	log      File
+	logName  string
+	number   uint64 // of the log file; a higher one replaces a lower one
+	seq      uint64 // of the next frame
+	snapshot string // name of the newest snapshot file, empty without one
+	noSync   bool
+	syncs    uint64
+	buf      []byte
+}
+
+// openStore reads a data folder, formatting an empty one with a random store ID.
+func openStore(disk Disk, group string, id MemberID, rng *rand.Rand) (*store, State, error) {
+	ident, fresh, err := openIdentity(disk, group, id, rng)
+	if err != nil {
+		return nil, State{}, err
+	}
+	s := &store{disk: disk, id: ident.Store}
+	if fresh {
+		return s, State{}, s.startLog(logRecord{Start: &logStart{}})
+	}
+	st, err := s.load()
+	return s, st, err
+}
+
+// openIdentity reads the identity of the folder, or writes one into an empty
+// folder. A folder that holds a log but no identity is refused.
+func openIdentity(disk Disk, group string, id MemberID, rng *rand.Rand) (identity, bool, error) {
+	b, err := disk.ReadFile(identityFile)
+	if errors.Is(err, os.ErrNotExist) {
+		return formatFolder(disk, group, id, rng)
+	}
+	if err != nil {
+		return identity{}, false, storageError(err, "read", identityFile)
+	}
+	var ident identity
+	payload, ok := parseFrame(b, 0, 0)
+	if !ok {
+		return ident, false, &CorruptError{File: identityFile, Reason: "the checksum doesn't match"}
+	}
+	if _, err := ident.UnmarshalMsg(payload); err != nil {
+		return ident, false, &CorruptError{File: identityFile, Reason: err.Error()}
+	}
+	fileID, err := disk.FileID(identityFile)
+	if err != nil {
+		return ident, false, storageError(err, "stat", identityFile)
+	}
+	return ident, false, ident.check(group, id, fileID)
+}
+
+func (ident identity) check(group string, id MemberID, fileID uint64) error {
+	switch {
+	case ident.Group != group:
+		return &ForeignStoreError{Field: "group", Want: group, Found: ident.Group}
+	case ident.Member != id:
+		return &ForeignStoreError{Field: "member", Want: string(id), Found: string(ident.Member)}
+	case ident.FileID != fileID:
+		return &ForeignStoreError{
+			Field: "file number (the folder is a copy)",
+			Want:  fmt.Sprint(fileID), Found: fmt.Sprint(ident.FileID),
+		}
+	}
+	return nil
+}
+
+func formatFolder(disk Disk, group string, id MemberID, rng *rand.Rand) (identity, bool, error) {
+	names, err := disk.List()
+	if err != nil {
+		return identity{}, false, storageError(err, "list", "folder")
+	}
+	for _, name := range names {
+		if strings.HasPrefix(name, snapshotPrefix) || strings.HasPrefix(name, logPrefix) {
+			return identity{}, false, &ForeignStoreError{Field: "identity", Want: identityFile, Found: "missing"}
+		}
+	}
+	ident := identity{Group: group, Member: id, Store: StoreID(rng.Uint64() | 1)}
+	return ident, true, writeIdentity(disk, ident)
+}
+
+// writeIdentity learns the number of the file before it writes it.
+func writeIdentity(disk Disk, ident identity) error {
+	temp := identityFile + tempSuffix
+	f, err := disk.Create(temp)
+	if err != nil {
+		return storageError(err, "create", temp)
+	}
+	defer f.Close()
+	if ident.FileID, err = disk.FileID(temp); err != nil {
+		return storageError(err, "stat", temp)
+	}
+	payload, err := ident.MarshalMsg(nil)
+	if err != nil {
+		return storageError(err, "encode", temp)
+	}
+	if err := writeSynced(f, appendFrame(nil, 0, 0, payload)); err != nil {
+		return storageError(err, "write", temp)
+	}
+	return publish(disk, temp, identityFile)
+}
+
+func writeSynced(f File, b []byte) error {
+	if _, err := f.Write(b); err != nil {
+		return err
+	}
+	return f.Sync()
+}
+
+// publish gives a synced temporary file its name, for good.
+func publish(disk Disk, temp, name string) error {
+	if err := disk.Rename(temp, name); err != nil {
+		return storageError(err, "rename", temp)
+	}
+	return storageError(disk.SyncFolder(), "sync folder of", name)
+}
+
+func storageError(err error, step, name string) error {
+	if err == nil {
+		return nil
+	}
+	return ErrStorage.Wrap(err, "%s %s", step, name)
+}
+
+// load reads the newest snapshot and the newest log file, cuts a torn last record
+// off and removes what a crash left over.
+func (s *store) load() (State, error) {
+	names, err := s.disk.List()
+	if err != nil {
+		return State{}, storageError(err, "list", "folder")
+	}
+	slices.Sort(names)
+	var st State
+	for _, name := range names {
+		if strings.HasPrefix(name, snapshotPrefix) && !strings.HasSuffix(name, tempSuffix) {
+			s.snapshot = name
+		}
+		if strings.HasPrefix(name, logPrefix) && !strings.HasSuffix(name, tempSuffix) {
+			s.logName = name
+		}
+	}
+	if s.snapshot != "" {
+		if st.Snapshot, err = s.readSnapshot(); err != nil {
+			return State{}, err
+		}
+		st.Snapshot.Data = nil
+	}
+	if err := s.loadLog(&st); err != nil {
+		return State{}, err
+	}
+	return st, s.removeOld(names)
+}
+
+func (s *store) loadLog(st *State) error {
+	if s.logName == "" { // formatted, but stopped before the first log file
+		if s.snapshot != "" {
+			return &CorruptError{File: logPrefix + "*", Reason: "a snapshot without a log"}
+		}
+		return s.startLog(logRecord{Start: &logStart{}})
+	}
+	if _, err := fmt.Sscanf(s.logName, logPrefix+"%x", &s.number); err != nil {
+		return &CorruptError{File: s.logName, Reason: "not a log file's name"}
+	}
+	b, err := s.disk.ReadFile(s.logName)
+	if err != nil {
+		return storageError(err, "read", s.logName)
+	}
+	payloads, good, err := readFrames(s.logName, b, s.id)
+	if err != nil {
+		return err
+	}
+	if err := replay(s.logName, payloads, st); err != nil {
+		return err
+	}
+	s.seq = uint64(len(payloads))
+	return s.reopenLog(good, int64(len(b)))
+}
+
+// replay applies the records of a log file in their order.
+func replay(name string, payloads [][]byte, st *State) error {
+	l := entryLog{}
+	for i, payload := range payloads {
+		var r logRecord
+		if _, err := r.UnmarshalMsg(payload); err != nil {
+			return &CorruptError{File: name, Reason: fmt.Sprintf("record %d: %v", i, err)}
+		}
+		if r.Start != nil {
+			l = entryLog{base: r.Start.Base, baseTerm: r.Start.BaseTerm}
+		}
+		if r.Hard != nil {
+			st.Hard = *r.Hard
+		}
+		if len(r.Entries) > 0 {
+			first := r.Entries[0].Index
+			if first <= l.base || first > l.last()+1 {
+				return &CorruptError{File: name, Reason: fmt.Sprintf("record %d: entry %d follows %d", i, first, l.last())}
+			}
+			l.truncate(first)
+			l.append(r.Entries...)
+		}
+	}
+	if len(payloads) == 0 {
+		return &CorruptError{File: name, Reason: "the first record is missing"}
+	}
+	if st.Snapshot.Index > l.base && !l.matches(st.Snapshot.Index, st.Snapshot.Term) {
+		// A snapshot was installed, and the log behind it wasn't replaced yet.
+		l.restore(st.Snapshot.Index, st.Snapshot.Term)
+	}
+	if l.base > st.Snapshot.Index {
+		return &CorruptError{File: name, Reason: fmt.Sprintf("the log starts after entry %d, the snapshot ends at %d", l.base, st.Snapshot.Index)}
+	}
+	st.Base, st.BaseTerm, st.Entries = l.base, l.baseTerm, l.entries
+	return nil
+}
+
+func (s *store) reopenLog(good, size int64) error {
+	f, err := s.disk.Append(s.logName)
+	if err != nil {
+		return storageError(err, "open", s.logName)
+	}
+	s.log = f
+	if good == size {
+		return nil
+	}
+	if err := f.Truncate(good); err != nil {
+		return storageError(err, "truncate", s.logName)
+	}
+	return storageError(f.Sync(), "sync", s.logName)
+}
+
+// removeOld removes every file but the identity and the newest log and snapshot.
+func (s *store) removeOld(names []string) error {
+	for _, name := range names {
+		if name == identityFile || name == s.logName || name == s.snapshot {
+			continue
+		}
+		ours := strings.HasPrefix(name, logPrefix) || strings.HasPrefix(name, snapshotPrefix)
+		if !ours && !strings.HasSuffix(name, tempSuffix) {
+			continue
+		}
+		if err := s.disk.Remove(name); err != nil {
+			return storageError(err, "remove", name)
+		}
+	}
+	return nil
+}
+
+// Save makes a hard state (nil when unchanged) and entries last, with one sync.
+func (s *store) Save(hard *HardState, entries []Entry) error {
+	if hard == nil && len(entries) == 0 {
+		return nil
+	}
+	return s.writeRecord(s.log, logRecord{Hard: hard, Entries: entries})
+}
+
+func (s *store) writeRecord(f File, r logRecord) error {
+	payload, err := r.MarshalMsg(nil)
+	if err != nil {
+		return storageError(err, "encode", s.logName)
+	}
+	s.buf = appendFrame(s.buf[:0], s.id, s.seq, payload)
+	if _, err := f.Write(s.buf); err != nil {
+		return storageError(err, "write", s.logName)
+	}
+	s.seq++
+	if s.noSync {
+		return nil
+	}
+	s.syncs++
+	return storageError(f.Sync(), "sync", s.logName)
+}
+
+// startLog begins a new log file with one record and lets it replace the former.
+func (s *store) startLog(first logRecord) error {
+	s.number++
+	name := fmt.Sprintf("%s%016x", logPrefix, s.number)
+	temp := name + tempSuffix
+	f, err := s.disk.Create(temp)
+	if err != nil {
+		return storageError(err, "create", temp)
+	}
+	s.seq = 0
+	if err := s.writeRecord(f, first); err != nil {
+		return err
+	}
+	if err := publish(s.disk, temp, name); err != nil {
+		return err
+	}
+	former, formerName := s.log, s.logName
+	s.log, s.logName = f, name
+	if former == nil {
+		return nil
+	}
+	former.Close()
+	return storageError(s.disk.Remove(formerName), "remove", formerName)
+}
+
+// SaveSnapshot makes a snapshot last, then a log that starts at st.Base in place
+// of the former one. After a crash in between, the former log is read with the
+// new snapshot.
+func (s *store) SaveSnapshot(snap Snapshot, st State) error {
+	name := fmt.Sprintf("%s%016x", snapshotPrefix, snap.Index)
+	if err := s.writeSnapshot(name, snap); err != nil {
+		return err
+	}
+	former := s.snapshot
+	s.snapshot = name
+	start := &logStart{Base: st.Base, BaseTerm: st.BaseTerm}
+	if err := s.startLog(logRecord{Start: start, Hard: &st.Hard, Entries: st.Entries}); err != nil {
+		return err
+	}
+	if former == "" || former == name {
+		return nil
+	}
+	return storageError(s.disk.Remove(former), "remove", former)
+}
+
+func (s *store) writeSnapshot(name string, snap Snapshot) error {
+	payload, err := snap.MarshalMsg(nil)
+	if err != nil {
+		return storageError(err, "encode", name)
+	}
+	temp := name + tempSuffix
+	f, err := s.disk.Create(temp)
+	if err != nil {
+		return storageError(err, "create", temp)
+	}
+	defer f.Close()
+	if err := writeSynced(f, appendFrame(nil, s.id, 0, payload)); err != nil {
+		return storageError(err, "write", temp)
+	}
+	return publish(s.disk, temp, name)
+}
+
+// readSnapshot returns the newest snapshot with its data.
+func (s *store) readSnapshot() (Snapshot, error) {
+	var snap Snapshot
+	if s.snapshot == "" {
+		return snap, ErrInvariant.New("no snapshot on disk")
+	}
+	b, err := s.disk.ReadFile(s.snapshot)
+	if err != nil {
+		return snap, storageError(err, "read", s.snapshot)
+	}
+	payload, ok := parseFrame(b, s.id, 0)
+	if !ok {
+		return snap, &CorruptError{File: s.snapshot, Reason: "the checksum doesn't match"}
+	}
+	if _, err := snap.UnmarshalMsg(payload); err != nil {
+		return snap, &CorruptError{File: s.snapshot, Reason: err.Error()}
+	}
+	return snap, nil
+}
+
+// Close releases the files.
+func (s *store) Close() error {
+	if s.log != nil {
+		s.log.Close()
+	}
+	return s.disk.Close()
+}
