--- /dev/null
+++ b/internal/lists/check.go
@@ -0,0 +1,279 @@
+package lists
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// Names that faults carry in File when a list did not come from a file.
+const (
+	PlansFile      = "plans.yaml"
+	AllowancesFile = "allowances.yaml"
+)
+
+// Kinds of a Pool.
+const (
+	KindEngine  = "engine"
+	KindService = "service"
+)
+
+var validate = newValidator()
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(yamlName)
+	return v
+}
+
+// Check checks both lists, each by itself and then against each other. Faults
+// carry PlansFile or AllowancesFile and the field, but no line.
+func Check(both Both) []Fault {
+	c := &checker{}
+	c.values(PlansFile, both.Plans)
+	c.values(AllowancesFile, both.Allowances)
+	plans := c.plans(both.Plans.Plans)
+	c.workspaces(both.Plans.Workspaces, plans)
+	pools := c.pools(both.Allowances.Pools)
+	c.models(both.Allowances.Models, pools)
+	c.services(both.Allowances.Services, pools)
+	c.allowances(both.Allowances, plans)
+	return c.faults
+}
+
+// checker collects faults.
+type checker struct{ faults []Fault }
+
+func (c *checker) add(file, field, problem, remedy string) {
+	c.faults = append(c.faults, Fault{File: file, Field: field, Problem: problem, Remedy: remedy})
+}
+
+// values applies the validation tags of a list's fields.
+func (c *checker) values(file string, list any) {
+	var failed validator.ValidationErrors
+	if !errors.As(validate.Struct(list), &failed) {
+		return
+	}
+	for _, f := range failed {
+		_, field, _ := strings.Cut(f.Namespace(), ".")
+		problem, remedy := explain(f)
+		c.add(file, field, problem, remedy)
+	}
+}
+
+// explain words a failed validation tag.
+func explain(f validator.FieldError) (problem, remedy string) {
+	switch f.Tag() {
+	case "required":
+		return "missing", "set it"
+	case "oneof":
+		return fmt.Sprintf("%q is not allowed", f.Value()), "use one of: " + strings.ReplaceAll(f.Param(), " ", ", ")
+	case "gte":
+		return fmt.Sprintf("%v is too small", f.Value()), "use at least " + f.Param()
+	case "gt":
+		return fmt.Sprintf("%v is too small", f.Value()), "use more than " + f.Param()
+	case "lte":
+		return fmt.Sprintf("%v is too large", f.Value()), "use at most " + f.Param()
+	case "len", "hexadecimal":
+		return "not a SHA-256 digest", "write the digest of the key as 64 hexadecimal digits"
+	case "startswith":
+		return fmt.Sprintf("%q does not start with %s", f.Value(), f.Param()), "start it with " + f.Param()
+	default:
+		return "fails the check " + f.Tag(), "see the reference of the lists"
+	}
+}
+
+// unique reports a name that was used before under the same set.
+func (c *checker) unique(seen map[string]string, file, field, what, name string) {
+	if name == "" {
+		return
+	}
+	if first, taken := seen[name]; taken {
+		c.add(file, field, fmt.Sprintf("%s %q is already at %s", what, name, first), "give each its own or remove one")
+		return
+	}
+	seen[name] = field
+}
+
+func (c *checker) plans(plans []Plan) map[string]string {
+	seen := make(map[string]string, len(plans))
+	for i, p := range plans {
+		c.unique(seen, PlansFile, fmt.Sprintf("plans[%d].name", i), "plan", p.Name)
+	}
+	return seen
+}
+
+func (c *checker) workspaces(workspaces []Workspace, plans map[string]string) {
+	ids := make(map[string]string, len(workspaces))
+	digests := make(map[string]string, len(workspaces))
+	for i, w := range workspaces {
+		at := fmt.Sprintf("workspaces[%d]", i)
+		c.unique(ids, PlansFile, at+".id", "workspace", string(w.ID))
+		c.known(plans, PlansFile, at+".plan", "plan", w.Plan)
+		for j, d := range w.KeyDigests {
+			field := fmt.Sprintf("%s.key_digests[%d]", at, j)
+			c.unique(digests, PlansFile, field, "key digest", strings.ToLower(d))
+		}
+	}
+}
+
+// known reports a name that nothing defines.
+func (c *checker) known(defined map[string]string, file, field, what, name string) {
+	if name == "" {
+		return
+	}
+	if _, ok := defined[name]; ok {
+		return
+	}
+	c.add(file, field, fmt.Sprintf("unknown %s %q", what, name), remedyFor(what, defined))
+}
+
+// maxSuggestions bounds how many names a remedy lists.
+const maxSuggestions = 8
+
+func remedyFor(what string, defined map[string]string) string {
+	names := make([]string, 0, len(defined))
+	for name := range defined {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	if len(names) == 0 {
+		return fmt.Sprintf("define the %s first", what)
+	}
+	if len(names) > maxSuggestions {
+		names = append(names[:maxSuggestions], "...")
+	}
+	return fmt.Sprintf("define the %s or use one of: %s", what, strings.Join(names, ", "))
+}
+
+func (c *checker) pools(pools []Pool) map[fleet.PoolID]Pool {
+	seen := make(map[string]string, len(pools))
+	byName := make(map[fleet.PoolID]Pool, len(pools))
+	for i, p := range pools {
+		c.unique(seen, AllowancesFile, fmt.Sprintf("pools[%d].name", i), "pool", string(p.Name))
+		byName[p.Name] = p
+		if p.MaxConcurrency > 0 && p.StartConcurrency > p.MaxConcurrency {
+			c.add(AllowancesFile, fmt.Sprintf("pools[%d].start_concurrency", i),
+				fmt.Sprintf("%d is above max_concurrency %d", p.StartConcurrency, p.MaxConcurrency),
+				"use at most max_concurrency")
+		}
+	}
+	return byName
+}
+
+// inPool checks that a pool is defined and of the wanted kind.
+func (c *checker) inPool(pools map[fleet.PoolID]Pool, field string, name fleet.PoolID, kind string) {
+	if name == "" {
+		return
+	}
+	pool, ok := pools[name]
+	if !ok {
+		defined := make(map[string]string, len(pools))
+		for id, p := range pools {
+			if p.Kind == kind {
+				defined[string(id)] = ""
+			}
+		}
+		c.known(defined, AllowancesFile, field, "pool", string(name))
+		return
+	}
+	if pool.Kind != kind {
+		c.add(AllowancesFile, field, fmt.Sprintf("pool %q is of kind %s", name, pool.Kind), "use a pool of kind "+kind)
+	}
+}
+
+func (c *checker) models(models []Model, pools map[fleet.PoolID]Pool) {
+	seen := make(map[string]string, len(models))
+	for i, m := range models {
+		at := fmt.Sprintf("models[%d]", i)
+		c.unique(seen, AllowancesFile, at+".name", "model", string(m.Name))
+		c.inPool(pools, at+".pool", m.Pool, KindEngine)
+		adapters := make(map[string]string, len(m.Adapters))
+		for j, a := range m.Adapters {
+			c.unique(adapters, AllowancesFile, fmt.Sprintf("%s.adapters[%d]", at, j), "adapter", a)
+		}
+	}
+}
+
+func (c *checker) services(services []Service, pools map[fleet.PoolID]Pool) {
+	seen := make(map[string]string, len(services))
+	for i, s := range services {
+		at := fmt.Sprintf("services[%d]", i)
+		c.unique(seen, AllowancesFile, at+".name", "service", s.Name)
+		if strings.ContainsAny(s.Name, "/?#% ") {
+			c.add(AllowancesFile, at+".name", fmt.Sprintf("%q is no URL path segment", s.Name), "use letters, digits, dots and dashes")
+		}
+		c.inPool(pools, at+".pool", s.Pool, KindService)
+		c.routes(at, s.Routes)
+	}
+}
+
+// anyMethod matches every HTTP method in a Route.
+const anyMethod = "*"
+
+var methods = []string{
+	anyMethod, http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+// routes reports unknown methods and routes that an earlier one hides: the
+// first match counts, so a hidden route's Repeatable would silently not hold.
+func (c *checker) routes(at string, routes []Route) {
+	for i, r := range routes {
+		field := fmt.Sprintf("%s.routes[%d]", at, i)
+		if r.Method != "" && !slices.Contains(methods, r.Method) {
+			c.add(AllowancesFile, field+".method", fmt.Sprintf("unknown method %q", r.Method), "use one of: "+strings.Join(methods, ", "))
+		}
+		for j, earlier := range routes[:i] {
+			if covers(earlier, r) {
+				c.add(AllowancesFile, field, fmt.Sprintf("hidden by routes[%d]", j), "move it before that one or remove it")
+				break
+			}
+		}
+	}
+}
+
+func covers(earlier, later Route) bool {
+	sameMethod := earlier.Method == anyMethod || earlier.Method == later.Method
+	return sameMethod && pathCovers(earlier.Path, later.Path)
+}
+
+func (c *checker) allowances(a Allowances, plans map[string]string) {
+	models, adapters, services := defined(a)
+	seen := make(map[string]string, len(a.Plans))
+	for i, p := range a.Plans {
+		at := fmt.Sprintf("plans[%d]", i)
+		c.unique(seen, AllowancesFile, at+".plan", "allowance of plan", p.Plan)
+		c.known(plans, AllowancesFile, at+".plan", "plan", p.Plan)
+		for j, m := range p.Models {
+			c.known(models, AllowancesFile, fmt.Sprintf("%s.models[%d]", at, j), "model", string(m))
+		}
+		for j, name := range p.Adapters {
+			c.known(adapters, AllowancesFile, fmt.Sprintf("%s.adapters[%d]", at, j), "adapter", name)
+		}
+		for j, s := range p.Services {
+			c.known(services, AllowancesFile, fmt.Sprintf("%s.services[%d]", at, j), "service", s)
+		}
+	}
+}
+
+// defined collects the names that an allowance may refer to.
+func defined(a Allowances) (models, adapters, services map[string]string) {
+	models, adapters, services = map[string]string{}, map[string]string{}, map[string]string{}
+	for _, m := range a.Models {
+		models[string(m.Name)] = ""
+		for _, adapter := range m.Adapters {
+			adapters[adapter] = ""
+		}
+	}
+	for _, s := range a.Services {
+		services[s.Name] = ""
+	}
+	return models, adapters, services
+}
