--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
-	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
 )
 
@@ -112,7 +111,3 @@
 func notLeader(step, leader string) error {
 	return &mesh.RemoteError{Code: CodeNotLeader, Step: step, Peer: leader, Message: "this member does not lead"}
 }
-
-var _ error = (*mesh.RemoteError)(nil)
-
-var errs = fleet.Errors.NewSubNamespace("control")
--- /dev/null
+++ b/internal/control/machine.go
@@ -0,0 +1,128 @@
+package control
+
+import (
+	"sync"
+
+	"github.com/tinylib/msgp/msgp"
+)
+
+// part is one replicated state behind the shared log. Apply must be
+// deterministic.
+type part interface {
+	Apply(index uint64, command []byte) []byte
+	Snapshot() ([]byte, error)
+	Restore(snapshot []byte) error
+}
+
+// partTag leads every command and names the part that it is for.
+type partTag uint8
+
+// The tags are written to disk: they never change their meaning.
+const (
+	tagRoster partTag = 1
+	tagConfig partTag = 2
+	tagLedger partTag = 3
+)
+
+// machine is the consensus state machine: it hands each command to its part.
+type machine struct {
+	mu      sync.RWMutex
+	parts   map[partTag]part
+	order   []partTag // of a snapshot
+	applied func(partTag)
+}
+
+func newMachine(applied func(partTag)) *machine {
+	return &machine{parts: make(map[partTag]part), applied: applied}
+}
+
+func (m *machine) add(tag partTag, p part) {
+	m.parts[tag] = p
+	m.order = append(m.order, tag)
+}
+
+// read runs f while no command is applied.
+func (m *machine) read(f func()) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	f()
+}
+
+// Apply implements consensus.StateMachine. A command for an unknown part, which
+// a later release may have written, changes nothing.
+func (m *machine) Apply(index uint64, command []byte) []byte {
+	if len(command) == 0 {
+		return nil
+	}
+	tag := partTag(command[0])
+	m.mu.Lock()
+	p := m.parts[tag]
+	var result []byte
+	if p != nil {
+		result = p.Apply(index, command[1:])
+	}
+	m.mu.Unlock()
+	if p != nil {
+		m.applied(tag)
+	}
+	return result
+}
+
+// Snapshot implements consensus.StateMachine.
+func (m *machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	buf := msgp.AppendMapHeader(nil, uint32(len(m.order)))
+	for _, tag := range m.order {
+		state, err := m.parts[tag].Snapshot()
+		if err != nil {
+			return nil, err
+		}
+		buf = msgp.AppendUint8(buf, uint8(tag))
+		buf = msgp.AppendBytes(buf, state)
+	}
+	return buf, nil
+}
+
+// Restore implements consensus.StateMachine.
+func (m *machine) Restore(snapshot []byte) error {
+	if err := m.restore(snapshot); err != nil {
+		return err
+	}
+	for _, tag := range m.order {
+		m.applied(tag)
+	}
+	return nil
+}
+
+func (m *machine) restore(snapshot []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count, rest, err := msgp.ReadMapHeaderBytes(snapshot)
+	if err != nil {
+		return errSnapshot.Wrap(err, "header")
+	}
+	for range count {
+		var tag uint8
+		var state []byte
+		if tag, rest, err = msgp.ReadUint8Bytes(rest); err != nil {
+			return errSnapshot.Wrap(err, "tag")
+		}
+		if state, rest, err = msgp.ReadBytesBytes(rest, nil); err != nil {
+			return errSnapshot.Wrap(err, "part %d", tag)
+		}
+		p := m.parts[partTag(tag)]
+		if p == nil {
+			return errSnapshot.New("part %d is not known to this release", tag)
+		}
+		if err = p.Restore(state); err != nil {
+			return errSnapshot.Wrap(err, "part %d", tag)
+		}
+	}
+	return nil
+}
+
+// tagged returns the command as the log carries it.
+func tagged(tag partTag, command []byte) []byte {
+	return append([]byte{byte(tag)}, command...)
+}
