telemetry: logs, metrics exposition and spans

Cause: every duty needs one way to log, to be scraped and to add its hop to a trace, and spans must cost nothing while they are off. Ruled out: carrying spans in a context (the mesh passes strings, and a context with a no-op span still allocates) and a sum in summaries (go-metrics keeps a sample only, so the sum would be wrong). Change: NewLogger, MetricsHandler, Tracer and Span with W3C traceparent as a string; OTLP over HTTP or a file. Conclusion: two hops share the caller's trace id; off allocates nothing.

--- /dev/null
+++ b/internal/telemetry/process.go
@@ -0,0 +1,49 @@
+package telemetry
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// writeProcess writes the process's own metrics under their customary names.
+func writeProcess(out *bytes.Buffer) {
+	writeOne(out, "process_cpu_seconds_total", "counter", ProcessorTime().Seconds())
+	writeOne(out, "process_resident_memory_bytes", "gauge", float64(residentBytes()))
+	writeOne(out, "go_goroutines", "gauge", float64(runtime.NumGoroutine()))
+}
+
+func writeOne(out *bytes.Buffer, name, kind string, value float64) {
+	fmt.Fprintf(out, "# TYPE %s %s\n%s %s\n", name, kind, name, formatValue(value))
+}
+
+// ProcessorTime returns the user and system time that the process has used.
+func ProcessorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// residentBytes returns the resident memory, or 0 where the system doesn't tell.
+func residentBytes() int64 {
+	data, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return pages * int64(os.Getpagesize())
+}
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,147 @@
+package telemetry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/wigeonflow/wigeonflow/internal/settings"
+)
+
+func TestMetricsExposition(t *testing.T) {
+	is := is.New(t)
+	r := metrics.NewRegistry()
+	metrics.GetOrRegisterCounter(MetricName("entry.refused", "outcome", "unknown"), r).Inc(2)
+	metrics.GetOrRegisterCounter(MetricName("entry.refused", "outcome", "not-run"), r).Inc(3)
+	metrics.GetOrRegisterGauge("admission.in-flight", r).Update(7)
+	metrics.GetOrRegisterGaugeFloat64("admission.mean", r).Update(0.5)
+	metrics.GetOrRegisterTimer("entry.first_token", r).Update(250 * time.Millisecond)
+	metrics.GetOrRegisterHistogram("mesh.frame", r, metrics.NewUniformSample(8)).Update(64)
+	meter := metrics.GetOrRegisterMeter("answer.tokens", r)
+	meter.Mark(9)
+	defer meter.Stop()
+
+	w := httptest.NewRecorder()
+	MetricsHandler(r).ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	got, process, ok := strings.Cut(w.Body.String(), "# TYPE process_cpu_seconds_total counter\n")
+	is.True(ok)
+	is.Equal(got, `# TYPE wigeonflow_admission_in_flight gauge
+wigeonflow_admission_in_flight 7
+# TYPE wigeonflow_admission_mean gauge
+wigeonflow_admission_mean 0.5
+# TYPE wigeonflow_answer_tokens_total counter
+wigeonflow_answer_tokens_total 9
+# TYPE wigeonflow_entry_first_token_seconds summary
+wigeonflow_entry_first_token_seconds_count 1
+wigeonflow_entry_first_token_seconds{quantile="0.5"} 0.25
+wigeonflow_entry_first_token_seconds{quantile="0.95"} 0.25
+wigeonflow_entry_first_token_seconds{quantile="0.99"} 0.25
+# TYPE wigeonflow_entry_refused_total counter
+wigeonflow_entry_refused_total{outcome="not-run"} 3
+wigeonflow_entry_refused_total{outcome="unknown"} 2
+# TYPE wigeonflow_mesh_frame summary
+wigeonflow_mesh_frame_count 1
+wigeonflow_mesh_frame{quantile="0.5"} 64
+wigeonflow_mesh_frame{quantile="0.95"} 64
+wigeonflow_mesh_frame{quantile="0.99"} 64
+`)
+	is.True(strings.Contains(process, "go_goroutines "))
+	is.Equal(w.Header().Get("Content-Type"), contentType)
+}
+
+func TestLoggerFollowsItsSettings(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	s := settings.Settings{Instance: "r1", Log: settings.Log{Level: "warn", JSON: true}}
+	log := NewLogger(s, &out).Named("entry")
+	log.Info("not told")
+	log.Warn("told", LogPeer, "10.0.0.1:1")
+	var line map[string]any
+	is.NoErr(json.Unmarshal(out.Bytes(), &line))
+	is.Equal(line["@module"], "wigeonflow.entry")
+	is.Equal(line[LogInstance], "r1")
+	is.Equal(line[LogPeer], "10.0.0.1:1")
+}
+
+// exportedSpan is the part of an exported span that the test reads.
+type exportedSpan struct {
+	Name        string
+	SpanContext struct{ TraceID, SpanID string }
+	Parent      struct{ SpanID string }
+	Status      struct{ Code string }
+}
+
+func TestHopsShareOneTrace(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "spans.json")
+	s := settings.Settings{Instance: "r1", Tracing: settings.Tracing{Exporter: settings.ExporterFile, Path: path}}
+	tracer, err := NewTracer(t.Context(), s)
+	is.NoErr(err)
+	entry, parent := tracer.Start("entry", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")
+	owner, _ := tracer.Start("owner", parent)
+	owner.Set(LogUpstream, "e1")
+	owner.End(errors.New("cut"))
+	entry.End(nil)
+	is.NoErr(tracer.Shutdown(context.Background()))
+
+	data, err := os.ReadFile(path)
+	is.NoErr(err)
+	spans := make(map[string]exportedSpan)
+	for d := json.NewDecoder(bytes.NewReader(data)); d.More(); {
+		var span exportedSpan
+		is.NoErr(d.Decode(&span))
+		spans[span.Name] = span
+	}
+	is.Equal(len(spans), 2)
+	is.Equal(spans["entry"].SpanContext.TraceID, "0af7651916cd43dd8448eb211c80319c")
+	is.Equal(spans["entry"].Parent.SpanID, "b7ad6b7169203331")
+	is.Equal(spans["owner"].SpanContext.TraceID, spans["entry"].SpanContext.TraceID)
+	is.Equal(spans["owner"].Parent.SpanID, spans["entry"].SpanContext.SpanID)
+	is.Equal(spans["owner"].Status.Code, "Error")
+}
+
+func TestTracingOffCostsNothing(t *testing.T) {
+	is := is.New(t)
+	tracer, err := NewTracer(t.Context(), settings.Settings{})
+	is.NoErr(err)
+	for _, tr := range []*Tracer{tracer, nil} {
+		allocated := testing.AllocsPerRun(100, func() {
+			span, next := tr.Start("entry", "parent")
+			span.Set(LogUpstream, "e1")
+			span.End(nil)
+			if next != "parent" {
+				t.Fatal("the traceparent was not passed on")
+			}
+		})
+		is.Equal(allocated, 0.0)
+		is.NoErr(tr.Shutdown(t.Context()))
+	}
+}
+
+func BenchmarkSpan(b *testing.B) {
+	path := filepath.Join(b.TempDir(), "spans.json")
+	on, err := NewTracer(b.Context(), settings.Settings{Tracing: settings.Tracing{Exporter: settings.ExporterFile, Path: path}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for name, tracer := range map[string]*Tracer{"off": nil, "file": on} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				span, _ := tracer.Start("entry", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")
+				span.Set(LogUpstream, "e1")
+				span.End(nil)
+			}
+		})
+	}
+}
