session: replicated roster, leader-side grantor, router-side holder

Cause: nothing decided which router may dispatch to an upstream. Ruled out: handing over at the new epoch alone, and leases counted from the reply: both give two owners (TestTwoOwnersWithoutAMechanism, found within 60 seeds each, as are a new grantor that does not wait and clocks beyond the bound). A router whose configuration stays behind for longer than ConfigGrace loses its lease. Conclusion: the rule holds in every schedule run; log and clocks are models.

--- /dev/null
+++ b/internal/session/lease_test.go
@@ -0,0 +1,106 @@
+package session
+
+import (
+	"flag"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var schedules = flag.Uint64("schedules", 60, "how many seeded schedules to run")
+
+const scheduleLength = 40 * time.Second
+
+// Never two owners of one upstream with valid leases at the same true instant.
+func TestOneOwnerUnderEveryFault(t *testing.T) {
+	var owned int
+	for seed := range *schedules {
+		w := newWorld(seed, Settings{}, everyFault)
+		w.run(scheduleLength)
+		if w.violation != "" {
+			t.Fatalf("seed %d: %s", seed, w.violation)
+		}
+		owned += len(w.gaps)
+	}
+	is.New(t).True(owned > 0) // ownership moved at least once
+}
+
+// Each mechanism is needed: without it the same seeds give two owners.
+func TestTwoOwnersWithoutAMechanism(t *testing.T) {
+	cases := []struct {
+		name     string
+		settings Settings
+		faults   faults
+	}{
+		{"lease counted from the reply", Settings{without: mechanisms{sendTime: true}}, everyFault},
+		{"new grantor does not wait", Settings{without: mechanisms{grantorWait: true}}, everyFault},
+		{"settled epoch ignored", Settings{without: mechanisms{settled: true}}, everyFault},
+		{"clocks drift beyond the bound", Settings{MaxDrift: 1e-9}, withDrift(everyFault, 0.2)},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			for seed := range max(*schedules, 60) {
+				w := newWorld(seed, tc.settings, tc.faults)
+				w.run(scheduleLength)
+				if w.violation != "" {
+					t.Logf("seed %d: %s", seed, w.violation)
+					return
+				}
+			}
+			t.Fatal("no violation found")
+		})
+	}
+}
+
+func withDrift(f faults, drift float64) faults {
+	f.drift = drift
+	return f
+}
+
+// A drift as large as in the failing case is safe when the bound covers it.
+func TestOneOwnerUnderLargeBoundedDrift(t *testing.T) {
+	for seed := range *schedules {
+		w := newWorld(seed, Settings{MaxDrift: 0.2}, withDrift(everyFault, 0.2))
+		w.run(scheduleLength)
+		if w.violation != "" {
+			t.Fatalf("seed %d: %s", seed, w.violation)
+		}
+	}
+}
+
+// How long an upstream goes without an owner, in virtual time.
+func TestGapWithoutOwner(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults faults
+		bound  time.Duration
+	}{
+		{"planned leave and restart", faults{leave: 1, every: 5 * time.Second}, time.Second},
+		// The next owner may crash as well before it takes over.
+		{"crash and restart", faults{crash: 1, every: 20 * time.Second}, 2*DefaultLease + time.Second},
+		{"leader changes only", faults{cutLeader: 8 * time.Second}, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var gaps []time.Duration
+			for seed := range *schedules {
+				w := newWorld(seed, Settings{}, tc.faults)
+				w.run(scheduleLength)
+				is.New(t).Equal(w.violation, "")
+				gaps = append(gaps, w.gaps...)
+			}
+			if len(gaps) == 0 {
+				t.Log("no gap")
+				return
+			}
+			slices.Sort(gaps)
+			at := func(q float64) time.Duration { return gaps[int(q*float64(len(gaps)-1))] }
+			t.Logf("%d gaps: p50 %v p95 %v p99 %v max %v", len(gaps), at(0.5), at(0.95), at(0.99), at(1))
+			if at(1) > tc.bound {
+				t.Errorf("longest gap %v is above %v", at(1), tc.bound)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/session/settings.go
@@ -0,0 +1,72 @@
+package session
+
+import "time"
+
+// Defaults of Settings.
+const (
+	DefaultLease           = 3 * time.Second
+	DefaultRenewInterval   = time.Second
+	DefaultSettleInterval  = 250 * time.Millisecond
+	DefaultConfigGrace     = 5 * time.Second
+	DefaultProposalTimeout = 2 * time.Second
+	DefaultMaxDrift        = 0.005
+	DefaultHistory         = 64
+)
+
+// Settings of Roster, Grantor and Holder. All instances of a fleet use the
+// same Lease and MaxDrift. Zero fields mean the defaults.
+type Settings struct {
+	// Lease is how long the Grantor keeps a member after a renewal.
+	Lease time.Duration
+	// RenewInterval is how often a Holder renews.
+	RenewInterval time.Duration
+	// SettleInterval is how often a Holder renews while it joins or while a
+	// new epoch is not settled.
+	SettleInterval time.Duration
+	// ConfigGrace is how long a router may run an older configuration before
+	// the Grantor refuses to renew its lease.
+	ConfigGrace time.Duration
+	// ProposalTimeout is how long the Grantor waits for a proposed command to
+	// be committed before it proposes it again.
+	ProposalTimeout time.Duration
+	// MaxDrift bounds how far the rate of any clock is off, as a fraction.
+	MaxDrift float64
+	// History is how many epochs back the Roster can tell changes.
+	History int
+
+	// without switches mechanisms off, so that tests can show what each is for.
+	without mechanisms
+}
+
+// mechanisms is a set of the protections against a second owner.
+type mechanisms struct {
+	sendTime    bool // the lease counts from the send time
+	grantorWait bool // a new Grantor waits out a lease
+	settled     bool // ownership waits for the settled epoch
+}
+
+// withDefaults returns the settings with every zero field set to its default.
+func (s Settings) withDefaults() Settings {
+	setDefault(&s.Lease, DefaultLease)
+	setDefault(&s.RenewInterval, DefaultRenewInterval)
+	setDefault(&s.SettleInterval, DefaultSettleInterval)
+	setDefault(&s.ConfigGrace, DefaultConfigGrace)
+	setDefault(&s.ProposalTimeout, DefaultProposalTimeout)
+	setDefault(&s.MaxDrift, DefaultMaxDrift)
+	setDefault(&s.History, DefaultHistory)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// usable is the part of a granted lease that its holder may use. With clock
+// rates in [1-d, 1+d], lease*(1-2d) on the holder's clock ends no later than
+// lease on the grantor's clock, because 1-2d <= (1-d)/(1+d).
+func (s Settings) usable(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease) * (1 - 2*s.MaxDrift))
+}
