owner: admission shell, chat relay, hand-over between owners

Cause: an upstream's one owner admits, dispatches and relays. Change: gate shell, Reconcile with Handover messages, chat endpoint with resume.

--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,117 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"github.com/wigeonflow/wigeonflow/internal/consensus"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/session"
+)
+
+// Config holds what a control member is set up with.
+type Config struct {
+	// Addr is the member's mesh address; it is also the member's ID.
+	Addr string
+	// Members are the mesh addresses of the group, this one included.
+	Members []string
+	// Dir is the data folder.
+	Dir     string
+	Session session.Settings
+	Clock   fleet.Clock
+	Logger  hclog.Logger
+	Metrics metrics.Registry
+}
+
+// Server is one member of the control group.
+type Server struct {
+	cfg     Config
+	log     hclog.Logger
+	group   *consensus.Group
+	machine *machine
+	roster  *session.Roster
+	leader  *leader
+	cancel  context.CancelFunc
+}
+
+// groupName marks the data folders of the fleet's control group.
+const groupName = "control"
+
+// Start opens the data folder, joins the group and registers the member's
+// methods at the mesh server, which must not serve yet.
+func Start(cfg Config, server *mesh.Server, pool *mesh.Pool) (*Server, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{cfg: cfg, log: cfg.Logger.Named("control"), cancel: cancel}
+	wake := make(chan struct{}, 1)
+	s.machine = newMachine(func(partTag) {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	})
+	s.roster = session.NewRoster(cfg.Session)
+	s.machine.add(tagRoster, s.roster)
+	group, err := consensus.Start(s.consensusConfig(newTransport(ctx, pool, s.log.Named("transport"))))
+	if err != nil {
+		cancel()
+		return nil, fleet.At(err, "control.start", cfg.Dir)
+	}
+	s.group = group
+	s.leader = &leader{
+		log: s.log, clock: cfg.Clock, group: group, settings: cfg.Session,
+		roster: s.roster, machine: s.machine, wake: wake,
+		version: func() fleet.ConfigVersion { return 0 },
+	}
+	server.Handle(MethodStep, receive(group))
+	server.Handle(MethodRenew, mesh.Unary(s.renew))
+	go s.leader.run(ctx)
+	return s, nil
+}
+
+func (s *Server) consensusConfig(t consensus.Transport) consensus.Config {
+	peers := make([]consensus.Peer, 0, len(s.cfg.Members))
+	for _, addr := range s.cfg.Members {
+		peers = append(peers, consensus.Peer{ID: consensus.MemberID(addr), Addr: addr})
+	}
+	return consensus.Config{
+		Group: groupName, ID: consensus.MemberID(s.cfg.Addr), Addr: s.cfg.Addr, Dir: s.cfg.Dir,
+		Peers: peers, Bootstrap: true,
+		Machine: s.machine, Transport: t,
+		Logger: s.log.Named("consensus"), Metrics: s.cfg.Metrics,
+	}
+}
+
+// statusTimeout bounds asking the local member for its view.
+const statusTimeout = time.Second
+
+// notLeader names the leader to a caller, as far as this member knows it.
+func (s *Server) notLeader(ctx context.Context, step string) error {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	status, err := s.group.Status(ctx)
+	if err != nil {
+		return notLeader(step, "")
+	}
+	return notLeader(step, status.LeaderAddr)
+}
+
+// Done is closed when the member has stopped, by Close or by a failure.
+func (s *Server) Done() <-chan struct{} { return s.group.Done() }
+
+// Err returns why the member stopped by itself.
+func (s *Server) Err() error { return s.group.Err() }
+
+// Close hands the leadership over where it can, stops the member and releases
+// its data folder.
+func (s *Server) Close(ctx context.Context) error {
+	if _, leading := s.group.LeaderLease(); leading && len(s.cfg.Members) > 1 {
+		if err := s.group.TransferLeadership(ctx, ""); err != nil {
+			s.log.Warn("leadership not handed over", "error", err)
+		}
+	}
+	s.cancel()
+	return s.group.Close()
+}
--- /dev/null
+++ b/internal/control/session_endpoint.go
@@ -0,0 +1,19 @@
+package control
+
+import (
+	"context"
+
+	"github.com/wigeonflow/wigeonflow/internal/session"
+)
+
+// MethodRenew grants session leases: a session.RenewRequest is answered by a
+// session.RenewReply.
+const MethodRenew = "session.renew"
+
+func (s *Server) renew(ctx context.Context, _ string, req *session.RenewRequest) (*session.RenewReply, error) {
+	reply := s.leader.renew(req)
+	if reply == nil || reply.Status == session.StatusNotLeader {
+		return nil, s.notLeader(ctx, MethodRenew)
+	}
+	return reply, nil
+}
--- a/internal/mesh/stream.go
+++ b/internal/mesh/stream.go
@@ -39,6 +39,20 @@
 // Peer returns the instance at the other end.
 func (s *Stream) Peer() string { return s.conn.peer }
 
+// Err returns why no more messages will be received, nil while some may.
+func (s *Stream) Err() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inErr
+}
+
+// Pending tells whether Recv would return a message at once.
+func (s *Stream) Pending() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.in) > 0
+}
+
 // Send queues one message. It waits while the peer has a full window unread,
 // until ctx ends or the stream does.
 func (s *Stream) Send(ctx context.Context, message []byte) error {
--- /dev/null
+++ b/internal/owner/chat_endpoint.go
@@ -0,0 +1,193 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/answer"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/upstream"
+)
+
+const (
+	// maxEngineResumes bounds how often an owner resumes one attempt itself.
+	maxEngineResumes = 3
+	// engineResumePause spaces these, so that a restarting engine is not pressed.
+	engineResumePause = 100 * time.Millisecond
+)
+
+// chat serves MethodChat.
+func (s *Server) chat(ctx context.Context, st *mesh.Stream, message []byte) error {
+	var req ChatRequest
+	if _, err := req.UnmarshalMsg(message); err != nil {
+		return fleet.At(err, "owner.chat", st.Peer())
+	}
+	span, trace := s.cfg.Tracer.Start("owner.chat", req.Header.Trace)
+	req.Header.Trace = trace
+	defer func() { span.End(st.Err()) }()
+	if req.ResumeAfter > 0 {
+		s.orphans.resume(req.Header.Attempt)
+	}
+	slot, verdict := s.admit(ctx, &req.Header, req.ResumeAfter > 0, req.Share)
+	if err := send(ctx, st, &verdict); err != nil || slot == nil {
+		if slot != nil {
+			slot.cancel()
+		}
+		return err
+	}
+	t, ok := s.target(req.Header.Upstream)
+	if !ok {
+		slot.cancel()
+		return send(ctx, st, &Event{Closing: &Closing{End: uint8(answer.EndNotConnected), Message: "upstream left the list"}})
+	}
+	run := &chatRun{owner: s, stream: st, req: &req, slot: slot, engine: t.engine, offset: req.ResumeAfter}
+	return run.run(ctx)
+}
+
+// chatRun is one admitted attempt at an engine.
+type chatRun struct {
+	owner  *Server
+	stream *mesh.Stream
+	req    *ChatRequest
+	slot   *slot
+	engine upstream.Engine
+	offset uint64 // last token event that went to the entry
+	tokens int
+	buf    []byte
+}
+
+// errEntryLost is the loss of the entry, which ends the relaying and says
+// nothing about the engine.
+var errEntryLost = errors.New("entry lost")
+
+// run relays the engine's answer and resumes it where it breaks off.
+func (r *chatRun) run(ctx context.Context) error {
+	for resumes := 0; ; resumes++ {
+		err := r.relay(ctx)
+		if err == nil {
+			r.slot.release(r.tokens, false)
+			return r.close(ctx, answer.EndWhole, answer.Facts{MayHaveLeft: true, Accepted: true, Whole: true}, nil)
+		}
+		if errors.Is(err, errEntryLost) {
+			return nil // the slot was settled with the entry
+		}
+		end, facts := upstream.EndOf(err)
+		retry := end == answer.EndCut && facts.Accepted && resumes < maxEngineResumes
+		if !retry || !sleep(ctx, engineResumePause) {
+			r.slot.release(r.tokens, end != answer.EndBadRequest)
+			return r.close(ctx, end, facts, err)
+		}
+	}
+}
+
+// relay opens the attempt at the engine after offset and sends its events to
+// the entry. It returns nil after the engine's explicit end.
+func (r *chatRun) relay(ctx context.Context) error {
+	h := &r.req.Header
+	chat, err := r.engine.Chat(ctx, upstream.ChatRequest{
+		Attempt: answer.AttemptID(h.Attempt), Body: r.req.Body,
+		Resume: r.offset > 0, Offset: r.offset, Priority: h.Priority,
+		MaxStall: r.owner.cfg.MaxStall, BeforeWrite: r.owner.beforeWrite(h.Upstream),
+	})
+	if err != nil {
+		return err
+	}
+	for {
+		event, err := chat.Next(ctx)
+		if err != nil {
+			if r.stream.Err() != nil {
+				return r.loseEntry(chat)
+			}
+			_ = chat.Detach()
+			return err
+		}
+		if event.Done {
+			_ = chat.Close()
+			return nil
+		}
+		if err := r.send(ctx, event); err != nil {
+			return r.loseEntry(chat)
+		}
+	}
+}
+
+func (r *chatRun) send(ctx context.Context, event answer.Event) error {
+	r.slot.firstToken()
+	out := Event{Offset: event.Offset, Data: event.Data}
+	var err error
+	if r.buf, err = out.MarshalMsg(r.buf[:0]); err != nil {
+		return err
+	}
+	if err := r.stream.Send(ctx, r.buf); err != nil {
+		return err
+	}
+	if event.Offset > 0 {
+		r.offset = event.Offset
+		r.tokens++
+	}
+	return nil
+}
+
+// loseEntry ends the work of an entry that gave up, and keeps that of one whose
+// connection broke for as long as it may come back.
+func (r *chatRun) loseEntry(chat upstream.ChatStream) error {
+	if !errors.Is(r.stream.Err(), mesh.ErrConnectionLost) {
+		_ = chat.Close()
+		r.slot.cancel()
+		return errEntryLost
+	}
+	_ = chat.Detach()
+	attempt := answer.AttemptID(r.req.Header.Attempt)
+	r.owner.orphans.keep(r.req.Header.Attempt, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), upstream.CancelTimeout)
+		defer cancel()
+		_ = r.engine.Cancel(ctx, attempt)
+		r.slot.cancel()
+	}, r.slot.cancel)
+	return errEntryLost
+}
+
+// close tells the entry how the attempt ended.
+func (r *chatRun) close(ctx context.Context, end answer.End, facts answer.Facts, err error) error {
+	closing := &Closing{
+		End: uint8(end), MayHaveLeft: facts.MayHaveLeft, Whole: facts.Whole,
+		Declined: facts.Declined, Accepted: facts.Accepted,
+	}
+	if err != nil {
+		closing.Message = fleet.At(err, "engine.chat", string(r.req.Header.Upstream)).Error()
+		var failed *upstream.AttemptError
+		if errors.As(err, &failed) {
+			closing.Status = failed.Status
+			closing.RetryAfterMillis = uint32(failed.RetryAfter.Milliseconds())
+		}
+	}
+	return send(ctx, r.stream, &Event{Closing: closing})
+}
+
+// Facts returns what is certain of the attempt.
+func (c *Closing) Facts() answer.Facts {
+	return answer.Facts{MayHaveLeft: c.MayHaveLeft, Whole: c.Whole, Declined: c.Declined, Accepted: c.Accepted}
+}
+
+type marshaler interface {
+	MarshalMsg([]byte) ([]byte, error)
+}
+
+func send(ctx context.Context, st *mesh.Stream, m marshaler) error {
+	encoded, err := m.MarshalMsg(nil)
+	if err != nil {
+		return fleet.At(err, "owner.encode", st.Peer())
+	}
+	return fleet.At(st.Send(ctx, encoded), "owner.send", st.Peer())
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/owner/directory.go
@@ -0,0 +1,39 @@
+package owner
+
+import (
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/upstream"
+)
+
+// target is one upstream with the client that reaches it.
+type target struct {
+	upstream fleet.Upstream
+	engine   upstream.Engine
+	service  upstream.Service
+}
+
+// directory holds the listed upstreams. It is immutable.
+type directory struct {
+	targets map[fleet.UpstreamID]target
+}
+
+// next returns the directory for a new list. Clients of upstreams whose address
+// did not change are kept.
+func (d *directory) next(list []fleet.Upstream, s *Server) *directory {
+	targets := make(map[fleet.UpstreamID]target, len(list))
+	for _, u := range list {
+		t, known := d.targets[u.ID]
+		if !known || t.upstream.Addr != u.Addr {
+			t.engine = upstream.NewEngine(u.Addr, s.client)
+			t.service = upstream.NewService(u.Addr, s.client)
+		}
+		t.upstream = u
+		targets[u.ID] = t
+	}
+	return &directory{targets: targets}
+}
+
+func (s *Server) target(id fleet.UpstreamID) (target, bool) {
+	t, ok := s.directory.Load().targets[id]
+	return t, ok
+}
--- /dev/null
+++ b/internal/owner/gate.go
@@ -0,0 +1,119 @@
+package owner
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/admission"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// gate runs the admission core for concurrent requests and lets queued ones
+// wait for their decision.
+type gate struct {
+	clock fleet.Clock
+
+	mu      sync.Mutex
+	core    *admission.Gate
+	serial  uint64
+	waiting map[fleet.RequestID]chan admission.Decision
+	settled []admission.Settled // scratch of the core's calls
+}
+
+func newGate(clock fleet.Clock) *gate {
+	return &gate{clock: clock, core: admission.NewGate(), waiting: make(map[fleet.RequestID]chan admission.Decision)}
+}
+
+// slot is the right to run one request at an upstream until it is released.
+type slot struct {
+	gate  *gate
+	id    fleet.RequestID
+	begun time.Duration
+	first time.Duration // 0 until the first token
+	once  sync.Once
+}
+
+// admit decides on a request and waits where it is queued. The returned slot is
+// nil where the request was refused.
+func (g *gate) admit(ctx context.Context, r admission.Request) (*slot, admission.Decision) {
+	g.mu.Lock()
+	g.serial++
+	r.ID += fleet.RequestID("#" + strconv.FormatUint(g.serial, 10)) // a resumed attempt may overlap its former try
+	decision := g.core.Admit(g.clock(), r)
+	var decided chan admission.Decision
+	if decision.Kind == admission.Queued {
+		decided = make(chan admission.Decision, 1)
+		g.waiting[r.ID] = decided
+	}
+	g.mu.Unlock()
+	if decided != nil {
+		decision = g.wait(ctx, r.ID, decided)
+	}
+	if decision.Kind != admission.Admitted {
+		return nil, decision
+	}
+	return &slot{gate: g, id: r.ID, begun: g.clock()}, decision
+}
+
+func (g *gate) wait(ctx context.Context, id fleet.RequestID, decided chan admission.Decision) admission.Decision {
+	select {
+	case decision := <-decided:
+		return decision
+	case <-ctx.Done():
+	}
+	g.change(func(now time.Duration, dst []admission.Settled) []admission.Settled {
+		delete(g.waiting, id)
+		return g.core.Cancel(now, id, dst)
+	})
+	return admission.Decision{Kind: admission.Refused, Reason: admission.ReasonDeadline}
+}
+
+// change calls the core and tells the queued requests that it settled.
+func (g *gate) change(f func(now time.Duration, dst []admission.Settled) []admission.Settled) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settled = f(g.clock(), g.settled[:0])
+	for _, s := range g.settled {
+		if decided := g.waiting[s.ID]; decided != nil {
+			decided <- s.Decision
+			delete(g.waiting, s.ID)
+		}
+	}
+}
+
+// with calls the core without settling anything.
+func (g *gate) with(f func(core *admission.Gate)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(g.core)
+}
+
+// firstToken notes the first byte of the answer.
+func (s *slot) firstToken() {
+	if s.first != 0 {
+		return
+	}
+	now := s.gate.clock()
+	s.first = now - s.begun
+	s.gate.with(func(core *admission.Gate) { core.FirstToken(now, s.id, s.first) })
+}
+
+// release ends the request with what the upstream made of it.
+func (s *slot) release(tokens int, failed bool) {
+	s.once.Do(func() {
+		s.gate.change(func(now time.Duration, dst []admission.Settled) []admission.Settled {
+			return s.gate.core.Done(now, s.id, admission.Result{Duration: now - s.begun, Tokens: tokens, Failed: failed}, dst)
+		})
+	})
+}
+
+// cancel ends a request that says nothing about the upstream's health.
+func (s *slot) cancel() {
+	s.once.Do(func() {
+		s.gate.change(func(now time.Duration, dst []admission.Settled) []admission.Settled {
+			return s.gate.core.Cancel(now, s.id, dst)
+		})
+	})
+}
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -14,18 +14,6 @@
 	MethodCall = "owner.call"
 )
 
-// Codes of a mesh.RemoteError that ends an owner's stream after an admission.
-const (
-	// CodeUpstreamCut means that the upstream's answer broke off and could not
-	// be resumed there.
-	CodeUpstreamCut = "upstream-cut"
-	// CodeUpstreamRefused means that the upstream answered with an error before
-	// it ran the request.
-	CodeUpstreamRefused = "upstream-refused"
-	// CodeNotSent means that no byte of the request can have left for the upstream.
-	CodeNotSent = "not-sent"
-)
-
 // Header tells an owner what it needs for admitting any request.
 type Header struct {
 	Request   fleet.RequestID   `msg:"r"`
@@ -50,6 +38,9 @@
 	CacheKey string `msg:"k"`
 	// ResumeAfter is the last offset the entry has; 0 starts the answer.
 	ResumeAfter uint64 `msg:"o"`
+	// Share bounds how many of the engine's slots the workspace holds; 0 means
+	// no bound.
+	Share int `msg:"s"`
 	Body        []byte `msg:"d"`
 }
 
@@ -97,14 +88,30 @@
 
 //msgp:tuple Event
 
-// Event is one part of an engine's answer.
+// Event is one part of an engine's answer, or the end of the attempt.
 type Event struct {
 	// Offset counts the token events from 1; 0 for usage and the end.
 	Offset uint64
-	// Data is the JSON of one chunk.
+	// Data is the JSON of one chunk; empty at the end.
 	Data []byte
-	// Done marks the explicit end of the answer; Data is empty.
-	Done bool
+	// Closing ends the attempt; nil before.
+	Closing *Closing
+}
+
+// Closing tells how an attempt ended, with what is certain about it. A stream
+// that ends without one has lost its owner.
+type Closing struct {
+	End         uint8 `msg:"e"` // an answer.End
+	MayHaveLeft bool  `msg:"l"`
+	Whole       bool  `msg:"w"`
+	Declined    bool  `msg:"d"`
+	Accepted    bool  `msg:"a"`
+	// Status is the upstream's HTTP status where it refused the request.
+	Status int `msg:"s"`
+	// RetryAfterMillis is how long the upstream asks to be left alone.
+	RetryAfterMillis uint32 `msg:"r"`
+	// Message describes the failure, with step and peer.
+	Message string `msg:"m"`
 }
 
 // CallRequest asks an owner to run one request at a plain service.
--- /dev/null
+++ b/internal/owner/server.go
@@ -0,0 +1,178 @@
+package owner
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"github.com/wigeonflow/wigeonflow/internal/admission"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/session"
+	"github.com/wigeonflow/wigeonflow/internal/telemetry"
+	"github.com/wigeonflow/wigeonflow/internal/upstream"
+)
+
+// Defaults of a Config's fields.
+const (
+	DefaultMaxStall = 20 * time.Second
+	// gateTick spaces the gate's decisions on queued requests.
+	gateTick = 50 * time.Millisecond
+)
+
+// Config holds what an owner is set up with.
+type Config struct {
+	Instance fleet.InstanceID
+	Clock    fleet.Clock
+	// Authority returns what this instance may do at present.
+	Authority func() session.Authority
+	// Pool reaches the other routers.
+	Pool *mesh.Pool
+	// MaxStall is the longest pause inside an answer; 0 means DefaultMaxStall.
+	MaxStall time.Duration
+	Logger   hclog.Logger
+	Metrics  metrics.Registry
+	Tracer   *telemetry.Tracer
+}
+
+// Server is the owner's side of a router.
+type Server struct {
+	cfg     Config
+	log     hclog.Logger
+	gate    *gate
+	client  *http.Client
+	orphans orphans
+
+	mu        sync.Mutex // serialises reconcile
+	owned     map[fleet.UpstreamID]fleet.Upstream
+	lost      map[fleet.UpstreamID]successor
+	handovers map[fleet.UpstreamID]received
+
+	directory atomic.Pointer[directory]
+}
+
+// NewServer returns an owner of nothing and registers its methods at the mesh
+// server.
+func NewServer(cfg Config, server *mesh.Server) *Server {
+	if cfg.MaxStall == 0 {
+		cfg.MaxStall = DefaultMaxStall
+	}
+	s := &Server{
+		cfg: cfg, log: cfg.Logger.Named("owner"), gate: newGate(cfg.Clock), client: upstream.NewHTTPClient(),
+		orphans:   orphans{work: make(map[string]*orphan)},
+		owned:     make(map[fleet.UpstreamID]fleet.Upstream),
+		lost:      make(map[fleet.UpstreamID]successor),
+		handovers: make(map[fleet.UpstreamID]received),
+	}
+	s.directory.Store(&directory{})
+	server.Handle(MethodChat, s.chat)
+	server.Handle(MethodCall, mesh.Handler(s.call))
+	server.Handle(MethodHandover, mesh.Unary(s.handover))
+	return s
+}
+
+// Run settles queued requests until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	ticker := time.NewTicker(gateTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.gate.change(func(now time.Duration, dst []admission.Settled) []admission.Settled {
+				return s.gate.core.Tick(now, dst)
+			})
+		}
+	}
+}
+
+// authorised returns a refusal where this instance may not open work on the
+// upstream at this moment.
+func (s *Server) authorised(id fleet.UpstreamID) Refusal {
+	authority := s.cfg.Authority()
+	now := s.cfg.Clock()
+	switch {
+	case !authority.Valid(now):
+		return RefusedNoLease
+	case !authority.Owns(now, string(id)):
+		return RefusedNotOwner
+	default:
+		return RefusedNone
+	}
+}
+
+// errNotAuthorised stops a dispatch whose lease or ownership ended before the
+// first byte left.
+var errNotAuthorised = fleet.Errors.NewType("owner_not_authorised")
+
+// beforeWrite is asked directly before the first byte of a request leaves: a
+// process that was stopped since its admission finds its lease gone here.
+func (s *Server) beforeWrite(id fleet.UpstreamID) func() error {
+	return func() error {
+		if refusal := s.authorised(id); refusal != RefusedNone {
+			return errNotAuthorised.New("%s", refusal)
+		}
+		return nil
+	}
+}
+
+// admit decides on a request. Where the slot is nil the verdict refuses.
+func (s *Server) admit(ctx context.Context, h *Header, resume bool, share int) (*slot, Verdict) {
+	verdict := Verdict{Epoch: s.cfg.Authority().Membership().Epoch}
+	if verdict.Reason = s.authorised(h.Upstream); verdict.Reason != RefusedNone {
+		return nil, s.count(verdict)
+	}
+	slot, decision := s.gate.admit(ctx, admission.Request{
+		ID: h.Request, Upstream: h.Upstream, Priority: h.Priority,
+		Deadline:  s.cfg.Clock() + time.Duration(h.BudgetMillis)*time.Millisecond,
+		Workspace: h.Workspace, WorkspaceLimit: share,
+		NoQueue: !h.MayQueue, Resume: resume,
+	})
+	if slot == nil {
+		verdict.Reason = refusalOf(decision.Reason)
+		verdict.RetryAfterMillis = uint32(decision.RetryAfter.Milliseconds())
+		return nil, s.count(verdict)
+	}
+	verdict.Admitted = true
+	return slot, s.count(verdict)
+}
+
+func refusalOf(reason admission.Reason) Refusal {
+	switch reason {
+	case admission.ReasonNotOwned:
+		return RefusedUnknownUpstream
+	case admission.ReasonDraining:
+		return RefusedOut
+	case admission.ReasonDeadline:
+		return RefusedDeadline
+	default:
+		return RefusedFull
+	}
+}
+
+func (s *Server) count(v Verdict) Verdict {
+	name := "admitted"
+	if !v.Admitted {
+		name = "refused_" + v.Reason.String()
+	}
+	metrics.GetOrRegisterCounter(telemetry.MetricName("owner_verdicts", "verdict", name), s.cfg.Metrics).Inc(1)
+	return v
+}
+
+// Loads returns this instance's part of every pool's sums.
+func (s *Server) Loads() (loads []admission.Load) {
+	s.gate.with(func(core *admission.Gate) { loads = core.Loads(nil) })
+	return loads
+}
+
+// SetPool takes a pool's sums over the fleet.
+func (s *Server) SetPool(id fleet.PoolID, load admission.PoolLoad) {
+	s.gate.change(func(now time.Duration, dst []admission.Settled) []admission.Settled {
+		return s.gate.core.SetPool(now, id, load, dst)
+	})
+}
