--- /dev/null
+++ b/internal/entry/chat.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/answer"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
+	"github.com/wigeonflow/wigeonflow/internal/owner"
+	"github.com/wigeonflow/wigeonflow/internal/placement"
+	"github.com/wigeonflow/wigeonflow/internal/telemetry"
+)
+
+// chat serves POST /v1/chat/completions.
+func (s *Server) chat(w http.ResponseWriter, r *http.Request, id fleet.RequestID, workspace *lists.Workspace) *answer.Refusal {
+	body, refusal := s.body(w, r)
+	if refusal != nil {
+		return refusal
+	}
+	req, err := parseChat(r.Header, body)
+	if err != nil {
+		return refuseBad(err)
+	}
+	pool, refusal := s.allowed(workspace, req)
+	if refusal != nil {
+		return refusal
+	}
+	charge, refusal := s.charge(r, workspace, req.PromptTokens+req.OutputTokens)
+	if refusal != nil {
+		return refusal
+	}
+	span, trace := s.cfg.Tracer.Start("entry.chat", r.Header.Get(telemetry.HeaderTraceparent))
+	span.Set(telemetry.LogWorkspace, string(workspace.ID))
+	run, err := s.newChatRun(w, req, id, workspace, pool, trace)
+	if err != nil {
+		charge.Settle(0)
+		span.End(err)
+		return refuseBad(err)
+	}
+	refusal = run.run(r.Context())
+	charge.Settle(run.tokens())
+	span.End(run.last)
+	return refusal
+}
+
+// allowed returns the pool that serves the request, if the plan includes it.
+func (s *Server) allowed(workspace *lists.Workspace, req *chatRequest) (*lists.Pool, *answer.Refusal) {
+	index := s.cfg.Index()
+	model := index.Model(req.Model)
+	if model == nil || !index.AllowsModel(workspace.Plan, req.Model) {
+		return nil, refuse(http.StatusForbidden, "model_not_allowed", "the workspace's plan does not include this model")
+	}
+	if req.Adapter != "" && !index.AllowsAdapter(workspace.Plan, req.Adapter) {
+		return nil, refuse(http.StatusForbidden, "adapter_not_allowed", "the workspace's plan does not include this adapter")
+	}
+	pool := index.Pool(model.Pool)
+	if pool == nil {
+		return nil, unavailable("the model has no pool", 0)
+	}
+	return pool, nil
+}
+
+func refuseBad(err error) *answer.Refusal {
+	var bad *badRequest
+	if errors.As(err, &bad) {
+		return refuse(http.StatusBadRequest, bad.code, bad.message)
+	}
+	return refuse(http.StatusBadRequest, "invalid_request", err.Error())
+}
+
+// share returns how many of one upstream's slots a workspace may hold, 0 for no
+// bound.
+func share(index *operator.Index, plan string, pool *lists.Pool) int {
+	capacity := index.Capacity(plan)
+	if capacity == 0 {
+		return 0
+	}
+	slots := pool.MaxConcurrency
+	if slots == 0 {
+		slots = lists.DefaultMaxConcurrency
+	}
+	return max(1, int(math.Ceil(capacity*float64(slots))))
+}
+
+func (s *Server) newChatRun(w http.ResponseWriter, req *chatRequest, id fleet.RequestID, workspace *lists.Workspace, pool *lists.Pool, trace string) (*chatRun, error) {
+	key := placement.RequestKey(id)
+	if req.Chat != "" {
+		key = placement.KeyOf(workspace.ID, req.Chat, req.Adapter)
+	}
+	cacheKey := strconv.FormatUint(uint64(key), 16)
+	body, err := req.upstreamBody(cacheKey)
+	if err != nil {
+		return nil, err
+	}
+	deadline := s.cfg.Clock() + s.cfg.MaxWait
+	return &chatRun{
+		server: s, key: key, pool: pool.Name, deadline: deadline,
+		req: owner.ChatRequest{
+			Header: owner.Header{Request: id, Workspace: workspace.ID, Priority: req.Priority, Trace: trace},
+			Chat:   uint64(key), CacheKey: cacheKey, Body: body,
+			Share: share(s.cfg.Index(), workspace.Plan, pool),
+		},
+		sink:     newSink(w, req.Stream, req.WantsUsage, s.cfg.WriteTimeout),
+		estimate: req.PromptTokens + req.OutputTokens,
+	}, nil
+}
+
+// budgetMillis is the time left for a request to start.
+func budgetMillis(now, deadline time.Duration) uint32 {
+	return uint32(max(deadline-now, 0).Milliseconds())
+}
--- /dev/null
+++ b/internal/entry/chat_run.go
@@ -0,0 +1,315 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/wigeonflow/wigeonflow/internal/answer"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/owner"
+	"github.com/wigeonflow/wigeonflow/internal/placement"
+	"github.com/wigeonflow/wigeonflow/internal/telemetry"
+)
+
+const (
+	// verdictTimeout bounds waiting for an owner that may not queue the request.
+	verdictTimeout = 2 * time.Second
+	// maxResumes and the pauses between them outlast a session lease and the
+	// election after it, so that a stream survives the loss of its owner.
+	maxResumes     = 10
+	minResumePause = 100 * time.Millisecond
+	maxResumePause = time.Second
+	// maxHops bounds the owners that are asked before the request queues.
+	maxHops = 4
+)
+
+// chatRun is one chat request on its way to a whole answer.
+type chatRun struct {
+	server   *Server
+	key      placement.ChatKey
+	pool     fleet.PoolID
+	req      owner.ChatRequest
+	deadline time.Duration
+	estimate int64
+
+	sink       *sink
+	assembler  *answer.Assembler
+	progress   *answer.Progress
+	candidates []placement.Candidate
+	current    int // index of the candidate in use
+	attempts   int
+	resumes    int
+	retryAfter time.Duration
+	last       error // the newest failure
+}
+
+// run tries upstreams until the answer is whole or nothing is left to try.
+func (r *chatRun) run(ctx context.Context) *answer.Refusal {
+	if refusal := r.place(); refusal != nil {
+		return refusal
+	}
+	r.progress = answer.NewProgress(answer.KindChat, answer.Budget{
+		Candidates: len(r.candidates) + 1, Resumes: maxResumes,
+	})
+	r.newAttempt()
+	for {
+		end, facts := r.attempt(ctx)
+		if ctx.Err() != nil && end != answer.EndWhole {
+			end = answer.EndCallerLeft
+		}
+		decision := r.progress.Next(r.server.cfg.Clock(), end, facts, r.relayed())
+		r.countEnd(end)
+		switch decision.Action {
+		case answer.ActionDone, answer.ActionCancel:
+			r.note(decision.Action)
+			return nil
+		case answer.ActionNextCandidate, answer.ActionRestart:
+			r.next()
+		case answer.ActionResume:
+			r.req.ResumeAfter = decision.Offset
+			r.pause(ctx)
+		case answer.ActionFailStream:
+			r.sink.fail(*r.refusal(decision))
+			return nil
+		default:
+			return r.refusal(decision)
+		}
+	}
+}
+
+// place orders the candidates: where the chat was last served, then the
+// placement's order.
+func (r *chatRun) place() *answer.Refusal {
+	table := r.server.cfg.Table()
+	if err := r.server.cfg.Ready(); err != nil || table == nil {
+		return unavailable("this router cannot serve yet", 0)
+	}
+	r.candidates = table.Candidates(r.key, r.pool, r.server.cfg.Zone, make([]placement.Candidate, 0, maxHops))
+	if id, ok := r.server.records.lookup(r.key); ok {
+		r.candidates = table.Promote(r.candidates, id)
+	}
+	if len(r.candidates) == 0 {
+		return unavailable("no upstream of the model's pool takes new work", 0)
+	}
+	return nil
+}
+
+// newAttempt names the next attempt; its events are the only ones accepted.
+func (r *chatRun) newAttempt() {
+	r.attempts++
+	attempt := string(r.req.Header.Request) + "-" + strconv.Itoa(r.attempts)
+	r.req.Header.Attempt = attempt
+	r.req.ResumeAfter = 0
+	if r.assembler == nil {
+		r.assembler = answer.NewAssembler(answer.AttemptID(attempt))
+		return
+	}
+	r.assembler.Discard()
+	r.sink.completion = answer.Completion{}
+	r.assembler.Restart(answer.AttemptID(attempt))
+}
+
+// next moves to the next candidate; after the last one the request queues at
+// the first, where its cache is.
+func (r *chatRun) next() {
+	r.current++
+	if r.current >= len(r.candidates) {
+		r.current = 0
+		r.req.Header.MayQueue = true
+	}
+	r.newAttempt()
+}
+
+// pause waits before a stream is resumed, longer each time.
+func (r *chatRun) pause(ctx context.Context) {
+	wait := min(minResumePause<<r.resumes, maxResumePause)
+	r.resumes++
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
+func (r *chatRun) relayed() answer.Relay {
+	return answer.Relay{Started: r.sink.started, Offset: r.assembler.Offset()}
+}
+
+// attempt forwards the request to the candidate's owner and relays the answer.
+func (r *chatRun) attempt(ctx context.Context) (answer.End, answer.Facts) {
+	id := r.candidates[r.current].Upstream
+	member, ok := r.ownerOf(id)
+	if !ok {
+		return answer.EndNotConnected, answer.Facts{}
+	}
+	r.req.Header.Upstream = id
+	r.req.Header.BudgetMillis = budgetMillis(r.server.cfg.Clock(), r.deadline)
+	message, err := r.req.MarshalMsg(nil)
+	if err != nil {
+		r.last = err
+		return answer.EndBadRequest, answer.Facts{}
+	}
+	stream, err := r.server.cfg.Pool.Open(ctx, member.Addr, owner.MethodChat, message)
+	if err != nil {
+		r.last = err
+		return answer.EndNotConnected, answer.Facts{}
+	}
+	defer stream.Close()
+	verdict, err := r.verdict(ctx, stream)
+	if err != nil {
+		r.last = err
+		return answer.EndOwnerLost, answer.Facts{MayHaveLeft: true}
+	}
+	if !verdict.Admitted {
+		r.last = fleet.At(errors.New(verdict.Reason.String()), "owner.admit", member.Addr)
+		r.retryAfter = max(r.retryAfter, time.Duration(verdict.RetryAfterMillis)*time.Millisecond)
+		return answer.EndRefused, answer.Facts{}
+	}
+	return r.relay(ctx, stream, id)
+}
+
+// ownerOf returns the present owner of an upstream: it may have changed since
+// the candidates were ordered.
+func (r *chatRun) ownerOf(id fleet.UpstreamID) (fleet.Member, bool) {
+	return r.server.cfg.Member(r.server.cfg.Table().Owner(id))
+}
+
+func (r *chatRun) verdict(ctx context.Context, stream *mesh.Stream) (owner.Verdict, error) {
+	return receiveVerdict(ctx, stream, r.req.Header.MayQueue, r.server.cfg.MaxWait)
+}
+
+// relay takes the owner's events and writes those that are next to the caller.
+func (r *chatRun) relay(ctx context.Context, stream *mesh.Stream, id fleet.UpstreamID) (answer.End, answer.Facts) {
+	attempt := answer.AttemptID(r.req.Header.Attempt)
+	facts := answer.Facts{MayHaveLeft: true}
+	for {
+		message, err := stream.Recv(ctx)
+		if err != nil {
+			r.last = fleet.At(err, "owner.chat", stream.Peer())
+			return answer.EndOwnerLost, facts
+		}
+		var event owner.Event
+		if _, err := event.UnmarshalMsg(message); err != nil {
+			r.last = fleet.At(err, "entry.decode", stream.Peer())
+			return answer.EndCut, facts
+		}
+		if event.Closing != nil {
+			return r.close(event.Closing, attempt, id)
+		}
+		facts.Accepted = true
+		if end, ok := r.accept(attempt, event, id, stream.Pending()); !ok {
+			return end, facts
+		}
+	}
+}
+
+// accept relays one event, if it is the next. It reports false where the
+// attempt must end.
+func (r *chatRun) accept(attempt answer.AttemptID, event owner.Event, id fleet.UpstreamID, more bool) (answer.End, bool) {
+	ev := answer.Event{Offset: event.Offset, Data: event.Data}
+	verdict := r.assembler.Accept(attempt, ev)
+	switch verdict {
+	case answer.VerdictRelay:
+		if err := r.sink.event(ev, id, more); err != nil {
+			r.last = fleet.At(err, "entry.write", "caller")
+			return answer.EndCallerLeft, false
+		}
+		return 0, true
+	case answer.VerdictGap:
+		return answer.EndCut, false
+	case answer.VerdictCrossed, answer.VerdictUnmatched:
+		r.countDropped(verdict)
+		return answer.EndCrossed, false
+	default:
+		r.countDropped(verdict)
+		return 0, true
+	}
+}
+
+// close takes the owner's account of how the attempt ended.
+func (r *chatRun) close(c *owner.Closing, attempt answer.AttemptID, id fleet.UpstreamID) (answer.End, answer.Facts) {
+	end := answer.End(c.End)
+	r.retryAfter = max(r.retryAfter, time.Duration(c.RetryAfterMillis)*time.Millisecond)
+	if end != answer.EndWhole {
+		r.last = errors.New(c.Message)
+		return end, c.Facts()
+	}
+	if r.assembler.Accept(attempt, answer.Event{Done: true}) != answer.VerdictEnd {
+		return answer.EndCut, answer.Facts{MayHaveLeft: true, Accepted: true}
+	}
+	if err := r.sink.finish(id); err != nil {
+		r.last = fleet.At(err, "entry.write", "caller")
+		return answer.EndCallerLeft, c.Facts()
+	}
+	return answer.EndWhole, c.Facts()
+}
+
+// note records where the chat was served.
+func (r *chatRun) note(action answer.Action) {
+	if action == answer.ActionDone && r.key.Chat() {
+		chosen := r.candidates[r.current]
+		r.server.records.note(r.key, chosen.Upstream, r.current == 0 && chosen.Basis == placement.Ranked)
+	}
+}
+
+// tokens returns what the request used, the estimate where it is not known.
+func (r *chatRun) tokens() int64 {
+	if r.sink.usage > 0 {
+		return r.sink.usage
+	}
+	if r.progress == nil || r.progress.Outcome() == fleet.OutcomeNotRun {
+		return 0
+	}
+	return r.estimate
+}
+
+func (r *chatRun) refusal(d answer.Decision) *answer.Refusal {
+	refusal := &answer.Refusal{
+		Status: d.Status, Outcome: d.Outcome, RequestID: r.req.Header.Request,
+		Code: "no_capacity", Message: "no upstream could serve the request in time",
+	}
+	switch d.Status {
+	case http.StatusServiceUnavailable:
+		refusal.RetryAfter = max(r.retryAfter, time.Second)
+	case http.StatusBadRequest:
+		refusal.Code, refusal.Message = "upstream_refused", "the model refused the request"
+	default:
+		refusal.Code, refusal.Message = "answer_incomplete", "the answer broke off and could not be resumed"
+	}
+	if r.last != nil {
+		r.server.log.Info("request failed", telemetry.LogRequest, string(r.req.Header.Request),
+			telemetry.LogOutcome, d.Outcome.String(), "error", r.last)
+	}
+	return refusal
+}
+
+func (r *chatRun) countEnd(end answer.End) {
+	if end != answer.EndWhole {
+		name := telemetry.MetricName("attempt_failures", "end", strconv.Itoa(int(end)))
+		metrics.GetOrRegisterCounter(name, r.server.cfg.Metrics).Inc(1)
+	}
+}
+
+func (r *chatRun) countDropped(v answer.Verdict) {
+	metrics.GetOrRegisterCounter(telemetry.MetricName("events_dropped", "verdict", v.String()), r.server.cfg.Metrics).Inc(1)
+}
+
+// receiveVerdict waits for an owner's verdict, as long as the request may queue.
+func receiveVerdict(ctx context.Context, stream *mesh.Stream, mayQueue bool, maxWait time.Duration) (owner.Verdict, error) {
+	wait := verdictTimeout
+	if mayQueue {
+		wait += maxWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	var verdict owner.Verdict
+	message, err := stream.Recv(ctx)
+	if err == nil {
+		_, err = verdict.UnmarshalMsg(message)
+	}
+	return verdict, fleet.At(err, "owner.verdict", stream.Peer())
+}
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -139,15 +139,26 @@
 // CallReply is what became of a CallRequest.
 type CallReply struct {
 	Outcome fleet.Outcome `msg:"o"`
-	// Status is the HTTP status for the caller; 0 where Outcome is not ran.
+	// Status is the HTTP status for the caller; 0 without an answer.
 	Status int           `msg:"s"`
 	Fields []HeaderField `msg:"f"`
 	Body   []byte        `msg:"d"`
 	// Replayed marks a stored answer of an earlier request.
 	Replayed bool `msg:"y"`
-	// Conflict says why a keyed request was refused; empty otherwise.
+	// Conflict says why a keyed request was refused; none otherwise.
 	Conflict Conflict `msg:"c"`
-	// Step and Message describe an outcome other than ran.
+	// Holder is the attempt that holds the key, for a conflict.
+	Holder string `msg:"h"`
+	// Unavailable means that the ledger could not be reached or is full.
+	Unavailable bool `msg:"u"`
+	// End is an answer.End, and what follows are the answer.Facts.
+	End              uint8  `msg:"e"`
+	MayHaveLeft      bool   `msg:"l"`
+	Whole            bool   `msg:"w"`
+	Declined         bool   `msg:"n"`
+	Accepted         bool   `msg:"a"`
+	RetryAfterMillis uint32 `msg:"r"`
+	// Step and Message describe a failure.
 	Step    string `msg:"t"`
 	Message string `msg:"m"`
 }
@@ -160,6 +171,10 @@
 	ConflictNone Conflict = iota
 	// ConflictInProgress means that the first request under the key still runs.
 	ConflictInProgress
-	// ConflictBody means that the key belongs to a request with another body.
+	// ConflictBody means that the key belongs to another request.
 	ConflictBody
+	// ConflictUnknown means that an earlier request under the key may have run.
+	ConflictUnknown
+	// ConflictAnswerGone means that the request ran and its answer is not kept.
+	ConflictAnswerGone
 )
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/wigeonflow/wigeonflow/internal/admission"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/ledger"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
 	"github.com/wigeonflow/wigeonflow/internal/session"
 	"github.com/wigeonflow/wigeonflow/internal/telemetry"
@@ -27,9 +28,12 @@
 // Config holds what an owner is set up with.
 type Config struct {
 	Instance fleet.InstanceID
+	Boot     fleet.BootID
 	Clock    fleet.Clock
 	// Authority returns what this instance may do at present.
 	Authority func() session.Authority
+	// Ledger has a command committed by the control group.
+	Ledger func(context.Context, ledger.Command) (ledger.Result, error)
 	// Pool reaches the other routers.
 	Pool *mesh.Pool
 	// MaxStall is the longest pause inside an answer; 0 means DefaultMaxStall.
@@ -70,7 +74,7 @@
 	}
 	s.directory.Store(&directory{})
 	server.Handle(MethodChat, s.chat)
-	server.Handle(MethodCall, mesh.Handler(s.call))
+	server.Handle(MethodCall, s.call)
 	server.Handle(MethodHandover, mesh.Unary(s.handover))
 	return s
 }
