--- /dev/null
+++ b/internal/ledger/snapshot.go
@@ -0,0 +1,131 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/answer"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+//go:generate go tool msgp -tests=false -io=false -unexported -file snapshot.go
+
+// snapshot is the encoded form of a State. Its lists keep the queues' order.
+//
+//msgp:tuple snapshot
+type snapshot struct {
+	Format   uint8
+	Now      time.Duration
+	Applied  uint64
+	Limits   Limits
+	Records  []savedRecord
+	Attempts []savedAttempt
+	Sessions []savedSession
+}
+
+// snapshotFormat numbers the layout of snapshot.
+const snapshotFormat = 1
+
+//msgp:tuple savedRecord
+type savedRecord struct {
+	Key     Key
+	Body    BodyDigest
+	Attempt answer.AttemptID
+	Owner   fleet.InstanceID
+	Boot    fleet.BootID
+	Answer  []byte
+	Since   time.Duration
+	Status  uint8
+}
+
+//msgp:tuple savedAttempt
+type savedAttempt struct {
+	Attempt answer.AttemptID
+	Until   time.Duration
+}
+
+//msgp:tuple savedSession
+type savedSession struct {
+	Owner fleet.InstanceID
+	Boot  fleet.BootID
+	Until time.Duration
+}
+
+// Snapshot returns the whole state, records of every status included.
+func (s *State) Snapshot() ([]byte, error) {
+	out := snapshot{Format: snapshotFormat, Now: s.now, Applied: s.applied, Limits: s.limits}
+	out.Records = make([]savedRecord, 0, len(s.records))
+	for i := range s.queues {
+		if status(i) == statusBegun && s.flaw == flawSnapshotDropsBegun {
+			continue
+		}
+		for r := s.queues[i].front; r != nil; r = r.next {
+			out.Records = append(out.Records, r.save())
+		}
+	}
+	for _, attempt := range s.endedAttempts.order {
+		out.Attempts = append(out.Attempts, savedAttempt{attempt, s.endedAttempts.until[attempt]})
+	}
+	for _, gone := range s.endedSessions.order {
+		out.Sessions = append(out.Sessions, savedSession{gone.owner, gone.boot, s.endedSessions.until[gone]})
+	}
+	data, err := out.MarshalMsg(nil)
+	if err != nil {
+		return nil, ErrBadSnapshot.Wrap(err, "encode")
+	}
+	return data, nil
+}
+
+func (r *record) save() savedRecord {
+	return savedRecord{
+		Key: r.key, Body: r.body, Attempt: r.attempt, Owner: r.owner.owner, Boot: r.owner.boot,
+		Answer: r.answer, Since: r.since, Status: uint8(r.status),
+	}
+}
+
+// Restore replaces the state by that of a snapshot. It changes nothing if it
+// returns an error, which is of type ErrBadSnapshot.
+func (s *State) Restore(data []byte) error {
+	var in snapshot
+	if _, err := in.UnmarshalMsg(data); err != nil {
+		return ErrBadSnapshot.Wrap(err, "decode")
+	}
+	if in.Format != snapshotFormat {
+		return ErrBadSnapshot.New("format %d, want %d", in.Format, snapshotFormat)
+	}
+	out := NewState()
+	out.flaw = s.flaw
+	out.now, out.applied, out.limits = in.Now, in.Applied, in.Limits
+	for i := range in.Records {
+		if err := out.restoreRecord(&in.Records[i]); err != nil {
+			return err
+		}
+	}
+	for _, a := range in.Attempts {
+		out.endedAttempts.add(a.Attempt, a.Until)
+	}
+	for _, g := range in.Sessions {
+		out.endedSessions.add(session{g.Owner, g.Boot}, g.Until)
+	}
+	*s = *out
+	return nil
+}
+
+func (s *State) restoreRecord(in *savedRecord) error {
+	if in.Status >= uint8(statuses) || s.records[in.Key] != nil {
+		return ErrBadSnapshot.New("record %s", in.Key)
+	}
+	r := &record{
+		key: in.Key, body: in.Body, attempt: in.Attempt, owner: session{in.Owner, in.Boot},
+		since: in.Since, status: status(in.Status),
+	}
+	s.records[in.Key] = r
+	s.queues[r.status].push(r)
+	if len(in.Answer) > 0 {
+		r.answer = in.Answer
+		s.bytes += len(r.answer)
+	}
+	if r.answer != nil && s.answered == nil {
+		s.answered = r
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ledger/state.go
@@ -0,0 +1,243 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/answer"
+)
+
+// State is the replicated ledger. All members that apply the same commands in
+// the same order hold the same State and return the same results: it reads no
+// clock and draws no random number. It serves one goroutine.
+//
+// Invariants: a key has at most one record; a record's attempt changes only by
+// way of the record's removal; a record is removed only if its attempt wrote
+// nothing (abandoned, or settled as never run) or by age.
+type State struct {
+	now     time.Duration
+	applied uint64
+	limits  Limits
+
+	records  map[Key]*record
+	queues   [statuses]queue
+	bytes    int     // of stored answers
+	answered *record // the oldest finished record that may hold an answer
+
+	endedAttempts tombstones[answer.AttemptID]
+	endedSessions tombstones[session]
+
+	flaw flaw
+}
+
+// flaw turns one mechanism off in test builds.
+type flaw uint8
+
+const (
+	flawNone flaw = iota
+	flawBeginForAnyAttempt
+	flawSnapshotDropsBegun
+	flawNoHold
+)
+
+// NewState returns an empty ledger.
+func NewState() *State {
+	return &State{limits: Limits{}.withDefaults(), records: make(map[Key]*record)}
+}
+
+// Apply carries out the command at index of the log and returns an encoded
+// Result. A command at an index that was applied before changes nothing; index
+// 0 stands for a command outside a log. The state keeps no part of command.
+func (s *State) Apply(index uint64, command []byte) []byte {
+	var c Command
+	result := Result{Code: CodeInvalid}
+	if _, err := c.UnmarshalMsg(command); err == nil && (index == 0 || index > s.applied) {
+		s.applied = max(s.applied, index)
+		result = s.apply(&c)
+	}
+	out, err := result.MarshalMsg(nil)
+	if err != nil {
+		return nil
+	}
+	return out
+}
+
+func (s *State) apply(c *Command) Result {
+	s.now = max(s.now, c.Now)
+	s.expire()
+	switch c.Op {
+	case OpBegin:
+		return s.begin(c)
+	case OpFinish:
+		return s.finish(c)
+	case OpAbandon:
+		return s.abandon(c)
+	case OpMarkUnknown:
+		return s.markUnknown(c)
+	case OpLapse:
+		return s.lapse(c)
+	case OpSettleRan:
+		return s.settleRan(c)
+	case OpSettleNever:
+		return s.settleNever(c)
+	case OpSetLimits:
+		return s.setLimits(c)
+	default:
+		return Result{Code: CodeInvalid}
+	}
+}
+
+// begin grants the key to one attempt of one process. The same attempt may ask
+// again after a lost answer; any other is told where the first one stands.
+func (s *State) begin(c *Command) Result {
+	owner := session{c.Owner, c.Boot}
+	switch {
+	case s.endedSessions.has(owner):
+		return Result{Code: CodeSessionEnded}
+	case s.endedAttempts.has(c.Attempt):
+		return Result{Code: CodeAttemptEnded}
+	}
+	if r := s.records[c.Key]; r != nil {
+		return s.beginAgain(r, c, owner)
+	}
+	if len(s.records) >= s.limits.MaxRecords {
+		return Result{Code: CodeFull}
+	}
+	r := &record{key: c.Key, body: c.Body, attempt: c.Attempt, owner: owner}
+	s.records[c.Key] = r
+	s.enter(r, statusBegun)
+	return Result{Code: CodeStarted, Attempt: c.Attempt}
+}
+
+func (s *State) beginAgain(r *record, c *Command, owner session) Result {
+	if r.body != c.Body {
+		return Result{Code: CodeBodyMismatch, Attempt: r.attempt}
+	}
+	switch r.status {
+	case statusBegun:
+		same := r.attempt == c.Attempt && r.owner == owner
+		if same || s.flaw == flawBeginForAnyAttempt {
+			return Result{Code: CodeStarted, Attempt: r.attempt}
+		}
+		return Result{Code: CodeInProgress, Attempt: r.attempt}
+	case statusUnknown:
+		return Result{Code: CodeUnknown, Attempt: r.attempt}
+	default:
+		return replay(r)
+	}
+}
+
+func replay(r *record) Result {
+	if r.answer == nil {
+		return Result{Code: CodeRan, Attempt: r.attempt}
+	}
+	return Result{Code: CodeReplay, Attempt: r.attempt, Answer: r.answer}
+}
+
+// finish stores the answer of the attempt that holds the key, also if it was
+// taken for lost meanwhile: its owner has the answer in hand. A key that holds
+// no record any more gets one again, so that it does not run a second time.
+func (s *State) finish(c *Command) Result {
+	r := s.records[c.Key]
+	if r == nil {
+		r = &record{key: c.Key, body: c.Body, attempt: c.Attempt}
+		s.records[c.Key] = r
+		s.store(r, c.Answer)
+		return Result{Code: CodeDone, Attempt: c.Attempt}
+	}
+	if r.attempt != c.Attempt {
+		return Result{Code: CodeIgnored, Attempt: r.attempt}
+	}
+	if r.status != statusFinished {
+		s.queues[r.status].remove(r)
+		s.store(r, c.Answer)
+	}
+	return Result{Code: CodeDone, Attempt: r.attempt}
+}
+
+// abandon ends the attempt for good, whether or not its begin has come yet: a
+// begin that comes later finds the attempt ended.
+func (s *State) abandon(c *Command) Result {
+	r := s.records[c.Key]
+	if r != nil && r.attempt == c.Attempt && r.status == statusFinished {
+		return Result{Code: CodeIgnored, Attempt: r.attempt}
+	}
+	s.endedAttempts.add(c.Attempt, s.now+s.limits.EndedAge)
+	if r != nil && r.attempt == c.Attempt {
+		s.remove(r)
+	}
+	return Result{Code: CodeDone, Attempt: c.Attempt}
+}
+
+func (s *State) markUnknown(c *Command) Result {
+	r := s.records[c.Key]
+	if r == nil || r.attempt != c.Attempt {
+		return Result{Code: CodeIgnored}
+	}
+	if r.status == statusBegun {
+		s.move(r, statusUnknown)
+	}
+	return Result{Code: CodeDone, Attempt: r.attempt}
+}
+
+// lapse goes through the begun records, which are as many as there are attempts
+// in flight.
+func (s *State) lapse(c *Command) Result {
+	gone := session{c.Owner, c.Boot}
+	s.endedSessions.add(gone, s.now+s.limits.MaxAge)
+	for r := s.queues[statusBegun].front; r != nil; {
+		next := r.next
+		if r.owner == gone {
+			s.move(r, statusUnknown)
+		}
+		r = next
+	}
+	return Result{Code: CodeDone}
+}
+
+func (s *State) settleRan(c *Command) Result {
+	r, result := s.unknown(c)
+	if r == nil {
+		return result
+	}
+	s.queues[r.status].remove(r)
+	s.store(r, c.Answer)
+	return replay(r)
+}
+
+// settleNever frees the key once no byte of the attempt can be under way.
+func (s *State) settleNever(c *Command) Result {
+	r, result := s.unknown(c)
+	if r == nil {
+		return result
+	}
+	wait := r.since + s.limits.UnknownHold - s.now
+	if wait > 0 && s.flaw != flawNoHold {
+		return Result{Code: CodeTooEarly, Attempt: r.attempt, Wait: wait}
+	}
+	s.endedAttempts.add(r.attempt, s.now+s.limits.EndedAge)
+	s.remove(r)
+	return Result{Code: CodeDone, Attempt: c.Attempt}
+}
+
+// unknown returns the command's record if it is the unknown one that the
+// service was asked about, and else the result that says why not.
+func (s *State) unknown(c *Command) (*record, Result) {
+	r := s.records[c.Key]
+	switch {
+	case r == nil || r.attempt != c.Attempt || r.status == statusBegun:
+		return nil, Result{Code: CodeIgnored}
+	case r.status == statusFinished:
+		return nil, replay(r)
+	default:
+		return r, Result{}
+	}
+}
+
+func (s *State) setLimits(c *Command) Result {
+	if c.Limits == nil {
+		return Result{Code: CodeInvalid}
+	}
+	s.limits = c.Limits.withDefaults()
+	s.shrink()
+	return Result{Code: CodeDone}
+}
