Ledger: a booking writes only within the tenure in which it began

Cause: a process may lose its session and join again under the same boot ID. A booking begun before could then write under the new lease, after its key had been settled as never run and freed. Ruled out: refusing the boot for good after a lapse, which would stop all its bookings until the process restarts. Change: LeaseTracker numbers uninterrupted tenures on the process' own clock; MayWrite and Begin compare them. The shell must call Renewed after each grant.

--- a/internal/ledger/booking.go
+++ b/internal/ledger/booking.go
@@ -23,6 +23,9 @@
 	// Owner and Boot name this process.
 	Owner fleet.InstanceID
 	Boot  fleet.BootID
+	// Tenure is the one in which the booking starts, and the only one in which it
+	// may write.
+	Tenure uint64
 	// Resend is how long to wait for a command's result; 0 means DefaultResend.
 	Resend time.Duration
 	// BeginWithin is how long to try to record the begin; 0 means
@@ -165,6 +168,7 @@
 	bookingFlawNone bookingFlaw = iota
 	bookingFlawDispatchFirst
 	bookingFlawNoLeaseCheck
+	bookingFlawAnyTenure
 )
 
 // NewBooking returns the booking of an attempt that was not begun.
@@ -173,20 +177,25 @@
 }
 
 // MayWrite tells whether the process may hand a first byte to the network at
-// now, under a lease that ends at leaseUntil, both on its monotonic clock. The
-// shell asks it directly before the write, since the process may have stood
-// still at any time before.
-func (b *Booking) MayWrite(now, leaseUntil time.Duration) bool {
-	return now+b.config.LeaseMargin < leaseUntil || b.flaw == bookingFlawNoLeaseCheck
+// now, on its monotonic clock, under the lease that it holds. The shell asks it
+// directly before the write, since the process may have stood still at any time
+// before. A lease of another tenure doesn't count: the key may have been freed
+// in between.
+func (b *Booking) MayWrite(now time.Duration, lease Lease) bool {
+	if b.flaw == bookingFlawNoLeaseCheck {
+		return true
+	}
+	sameTenure := lease.Tenure == b.config.Tenure || b.flaw == bookingFlawAnyTenure
+	return sameTenure && now+b.config.LeaseMargin < lease.Until
 }
 
-// Step takes an event at now, under a lease that ends at leaseUntil.
-func (b *Booking) Step(now, leaseUntil time.Duration, event BookingEvent) []BookingAction {
+// Step takes an event at now, under the lease that the process holds.
+func (b *Booking) Step(now time.Duration, lease Lease, event BookingEvent) []BookingAction {
 	switch e := event.(type) {
 	case Started:
 		return b.start(now)
 	case Received:
-		return b.receive(now, leaseUntil, e)
+		return b.receive(now, lease, e)
 	case Dispatched:
 		return b.dispatched(now, e)
 	default:
@@ -220,7 +229,7 @@
 	b.phase = phase
 	b.command = Command{
 		Op: op, Key: b.config.Key, Body: b.config.Body, Attempt: b.config.Attempt,
-		Owner: b.config.Owner, Boot: b.config.Boot, Answer: b.command.Answer,
+		Owner: b.config.Owner, Boot: b.config.Boot, Tenure: b.config.Tenure, Answer: b.command.Answer,
 	}
 	b.resend = now + b.config.Resend
 	b.giveUp = now + within
@@ -250,13 +259,13 @@
 
 // receive takes a command's result. One of a command that is no longer awaited
 // is late and changes nothing.
-func (b *Booking) receive(now, leaseUntil time.Duration, e Received) []BookingAction {
+func (b *Booking) receive(now time.Duration, lease Lease, e Received) []BookingAction {
 	if e.Op != b.command.Op || e.Result.Code == CodeInvalid {
 		return nil
 	}
 	switch b.phase {
 	case phaseBeginning:
-		return b.begun(now, leaseUntil, e.Result)
+		return b.begun(now, lease, e.Result)
 	case phaseRecording:
 		return b.end(true)
 	default:
@@ -266,9 +275,9 @@
 
 // begun takes the answer to the begin. A process that was taken for gone may
 // have left a begin of this attempt behind: it frees the key.
-func (b *Booking) begun(now, leaseUntil time.Duration, r Result) []BookingAction {
+func (b *Booking) begun(now time.Duration, lease Lease, r Result) []BookingAction {
 	if r.Code == CodeStarted {
-		if !b.MayWrite(now, leaseUntil) {
+		if !b.MayWrite(now, lease) {
 			return b.abandon(now, Reply{Code: ReplyNoLease}, false)
 		}
 		b.phase = phaseRunning
--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -21,7 +21,8 @@
 	OpAbandon
 	// OpMarkUnknown tells that the attempt may have run and its answer is lost.
 	OpMarkUnknown
-	// OpLapse makes the attempts of a process that is gone unknown.
+	// OpLapse makes the attempts of a process that lost its session unknown. The
+	// process may come back under the same boot ID in a later tenure.
 	OpLapse
 	// OpSettleRan stores the answer that the service keeps of an unknown attempt.
 	OpSettleRan
@@ -46,6 +47,8 @@
 	// Owner and Boot name the process that runs the attempt.
 	Owner fleet.InstanceID
 	Boot  fleet.BootID
+	// Tenure is the process' own count, see Lease.
+	Tenure uint64
 	// Answer is an encoded Answer.
 	Answer []byte
 	// Limits is for OpSetLimits.
@@ -72,7 +75,8 @@
 	CodeBodyMismatch
 	// CodeFull means the ledger can't hold another record.
 	CodeFull
-	// CodeSessionEnded means the process is taken for gone.
+	// CodeSessionEnded means the process lost its session since the tenure of the
+	// attempt.
 	CodeSessionEnded
 	// CodeAttemptEnded means the attempt was given up before.
 	CodeAttemptEnded
--- a/internal/ledger/command_gen.go
+++ b/internal/ledger/command_gen.go
@@ -123,8 +123,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendUint8(o, uint8(z.Op))
 	o = msgp.AppendDuration(o, z.Now)
 	o, err = z.Key.MarshalMsg(o)
@@ -152,6 +152,7 @@
 		err = msgp.WrapError(err, "Boot")
 		return
 	}
+	o = msgp.AppendUint64(o, z.Tenure)
 	o = msgp.AppendBytes(o, z.Answer)
 	if z.Limits == nil {
 		o = msgp.AppendNil(o)
@@ -173,8 +174,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	{
@@ -216,6 +217,11 @@
 		err = msgp.WrapError(err, "Boot")
 		return
 	}
+	z.Tenure, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenure")
+		return
+	}
 	z.Answer, bts, err = msgp.ReadBytesBytes(bts, z.Answer)
 	if err != nil {
 		err = msgp.WrapError(err, "Answer")
@@ -243,7 +249,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Command) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.DurationSize + z.Key.Msgsize() + z.Body.Msgsize() + z.Attempt.Msgsize() + z.Owner.Msgsize() + z.Boot.Msgsize() + msgp.BytesPrefixSize + len(z.Answer)
+	s = 1 + msgp.Uint8Size + msgp.DurationSize + z.Key.Msgsize() + z.Body.Msgsize() + z.Attempt.Msgsize() + z.Owner.Msgsize() + z.Boot.Msgsize() + msgp.Uint64Size + msgp.BytesPrefixSize + len(z.Answer)
 	if z.Limits == nil {
 		s += msgp.NilSize
 	} else {
--- a/internal/ledger/proof_test.go
+++ b/internal/ledger/proof_test.go
@@ -37,6 +37,7 @@
 		{"dispatch before the begin is committed", flawNone, bookingFlawDispatchFirst},
 		{"begin not tied to an attempt", flawBeginForAnyAttempt, bookingFlawNone},
 		{"lease not looked at before the first byte", flawNone, bookingFlawNoLeaseCheck},
+		{"lease of a later tenure counts", flawNone, bookingFlawAnyTenure},
 		{"snapshot drops begun records", flawSnapshotDropsBegun, bookingFlawNone},
 		{"unknown settled while bytes are under way", flawNoHold, bookingFlawNone},
 	} {
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -29,6 +29,7 @@
 	body    BodyDigest
 	attempt answer.AttemptID
 	owner   session // while begun
+	tenure  uint64  // of the owner
 	answer  []byte  // while finished and kept
 	since   time.Duration
 	status  status
@@ -69,36 +70,45 @@
 	q.size--
 }
 
-// tombstones remembers ended attempts or processes for a time, oldest first.
+// tombstones remembers ended attempts or sessions for a time, oldest first, with
+// a number for each.
 type tombstones[K comparable] struct {
-	until map[K]time.Duration
-	order []K
+	entries map[K]tombstone
+	order   []K
 }
 
-func (t *tombstones[K]) add(k K, until time.Duration) {
-	if t.until == nil {
-		t.until = make(map[K]time.Duration)
+type tombstone struct {
+	until time.Duration
+	value uint64
+}
+
+func (t *tombstones[K]) add(k K, until time.Duration, value uint64) {
+	if t.entries == nil {
+		t.entries = make(map[K]tombstone)
 	}
-	if _, ok := t.until[k]; !ok {
+	if !t.has(k) {
 		t.order = append(t.order, k)
 	}
-	t.until[k] = until
+	t.entries[k] = tombstone{until, value}
 }
 
 func (t *tombstones[K]) has(k K) bool {
-	_, ok := t.until[k]
+	_, ok := t.entries[k]
 	return ok
 }
 
-// expire forgets what ended before now. An entry that was put off goes to the
-// back of the queue.
+// value returns the number remembered with k, or 0.
+func (t *tombstones[K]) value(k K) uint64 { return t.entries[k].value }
+
+// expire forgets what ended before now. An entry whose time was put off holds
+// back those behind it until then.
 func (t *tombstones[K]) expire(now time.Duration) {
 	for len(t.order) > 0 {
 		k := t.order[0]
-		if t.until[k] > now {
+		if t.entries[k].until > now {
 			return
 		}
-		delete(t.until, k)
+		delete(t.entries, k)
 		t.order = t.order[1:]
 	}
 }
--- a/internal/ledger/retention.go
+++ b/internal/ledger/retention.go
@@ -7,7 +7,7 @@
 	r.status = to
 	r.since = s.now
 	if to != statusBegun {
-		r.owner = session{}
+		r.owner, r.tenure = session{}, 0
 	}
 	s.queues[to].push(r)
 }
@@ -59,7 +59,7 @@
 // old becomes unknown first, since its attempt may still be running.
 func (s *State) expire() {
 	s.endedAttempts.expire(s.now)
-	s.endedSessions.expire(s.now)
+	s.endedTenures.expire(s.now)
 	for r := s.queues[statusFinished].front; s.isOld(r); r = s.queues[statusFinished].front {
 		s.remove(r)
 	}
--- a/internal/ledger/simulation_booking_test.go
+++ b/internal/ledger/simulation_booking_test.go
@@ -28,7 +28,7 @@
 	if b.dead() {
 		return
 	}
-	lease := b.owner.leaseUntil
+	lease := b.owner.lease.Lease()
 	for _, action := range b.booking.Step(b.sim.now, lease, event) {
 		b.do(action)
 	}
@@ -57,7 +57,7 @@
 	if b.dead() {
 		return
 	}
-	if s.chance(10) || !b.booking.MayWrite(s.now, b.owner.leaseUntil) {
+	if s.chance(10) || !b.booking.MayWrite(s.now, b.owner.lease.Lease()) {
 		b.step(Dispatched{})
 		return
 	}
--- a/internal/ledger/simulation_test.go
+++ b/internal/ledger/simulation_test.go
@@ -18,6 +18,7 @@
 	simMaxWire = 12 * time.Second // the longest that a written request is under way
 
 	simMaxFreeze = 80 * time.Second
+	simWake      = 300 * time.Millisecond // in which a process that wakes does what was due, in any order
 )
 
 // simulation runs callers, owners, control and one service on a virtual clock.
@@ -65,14 +66,14 @@
 
 // simOwner is one process at a time under one instance ID.
 type simOwner struct {
-	id         fleet.InstanceID
-	boot       int
-	leaseUntil time.Duration
-	heard      time.Duration // when control last heard of it
-	lapsed     bool
-	kills      int
-	frozen     time.Duration // until then
-	cut        time.Duration // from control, until then
+	id     fleet.InstanceID
+	boot   int
+	lease  LeaseTracker
+	heard  time.Duration // when control last heard of it
+	lapsed bool
+	kills  int
+	frozen time.Duration // until then
+	cut    time.Duration // from control, until then
 }
 
 func (o *simOwner) bootID() fleet.BootID { return fleet.BootID(fmt.Sprint(o.boot)) }
@@ -118,7 +119,7 @@
 		}
 		s.now = max(s.now, e.at)
 		if e.on != nil && e.on.frozen > s.now {
-			e.at = e.on.frozen
+			e.at = e.on.frozen + s.upTo(simWake)
 			heap.Push(&s.events, e)
 			continue
 		}
@@ -129,23 +130,18 @@
 // renew is an owner's session: it counts its lease from the moment it sent.
 func (s *simulation) renew(o *simOwner) {
 	s.at(time.Second, o, func() { s.renew(o) })
-	if o.lapsed { // a lapsed process starts a session of its own
-		o.boot++
-		o.lapsed = false
-		o.heard = s.now
-	}
 	sent, boot := s.now, o.boot
 	if s.now < o.cut {
 		return
 	}
 	s.at(s.upTo(50*time.Millisecond), nil, func() {
-		if o.boot != boot || o.lapsed {
+		if o.boot != boot {
 			return
 		}
-		o.heard = s.now
+		o.lapsed, o.heard = false, s.now // it joins again if it had lapsed
 		s.at(s.upTo(50*time.Millisecond), o, func() {
 			if o.boot == boot {
-				o.leaseUntil = max(o.leaseUntil, sent+simLease)
+				o.lease.Renewed(s.now, sent+simLease)
 			}
 		})
 	})
@@ -200,7 +196,7 @@
 	})
 	o.boot++
 	o.kills++
-	o.lapsed, o.leaseUntil, o.heard = false, 0, s.now
+	o.lapsed, o.lease, o.heard = false, LeaseTracker{}, s.now
 }
 
 func (s *simulation) apply(c Command) Result {
@@ -266,7 +262,7 @@
 	}
 	run.booking = NewBooking(BookingConfig{
 		Key: run.key, Body: BodyDigestOf("POST", "/pickups", nil), Attempt: run.attempt,
-		Owner: o.id, Boot: o.bootID(),
+		Owner: o.id, Boot: o.bootID(), Tenure: o.lease.Lease().Tenure,
 	})
 	run.booking.flaw = s.bookingFlaw
 	run.step(Started{})
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -32,6 +32,7 @@
 	Attempt answer.AttemptID
 	Owner   fleet.InstanceID
 	Boot    fleet.BootID
+	Tenure  uint64
 	Answer  []byte
 	Since   time.Duration
 	Status  uint8
@@ -45,9 +46,10 @@
 
 //msgp:tuple savedSession
 type savedSession struct {
-	Owner fleet.InstanceID
-	Boot  fleet.BootID
-	Until time.Duration
+	Owner  fleet.InstanceID
+	Boot   fleet.BootID
+	Tenure uint64
+	Until  time.Duration
 }
 
 // Snapshot returns the whole state, records of every status included.
@@ -63,10 +65,11 @@
 		}
 	}
 	for _, attempt := range s.endedAttempts.order {
-		out.Attempts = append(out.Attempts, savedAttempt{attempt, s.endedAttempts.until[attempt]})
+		out.Attempts = append(out.Attempts, savedAttempt{attempt, s.endedAttempts.entries[attempt].until})
 	}
-	for _, gone := range s.endedSessions.order {
-		out.Sessions = append(out.Sessions, savedSession{gone.owner, gone.boot, s.endedSessions.until[gone]})
+	for _, gone := range s.endedTenures.order {
+		ended := s.endedTenures.entries[gone]
+		out.Sessions = append(out.Sessions, savedSession{gone.owner, gone.boot, ended.value, ended.until})
 	}
 	data, err := out.MarshalMsg(nil)
 	if err != nil {
@@ -77,7 +80,7 @@
 
 func (r *record) save() savedRecord {
 	return savedRecord{
-		Key: r.key, Body: r.body, Attempt: r.attempt, Owner: r.owner.owner, Boot: r.owner.boot,
+		Key: r.key, Body: r.body, Attempt: r.attempt, Owner: r.owner.owner, Boot: r.owner.boot, Tenure: r.tenure,
 		Answer: r.answer, Since: r.since, Status: uint8(r.status),
 	}
 }
@@ -101,10 +104,10 @@
 		}
 	}
 	for _, a := range in.Attempts {
-		out.endedAttempts.add(a.Attempt, a.Until)
+		out.endedAttempts.add(a.Attempt, a.Until, 0)
 	}
 	for _, g := range in.Sessions {
-		out.endedSessions.add(session{g.Owner, g.Boot}, g.Until)
+		out.endedTenures.add(session{g.Owner, g.Boot}, g.Until, g.Tenure)
 	}
 	*s = *out
 	return nil
@@ -115,7 +118,7 @@
 		return ErrBadSnapshot.New("record %s", in.Key)
 	}
 	r := &record{
-		key: in.Key, body: in.Body, attempt: in.Attempt, owner: session{in.Owner, in.Boot},
+		key: in.Key, body: in.Body, attempt: in.Attempt, owner: session{in.Owner, in.Boot}, tenure: in.Tenure,
 		since: in.Since, status: status(in.Status),
 	}
 	s.records[in.Key] = r
--- a/internal/ledger/snapshot_gen.go
+++ b/internal/ledger/snapshot_gen.go
@@ -55,8 +55,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *savedRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o, err = z.Key.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Key")
@@ -82,6 +82,7 @@
 		err = msgp.WrapError(err, "Boot")
 		return
 	}
+	o = msgp.AppendUint64(o, z.Tenure)
 	o = msgp.AppendBytes(o, z.Answer)
 	o = msgp.AppendDuration(o, z.Since)
 	o = msgp.AppendUint8(o, z.Status)
@@ -96,8 +97,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	bts, err = z.Key.UnmarshalMsg(bts)
@@ -125,6 +126,11 @@
 		err = msgp.WrapError(err, "Boot")
 		return
 	}
+	z.Tenure, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenure")
+		return
+	}
 	z.Answer, bts, err = msgp.ReadBytesBytes(bts, z.Answer)
 	if err != nil {
 		err = msgp.WrapError(err, "Answer")
@@ -146,15 +152,15 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *savedRecord) Msgsize() (s int) {
-	s = 1 + z.Key.Msgsize() + z.Body.Msgsize() + z.Attempt.Msgsize() + z.Owner.Msgsize() + z.Boot.Msgsize() + msgp.BytesPrefixSize + len(z.Answer) + msgp.DurationSize + msgp.Uint8Size
+	s = 1 + z.Key.Msgsize() + z.Body.Msgsize() + z.Attempt.Msgsize() + z.Owner.Msgsize() + z.Boot.Msgsize() + msgp.Uint64Size + msgp.BytesPrefixSize + len(z.Answer) + msgp.DurationSize + msgp.Uint8Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *savedSession) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o, err = z.Owner.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Owner")
@@ -165,6 +171,7 @@
 		err = msgp.WrapError(err, "Boot")
 		return
 	}
+	o = msgp.AppendUint64(o, z.Tenure)
 	o = msgp.AppendDuration(o, z.Until)
 	return
 }
@@ -177,8 +184,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	bts, err = z.Owner.UnmarshalMsg(bts)
@@ -191,6 +198,11 @@
 		err = msgp.WrapError(err, "Boot")
 		return
 	}
+	z.Tenure, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenure")
+		return
+	}
 	z.Until, bts, err = msgp.ReadDurationBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Until")
@@ -202,7 +214,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *savedSession) Msgsize() (s int) {
-	s = 1 + z.Owner.Msgsize() + z.Boot.Msgsize() + msgp.DurationSize
+	s = 1 + z.Owner.Msgsize() + z.Boot.Msgsize() + msgp.Uint64Size + msgp.DurationSize
 	return
 }
 
@@ -240,19 +252,11 @@
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Sessions)))
 	for za0003 := range z.Sessions {
-		// array header, size 3
-		o = append(o, 0x93)
-		o, err = z.Sessions[za0003].Owner.MarshalMsg(o)
+		o, err = z.Sessions[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Sessions", za0003, "Owner")
-			return
-		}
-		o, err = z.Sessions[za0003].Boot.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Sessions", za0003, "Boot")
+			err = msgp.WrapError(err, "Sessions", za0003)
 			return
 		}
-		o = msgp.AppendDuration(o, z.Sessions[za0003].Until)
 	}
 	return
 }
@@ -352,31 +356,11 @@
 		z.Sessions = make([]savedSession, zb0005)
 	}
 	for za0003 := range z.Sessions {
-		var zb0006 uint32
-		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Sessions[za0003].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Sessions", za0003)
 			return
 		}
-		if zb0006 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
-			return
-		}
-		bts, err = z.Sessions[za0003].Owner.UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Sessions", za0003, "Owner")
-			return
-		}
-		bts, err = z.Sessions[za0003].Boot.UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Sessions", za0003, "Boot")
-			return
-		}
-		z.Sessions[za0003].Until, bts, err = msgp.ReadDurationBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Sessions", za0003, "Until")
-			return
-		}
 	}
 	o = bts
 	return
@@ -394,7 +378,7 @@
 	}
 	s += msgp.ArrayHeaderSize
 	for za0003 := range z.Sessions {
-		s += 1 + z.Sessions[za0003].Owner.Msgsize() + z.Sessions[za0003].Boot.Msgsize() + msgp.DurationSize
+		s += z.Sessions[za0003].Msgsize()
 	}
 	return
 }
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -24,7 +24,9 @@
 	answered *record // the oldest finished record that may hold an answer
 
 	endedAttempts tombstones[answer.AttemptID]
-	endedSessions tombstones[session]
+	// endedTenures holds the last tenure that is known to have ended of each
+	// session that lapsed.
+	endedTenures tombstones[session]
 
 	flaw flaw
 }
@@ -91,7 +93,7 @@
 func (s *State) begin(c *Command) Result {
 	owner := session{c.Owner, c.Boot}
 	switch {
-	case s.endedSessions.has(owner):
+	case s.endedTenures.has(owner) && c.Tenure <= s.endedTenures.value(owner):
 		return Result{Code: CodeSessionEnded}
 	case s.endedAttempts.has(c.Attempt):
 		return Result{Code: CodeAttemptEnded}
@@ -102,7 +104,7 @@
 	if len(s.records) >= s.limits.MaxRecords {
 		return Result{Code: CodeFull}
 	}
-	r := &record{key: c.Key, body: c.Body, attempt: c.Attempt, owner: owner}
+	r := &record{key: c.Key, body: c.Body, attempt: c.Attempt, owner: owner, tenure: c.Tenure}
 	s.records[c.Key] = r
 	s.enter(r, statusBegun)
 	return Result{Code: CodeStarted, Attempt: c.Attempt}
@@ -161,7 +163,7 @@
 	if r != nil && r.attempt == c.Attempt && r.status == statusFinished {
 		return Result{Code: CodeIgnored, Attempt: r.attempt}
 	}
-	s.endedAttempts.add(c.Attempt, s.now+s.limits.EndedAge)
+	s.endedAttempts.add(c.Attempt, s.now+s.limits.EndedAge, 0)
 	if r != nil && r.attempt == c.Attempt {
 		s.remove(r)
 	}
@@ -180,17 +182,20 @@
 }
 
 // lapse goes through the begun records, which are as many as there are attempts
-// in flight.
+// in flight. A begin of an ended tenure that comes later is refused as far as
+// the tenure is known here; writing under it is stopped by the process itself.
 func (s *State) lapse(c *Command) Result {
 	gone := session{c.Owner, c.Boot}
-	s.endedSessions.add(gone, s.now+s.limits.MaxAge)
+	ended := max(c.Tenure, s.endedTenures.value(gone))
 	for r := s.queues[statusBegun].front; r != nil; {
 		next := r.next
 		if r.owner == gone {
+			ended = max(ended, r.tenure)
 			s.move(r, statusUnknown)
 		}
 		r = next
 	}
+	s.endedTenures.add(gone, s.now+s.limits.MaxAge, ended)
 	return Result{Code: CodeDone}
 }
 
@@ -214,7 +219,7 @@
 	if wait > 0 && s.flaw != flawNoHold {
 		return Result{Code: CodeTooEarly, Attempt: r.attempt, Wait: wait}
 	}
-	s.endedAttempts.add(r.attempt, s.now+s.limits.EndedAge)
+	s.endedAttempts.add(r.attempt, s.now+s.limits.EndedAge, 0)
 	s.remove(r)
 	return Result{Code: CodeDone, Attempt: c.Attempt}
 }
