placement: owners, plan homes and the ranking of upstreams for a chat

Cause: routers need one answer, without messages, to who owns an upstream, who is home to a workspace and where a chat's cache is.

Ruled out: bucket tables with precomputed candidate lists, for with few buckets an upstream the buckets themselves are unevenly shared out; a direct scan with one multiplication an upstream is fast enough.

Change: Ring (weighted rendezvous), Table with the last sets of eligible upstreams, Candidates, Promote, ChatKey. A key without a chat prefers its zone.

--- /dev/null
+++ b/internal/placement/hash.go
@@ -0,0 +1,55 @@
+package placement
+
+import (
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// Salts keep the rankings for different purposes independent of each other.
+const (
+	saltOwner   = 0x9e3779b97f4a7c15
+	saltHome    = 0xc2b2ae3d27d4eb4f
+	saltAdapter = 0x165667b19e3779f9
+)
+
+// Odd multipliers of the mixing steps.
+const (
+	mixA = 0xa0761d6478bd642f
+	mixB = 0xe7037ed1a0b428db
+)
+
+// ChatKey identifies a chat for placement: a hash of workspace, chat and
+// adapter. The lowest bit tells a chat (clear) from a single request (set).
+type ChatKey uint64
+
+// requestBit marks keys of requests that belong to no chat.
+const requestBit ChatKey = 1
+
+// KeyOf returns the key of a chat. The adapter takes part because a prefix
+// cached under one adapter is of no use to another.
+func KeyOf(workspace fleet.WorkspaceID, chat fleet.ChatID, adapter string) ChatKey {
+	h := xxhash.Sum64String(string(workspace))
+	h = mix(h, xxhash.Sum64String(string(chat)))
+	if adapter != "" {
+		h = mix(h^saltAdapter, xxhash.Sum64String(adapter))
+	}
+	return ChatKey(h) &^ requestBit
+}
+
+// RequestKey returns the key of a request that belongs to no chat, so that any
+// upstream of the pool serves it equally well.
+func RequestKey(id fleet.RequestID) ChatKey {
+	return ChatKey(mix(xxhash.Sum64String(string(id)), mixB)) | requestBit
+}
+
+// Chat tells whether the key belongs to a chat.
+func (k ChatKey) Chat() bool { return k&requestBit == 0 }
+
+// mix combines two hashes into one whose bits depend on all bits of both.
+func mix(a, b uint64) uint64 {
+	hi, lo := bits.Mul64(a^mixA, b^mixB)
+	return hi ^ lo
+}
--- /dev/null
+++ b/internal/placement/ring.go
@@ -0,0 +1,91 @@
+package placement
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// Ring answers who owns an upstream and who is the plan home of a workspace
+// under one committed membership. It is immutable and safe for concurrent use.
+type Ring struct {
+	epoch   fleet.Epoch
+	ids     []fleet.InstanceID
+	hashes  []uint64
+	weights []float64
+	uniform bool
+}
+
+// NewRing prepares the lookups for one membership.
+func NewRing(m fleet.Membership) *Ring {
+	r := &Ring{epoch: m.Epoch, uniform: true}
+	for _, member := range m.Members {
+		weight := max(member.Weight, 1)
+		r.ids = append(r.ids, member.ID)
+		r.hashes = append(r.hashes, xxhash.Sum64String(string(member.ID)))
+		r.weights = append(r.weights, float64(weight))
+		r.uniform = r.uniform && weight == max(m.Members[0].Weight, 1)
+	}
+	return r
+}
+
+// Epoch returns the epoch of the membership.
+func (r *Ring) Epoch() fleet.Epoch { return r.epoch }
+
+// Owner returns the instance that owns the upstream, or "" without members.
+func (r *Ring) Owner(id fleet.UpstreamID) fleet.InstanceID {
+	return r.pick(xxhash.Sum64String(string(id)) ^ saltOwner)
+}
+
+// Home returns the instance that counts the workspace's plan, or "" without
+// members.
+func (r *Ring) Home(id fleet.WorkspaceID) fleet.InstanceID {
+	return r.pick(xxhash.Sum64String(string(id)) ^ saltHome)
+}
+
+// Owner returns the owner of an upstream under m. A Ring answers many lookups
+// under one membership at less cost.
+func Owner(m fleet.Membership, id fleet.UpstreamID) fleet.InstanceID {
+	return NewRing(m).Owner(id)
+}
+
+// Home returns the plan home of a workspace under m.
+func Home(m fleet.Membership, id fleet.WorkspaceID) fleet.InstanceID {
+	return NewRing(m).Home(id)
+}
+
+func (r *Ring) pick(key uint64) fleet.InstanceID {
+	if len(r.ids) == 0 {
+		return ""
+	}
+	if r.uniform {
+		return r.ids[r.pickUniform(key)]
+	}
+	return r.ids[r.pickWeighted(key)]
+}
+
+// pickUniform compares hashes alone: with equal weights the weighted score is a
+// monotonic function of the hash, so both methods pick the same member.
+func (r *Ring) pickUniform(key uint64) int {
+	best, bestScore := 0, uint64(0)
+	for i, h := range r.hashes {
+		if score := mix(key, h); score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+// pickWeighted maximises -weight/ln(u) for u uniform in (0, 1).
+func (r *Ring) pickWeighted(key uint64) int {
+	best, bestScore := 0, math.Inf(-1)
+	for i, h := range r.hashes {
+		u := (float64(mix(key, h)>>11) + 0.5) / (1 << 53)
+		if score := -r.weights[i] / math.Log(u); score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/placement/table.go
@@ -0,0 +1,205 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+const (
+	// MaxCandidates bounds how many candidates a lookup returns.
+	MaxCandidates = 8
+	// formerSets is how many earlier sets of upstreams a table remembers.
+	formerSets = 3
+	// formerAge is how long an earlier set is remembered.
+	formerAge = 2 * time.Hour
+)
+
+// View is what one router knows about members and upstreams at one moment.
+type View struct {
+	Membership fleet.Membership
+	Upstreams  []fleet.Upstream
+	// Out tells whether operators have taken the upstream, its instance or its
+	// availability zone out of service. Nil means none is out.
+	Out func(fleet.Upstream) bool
+}
+
+// Basis tells why a candidate is in the list.
+type Basis uint8
+
+const (
+	// Ranked candidates come in rendezvous order over the pool.
+	Ranked Basis = iota
+	// Former candidates ranked first under an earlier set of upstreams. Their
+	// owner should admit the request only if it knows the chat to be resident.
+	Former
+	// Recorded candidates served the chat last, as far as this router knows.
+	Recorded
+)
+
+// Candidate is one upstream to try, with the instance to ask for it.
+type Candidate struct {
+	Upstream fleet.UpstreamID
+	Owner    fleet.InstanceID
+	Basis    Basis
+}
+
+// Table ranks the upstreams of each pool for a chat. It is immutable and safe
+// for concurrent use.
+type Table struct {
+	ring    *Ring
+	pools   map[fleet.PoolID]*poolTable
+	members map[fleet.UpstreamID]fleet.Upstream
+	history []snapshot
+}
+
+// snapshot is a set of eligible upstreams and when it stopped being current.
+type snapshot struct {
+	eligible map[fleet.UpstreamID]bool
+	until    time.Duration
+}
+
+// NewTable builds the first table of a router.
+func NewTable(now time.Duration, v View) *Table {
+	return (*Table)(nil).Next(now, v)
+}
+
+// Next builds the table that follows t for a new view. It remembers earlier
+// sets of eligible upstreams, newest first, so that a chat is looked for where
+// its cache was built. A view with the same eligible upstreams adds no set.
+func (t *Table) Next(now time.Duration, v View) *Table {
+	next := &Table{ring: NewRing(v.Membership), members: map[fleet.UpstreamID]fleet.Upstream{}}
+	current := snapshot{eligible: map[fleet.UpstreamID]bool{}}
+	for _, u := range v.Upstreams {
+		next.members[u.ID] = u
+		if !u.Leaving && (v.Out == nil || !v.Out(u)) {
+			current.eligible[u.ID] = true
+		}
+	}
+	next.history = append([]snapshot{current}, t.earlier(now, current)...)
+	next.build(v.Upstreams)
+	return next
+}
+
+// earlier returns the remembered sets behind the new current one.
+func (t *Table) earlier(now time.Duration, current snapshot) []snapshot {
+	if t == nil {
+		return nil
+	}
+	past := slices.Clone(t.history)
+	if sameSet(past[0].eligible, current.eligible) {
+		past = past[1:]
+	} else {
+		past[0].until = now
+	}
+	past = slices.DeleteFunc(past, func(s snapshot) bool { return now-s.until > formerAge })
+	return past[:min(len(past), formerSets)]
+}
+
+func sameSet(a, b map[fleet.UpstreamID]bool) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for id := range a {
+		if !b[id] {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Table) build(upstreams []fleet.Upstream) {
+	sorted := slices.Clone(upstreams)
+	slices.SortFunc(sorted, func(a, b fleet.Upstream) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	t.pools = map[fleet.PoolID]*poolTable{}
+	for _, u := range sorted {
+		pool := t.pools[u.Pool]
+		if pool == nil {
+			pool = &poolTable{}
+			t.pools[u.Pool] = pool
+		}
+		pool.add(u, t.ring.Owner(u.ID), t.membership(u.ID))
+	}
+	all := setMask(1)<<len(t.history) - 1
+	for _, pool := range t.pools {
+		pool.finish(all)
+	}
+}
+
+// membership returns in which remembered sets the upstream was eligible; bit 0
+// is the current set.
+func (t *Table) membership(id fleet.UpstreamID) setMask {
+	var mask setMask
+	for i, s := range t.history {
+		if s.eligible[id] {
+			mask |= 1 << i
+		}
+	}
+	return mask
+}
+
+// Owner returns the owner of the upstream under the table's membership.
+func (t *Table) Owner(id fleet.UpstreamID) fleet.InstanceID { return t.ring.Owner(id) }
+
+// Home returns the plan home of the workspace under the table's membership.
+func (t *Table) Home(id fleet.WorkspaceID) fleet.InstanceID { return t.ring.Home(id) }
+
+// Upstream returns the upstream as listed, and whether it is listed.
+func (t *Table) Upstream(id fleet.UpstreamID) (fleet.Upstream, bool) {
+	u, ok := t.members[id]
+	return u, ok
+}
+
+// Eligible tells whether the upstream may receive new work in this view.
+func (t *Table) Eligible(id fleet.UpstreamID) bool { return t.history[0].eligible[id] }
+
+// Candidates appends to dst, in the order to try them, the upstreams of the
+// pool for a chat: those that ranked first under earlier sets and are still
+// eligible, then the current ranking. It fills dst up to its capacity or
+// MaxCandidates, whichever is less, and names each upstream once.
+//
+// A chat's order is the same from every zone. A key of a single request prefers
+// upstreams in localZone, for nothing is cached for it.
+func (t *Table) Candidates(key ChatKey, pool fleet.PoolID, localZone fleet.AvailabilityZone, dst []Candidate) []Candidate {
+	p := t.pools[pool]
+	if p == nil {
+		return dst
+	}
+	limit := min(cap(dst)-len(dst), MaxCandidates)
+	if limit <= 0 {
+		return dst
+	}
+	if key.Chat() {
+		return p.chatCandidates(uint64(key), limit, dst)
+	}
+	return p.requestCandidates(uint64(key), limit, localZone, dst)
+}
+
+// Promote moves the candidate for upstream to the front of the list and marks
+// it Recorded. If the list lacks it but the upstream is eligible, it takes the
+// first place and the last candidate may drop out.
+func (t *Table) Promote(list []Candidate, upstream fleet.UpstreamID) []Candidate {
+	if !t.Eligible(upstream) {
+		return list
+	}
+	at := slices.IndexFunc(list, func(c Candidate) bool { return c.Upstream == upstream })
+	first := Candidate{Upstream: upstream, Owner: t.ring.Owner(upstream), Basis: Recorded}
+	if at < 0 {
+		if len(list) < cap(list) {
+			list = append(list, first)
+		}
+		at = len(list) - 1
+	}
+	if at < 0 {
+		return list
+	}
+	copy(list[1:at+1], list[:at])
+	list[0] = first
+	return list
+}
