admission: the gate of the upstreams that one instance owns

Cause: bound, ramp, drain, queue and breaker need one place with exact facts.

Change: Gate with Admit, Done, Cancel, Tick, SetPool, SetUpstream, Adopt, SetForeign, Lose and Loads. A schedule of 8 routers and 20 fake engines with owners changing hands, zones, restarts and silent cold starts, from a seed.

Conclusion: usable; speeds, shares and growth are still to be measured.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,96 @@
+package admission
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// trouble runs one seed of a fleet under load with owners changing hands, zones
+// going out and in, restarts and silent cold starts.
+func trouble(seed uint64, off options) *schedule {
+	s := newSchedule(seed, 8, 20, off)
+	s.rate, s.batch = 60, 0.2
+	s.run(20 * time.Second)
+	for i := range 12 {
+		s.every(time.Duration(7+i)*time.Second, func() { s.rate = 40 + s.rng.Float64()*60 })
+		at := 20*time.Second + time.Duration(i)*8*time.Second
+		s.at(at-s.now, func() { s.upset() })
+	}
+	s.run(130 * time.Second)
+	s.closing = true
+	s.run(240 * time.Second)
+	return s
+}
+
+func (s *schedule) upset() {
+	z := fleet.AvailabilityZone(fmt.Sprintf("z%d", s.rng.IntN(2)))
+	e := s.engines[s.rng.IntN(len(s.engines))]
+	i := s.rng.IntN(len(s.routers))
+	n := s.rng.IntN(6)
+	s.log = append(s.log, fmt.Sprint(s.now, " upset ", n, z, e.ID, i))
+	switch n {
+	case 0:
+		_, out := s.outZone[z]
+		s.zone(z, !out)
+	case 1:
+		s.turnCold(e, false)
+	case 2:
+		s.turnCold(e, true)
+	case 3:
+		s.member(i, !s.members[i] || i == 0, true)
+	case 4:
+		s.member(i, !s.members[i] || i == 0, false)
+	case 5:
+		for _, e := range s.engines {
+			if e.Zone == z {
+				s.turnCold(e, false)
+			}
+		}
+	}
+}
+
+const seeds = 40
+
+func TestNoBreachInAnySeed(t *testing.T) {
+	for seed := range uint64(seeds) {
+		s := trouble(seed, options{})
+		if len(s.breaches) > 0 {
+			t.Errorf("seed %d: %d breaches, first: %s", seed, len(s.breaches), s.breaches[0])
+		}
+		if len(s.pending) > 0 {
+			t.Errorf("seed %d: %d requests never settled", seed, len(s.pending))
+		}
+	}
+}
+
+func TestBreachesWithoutEachMechanism(t *testing.T) {
+	cases := []struct {
+		name   string
+		off    options
+		breach string
+	}{
+		{"without the load bound", options{noBound: true}, "bound"},
+		{"without the ramp", options{noRamp: true}, "ramp"},
+		{"without the drain", options{noDrain: true}, "zone"},
+		{"without the search for collapse", options{noCollapse: true}, "ramp"},
+		{"without the foreign work", options{noForeign: true}, "bound"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			found := false
+			for seed := uint64(0); seed < seeds && !found; seed++ {
+				for _, b := range trouble(seed, tc.off).breaches {
+					found = found || strings.Contains(b, tc.breach)
+				}
+			}
+			is.True(found)
+		})
+	}
+}
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,136 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// entry is a request known to the gate, queued or in flight. Entries are
+// recycled, so the hot path allocates none.
+type entry struct {
+	request  Request
+	up       *upstream
+	admitted bool
+	started  time.Duration
+	seen     bool // first token reported, or given up
+	// before and after link the entries that await their first token.
+	before, after *entry
+	probe         bool
+	position      int // index in its queue
+	// generation is that of the upstream at admission: answers to requests from
+	// before a restart say nothing about the upstream as it is now.
+	generation int
+	sequence   uint64
+}
+
+// queue orders waiting requests by deadline, earliest first: a binary heap.
+type queue struct {
+	heap []*entry
+}
+
+func (q *queue) len() int { return len(q.heap) }
+
+func (q *queue) less(i, j int) bool {
+	a, b := q.heap[i], q.heap[j]
+	if a.request.Deadline != b.request.Deadline {
+		return a.request.Deadline < b.request.Deadline
+	}
+	return a.sequence < b.sequence
+}
+
+func (q *queue) swap(i, j int) {
+	q.heap[i], q.heap[j] = q.heap[j], q.heap[i]
+	q.heap[i].position, q.heap[j].position = i, j
+}
+
+func (q *queue) push(e *entry) {
+	e.position = len(q.heap)
+	q.heap = append(q.heap, e)
+	q.up(e.position)
+}
+
+func (q *queue) first() *entry { return q.heap[0] }
+
+func (q *queue) remove(e *entry) {
+	at, last := e.position, len(q.heap)-1
+	q.swap(at, last)
+	q.heap[last] = nil
+	q.heap = q.heap[:last]
+	if at < last {
+		q.up(at)
+		q.down(at)
+	}
+}
+
+func (q *queue) up(i int) {
+	for i > 0 && q.less(i, (i-1)/2) {
+		q.swap(i, (i-1)/2)
+		i = (i - 1) / 2
+	}
+}
+
+func (q *queue) down(i int) {
+	for {
+		least := i
+		for child := 2*i + 1; child <= 2*i+2 && child < len(q.heap); child++ {
+			if q.less(child, least) {
+				least = child
+			}
+		}
+		if least == i {
+			return
+		}
+		q.swap(i, least)
+		i = least
+	}
+}
+
+// lines are the waiting requests of one upstream: one queue a priority.
+type lines struct {
+	interactive queue
+	batch       queue
+	// passed counts interactive admissions since the last batch admission while
+	// batch work waited.
+	passed int
+}
+
+func (l *lines) of(p fleet.Priority) *queue {
+	if p == fleet.PriorityBatch {
+		return &l.batch
+	}
+	return &l.interactive
+}
+
+func (l *lines) len() int { return l.interactive.len() + l.batch.len() }
+
+// next picks the queue to serve: interactive first, but batch in its turn, so
+// that it gets at least one in BatchShare admissions.
+func (l *lines) next() *queue {
+	switch {
+	case l.batch.len() == 0:
+		return &l.interactive
+	case l.interactive.len() == 0, l.passed >= BatchShare-1:
+		return &l.batch
+	default:
+		return &l.interactive
+	}
+}
+
+// took notes that a request of the queue was admitted.
+func (l *lines) took(q *queue) {
+	switch {
+	case q == &l.batch:
+		l.passed = 0
+	case l.batch.len() > 0:
+		l.passed++
+	}
+}
+
+// other returns the queue that q is not.
+func (l *lines) other(q *queue) *queue {
+	if q == &l.batch {
+		return &l.interactive
+	}
+	return &l.batch
+}
--- /dev/null
+++ b/internal/admission/schedule_test.go
@@ -0,0 +1,494 @@
+package admission
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/placement"
+)
+
+// schedule drives the gates of several routers with a few fake engines on a
+// virtual clock, from one seed, and notes every breach of a promise.
+type schedule struct {
+	rng      *rand.Rand
+	now      time.Duration
+	events   eventHeap
+	sequence int
+	settings PoolSettings
+	off      options
+
+	routers []*fakeRouter
+	engines []*fakeEngine
+	byID    map[fleet.UpstreamID]*fakeEngine
+	members []bool // by router: in the membership
+	table   *placement.Table
+	epoch   fleet.Epoch
+	outZone map[fleet.AvailabilityZone]time.Duration
+
+	rate     float64 // requests a second
+	service  time.Duration
+	closing  bool    // no more arrivals
+	batch    float64 // part of requests that is batch work
+	pending  map[fleet.RequestID]*fakeRequest
+	breaches []string
+	log      []string
+	done     int
+	refused  map[Reason]int
+	worst    float64                          // in flight at admission over the mean of that moment
+	waits    map[fleet.Priority]time.Duration // longest wait for a slot
+}
+
+type fakeRouter struct {
+	id       fleet.InstanceID
+	gate     *Gate
+	reported Sums // by the gate
+	counted  Sums // at the engines, at the time of that report
+	told     Sums // sum of all counted at the last renewal
+	alive    bool
+}
+
+type fakeEngine struct {
+	fleet.Upstream
+	running   int
+	limit     int // what it bears at present while cold
+	cold      bool
+	since     time.Duration // of the last start, or of turning cold
+	silent    bool          // turned cold without a new boot id
+	answers   int           // first tokens since then
+	started   []*fakeRequest
+	completed int
+	owner     *fakeRouter
+}
+
+type fakeRequest struct {
+	Request
+	key        placement.ChatKey
+	candidates []placement.Candidate
+	next       int
+	arrived    time.Duration
+	router     *fakeRouter
+	engine     *fakeEngine
+	boot       fleet.BootID
+	started    time.Duration
+	ended      bool
+	gate       *Gate // that admitted it
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+const (
+	renewInterval = time.Second
+	sampleEvery   = 50 * time.Millisecond
+	zoneDelay     = 2 * time.Second // until every owner knows of a zone's state
+	zoneBound     = 5 * time.Second
+	coldSlowdown  = 6
+	coldAnswers   = 3  // answers in which a silent cold start must be found
+	fullAfter     = 40 // answers after which an engine bears everything
+)
+
+func newSchedule(seed uint64, routers, engines int, off options) *schedule {
+	s := &schedule{
+		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Second, off: off, epoch: 1,
+		settings: withDefaults(PoolSettings{MaxConcurrency: 64}),
+		byID:     map[fleet.UpstreamID]*fakeEngine{}, outZone: map[fleet.AvailabilityZone]time.Duration{},
+		pending: map[fleet.RequestID]*fakeRequest{}, refused: map[Reason]int{},
+		waits: map[fleet.Priority]time.Duration{}, service: 5 * time.Second,
+	}
+	for i := range routers {
+		r := &fakeRouter{id: fleet.InstanceID(fmt.Sprintf("router-%03d", i)), gate: NewGate(), alive: true}
+		r.gate.off = off
+		r.gate.SetPoolSettings("llm", s.settings)
+		s.routers, s.members = append(s.routers, r), append(s.members, true)
+	}
+	for i := range engines {
+		e := &fakeEngine{Upstream: fleet.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("engine-%03d", i)), Pool: "llm",
+			Zone: fleet.AvailabilityZone(fmt.Sprintf("z%d", i%4)), Boot: "b0"}, limit: s.settings.MaxConcurrency}
+		s.engines = append(s.engines, e)
+		s.byID[e.ID] = e
+	}
+	s.rebuild()
+	s.own(false)
+	for i, r := range s.routers {
+		s.at(renewInterval*time.Duration(i)/time.Duration(routers), func() { s.renew(r) })
+	}
+	s.every(sampleEvery, s.sample)
+	s.every(100*time.Millisecond, s.tick)
+	s.at(0, s.arrive)
+	return s
+}
+
+func (s *schedule) at(after time.Duration, run func()) {
+	s.sequence++
+	heap.Push(&s.events, event{s.now + after, s.sequence, run})
+}
+
+func (s *schedule) every(interval time.Duration, run func()) {
+	s.at(interval, func() { run(); s.every(interval, run) })
+}
+
+func (s *schedule) run(until time.Duration) {
+	for len(s.events) > 0 && s.events[0].at <= until {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.run()
+	}
+	s.now = until
+}
+
+func (s *schedule) breach(format string, args ...any) {
+	s.breaches = append(s.breaches, fmt.Sprintf("%v: ", s.now)+fmt.Sprintf(format, args...))
+}
+
+// rebuild makes the placement table of all routers.
+func (s *schedule) rebuild() {
+	m := fleet.Membership{Epoch: s.epoch}
+	for i, in := range s.members {
+		if in {
+			m.Members = append(m.Members, fleet.Member{ID: s.routers[i].id})
+		}
+	}
+	v := placement.View{Membership: m, Out: func(u fleet.Upstream) bool { _, out := s.outZone[u.Zone]; return out }}
+	for _, e := range s.engines {
+		v.Upstreams = append(v.Upstreams, e.Upstream)
+	}
+	if s.table == nil {
+		s.table = placement.NewTable(s.now, v)
+		return
+	}
+	s.table = s.table.Next(s.now, v)
+}
+
+func (s *schedule) router(id fleet.InstanceID) *fakeRouter {
+	for _, r := range s.routers {
+		if r.id == id {
+			return r
+		}
+	}
+	return nil
+}
+
+// own moves the upstreams to their owners under the current table. With a
+// handover the former owner tells what it knew; else only the foreign work is
+// known, from the upstream itself.
+func (s *schedule) own(handover bool) {
+	for _, e := range s.engines {
+		owner := s.router(s.table.Owner(e.ID))
+		if owner == e.owner {
+			continue
+		}
+		former, h := e.owner, Handover{}
+		if former != nil && former.alive {
+			var settled []Settled
+			h, settled = former.gate.Lose(s.now, e.ID, nil)
+			s.settle(former, settled)
+		}
+		e.owner = owner
+		s.tell(e)
+		if handover {
+			owner.gate.Adopt(h)
+		}
+		s.foreign(e)
+	}
+}
+
+// foreign tells the owner how much runs on the engine that it didn't admit.
+func (s *schedule) foreign(e *fakeEngine) {
+	n := e.running - e.owner.gate.Running(e.ID)
+	s.settle(e.owner, e.owner.gate.SetForeign(s.now, e.ID, n, nil))
+}
+
+// tell gives the engine's state to its owner.
+func (s *schedule) tell(e *fakeEngine) {
+	_, out := s.outZone[e.Zone]
+	state := UpstreamState{ID: e.ID, Pool: e.Pool, Boot: e.Boot, Out: out, Leaving: e.Leaving}
+	s.settle(e.owner, e.owner.gate.SetUpstream(s.now, state, nil))
+}
+
+// renew reports one router's loads and gives it the pool's sums.
+func (s *schedule) renew(r *fakeRouter) {
+	if !r.alive {
+		return
+	}
+	for _, l := range r.gate.Loads(nil) {
+		r.reported = l.Sums
+	}
+	r.counted = s.count(func(e *fakeEngine) bool { return e.owner == r })
+	var total Sums
+	r.told = Sums{}
+	for _, o := range s.routers {
+		if o.alive {
+			total = total.plus(o.reported)
+			r.told = r.told.plus(o.counted)
+		}
+	}
+	s.settle(r, r.gate.SetPool(s.now, "llm", PoolLoad{Total: total, Own: r.reported}, nil))
+	next := renewInterval
+	if r.gate.Pressed() {
+		next = renewInterval / 4
+	}
+	s.at(next, func() { s.renew(r) })
+}
+
+// count sums up what runs on the engines that match and take new work.
+func (s *schedule) count(match func(*fakeEngine) bool) Sums {
+	var sums Sums
+	for _, e := range s.engines {
+		u := e.owner.gate.upstreams[e.ID]
+		if !e.owner.alive || u == nil || u.closed() || !match(e) {
+			continue
+		}
+		sums.All += e.running
+		sums.AllUpstreams++
+		if !u.starting {
+			sums.InFlight += e.running
+			sums.Upstreams++
+		}
+	}
+	return sums
+}
+
+func (s *schedule) arrive() {
+	if s.rate > 0 && !s.closing {
+		s.request()
+	}
+	s.at(time.Duration(s.rng.ExpFloat64()/max(s.rate, 1)*float64(time.Second)), s.arrive)
+}
+
+func (s *schedule) request() {
+	s.sequence++
+	r := &fakeRequest{Request: Request{ID: fleet.RequestID(fmt.Sprint("r", s.sequence)), Priority: fleet.PriorityInteractive, Deadline: s.now + 10*time.Second}, arrived: s.now}
+	if s.rng.Float64() < s.batch {
+		r.Priority, r.Deadline = fleet.PriorityBatch, s.now+20*time.Second
+	}
+	r.key = placement.KeyOf("w", fleet.ChatID(fmt.Sprint(s.rng.IntN(5000))), "")
+	r.candidates = s.table.Candidates(r.key, "llm", "", make([]placement.Candidate, 0, 4))
+	s.pending[r.ID] = r
+	s.try(r)
+}
+
+// try asks the candidates in turn, then waits at the first.
+func (s *schedule) try(r *fakeRequest) {
+	for ; r.next <= len(r.candidates); r.next++ {
+		if len(r.candidates) == 0 {
+			break
+		}
+		last := r.next == len(r.candidates)
+		c := r.candidates[r.next%len(r.candidates)]
+		e := s.byID[c.Upstream]
+		if !e.owner.alive {
+			continue
+		}
+		r.Upstream, r.NoQueue, r.router, r.engine = c.Upstream, !last, e.owner, e
+		switch d := e.owner.gate.Admit(s.now, r.Request); d.Kind {
+		case Admitted:
+			s.start(r)
+			return
+		case Queued:
+			return
+		default:
+			if last {
+				s.refused[d.Reason]++
+			}
+		}
+	}
+	delete(s.pending, r.ID)
+}
+
+// start runs an admitted request on its engine and checks the promises.
+func (s *schedule) start(r *fakeRequest) {
+	e := r.engine
+	e.running++
+	e.started = append(slices.DeleteFunc(e.started, func(r *fakeRequest) bool { return r.ended }), r)
+	r.boot, r.started, r.gate = e.Boot, s.now, r.router.gate
+	s.waits[r.Priority] = max(s.waits[r.Priority], s.now-r.arrived)
+	if s.now > r.Deadline {
+		s.breach("%s started after its deadline", r.ID)
+	}
+	s.check(e)
+	speed := 1.0
+	if e.cold {
+		speed = coldSlowdown
+	}
+	duration := time.Duration(speed * float64(s.service) * (0.5 + s.rng.Float64()))
+	first := time.Duration(speed * float64(300*time.Millisecond) * (0.7 + 0.6*s.rng.Float64()))
+	tokens := int(float64(duration-first) / speed / float64(26*time.Millisecond))
+	s.at(first, func() {
+		if e.Boot == r.boot && r.started >= e.since {
+			e.answers++
+		}
+		r.router.gate.FirstToken(s.now, r.ID, first)
+	})
+	s.at(duration, func() { s.finish(r, Result{FirstToken: first, Duration: duration, Tokens: max(tokens, 2)}) })
+}
+
+// check compares one admission with the promises.
+func (s *schedule) check(e *fakeEngine) {
+	allowed := max(s.settings.StartConcurrency, int(math.Ceil(s.settings.LoadFactor*e.owner.told.mean()-1e-9)))
+	if e.running > allowed {
+		s.breach("bound: %s runs %d of %d", e.ID, e.running, allowed)
+	}
+	if at, out := s.outZone[e.Zone]; out && s.now-at > zoneBound {
+		s.breach("zone: %s got work %v after it went out", e.ID, s.now-at)
+	}
+	if !e.cold || e.running <= e.limit {
+		return
+	}
+	if !e.silent || e.answers >= coldAnswers {
+		s.breach("ramp: %s runs %d of %d", e.ID, e.running, e.limit)
+	}
+}
+
+func (s *schedule) finish(r *fakeRequest, result Result) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	delete(s.pending, r.ID)
+	if !result.Failed {
+		r.engine.complete()
+		s.done++
+	}
+	if r.router.alive && r.gate == r.router.gate {
+		s.settle(r.router, r.gate.Done(s.now, r.ID, result, nil))
+	}
+	if r.engine.owner.gate != r.gate {
+		s.foreign(r.engine)
+	}
+}
+
+// complete warms a cold engine up with each answer.
+func (e *fakeEngine) complete() {
+	e.running--
+	e.completed++
+	e.limit++
+	if e.cold && e.completed >= fullAfter {
+		e.cold = false
+	}
+}
+
+func (s *schedule) settle(r *fakeRouter, settled []Settled) {
+	for _, d := range settled {
+		q := s.pending[d.ID]
+		if q == nil {
+			s.breach("settled %s, which isn't pending", d.ID)
+			continue
+		}
+		if d.Decision.Kind == Admitted {
+			s.start(q)
+			continue
+		}
+		s.refused[d.Decision.Reason]++
+		delete(s.pending, d.ID)
+	}
+}
+
+func (s *schedule) tick() {
+	for _, r := range s.routers {
+		if r.alive {
+			s.settle(r, r.gate.Tick(s.now, nil))
+		}
+	}
+}
+
+// sample notes the mean load, counted at the engines over all routers.
+func (s *schedule) sample() {
+	most := 0
+	mean := s.count(func(e *fakeEngine) bool {
+		most = max(most, e.running)
+		return true
+	}).mean()
+	if mean >= 4 {
+		s.worst = max(s.worst, float64(most)/mean)
+	}
+}
+
+// turnCold makes an engine cold: at once known by a new boot id, or silently.
+func (s *schedule) turnCold(e *fakeEngine, silent bool) {
+	e.cold, e.since, e.silent = true, s.now, silent
+	e.limit, e.completed, e.answers = s.settings.StartConcurrency, 0, 0
+	if silent {
+		e.limit = max(e.running, e.limit)
+		return
+	}
+	cut := e.started
+	e.running, e.started = 0, nil
+	s.sequence++
+	e.Boot = fleet.BootID(fmt.Sprint("b", s.sequence))
+	s.tell(e)
+	for _, r := range cut {
+		s.finish(r, Result{Failed: true})
+	}
+}
+
+// zone takes a zone out or in; owners hear of it after a delay.
+func (s *schedule) zone(z fleet.AvailabilityZone, out bool) {
+	if out {
+		s.outZone[z] = s.now
+	} else {
+		delete(s.outZone, z)
+	}
+	s.at(zoneDelay, func() {
+		s.rebuild()
+		for _, e := range s.engines {
+			if e.Zone == z {
+				s.tell(e)
+			}
+		}
+	})
+}
+
+// member takes a router in or out of the membership.
+func (s *schedule) member(i int, in, planned bool) {
+	if s.members[i] == in {
+		return
+	}
+	r := s.routers[i]
+	s.members[i] = in
+	s.epoch++
+	if !in && !planned {
+		r.alive = false
+		s.loseWork(r)
+	}
+	if in && !r.alive {
+		r.alive, r.gate = true, NewGate()
+		r.gate.off = s.off
+		r.gate.SetPoolSettings("llm", s.settings)
+		s.renew(r)
+	}
+	s.rebuild()
+	s.own(planned)
+}
+
+// loseWork drops what waited at a dead router; what runs goes on.
+func (s *schedule) loseWork(r *fakeRouter) {
+	for id, q := range s.pending {
+		if q.router == r && q.started == 0 {
+			delete(s.pending, id)
+		}
+	}
+	r.reported, r.counted = Sums{}, Sums{}
+}
--- /dev/null
+++ b/internal/admission/upstreams.go
@@ -0,0 +1,114 @@
+package admission
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// SetUpstream takes what is known about an owned upstream. One that is new here
+// or has another boot id starts with a low window. Queued requests are refused
+// when the upstream takes no more work; they are appended to dst.
+func (g *Gate) SetUpstream(now time.Duration, s UpstreamState, dst []Settled) []Settled {
+	u := g.upstreams[s.ID]
+	if u == nil {
+		p := g.pool(s.Pool)
+		u = &upstream{pool: p, window: newWindow(p.settings), workspace: map[fleet.WorkspaceID]int{}, starting: true}
+		u.state = s
+		g.insert(u)
+	}
+	if u.state.Boot != s.Boot || u.lost {
+		u.restart()
+		u.breaker = breaker{}
+		u.foreign = 0
+	}
+	u.state, u.lost = s, false
+	u.recount()
+	return g.drainQueue(now, u, dst)
+}
+
+// Adopt takes over an upstream together with what its former owner knew. The
+// state must have been set. Knowledge of another start of the upstream counts
+// for nothing.
+func (g *Gate) Adopt(h Handover) {
+	u := g.upstreams[h.Upstream]
+	if u == nil || u.state.Boot != h.Boot {
+		return
+	}
+	u.foreign = h.InFlight
+	u.window.size = min(max(u.window.size, h.Window), u.window.max)
+	u.recount()
+}
+
+// SetForeign sets how many requests of the former owner still run on the
+// upstream. They count as its load.
+func (g *Gate) SetForeign(now time.Duration, id fleet.UpstreamID, n int, dst []Settled) []Settled {
+	u := g.upstreams[id]
+	if u == nil {
+		return dst
+	}
+	u.foreign = max(n, 0)
+	u.recount()
+	return g.drainQueue(now, u, dst)
+}
+
+// Cold restarts the upstream's window, as after an order to load a model.
+func (g *Gate) Cold(id fleet.UpstreamID) {
+	if u := g.upstreams[id]; u != nil {
+		u.restart()
+	}
+}
+
+// Lose gives up an upstream whose owner is another instance now. Its queued
+// requests are refused; those in flight end here, and Done still takes them.
+// The handover is for the next owner, which should hear of the falling number
+// in flight until it is 0.
+func (g *Gate) Lose(now time.Duration, id fleet.UpstreamID, dst []Settled) (Handover, []Settled) {
+	u := g.upstreams[id]
+	if u == nil || u.lost {
+		return Handover{Upstream: id}, dst
+	}
+	h := Handover{id, u.state.Boot, u.inFlight(), u.window.size}
+	for _, q := range []*queue{&u.lines.interactive, &u.lines.batch} {
+		for q.len() > 0 {
+			e := q.first()
+			q.remove(e)
+			dst = append(dst, Settled{e.request.ID, id, Decision{Kind: Refused, Reason: ReasonNotOwned}})
+			g.forget(e)
+		}
+	}
+	u.lost = true
+	u.recount()
+	if u.running == 0 {
+		g.remove(u)
+	}
+	return h, dst
+}
+
+func (g *Gate) insert(u *upstream) {
+	g.upstreams[u.state.ID] = u
+	at, _ := slices.BinarySearchFunc(g.order, u.state.ID, byID)
+	g.order = slices.Insert(g.order, at, u)
+}
+
+func (g *Gate) remove(u *upstream) {
+	delete(g.upstreams, u.state.ID)
+	if at, ok := slices.BinarySearchFunc(g.order, u.state.ID, byID); ok {
+		g.order = slices.Delete(g.order, at, at+1)
+	}
+}
+
+func byID(u *upstream, id fleet.UpstreamID) int {
+	return strings.Compare(string(u.state.ID), string(id))
+}
+
+// Running returns how many requests that this gate admitted to the upstream
+// still run, also after Lose.
+func (g *Gate) Running(id fleet.UpstreamID) int {
+	if u := g.upstreams[id]; u != nil {
+		return u.running
+	}
+	return 0
+}
