load: a bounded load tool that checks every answer

Cause: figures of a fleet mean nothing unless every answer is known to be whole, its own and given once, and they need direct, one-router and two-hop figures from one run. Ruled out: counting events only (a crossed stream has the right count) and trusting a service's answers (a second run shows only in the services' counts). Change: closed and open loops over returning chats, lookups and repeated bookings; verdicts lost, crossed, doubled and false refusal fail the command. Conclusion: a table of injected faults shows each verdict failing, then passing.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -10,6 +10,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/wigeonflow/wigeonflow/internal/load"
 	"github.com/wigeonflow/wigeonflow/internal/standin"
 )
 
@@ -40,6 +41,7 @@
 func commands(stdout, stderr io.Writer) []*ffcli.Command {
 	return []*ffcli.Command{
 		standin.Commands(stdout, stderr),
+		load.Command(stdout, stderr),
 		versionCommand(stdout),
 	}
 }
--- /dev/null
+++ b/internal/load/booking.go
@@ -0,0 +1,128 @@
+package load
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"github.com/google/uuid"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/standin"
+)
+
+// booking is what the callers of one key were told.
+type booking struct {
+	target  *recorder
+	answers []string
+	refused int
+	open    int // unknown, failed or lost
+}
+
+// bookings collects the keys of a run for the check at its end.
+type bookings struct {
+	mu   sync.Mutex
+	keys map[string]*booking
+}
+
+func newBookings() *bookings { return &bookings{keys: make(map[string]*booking)} }
+
+func (b *bookings) add(key string, target *recorder, res result, answer string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k, ok := b.keys[key]
+	if !ok {
+		k = &booking{target: target}
+		b.keys[key] = k
+	}
+	switch res.verdict {
+	case VerdictWhole:
+		k.answers = append(k.answers, answer)
+	case VerdictRefused:
+		k.refused++
+	default:
+		k.open++
+	}
+}
+
+// book sends one booking and repeats its key at once, each to another address.
+func (c *client) book(ctx context.Context, t *target, key string) {
+	id := uuid.NewString()
+	body, _ := json.Marshal(map[string]string{"bundle": id})
+	var wg sync.WaitGroup
+	for range 1 + max(c.cfg.Repeats, 0) {
+		url := t.url()
+		wg.Go(func() {
+			res, answer := c.bookOnce(ctx, url, key, id, body)
+			t.rec.add(res)
+			t.booked.add(id, t.rec, res, answer)
+		})
+	}
+	wg.Wait()
+}
+
+func (c *client) bookOnce(ctx context.Context, url, key, id string, body []byte) (result, string) {
+	headers := map[string]string{standin.HeaderIdempotencyKey: id, "Content-Type": "application/json"}
+	res, data := c.service(ctx, kindBooking, http.MethodPost, url, c.cfg.BookingPath, key, headers, body)
+	if data == nil {
+		return res, ""
+	}
+	var got standin.Booking
+	if err := json.Unmarshal(data, &got); err != nil {
+		res.verdict, res.detail = VerdictLost, err.Error()
+		return res, ""
+	}
+	sum := sha256.Sum256(body)
+	if got.BodySHA256 != hex.EncodeToString(sum[:]) || got.Path != c.cfg.BookingPath || got.Key != id {
+		res.verdict, res.detail = VerdictCrossed, fmt.Sprintf("booking %s got %+v", id, got)
+	}
+	return res, string(data)
+}
+
+// verify compares what the callers were told with the runs that the services
+// counted.
+func (b *bookings) verify(runs map[string]int) {
+	for key, k := range b.keys {
+		n := runs[key]
+		switch {
+		case n > 1:
+			k.target.violation(VerdictDoubled, fmt.Sprintf("key %s ran %d times", key, n))
+		case n == 0 && len(k.answers) > 0:
+			k.target.violation(VerdictLost, fmt.Sprintf("key %s was answered but never ran", key))
+		case n == 1 && len(k.answers) == 0 && k.open == 0:
+			k.target.violation(VerdictFalseRefusal, fmt.Sprintf("key %s ran although it was refused %d times", key, k.refused))
+		}
+		for _, answer := range k.answers {
+			if answer != k.answers[0] {
+				k.target.violation(VerdictCrossed, fmt.Sprintf("key %s got two different answers", key))
+			}
+		}
+	}
+}
+
+// fetchRuns adds up the runs that every service counted.
+func (c *client) fetchRuns(ctx context.Context) (map[string]int, error) {
+	total := make(map[string]int)
+	for _, url := range c.cfg.Runs {
+		resp, cancel, err := c.send(ctx, http.MethodGet, url+"/standin/runs", "", nil, nil)
+		if err != nil {
+			cancel()
+			return nil, fleet.At(err, "load.runs", url)
+		}
+		var got standin.Runs
+		err = json.NewDecoder(resp.Body).Decode(&got)
+		_ = resp.Body.Close()
+		cancel()
+		if err != nil {
+			return nil, fleet.At(err, "load.runs", url)
+		}
+		for key, n := range got.Runs {
+			total[key] += n
+		}
+	}
+	return total, nil
+}
--- /dev/null
+++ b/internal/load/command.go
@@ -0,0 +1,122 @@
+package load
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// Command returns the command "load". It fails on any broken promise, and if
+// nothing was answered.
+func Command(stdout, stderr io.Writer) *ffcli.Command {
+	fs := flag.NewFlagSet("load", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	cfg := Config{}.withDefaults()
+	cfg.Keys = nil
+	targetFlags(fs, &cfg)
+	loadFlags(fs, &cfg)
+	requestFlags(fs, &cfg)
+	output := fs.String("json", "", "file to write the report to as JSON; - for standard output")
+	return &ffcli.Command{
+		Name:       "load",
+		ShortUsage: "wigeonflow load --target [LABEL=]URL[,URL...] [--direct [LABEL=]URL[,URL...]] [flags]",
+		ShortHelp:  "Ask a fleet as callers would, and check and measure every answer.",
+		FlagSet:    fs,
+		Options:    []ff.Option{ff.WithEnvVarPrefix("WIGEONFLOW_LOAD")},
+		Exec: func(ctx context.Context, _ []string) error {
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			report, err := Run(ctx, cfg)
+			if err != nil {
+				return err
+			}
+			return conclude(report, *output, stdout)
+		},
+	}
+}
+
+func targetFlags(fs *flag.FlagSet, cfg *Config) {
+	add := func(direct bool) func(string) error {
+		return func(text string) error {
+			t, err := ParseTarget(text, direct)
+			cfg.Targets = append(cfg.Targets, t)
+			return err
+		}
+	}
+	list := func(into *[]string) func(string) error {
+		return func(text string) error { *into = splitList(text); return nil }
+	}
+	fs.Func("target", "routers, [LABEL=]URL[,URL...]; may be given again", add(false))
+	fs.Func("direct", "engines without a router, [LABEL=]URL[,URL...]; may be given again", add(true))
+	fs.Func("keys", "comma-separated keys of the callers' workspaces", list(&cfg.Keys))
+	fs.Func("runs", "comma-separated base URLs of the stand-in services", list(&cfg.Runs))
+	fs.Func("metrics", "comma-separated base URLs whose processor time is read (default: the targets)", list(&cfg.Metrics))
+}
+
+func loadFlags(fs *flag.FlagSet, cfg *Config) {
+	fs.BoolVar(&cfg.Sequence, "sequence", cfg.Sequence, "run one target after the other")
+	fs.DurationVar(&cfg.Duration, "duration", cfg.Duration, "time that requests are started")
+	fs.IntVar(&cfg.Concurrency, "concurrency", cfg.Concurrency, "requests in flight of a closed loop")
+	fs.Float64Var(&cfg.Rate, "rate", cfg.Rate, "requests a second of an open loop; 0 for a closed loop")
+	fs.IntVar(&cfg.MaxInFlight, "max-in-flight", cfg.MaxInFlight, "requests in flight of an open loop")
+	fs.Int64Var(&cfg.MaxRequests, "requests", cfg.MaxRequests, "requests after which the run ends; 0 for no bound")
+	fs.DurationVar(&cfg.Timeout, "timeout", cfg.Timeout, "time of one request")
+	fs.Uint64Var(&cfg.Seed, "seed", cfg.Seed, "seed of chats and kinds")
+}
+
+func requestFlags(fs *flag.FlagSet, cfg *Config) {
+	fs.StringVar(&cfg.Model, "model", cfg.Model, "model that chats ask for")
+	fs.IntVar(&cfg.Chats, "chats", cfg.Chats, "chats that return, for each target")
+	fs.IntVar(&cfg.Turns, "turns", cfg.Turns, "turns of a chat")
+	fs.IntVar(&cfg.PromptWords, "prompt-words", cfg.PromptWords, "length of a chat's first message")
+	fs.IntVar(&cfg.TurnWords, "turn-words", cfg.TurnWords, "length of each later message")
+	fs.IntVar(&cfg.AnswerTokens, "answer-tokens", cfg.AnswerTokens, "length of an answer")
+	fs.StringVar(&cfg.Service, "service", cfg.Service, "service to look up and book at")
+	fs.Float64Var(&cfg.Lookups, "lookups", cfg.Lookups, "share of requests that look up, 0 to 1")
+	fs.Float64Var(&cfg.Bookings, "bookings", cfg.Bookings, "share of requests that book, 0 to 1")
+	fs.IntVar(&cfg.Repeats, "repeats", cfg.Repeats, "times that each booking's key is sent again")
+	fs.StringVar(&cfg.BookingPath, "booking-path", cfg.BookingPath, "path of a booking")
+}
+
+// conclude prints the report and fails if it shows a broken promise.
+func conclude(report Report, output string, stdout io.Writer) error {
+	if err := report.WriteTable(stdout); err != nil {
+		return err
+	}
+	if err := writeJSON(report, output, stdout); err != nil {
+		return err
+	}
+	if n := report.Broken(); n > 0 {
+		return fmt.Errorf("%d answers were lost, crossed, doubled or falsely refused", n)
+	}
+	if report.Whole() == 0 {
+		return fmt.Errorf("no request was answered")
+	}
+	return nil
+}
+
+func writeJSON(report Report, output string, stdout io.Writer) error {
+	switch output {
+	case "":
+		return nil
+	case "-":
+		return report.WriteJSON(stdout)
+	}
+	f, err := os.Create(output)
+	if err != nil {
+		return fleet.At(err, "load.report", output)
+	}
+	if err := report.WriteJSON(f); err != nil {
+		return err
+	}
+	return f.Close()
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,222 @@
+package load
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/standin"
+)
+
+func startEngine(t *testing.T) string {
+	t.Helper()
+	e := standin.NewEngine(standin.EngineConfig{
+		StepTime: time.Microsecond, StepTimePerRequest: 1, PrefillTime: 1, ResumeTime: time.Millisecond,
+	})
+	server := httptest.NewServer(e)
+	t.Cleanup(func() { server.Close(); e.Close() })
+	return server.URL
+}
+
+func inject(t *testing.T, url string, f standin.Fault) {
+	t.Helper()
+	body, _ := json.Marshal(f)
+	resp, err := http.Post(url+"/standin/faults", "application/json", bytes.NewReader(body))
+	if err != nil || resp.StatusCode != http.StatusNoContent {
+		t.Fatal(err, resp)
+	}
+	_ = resp.Body.Close()
+}
+
+func direct(url string) Config {
+	return Config{
+		Targets: []Target{{Label: "direct", URLs: []string{url}, Direct: true}}, Duration: time.Minute,
+		Concurrency: 2, Chats: 4, MaxRequests: 20, PromptWords: 40, AnswerTokens: 12, Timeout: 5 * time.Second,
+	}
+}
+
+func TestEngineFaultsAreFound(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault standin.Fault
+		want  map[Verdict]int64
+	}{
+		{"no fault", standin.Fault{Kind: standin.FaultLate, Millis: 1}, map[Verdict]int64{VerdictWhole: 20}},
+		{"answers that end early", standin.Fault{Kind: standin.FaultCut, After: 5, Count: 3}, map[Verdict]int64{VerdictWhole: 17, VerdictLost: 3}},
+		{"answers to another", standin.Fault{Kind: standin.FaultCross, Count: 2}, map[Verdict]int64{VerdictWhole: 18, VerdictCrossed: 2}},
+		{"answers that turn into another", standin.Fault{Kind: standin.FaultCross, After: 5, Count: 1}, map[Verdict]int64{VerdictWhole: 19, VerdictCrossed: 1}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			url := startEngine(t)
+			inject(t, url, tc.fault)
+			report, err := Run(t.Context(), direct(url))
+			is.NoErr(err)
+			is.Equal(report.Targets[0].Verdicts, tc.want)
+			is.Equal(report.Broken(), 20-tc.want[VerdictWhole])
+			is.Equal(conclude(report, "", io.Discard) == nil, report.Broken() == 0)
+		})
+	}
+}
+
+func TestReturningChatsReuseTheCache(t *testing.T) {
+	is := is.New(t)
+	for _, rate := range []float64{0, 10000} {
+		cfg := direct(startEngine(t))
+		cfg.Rate = rate
+		report, err := Run(t.Context(), cfg)
+		is.NoErr(err)
+		got := report.Targets[0]
+		is.Equal(got.Verdicts[VerdictWhole]+got.HeldBack, int64(20)) // an open loop finds some chats busy
+		is.True(got.CachedShare > 0 || rate > 0)
+		is.Equal(got.FirstToken.Count, got.Verdicts[VerdictWhole])
+		is.Equal(got.ProcessorPerToken, -1.0)
+	}
+}
+
+// fleetHandler serves a service as a router would, except for its fault.
+type fleetHandler struct {
+	service http.Handler
+	fault   string
+}
+
+func (h fleetHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	r.URL.Path = strings.TrimPrefix(r.URL.Path, "/services/counter")
+	body, _ := io.ReadAll(r.Body)
+	run := func(w http.ResponseWriter, path string) {
+		again := r.Clone(r.Context())
+		again.URL.Path, again.Body = path, io.NopCloser(bytes.NewReader(body))
+		h.service.ServeHTTP(w, again)
+	}
+	switch h.fault {
+	case "doubles":
+		run(httptest.NewRecorder(), r.URL.Path)
+	case "falsely refuses":
+		run(httptest.NewRecorder(), r.URL.Path)
+		w.Header().Set(headerOutcome, "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case "refuses":
+		w.Header().Set(headerOutcome, "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case "invents":
+		answer, _ := json.Marshal(standin.Booking{})
+		w.WriteHeader(http.StatusCreated)
+		_, _ = w.Write(answer)
+		return
+	case "crosses":
+		run(w, "/stock/other")
+		return
+	}
+	run(w, r.URL.Path)
+}
+
+func TestServiceFaultsAreFound(t *testing.T) {
+	cases := []struct {
+		fault             string
+		lookups, bookings float64
+		want              map[Verdict]int64
+	}{
+		{"", 1, 0, map[Verdict]int64{VerdictWhole: 5}},
+		{"crosses", 1, 0, map[Verdict]int64{VerdictCrossed: 5}},
+		{"", 0, 1, map[Verdict]int64{VerdictWhole: 5}},
+		{"doubles", 0, 1, map[Verdict]int64{VerdictWhole: 5, VerdictDoubled: 5}},
+		{"refuses", 0, 1, map[Verdict]int64{VerdictRefused: 5}},
+		{"falsely refuses", 0, 1, map[Verdict]int64{VerdictRefused: 5, VerdictFalseRefusal: 5}},
+		{"invents", 0, 1, map[Verdict]int64{VerdictCrossed: 5}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.fault, func(t *testing.T) {
+			is := is.New(t)
+			service := standin.NewService(standin.ServiceConfig{WorkTime: 1})
+			counted := httptest.NewServer(service)
+			defer counted.Close()
+			fleet := httptest.NewServer(fleetHandler{service, tc.fault})
+			defer fleet.Close()
+			report, err := Run(t.Context(), Config{
+				Targets: []Target{{Label: "fleet", URLs: []string{fleet.URL}}}, Runs: []string{counted.URL},
+				Duration: time.Minute, Concurrency: 1, MaxRequests: 5, Repeats: -1,
+				Service: "counter", Lookups: tc.lookups, Bookings: tc.bookings,
+			})
+			is.NoErr(err)
+			got := report.Targets[0].Verdicts
+			is.Equal(got, tc.want)
+		})
+	}
+}
+
+func TestRepeatedKeyThatRunsTwiceIsFound(t *testing.T) {
+	is := is.New(t)
+	service := standin.NewService(standin.ServiceConfig{WorkTime: 1})
+	counted := httptest.NewServer(service)
+	defer counted.Close()
+	fleet := httptest.NewServer(fleetHandler{service, ""}) // no ledger: each repeat runs
+	defer fleet.Close()
+	report, err := Run(t.Context(), Config{
+		Targets: []Target{{Label: "fleet", URLs: []string{fleet.URL}}}, Runs: []string{counted.URL},
+		Duration: time.Minute, Concurrency: 1, MaxRequests: 3, Service: "counter", Bookings: 1,
+	})
+	is.NoErr(err)
+	is.Equal(report.Targets[0].Verdicts[VerdictDoubled], int64(3))
+	is.Equal(report.Targets[0].Verdicts[VerdictCrossed], int64(3)) // the two answers differ
+}
+
+func TestStreamCheck(t *testing.T) {
+	const expected = "amber anchor apple"
+	event := func(content string) string {
+		return `data: {"id":"chatcmpl-1","choices":[{"delta":{"content":"` + content + `"}}]}` + "\n\n"
+	}
+	cases := []struct {
+		name, stream string
+		want         Verdict
+	}{
+		{"a token an event", event("amber") + event(" anchor") + event(" apple") + "data: [DONE]\n\n", VerdictWhole},
+		{"two tokens an event", event("amber anchor") + event(" apple") + "data: [DONE]\n\n", VerdictWhole},
+		{"escaped text", event(`amber\u0020anchor`) + event(" apple") + "data: [DONE]\n\n", VerdictWhole},
+		{"comments and ids", ": ping\n\nid: 1\n" + event(expected) + "data: [DONE]\n\n", VerdictWhole},
+		{"no end", event(expected), VerdictLost},
+		{"end too early", event("amber") + "data: [DONE]\n\n", VerdictLost},
+		{"token twice", event("amber") + event("amber") + event(" anchor apple") + "data: [DONE]\n\n", VerdictCrossed},
+		{"token missing", event("amber") + event(" apple") + "data: [DONE]\n\n", VerdictCrossed},
+		{"more than the answer", event(expected) + event(" apple") + "data: [DONE]\n\n", VerdictCrossed},
+		{"text after the end", event(expected) + "data: [DONE]\n\n" + event("x"), VerdictCrossed},
+		{"another id", event("amber") + strings.Replace(event(" anchor apple"), "-1", "-2", 1) + "data: [DONE]\n\n", VerdictCrossed},
+		{"not JSON", "data: {\n\n", VerdictCrossed},
+		{"explicit error", event("amber") + `data: {"error":{"message":"cut"}}` + "\n\n", VerdictFailed},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			check := streamCheck{expected: expected}
+			readStream(strings.NewReader(tc.stream), &check, func() time.Duration { return 0 })
+			is.Equal(check.verdict(), tc.want)
+		})
+	}
+}
+
+func TestConfigIsChecked(t *testing.T) {
+	is := is.New(t)
+	for _, cfg := range []Config{
+		{},
+		{Targets: []Target{{}}, Bookings: 0.5},
+		{Targets: []Target{{}}, Service: "counter", Bookings: 0.5},
+		{Targets: []Target{{}}, Service: "counter", Lookups: 2},
+	} {
+		_, err := Run(t.Context(), cfg)
+		is.True(err != nil)
+	}
+	_, err := ParseTarget("router=localhost", false)
+	is.True(err != nil)
+	got, err := ParseTarget("two=http://a:1/,http://b:2", false)
+	is.NoErr(err)
+	is.Equal(got, Target{Label: "two", URLs: []string{"http://a:1", "http://b:2"}})
+}
--- /dev/null
+++ b/internal/load/pool.go
@@ -0,0 +1,90 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+
+	"github.com/wigeonflow/wigeonflow/internal/standin"
+)
+
+// chat is a conversation that returns with a longer history.
+type chat struct {
+	id       string
+	slot     int
+	key      string
+	messages []standin.Message
+	turns    int
+}
+
+// chatPool hands out chats that no request is using.
+type chatPool struct {
+	cfg  Config
+	name string
+
+	mu     sync.Mutex
+	random *rand.Rand
+	idle   []*chat
+	begun  int
+}
+
+func newChatPool(cfg Config, name string) *chatPool {
+	p := &chatPool{cfg: cfg, name: name, random: rand.New(rand.NewPCG(cfg.Seed, uint64(len(name))))}
+	for slot := range cfg.Chats {
+		p.idle = append(p.idle, p.begin(slot))
+	}
+	return p
+}
+
+// begin returns a new chat in a slot; each slot keeps its workspace.
+func (p *chatPool) begin(slot int) *chat {
+	p.begun++
+	c := &chat{
+		id:   fmt.Sprintf("%s-%d-%d", p.name, p.cfg.Seed, p.begun),
+		slot: slot, key: p.cfg.Keys[slot%len(p.cfg.Keys)],
+	}
+	c.messages = []standin.Message{{Role: "user", Content: words(p.random, c.id, p.cfg.PromptWords)}}
+	return c
+}
+
+// take returns an idle chat, or nil if all are in use.
+func (p *chatPool) take() *chat {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	i, last := p.random.IntN(len(p.idle)), len(p.idle)-1
+	c := p.idle[i]
+	p.idle[i] = p.idle[last]
+	p.idle = p.idle[:last]
+	return c
+}
+
+// give takes a chat back, with the answer it got; without a whole answer the
+// chat asks the same again.
+func (p *chatPool) give(c *chat, answer string, whole bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if whole {
+		c.turns++
+		c.messages = append(c.messages,
+			standin.Message{Role: "assistant", Content: answer},
+			standin.Message{Role: "user", Content: words(p.random, "turn", p.cfg.TurnWords)})
+	}
+	if c.turns >= p.cfg.Turns {
+		c = p.begin(c.slot)
+	}
+	p.idle = append(p.idle, c)
+}
+
+// words returns n words that start with first.
+func words(random *rand.Rand, first string, n int) string {
+	var b strings.Builder
+	b.WriteString(first)
+	for range n - 1 {
+		fmt.Fprintf(&b, " w%d", random.IntN(1000))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/load/processor.go
@@ -0,0 +1,46 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// processorMetric is the processor time that a router tells of itself.
+const processorMetric = "process_cpu_seconds_total "
+
+// processorTime adds up the processor time of the routers. It returns false if
+// one doesn't tell.
+func (c *client) processorTime(ctx context.Context) (time.Duration, bool) {
+	var total time.Duration
+	for _, url := range c.cfg.Metrics {
+		d, ok := c.processorTimeOf(ctx, url)
+		if !ok {
+			return 0, false
+		}
+		total += d
+	}
+	return total, len(c.cfg.Metrics) > 0
+}
+
+func (c *client) processorTimeOf(ctx context.Context, url string) (time.Duration, bool) {
+	resp, cancel, err := c.send(ctx, http.MethodGet, url+"/metrics", "", nil, nil)
+	defer cancel()
+	if err != nil {
+		return 0, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		text, ok := strings.CutPrefix(lines.Text(), processorMetric)
+		if !ok {
+			continue
+		}
+		seconds, err := strconv.ParseFloat(text, 64)
+		return time.Duration(seconds * float64(time.Second)), err == nil
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,187 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is what a run came to.
+type Report struct {
+	Targets []TargetReport `json:"targets"`
+}
+
+// TargetReport is what one target of a run came to.
+type TargetReport struct {
+	Label          string            `json:"label"`
+	Seconds        float64           `json:"seconds"`
+	Requests       int64             `json:"requests"`
+	RequestsPerSec float64           `json:"requests_per_second"`
+	Kinds          map[string]int64  `json:"kinds"`
+	Verdicts       map[Verdict]int64 `json:"verdicts"`
+	Statuses       map[int]int64     `json:"statuses"`
+	Upstreams      map[string]int64  `json:"upstreams"`
+	Tokens         int64             `json:"tokens"`
+	TokensPerSec   float64           `json:"tokens_per_second"`
+	// CachedShare is the share of prompt tokens that came from a cache.
+	CachedShare float64 `json:"cached_share"`
+	// FirstToken, Between and Service are times in microseconds: to the first
+	// token, between two tokens, and of a whole service call.
+	FirstToken Quantiles `json:"first_token_us"`
+	Between    Quantiles `json:"between_tokens_us"`
+	Service    Quantiles `json:"service_us"`
+	// HeldBack counts arrivals that the tool's own bound kept from being sent.
+	HeldBack int64 `json:"held_back"`
+	// ProcessorPerToken is the routers' processor time for each token of the
+	// targets that were measured with it, in microseconds; -1 if not known.
+	ProcessorPerToken float64 `json:"processor_us_per_token"`
+	// Samples describes some requests that didn't end whole.
+	Samples []string `json:"samples,omitempty"`
+
+	elapsed, processor time.Duration
+	sharers            []*target
+}
+
+// Quantiles of a histogram.
+type Quantiles struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P95   int64 `json:"p95"`
+	P99   int64 `json:"p99"`
+	Max   int64 `json:"max"`
+}
+
+func quantilesOf(h *hdrhistogram.Histogram) Quantiles {
+	return Quantiles{
+		Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P95: h.ValueAtQuantile(95),
+		P99: h.ValueAtQuantile(99), Max: h.Max(),
+	}
+}
+
+func (t *TargetReport) fill(r *recorder) {
+	t.Label, t.Seconds = r.label, t.elapsed.Seconds()
+	t.Kinds, t.Verdicts, t.Statuses, t.Upstreams = r.kinds, r.verdicts, r.statuses, r.upstreams
+	for _, n := range r.kinds {
+		t.Requests += n
+	}
+	t.RequestsPerSec = float64(t.Requests) / t.Seconds
+	t.Tokens, t.TokensPerSec = r.tokens, float64(r.tokens)/t.Seconds
+	if r.prompt > 0 {
+		t.CachedShare = float64(r.cached) / float64(r.prompt)
+	}
+	t.FirstToken, t.Between, t.Service = quantilesOf(r.firstToken), quantilesOf(r.between), quantilesOf(r.service)
+	t.HeldBack, t.Samples = r.heldBack, r.samples
+	t.ProcessorPerToken = processorPerToken(t.processor, t.sharers)
+}
+
+// processorPerToken spreads the processor time over the tokens that went through
+// routers in the same phase.
+func processorPerToken(processor time.Duration, sharers []*target) float64 {
+	var tokens int64
+	for _, t := range sharers {
+		if !t.Direct {
+			tokens += t.rec.tokens
+		}
+	}
+	if processor < 0 || tokens == 0 {
+		return -1
+	}
+	return float64(processor.Microseconds()) / float64(tokens)
+}
+
+// Broken counts the requests and keys that broke a promise.
+func (r Report) Broken() int64 {
+	var n int64
+	for _, t := range r.Targets {
+		for _, v := range broken {
+			n += t.Verdicts[v]
+		}
+	}
+	return n
+}
+
+// Whole counts the whole answers.
+func (r Report) Whole() int64 {
+	var n int64
+	for _, t := range r.Targets {
+		n += t.Verdicts[VerdictWhole]
+	}
+	return n
+}
+
+// WriteJSON writes the report as one JSON object.
+func (r Report) WriteJSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(r)
+}
+
+// WriteTable writes the report as a table with a column for each target.
+func (r Report) WriteTable(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	row := func(name string, cell func(TargetReport) string) {
+		fmt.Fprint(table, name, "\t")
+		for _, t := range r.Targets {
+			fmt.Fprint(table, cell(t), "\t")
+		}
+		fmt.Fprintln(table)
+	}
+	row("", func(t TargetReport) string { return t.Label })
+	row("requests", func(t TargetReport) string { return fmt.Sprint(t.Requests) })
+	row("requests/s", func(t TargetReport) string { return fmt.Sprintf("%.1f", t.RequestsPerSec) })
+	for _, v := range verdicts {
+		row(string(v), func(t TargetReport) string { return fmt.Sprint(t.Verdicts[v]) })
+	}
+	row("held back", func(t TargetReport) string { return fmt.Sprint(t.HeldBack) })
+	row("tokens/s", func(t TargetReport) string { return fmt.Sprintf("%.0f", t.TokensPerSec) })
+	row("cached prompt", func(t TargetReport) string { return fmt.Sprintf("%.1f%%", 100*t.CachedShare) })
+	quantileRows(row, "first token", func(t TargetReport) Quantiles { return t.FirstToken })
+	quantileRows(row, "between tokens", func(t TargetReport) Quantiles { return t.Between })
+	quantileRows(row, "service call", func(t TargetReport) Quantiles { return t.Service })
+	row("router CPU/token", func(t TargetReport) string {
+		if t.ProcessorPerToken < 0 {
+			return "-"
+		}
+		return fmt.Sprintf("%.1f us", t.ProcessorPerToken)
+	})
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return r.writeSamples(w)
+}
+
+func quantileRows(row func(string, func(TargetReport) string), name string, of func(TargetReport) Quantiles) {
+	for _, q := range []struct {
+		name string
+		of   func(Quantiles) int64
+	}{
+		{"p50", func(q Quantiles) int64 { return q.P50 }},
+		{"p95", func(q Quantiles) int64 { return q.P95 }},
+		{"p99", func(q Quantiles) int64 { return q.P99 }},
+	} {
+		row(name+" "+q.name, func(t TargetReport) string {
+			if of(t).Count == 0 {
+				return "-"
+			}
+			return fmt.Sprintf("%.3f ms", float64(q.of(of(t)))/1000)
+		})
+	}
+}
+
+func (r Report) writeSamples(w io.Writer) error {
+	var lines []string
+	for _, t := range r.Targets {
+		for _, s := range t.Samples {
+			lines = append(lines, t.Label+": "+s+"\n")
+		}
+	}
+	slices.Sort(lines)
+	_, err := io.WriteString(w, strings.Join(lines, ""))
+	return err
+}
--- /dev/null
+++ b/internal/load/stream.go
@@ -0,0 +1,148 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/standin"
+)
+
+// streamCheck compares a stream with the answer that is expected. It accepts any
+// split of the text into events.
+type streamCheck struct {
+	expected string
+	id       string
+	offset   int
+	events   int
+	crossed  bool
+	failed   bool
+	done     bool
+	usage    standin.Usage
+}
+
+// chunk is the part of a stream's JSON that the check reads.
+type chunk struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage *standin.Usage  `json:"usage"`
+	Error json.RawMessage `json:"error"`
+}
+
+var (
+	dataPrefix    = []byte("data: ")
+	doneMark      = []byte("[DONE]")
+	contentMark   = []byte(`"content":"`)
+	idMark        = []byte(`{"id":"`)
+	usageMark     = []byte(`"usage":{`)
+	errorMark     = []byte(`"error"`)
+	stringEndMark = byte('"')
+)
+
+// line takes one line of the stream. It returns true if the line brought text.
+func (s *streamCheck) line(line []byte) bool {
+	data, ok := bytes.CutPrefix(line, dataPrefix)
+	if !ok || s.done {
+		s.crossed = s.crossed || ok // data after the end
+		return false
+	}
+	if bytes.Equal(data, doneMark) {
+		s.done = true
+		return false
+	}
+	if id, content, ok := scanChunk(data); ok {
+		s.text(id, content)
+		return true
+	}
+	return s.parse(data)
+}
+
+// scanChunk reads the id and text of a plain chunk without decoding its JSON. It
+// returns false for any chunk that might hold more.
+func scanChunk(data []byte) (id, content []byte, ok bool) {
+	rest, ok := bytes.CutPrefix(data, idMark)
+	if !ok || bytes.IndexByte(data, '\\') >= 0 || bytes.Contains(data, usageMark) || bytes.Contains(data, errorMark) {
+		return nil, nil, false
+	}
+	id, rest, ok = bytes.Cut(rest, []byte{stringEndMark})
+	if !ok || bytes.Count(rest, contentMark) != 1 {
+		return nil, nil, false
+	}
+	_, rest, _ = bytes.Cut(rest, contentMark)
+	content, _, ok = bytes.Cut(rest, []byte{stringEndMark})
+	return id, content, ok
+}
+
+func (s *streamCheck) parse(data []byte) bool {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		s.crossed = true
+		return false
+	}
+	if c.Error != nil {
+		s.failed = true
+		return false
+	}
+	if c.Usage != nil {
+		s.usage = *c.Usage
+	}
+	var content strings.Builder
+	for _, choice := range c.Choices {
+		content.WriteString(choice.Delta.Content)
+	}
+	s.text([]byte(c.ID), []byte(content.String()))
+	return content.Len() > 0
+}
+
+// text compares the next piece of the answer.
+func (s *streamCheck) text(id, content []byte) {
+	if s.id == "" {
+		s.id = string(id)
+	}
+	if string(id) != s.id {
+		s.crossed = true
+	}
+	if len(content) == 0 {
+		return
+	}
+	s.events++
+	if !strings.HasPrefix(s.expected[s.offset:], string(content)) {
+		s.crossed = true
+		return
+	}
+	s.offset += len(content)
+}
+
+// verdict judges the stream once it has ended.
+func (s *streamCheck) verdict() Verdict {
+	switch {
+	case s.crossed:
+		return VerdictCrossed
+	case s.failed:
+		return VerdictFailed
+	case !s.done || s.offset < len(s.expected):
+		return VerdictLost
+	}
+	return VerdictWhole
+}
+
+// readStream reads a stream to its end and returns when its texts arrived.
+func readStream(body io.Reader, check *streamCheck, now func() time.Duration) (arrivals []time.Duration) {
+	reader := bufio.NewReaderSize(body, 4096)
+	for {
+		line, err := reader.ReadSlice('\n')
+		if check.line(bytes.TrimRight(line, "\r\n")) {
+			arrivals = append(arrivals, now())
+		}
+		if err != nil {
+			return arrivals
+		}
+	}
+}
