--- a/internal/owner/booking.go
+++ b/internal/owner/booking.go
@@ -21,10 +21,10 @@
 // booking carries out what the ledger core decides for one attempt.
 type booking struct {
 	attempt *callRun
-	core   *ledger.Booking
-	events chan ledger.BookingEvent
-	reply  chan *CallReply
-	cancel context.CancelFunc
+	core    *ledger.Booking
+	events  chan ledger.BookingEvent
+	reply   chan *CallReply
+	cancel  context.CancelFunc
 }
 
 func newBooking(r *callRun, cancel context.CancelFunc) *booking {
--- a/internal/owner/call_endpoint.go
+++ b/internal/owner/call_endpoint.go
@@ -131,3 +131,8 @@
 	}
 	return fields
 }
+
+// Facts returns what is certain of the attempt.
+func (r *CallReply) Facts() answer.Facts {
+	return answer.Facts{MayHaveLeft: r.MayHaveLeft, Whole: r.Whole, Declined: r.Declined, Accepted: r.Accepted}
+}
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -40,8 +40,8 @@
 	ResumeAfter uint64 `msg:"o"`
 	// Share bounds how many of the engine's slots the workspace holds; 0 means
 	// no bound.
-	Share int `msg:"s"`
-	Body        []byte `msg:"d"`
+	Share int    `msg:"s"`
+	Body  []byte `msg:"d"`
 }
 
 // Verdict is an owner's answer to a request before any of it leaves for the
--- a/internal/owner/messages_gen.go
+++ b/internal/owner/messages_gen.go
@@ -9,9 +9,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *CallReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 16
 	// string "o"
-	o = append(o, 0x88, 0xa1, 0x6f)
+	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x6f)
 	o, err = z.Outcome.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Outcome")
@@ -41,6 +41,30 @@
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint8(o, uint8(z.Conflict))
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendString(o, z.Holder)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendBool(o, z.Unavailable)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendUint8(o, z.End)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendBool(o, z.MayHaveLeft)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Whole)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendBool(o, z.Declined)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.Accepted)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendUint32(o, z.RetryAfterMillis)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendString(o, z.Step)
@@ -150,6 +174,54 @@
 				}
 				z.Conflict = Conflict(zb0004)
 			}
+		case "h":
+			z.Holder, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Holder")
+				return
+			}
+		case "u":
+			z.Unavailable, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unavailable")
+				return
+			}
+		case "e":
+			z.End, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "End")
+				return
+			}
+		case "l":
+			z.MayHaveLeft, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MayHaveLeft")
+				return
+			}
+		case "w":
+			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
+				return
+			}
+		case "n":
+			z.Declined, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Declined")
+				return
+			}
+		case "a":
+			z.Accepted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
+		case "r":
+			z.RetryAfterMillis, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RetryAfterMillis")
+				return
+			}
 		case "t":
 			z.Step, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -176,11 +248,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *CallReply) Msgsize() (s int) {
-	s = 1 + 2 + z.Outcome.Msgsize() + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + z.Outcome.Msgsize() + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Fields {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
 	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Step) + 2 + msgp.StringPrefixSize + len(z.Message)
+	s += 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Step) + 2 + msgp.StringPrefixSize + len(z.Message)
 	return
 }
 
@@ -370,9 +442,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ChatRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "h"
-	o = append(o, 0x85, 0xa1, 0x68)
+	o = append(o, 0x86, 0xa1, 0x68)
 	o, err = z.Header.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Header")
@@ -387,6 +459,9 @@
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
 	o = msgp.AppendUint64(o, z.ResumeAfter)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt(o, z.Share)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendBytes(o, z.Body)
@@ -435,6 +510,12 @@
 				err = msgp.WrapError(err, "ResumeAfter")
 				return
 			}
+		case "s":
+			z.Share, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Share")
+				return
+			}
 		case "d":
 			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
 			if err != nil {
@@ -455,7 +536,122 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ChatRequest) Msgsize() (s int) {
-	s = 1 + 2 + z.Header.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.CacheKey) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 2 + z.Header.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.CacheKey) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Closing) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 8
+	// string "e"
+	o = append(o, 0x88, 0xa1, 0x65)
+	o = msgp.AppendUint8(o, z.End)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendBool(o, z.MayHaveLeft)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Whole)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.Declined)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.Accepted)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt(o, z.Status)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendUint32(o, z.RetryAfterMillis)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendString(o, z.Message)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Closing) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "e":
+			z.End, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "End")
+				return
+			}
+		case "l":
+			z.MayHaveLeft, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MayHaveLeft")
+				return
+			}
+		case "w":
+			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
+				return
+			}
+		case "d":
+			z.Declined, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Declined")
+				return
+			}
+		case "a":
+			z.Accepted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
+		case "s":
+			z.Status, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Status")
+				return
+			}
+		case "r":
+			z.RetryAfterMillis, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RetryAfterMillis")
+				return
+			}
+		case "m":
+			z.Message, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Message")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Closing) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Message)
 	return
 }
 
@@ -494,7 +690,15 @@
 	o = append(o, 0x93)
 	o = msgp.AppendUint64(o, z.Offset)
 	o = msgp.AppendBytes(o, z.Data)
-	o = msgp.AppendBool(o, z.Done)
+	if z.Closing == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Closing.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Closing")
+			return
+		}
+	}
 	return
 }
 
@@ -520,10 +724,21 @@
 		err = msgp.WrapError(err, "Data")
 		return
 	}
-	z.Done, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Done")
-		return
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.Closing = nil
+	} else {
+		if z.Closing == nil {
+			z.Closing = new(Closing)
+		}
+		bts, err = z.Closing.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Closing")
+			return
+		}
 	}
 	o = bts
 	return
@@ -531,7 +746,12 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Event) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.BytesPrefixSize + len(z.Data) + msgp.BoolSize
+	s = 1 + msgp.Uint64Size + msgp.BytesPrefixSize + len(z.Data)
+	if z.Closing == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Closing.Msgsize()
+	}
 	return
 }
 
--- /dev/null
+++ b/internal/router/reconcile.go
@@ -0,0 +1,147 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/admission"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
+	"github.com/wigeonflow/wigeonflow/internal/owner"
+	"github.com/wigeonflow/wigeonflow/internal/placement"
+)
+
+const (
+	// reconcileInterval spaces looks at the view without a change, which also
+	// tell new owners of work that still runs here.
+	reconcileInterval = 250 * time.Millisecond
+	// platformTimeout bounds one read of the platform's list.
+	platformTimeout = 2 * time.Second
+)
+
+// platformLoop follows the platform's list. The list is an input only: a router
+// that reads an old one opens no work that its lease does not allow.
+func (r *Router) platformLoop(ctx context.Context) {
+	ticker := time.NewTicker(r.cfg.Settings.Platform.PollInterval)
+	defer ticker.Stop()
+	for {
+		r.readPlatform(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Router) readPlatform(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	list, err := r.platform.Instances(ctx)
+	if err != nil {
+		r.log.Warn("platform's list not read", "error", err) // the former list stays
+		return
+	}
+	if !sameUpstreams(*r.upstreams.Load(), list.Instances) {
+		r.upstreams.Store(&list.Instances)
+		r.notify()
+	}
+}
+
+func sameUpstreams(a, b []fleet.Upstream) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Router) reconcileLoop(ctx context.Context) {
+	ticker := time.NewTicker(reconcileInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.changed:
+		case <-ticker.C:
+		}
+		r.reconcile(ctx)
+	}
+}
+
+// reconcile brings placement, ownership and plans in line with membership,
+// upstreams and configuration.
+func (r *Router) reconcile(ctx context.Context) {
+	r.reconcileMu.Lock()
+	defer r.reconcileMu.Unlock()
+	membership := r.authority.Load().Membership()
+	upstreams := *r.upstreams.Load()
+	index := r.view.Index()
+	out := outOfService(index)
+	if r.viewChanged(membership.Epoch, index.Version(), upstreams) {
+		r.setMembers(membership)
+		view := placement.View{Membership: membership, Upstreams: upstreams, Out: out}
+		if old := r.table.Load(); old != nil {
+			r.table.Store(old.Next(r.cfg.Clock(), view))
+		} else {
+			r.table.Store(placement.NewTable(r.cfg.Clock(), view))
+		}
+	}
+	ring := r.rings.ring(membership)
+	r.owner.Reconcile(ctx, owner.View{
+		Upstreams: upstreams, Out: out, Pools: poolSettings(index, upstreams),
+		Membership: membership, Owner: ring.Owner,
+	})
+	r.plans.reconcile(membership, ring)
+}
+
+// seen is what the placement in force was made of.
+type seen struct {
+	epoch     fleet.Epoch
+	version   fleet.ConfigVersion
+	upstreams *fleet.Upstream // first element: the list is replaced, never changed
+	count     int
+}
+
+func (r *Router) viewChanged(epoch fleet.Epoch, version fleet.ConfigVersion, upstreams []fleet.Upstream) bool {
+	now := seen{epoch: epoch, version: version, count: len(upstreams)}
+	if len(upstreams) > 0 {
+		now.upstreams = &upstreams[0]
+	}
+	changed := now != r.seen || r.table.Load() == nil
+	r.seen = now
+	return changed
+}
+
+func (r *Router) setMembers(m fleet.Membership) {
+	members := make(map[fleet.InstanceID]fleet.Member, len(m.Members))
+	for _, member := range m.Members {
+		members[member.ID] = member
+	}
+	r.members.Store(&members)
+}
+
+// outOfService tells what operators have taken out.
+func outOfService(index *operator.Index) func(fleet.Upstream) bool {
+	return func(u fleet.Upstream) bool {
+		return index.ZoneOut(u.Zone) || index.UpstreamOut(u.ID)
+	}
+}
+
+func poolSettings(index *operator.Index, upstreams []fleet.Upstream) map[fleet.PoolID]admission.PoolSettings {
+	pools := make(map[fleet.PoolID]admission.PoolSettings)
+	for _, u := range upstreams {
+		if _, known := pools[u.Pool]; known {
+			continue
+		}
+		if p := index.Pool(u.Pool); p != nil {
+			pools[u.Pool] = admission.PoolSettings{LoadFactor: p.LoadFactor, MaxConcurrency: p.MaxConcurrency, StartConcurrency: p.StartConcurrency}
+		}
+	}
+	return pools
+}
--- /dev/null
+++ b/internal/router/session_loop.go
@@ -0,0 +1,135 @@
+package router
+
+import (
+	"context"
+	"net/url"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/admission"
+	"github.com/wigeonflow/wigeonflow/internal/control"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/ledger"
+	"github.com/wigeonflow/wigeonflow/internal/session"
+	"github.com/wigeonflow/wigeonflow/internal/settings"
+)
+
+// minRenewPause bounds how often a router renews while it waits for something.
+const minRenewPause = 20 * time.Millisecond
+
+func sessionSettings(s settings.Settings) session.Settings {
+	return session.Settings{Lease: s.Session.Lease, RenewInterval: s.Session.RenewInterval}
+}
+
+// hostOf returns the IP:port of a base URL that the settings have checked.
+func hostOf(base string) string {
+	u, err := url.Parse(base)
+	if err != nil {
+		return base
+	}
+	return u.Host
+}
+
+// renewLoop keeps the session lease until ctx ends.
+func (r *Router) renewLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.renew(ctx)
+		wait := max(r.nextRenewal()-r.cfg.Clock(), minRenewPause)
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (r *Router) nextRenewal() time.Duration {
+	r.holderMu.Lock()
+	defer r.holderMu.Unlock()
+	return r.holder.NextRenewal()
+}
+
+// renew makes one renewal and takes its reply. What the reply changes is in
+// force before the next renewal acknowledges it.
+func (r *Router) renew(ctx context.Context) {
+	request := r.renewRequest()
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.Settings.Session.Lease/2)
+	defer cancel()
+	var reply session.RenewReply
+	if err := r.control.Call(ctx, control.MethodRenew, request, &reply); err != nil {
+		r.log.Warn("session not renewed", "error", err)
+		return
+	}
+	r.takeReply(&reply, request.Loads)
+	if reply.Version > r.view.Version() {
+		r.fetchConfig(ctx)
+	}
+}
+
+func (r *Router) renewRequest() *session.RenewRequest {
+	loads := poolLoads(r.owner.Loads())
+	r.holderMu.Lock()
+	defer r.holderMu.Unlock()
+	request := r.holder.Request(r.cfg.Clock(), r.view.Version(), loads)
+	r.publishAuthority()
+	return request
+}
+
+// publishAuthority hands the holder's authority to those who dispatch. The
+// caller holds holderMu.
+func (r *Router) publishAuthority() {
+	authority := r.holder.Authority()
+	r.authority.Store(&authority)
+}
+
+func (r *Router) takeReply(reply *session.RenewReply, own []session.PoolLoad) {
+	r.holderMu.Lock()
+	before := r.holder.Authority()
+	taken := r.holder.Take(r.cfg.Clock(), reply)
+	after := r.holder.Authority()
+	means := r.holder.Means()
+	r.publishAuthority()
+	r.holderMu.Unlock()
+	if !taken {
+		return
+	}
+	if before.Membership().Epoch != after.Membership().Epoch || before.Settled() != after.Settled() || before.Valid(r.cfg.Clock()) != after.Valid(r.cfg.Clock()) {
+		r.reconcile(context.Background())
+	}
+	for _, mean := range means {
+		r.owner.SetPool(mean.Pool, admission.PoolLoad{Total: meanSums(mean), Own: ownSums(own, mean.Pool)})
+	}
+}
+
+// ledger has a command committed by the control group.
+func (r *Router) ledger(ctx context.Context, command ledger.Command) (ledger.Result, error) {
+	encoded, err := command.Encode()
+	if err != nil {
+		return ledger.Result{}, err
+	}
+	var reply control.LedgerReply
+	if err := r.control.Call(ctx, control.MethodLedger, &control.LedgerRequest{Command: encoded}, &reply); err != nil {
+		return ledger.Result{}, err
+	}
+	return ledger.DecodeResult(reply.Result)
+}
+
+// fetchConfig brings the newest committed configuration into force.
+func (r *Router) fetchConfig(ctx context.Context) {
+	var update operatorUpdate
+	err := r.control.Call(ctx, control.MethodFetch, &control.FetchRequest{After: r.view.Version()}, &update)
+	if err != nil {
+		r.log.Warn("configuration not fetched", "error", err)
+		return
+	}
+	changed, err := r.view.Apply(&update)
+	if err != nil {
+		r.log.Error("configuration not applied", "error", err)
+		return
+	}
+	if changed {
+		r.log.Info("configuration in force", "version", uint64(r.view.Version()))
+		r.plans.setPlans()
+		r.notify()
+	}
+}
+
+var _ fleet.Clock
