operator: replicated configuration, router's view, HTTP interface and client

Cause: nothing held the accepted configuration. Identifying a resend by version alone: a late copy of a zone out then undoes the zone in (TestConfigWithoutRecordsReverts), and porcupine finds histories that are not linearizable (TestNotLinearizableWithoutRecords). Change: Config with compare-and-set, first answers by operation ID, fencing numbers and deltas; View and Index at the router; handler, Backend and Client. session.Grantor gains Status. After: go test ./internal/operator passes, 200 seeded schedules of 4 operators with lost answers, resends, late copies and leader changes are linearizable. Conclusion: holds on the deterministic core; the log below it is another part.

--- /dev/null
+++ b/internal/operator/command.go
@@ -0,0 +1,93 @@
+package operator
+
+//go:generate go tool msgp -tests=false -io=false -unexported -file command.go
+
+import (
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
+)
+
+// Kind says what a Command does.
+type Kind uint8
+
+// Kinds of a Command. Those up to KindOrder are operators' and make a version;
+// KindClaim and KindFinish come from the owner of an upstream and make none.
+const (
+	KindLists Kind = iota + 1
+	KindZone
+	KindInstance
+	KindUpstream
+	KindOrder
+	KindClaim
+	KindFinish
+)
+
+// Command is an entry of the control log.
+type Command struct {
+	Kind Kind `msg:"k"`
+	// Operation identifies an operator's command across resends. The same ID
+	// with any other field changed is refused.
+	Operation string `msg:"o,omitempty"`
+	// Expect is the version in force that the operator saw.
+	Expect fleet.ConfigVersion `msg:"e,omitempty"`
+	// AnyVersion waives Expect.
+	AnyVersion bool `msg:"any,omitempty"`
+
+	Lists *lists.Both `msg:"l,omitempty"`
+	// Name and Out belong to KindZone, KindInstance and KindUpstream.
+	Name   string     `msg:"n,omitempty"`
+	Out    bool       `msg:"out,omitempty"`
+	Order  *OrderSpec `msg:"or,omitempty"`
+	Claim  *Claim     `msg:"c,omitempty"`
+	Finish *Finish    `msg:"f,omitempty"`
+}
+
+// Encode returns the command's entry for the control log.
+func (c *Command) Encode() ([]byte, error) { return c.MarshalMsg(nil) }
+
+// Code is the outcome of a Command.
+type Code uint8
+
+// Codes of an Answer.
+const (
+	// CodeAccepted means the command took effect.
+	CodeAccepted Code = iota + 1
+	// CodeConflict means another version than the expected one is in force.
+	CodeConflict
+	// CodeOperationReused means the operation ID belongs to another command.
+	CodeOperationReused
+	// CodeMalformed means the command could not be read or lacks a field.
+	CodeMalformed
+	// CodeBusy means the upstream has an unfinished order.
+	CodeBusy
+	// CodeStale means a claim or finish is older than the fencing number in
+	// force.
+	CodeStale
+	// CodeNoOrder means there is no unfinished order to claim.
+	CodeNoOrder
+)
+
+// Answer is what Config.Apply returns, encoded.
+type Answer struct {
+	Code Code `msg:"c"`
+	// Version is the one in force after the command; for CodeAccepted of an
+	// operator's command, the one it made.
+	Version fleet.ConfigVersion `msg:"v"`
+	// Fencing is the upstream's fencing number in force, for claims.
+	Fencing fleet.FencingNumber `msg:"f,omitempty"`
+	Message string              `msg:"m,omitempty"`
+}
+
+// DecodeAnswer decodes what Config.Apply returned.
+func DecodeAnswer(b []byte) (Answer, error) {
+	var a Answer
+	_, err := a.UnmarshalMsg(b)
+	return a, err
+}
+
+// encode encodes without error: msgp fails only on types that an Answer does
+// not hold.
+func (a Answer) encode() []byte {
+	b, _ := a.MarshalMsg(nil)
+	return b
+}
--- /dev/null
+++ b/internal/operator/config.go
@@ -0,0 +1,205 @@
+package operator
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"slices"
+	"sync/atomic"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// Bounds of a Config.
+const (
+	// maxOperations is how many operations' first answers are kept.
+	maxOperations = 4096
+	// maxDeltas and maxDeltaBytes bound the changes kept for routers that lag.
+	maxDeltas     = 512
+	maxDeltaBytes = 1 << 20
+)
+
+// ErrSnapshot is returned by Restore for bytes that are no snapshot.
+var ErrSnapshot = fleet.Errors.NewType("operator_snapshot")
+
+// Config is the replicated configuration. It is deterministic: equal commands
+// in equal order give equal states. Apply and Restore are called by one
+// goroutine; Committed may be called by any.
+//
+// It does not check the lists: the rules of that check may differ between
+// releases, and replicas of different releases must not come apart.
+type Config struct {
+	committed  atomic.Pointer[Committed]
+	operations []operationRecord
+	byID       map[string]int // index into operations, less dropped
+	dropped    int
+}
+
+// NewConfig returns the empty configuration, version 0.
+func NewConfig() *Config {
+	c := &Config{byID: make(map[string]int)}
+	c.committed.Store(&Committed{})
+	return c
+}
+
+// Committed returns the configuration in force, which never changes afterwards.
+func (c *Config) Committed() *Committed { return c.committed.Load() }
+
+// Apply executes an encoded Command and returns the encoded Answer.
+func (c *Config) Apply(_ uint64, command []byte) []byte {
+	var cmd Command
+	if rest, err := cmd.UnmarshalMsg(command); err != nil || len(rest) > 0 {
+		return c.answer(CodeMalformed, "the command cannot be read").encode()
+	}
+	switch cmd.Kind {
+	case KindClaim, KindFinish:
+		return c.applyOwner(cmd).encode()
+	default:
+		return c.applyOperator(cmd, command).encode()
+	}
+}
+
+func (c *Config) answer(code Code, message string) Answer {
+	return Answer{Code: code, Version: c.Committed().State.Version, Message: message}
+}
+
+// applyOperator executes an operator's command once per operation ID.
+func (c *Config) applyOperator(cmd Command, encoded []byte) Answer {
+	if cmd.Operation == "" {
+		return c.answer(CodeMalformed, "the command has no operation ID")
+	}
+	digest := sha256.Sum256(encoded)
+	if i, known := c.byID[cmd.Operation]; known {
+		first := c.operations[i-c.dropped]
+		if !bytes.Equal(first.Digest, digest[:]) {
+			return c.answer(CodeOperationReused, "the operation ID belongs to another command")
+		}
+		return first.Answer
+	}
+	a := c.execute(cmd)
+	c.remember(operationRecord{ID: cmd.Operation, Digest: digest[:], Answer: a})
+	return a
+}
+
+func (c *Config) remember(r operationRecord) {
+	if len(c.operations) >= maxOperations {
+		delete(c.byID, c.operations[0].ID)
+		c.operations = c.operations[1:]
+		c.dropped++
+	}
+	c.byID[r.ID] = c.dropped + len(c.operations)
+	c.operations = append(c.operations, r)
+}
+
+// execute changes the state if the expected version is in force.
+func (c *Config) execute(cmd Command) Answer {
+	before := c.Committed()
+	if !cmd.AnyVersion && cmd.Expect != before.State.Version {
+		return c.answer(CodeConflict, "another version is in force")
+	}
+	state := before.State // a copy; what it refers to is replaced, not changed
+	delta, code := change(&state, cmd)
+	if code != CodeAccepted {
+		return c.answer(code, refusal(code))
+	}
+	state.Version++
+	delta.Version = state.Version
+	c.committed.Store(before.next(state, delta))
+	return c.answer(CodeAccepted, "")
+}
+
+func refusal(code Code) string {
+	if code == CodeBusy {
+		return "the upstream has an unfinished order"
+	}
+	return "the command lacks what its kind needs"
+}
+
+// applyOwner executes a claim or a finish. They are idempotent by themselves.
+func (c *Config) applyOwner(cmd Command) Answer {
+	before := c.Committed()
+	state := before.State
+	var fencing fleet.FencingNumber
+	code := CodeMalformed
+	switch {
+	case cmd.Kind == KindClaim && cmd.Claim != nil:
+		fencing, code = state.claim(*cmd.Claim)
+	case cmd.Kind == KindFinish && cmd.Finish != nil:
+		fencing, code = cmd.Finish.Fencing, state.finish(*cmd.Finish)
+	}
+	if code == CodeAccepted {
+		c.committed.Store(&Committed{State: state, deltas: before.deltas, deltaBytes: before.deltaBytes})
+	}
+	a := c.answer(code, "")
+	a.Fencing = fencing
+	return a
+}
+
+// Snapshot returns the encoded whole, operations included.
+func (c *Config) Snapshot() ([]byte, error) {
+	committed := c.Committed()
+	s := snapshot{State: committed.State, Deltas: committed.deltas, Operations: c.operations}
+	return s.MarshalMsg(nil)
+}
+
+// Restore replaces everything by a snapshot. On an error, of type ErrSnapshot,
+// everything stays as it was.
+func (c *Config) Restore(encoded []byte) error {
+	var s snapshot
+	rest, err := s.UnmarshalMsg(encoded)
+	if err != nil {
+		return ErrSnapshot.Wrap(err, "decode configuration")
+	}
+	if len(rest) > 0 {
+		return ErrSnapshot.New("%d bytes after the configuration", len(rest))
+	}
+	restored := &Committed{State: s.State, deltas: s.Deltas}
+	for i := range s.Deltas {
+		restored.deltaBytes += deltaSize(&s.Deltas[i])
+	}
+	c.committed.Store(restored)
+	c.operations, c.dropped = nil, 0
+	clear(c.byID)
+	for _, r := range s.Operations {
+		c.remember(r)
+	}
+	return nil
+}
+
+// Committed is the configuration as of one applied command.
+type Committed struct {
+	State      State
+	deltas     []Delta
+	deltaBytes int
+}
+
+// next returns the successor with one more delta. It copies the deltas, since
+// readers may hold the old ones.
+func (c *Committed) next(state State, delta Delta) *Committed {
+	deltas := append(slices.Clip(c.deltas), delta)
+	size := c.deltaBytes + deltaSize(&delta)
+	for len(deltas) > maxDeltas || size > maxDeltaBytes && len(deltas) > 0 {
+		size -= deltaSize(&deltas[0])
+		deltas = deltas[1:]
+	}
+	return &Committed{State: state, deltas: deltas, deltaBytes: size}
+}
+
+// deltaSize returns the encoded size in bytes.
+func deltaSize(d *Delta) int {
+	b, _ := d.MarshalMsg(nil)
+	return len(b)
+}
+
+// Fetch returns what brings a router from the given version to the one in
+// force.
+func (c *Committed) Fetch(after fleet.ConfigVersion) Update {
+	if after >= c.State.Version {
+		return Update{}
+	}
+	missing := c.State.Version - after
+	if missing > fleet.ConfigVersion(len(c.deltas)) {
+		full := c.State
+		return Update{Full: &full}
+	}
+	return Update{Deltas: c.deltas[len(c.deltas)-int(missing):]}
+}
--- /dev/null
+++ b/internal/operator/handler.go
@@ -0,0 +1,294 @@
+package operator
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
+)
+
+// HandlerSettings are what NewHandler needs.
+type HandlerSettings struct {
+	Backend Backend
+	// Tokens holds the SHA-256 digests of the operators' tokens. Without any,
+	// every call is refused.
+	Tokens []KeyDigest
+	// Zones lists the availability zones that may be taken out or in; empty
+	// means any.
+	Zones []fleet.AvailabilityZone
+	// Log and Metrics may be nil.
+	Log     hclog.Logger
+	Metrics metrics.Registry
+}
+
+// NewHandler returns the operators' HTTP interface under /v1/.
+func NewHandler(s HandlerSettings) http.Handler {
+	if s.Log == nil {
+		s.Log = hclog.NewNullLogger()
+	}
+	if s.Metrics == nil {
+		s.Metrics = metrics.NewRegistry()
+	}
+	h := &handler{HandlerSettings: s}
+	r := mux.NewRouter()
+	r.HandleFunc(pathConfig, h.getConfig).Methods(http.MethodGet)
+	r.HandleFunc(pathConfig, h.putConfig).Methods(http.MethodPut)
+	r.HandleFunc(pathStatus, h.getStatus).Methods(http.MethodGet)
+	r.HandleFunc(pathUpstreams, h.getUpstreams).Methods(http.MethodGet)
+	r.HandleFunc(pathZone+"{name}", h.putState(KindZone)).Methods(http.MethodPut)
+	r.HandleFunc(pathInstance+"{name}", h.putState(KindInstance)).Methods(http.MethodPut)
+	r.HandleFunc(pathUpstream+"{name}", h.putState(KindUpstream)).Methods(http.MethodPut)
+	r.HandleFunc(pathOrders, h.postOrder).Methods(http.MethodPost)
+	r.Use(h.authenticate)
+	return r
+}
+
+type handler struct{ HandlerSettings }
+
+// authenticate lets only operators through. It compares digests, and all of
+// them in constant time, so that the time taken tells nothing about a token.
+func (h *handler) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		digest := sha256.Sum256([]byte(token))
+		match := 0
+		for _, t := range h.Tokens {
+			match |= subtle.ConstantTimeCompare(digest[:], t[:])
+		}
+		if !ok || match == 0 {
+			h.count("unauthenticated")
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			refuse(w, http.StatusUnauthorized, "give an operator's token")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (h *handler) count(what string) {
+	metrics.GetOrRegisterCounter("operator."+what, h.Metrics).Inc(1)
+}
+
+func (h *handler) getConfig(w http.ResponseWriter, r *http.Request) {
+	c, err := h.Backend.Committed(r.Context())
+	if err != nil {
+		h.fail(w, r, err)
+		return
+	}
+	w.Header().Set(headerVersion, formatVersion(c.State.Version))
+	writeJSON(w, http.StatusOK, c.State.Lists)
+}
+
+func (h *handler) getStatus(w http.ResponseWriter, r *http.Request) {
+	status, err := h.Backend.Status(r.Context())
+	if err != nil {
+		h.fail(w, r, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, status)
+}
+
+func (h *handler) getUpstreams(w http.ResponseWriter, r *http.Request) {
+	upstreams, err := h.Backend.Upstreams(r.Context())
+	if err != nil {
+		h.fail(w, r, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, upstreams)
+}
+
+func (h *handler) putConfig(w http.ResponseWriter, r *http.Request) {
+	var both lists.Both
+	if !readJSON(w, r, &both) {
+		return
+	}
+	if faults := lists.Check(both); len(faults) > 0 {
+		writeJSON(w, http.StatusUnprocessableEntity, Result{Error: "the lists have faults", Faults: faults})
+		return
+	}
+	h.propose(w, r, Command{Kind: KindLists, Lists: &both})
+}
+
+func (h *handler) putState(kind Kind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var body stateBody
+		if !readJSON(w, r, &body) {
+			return
+		}
+		if body.State != stateIn && body.State != stateOut {
+			refuse(w, http.StatusBadRequest, `state must be "out" or "in"`)
+			return
+		}
+		name := mux.Vars(r)["name"]
+		if kind == KindZone && len(h.Zones) > 0 && !slices.Contains(h.Zones, fleet.AvailabilityZone(name)) {
+			refuse(w, http.StatusNotFound, "no such availability zone")
+			return
+		}
+		h.propose(w, r, Command{Kind: kind, Name: name, Out: body.State == stateOut})
+	}
+}
+
+func (h *handler) postOrder(w http.ResponseWriter, r *http.Request) {
+	var spec OrderSpec
+	if !readJSON(w, r, &spec) {
+		return
+	}
+	if problem := spec.problem(); problem != "" {
+		refuse(w, http.StatusBadRequest, problem)
+		return
+	}
+	h.propose(w, r, Command{Kind: KindOrder, Order: &spec})
+}
+
+// problem returns what is wrong with an order, or "".
+func (o *OrderSpec) problem() string {
+	switch {
+	case o.Upstream == "":
+		return "the order names no upstream"
+	case (o.Action == ActionLoad || o.Action == ActionUnload) && o.Model == "":
+		return "the order names no model"
+	case o.Action == ActionRole && o.Role == "":
+		return "the order names no role"
+	case o.Action != ActionLoad && o.Action != ActionUnload && o.Action != ActionRole:
+		return "the action must be load, unload or role"
+	}
+	return ""
+}
+
+// propose commits an operator's command and writes the answer.
+func (h *handler) propose(w http.ResponseWriter, r *http.Request, cmd Command) {
+	if !expectation(w, r, &cmd) {
+		return
+	}
+	encoded, err := cmd.Encode()
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	b, err := h.Backend.Propose(r.Context(), encoded)
+	if err != nil {
+		h.fail(w, r, err)
+		return
+	}
+	a, err := DecodeAnswer(b)
+	if err != nil {
+		h.fail(w, r, err)
+		return
+	}
+	h.Log.Info("operator's command", "operation", cmd.Operation, "kind", cmd.Kind, "code", a.Code, "version", a.Version)
+	h.count(metricNames[a.Code])
+	w.Header().Set(headerVersion, formatVersion(a.Version))
+	writeJSON(w, httpStatus(a.Code, cmd.Kind), Result{Version: a.Version, Decided: true, Error: a.Message})
+}
+
+// expectation reads the headers that every change carries.
+func expectation(w http.ResponseWriter, r *http.Request, cmd *Command) bool {
+	cmd.Operation = r.Header.Get(headerOperation)
+	if cmd.Operation == "" {
+		refuse(w, http.StatusBadRequest, headerOperation+" is missing")
+		return false
+	}
+	tag := r.Header.Get(headerExpect)
+	if tag == "" {
+		refuse(w, http.StatusPreconditionRequired, headerExpect+" is missing: give the version that you saw")
+		return false
+	}
+	if tag == anyVersion && cmd.Kind != KindLists {
+		cmd.AnyVersion = true
+		return true
+	}
+	version, ok := parseVersion(tag)
+	if !ok {
+		refuse(w, http.StatusBadRequest, headerExpect+` must be a version in quotes, such as "17"`)
+		return false
+	}
+	cmd.Expect = version
+	return true
+}
+
+var metricNames = map[Code]string{
+	CodeAccepted: "accepted", CodeConflict: "conflict", CodeOperationReused: "operation_reused",
+	CodeMalformed: "malformed", CodeBusy: "busy",
+}
+
+func httpStatus(code Code, kind Kind) int {
+	switch code {
+	case CodeAccepted:
+		if kind == KindOrder {
+			return http.StatusAccepted
+		}
+		return http.StatusOK
+	case CodeConflict:
+		return http.StatusPreconditionFailed
+	case CodeOperationReused:
+		return http.StatusUnprocessableEntity
+	case CodeBusy:
+		return http.StatusConflict
+	default:
+		return http.StatusBadRequest
+	}
+}
+
+// fail answers a call that the backend returned an error for. Only errors that
+// rule out an effect are told as not-run.
+func (h *handler) fail(w http.ResponseWriter, r *http.Request, err error) {
+	h.Log.Warn("operator's call failed", "method", r.Method, "path", r.URL.Path, "error", err)
+	notRun := errorx.IsOfType(err, ErrNotLeader) || errorx.IsOfType(err, ErrUnavailable)
+	switch leader := h.Backend.Leader(); {
+	case errorx.IsOfType(err, ErrNotLeader) && leader != "":
+		h.count("redirected")
+		w.Header().Set("Location", "http://"+leader+r.URL.RequestURI())
+		w.Header().Set(headerOutcome, fleet.OutcomeNotRun.String())
+		refuse(w, http.StatusTemporaryRedirect, "another control member leads")
+	case notRun || r.Method == http.MethodGet:
+		h.count("unavailable")
+		w.Header().Set("Retry-After", "1")
+		w.Header().Set(headerOutcome, fleet.OutcomeNotRun.String())
+		refuse(w, http.StatusServiceUnavailable, err.Error())
+	default:
+		h.count("unknown")
+		w.Header().Set(headerOutcome, fleet.OutcomeUnknown.String())
+		refuse(w, http.StatusGatewayTimeout, "the outcome is unknown: send it again with the same "+headerOperation)
+	}
+}
+
+func refuse(w http.ResponseWriter, status int, problem string) {
+	writeJSON(w, status, Result{Error: problem})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the caller is gone.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// readJSON decodes the one JSON value of the body, without unknown fields.
+func readJSON(w http.ResponseWriter, r *http.Request, body any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	d.DisallowUnknownFields()
+	err := d.Decode(body)
+	if err == nil {
+		_, err = d.Token()
+		if err == io.EOF {
+			return true
+		}
+	}
+	problem := "the body holds more than one JSON value"
+	if err != nil {
+		problem = "the body cannot be read: " + err.Error()
+	}
+	refuse(w, http.StatusBadRequest, problem)
+	return false
+}
--- /dev/null
+++ b/internal/operator/index.go
@@ -0,0 +1,193 @@
+package operator
+
+import (
+	"encoding/hex"
+	"maps"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
+)
+
+// KeyDigest is the SHA-256 of an API key.
+type KeyDigest [32]byte
+
+// Index answers questions about one version of the configuration, each by a
+// lookup. It is immutable; what its methods return must not be changed.
+type Index struct {
+	version      fleet.ConfigVersion
+	workspaces   map[fleet.WorkspaceID]*lists.Workspace
+	byKey        map[KeyDigest]*lists.Workspace
+	plans        map[string]lists.Plan
+	usage        usage
+	zonesOut     map[string]bool
+	instancesOut map[string]bool
+	upstreamsOut map[string]bool
+	orders       map[fleet.UpstreamID]Order
+}
+
+// usage indexes the second list.
+type usage struct {
+	pools      map[fleet.PoolID]*lists.Pool
+	models     map[fleet.ModelName]*lists.Model
+	services   map[string]*lists.Service
+	allowances map[string]*allowance
+	order      []fleet.ModelName // of the list
+}
+
+// allowance is a lists.Allowance as sets.
+type allowance struct {
+	models   map[fleet.ModelName]bool
+	adapters map[string]bool
+	services map[string]bool
+	capacity float64
+}
+
+func newIndex(s *State) *Index {
+	x := &Index{
+		version:      s.Version,
+		workspaces:   make(map[fleet.WorkspaceID]*lists.Workspace, len(s.Lists.Plans.Workspaces)),
+		byKey:        make(map[KeyDigest]*lists.Workspace, len(s.Lists.Plans.Workspaces)),
+		plans:        indexPlans(s.Lists.Plans.Plans),
+		usage:        indexUsage(&s.Lists.Allowances),
+		zonesOut:     set(s.ZonesOut),
+		instancesOut: set(s.InstancesOut),
+		upstreamsOut: set(s.UpstreamsOut),
+		orders:       make(map[fleet.UpstreamID]Order, len(s.Orders)),
+	}
+	for i := range s.Lists.Plans.Workspaces {
+		x.putWorkspace(&s.Lists.Plans.Workspaces[i])
+	}
+	for _, o := range s.Orders {
+		x.orders[o.Spec.Upstream] = o
+	}
+	return x
+}
+
+// next returns the index of the version after d. Maps that d does not touch are
+// shared.
+func (x *Index) next(d *Delta) *Index {
+	n := *x
+	n.version = d.Version
+	if len(d.Workspaces) > 0 || len(d.Removed) > 0 {
+		n.changeWorkspaces(d)
+	}
+	if d.Plans != nil {
+		n.plans = indexPlans(d.Plans.Plans)
+	}
+	if d.Allowances != nil {
+		n.usage = indexUsage(d.Allowances)
+	}
+	if d.Switch != nil {
+		n.applySwitch(d.Switch)
+	}
+	if d.Order != nil {
+		n.orders = maps.Clone(n.orders)
+		n.orders[d.Order.Spec.Upstream] = *d.Order
+	}
+	return &n
+}
+
+// changeWorkspaces takes every former key out before it puts any new one in,
+// because a key may move from one workspace to another.
+func (x *Index) changeWorkspaces(d *Delta) {
+	x.workspaces, x.byKey = maps.Clone(x.workspaces), maps.Clone(x.byKey)
+	for _, id := range d.Removed {
+		x.dropWorkspace(id)
+	}
+	for i := range d.Workspaces {
+		x.dropWorkspace(d.Workspaces[i].ID)
+	}
+	for i := range d.Workspaces {
+		x.putWorkspace(&d.Workspaces[i])
+	}
+}
+
+func (x *Index) putWorkspace(w *lists.Workspace) {
+	x.workspaces[w.ID] = w
+	for _, digest := range w.KeyDigests {
+		if key, ok := decodeDigest(digest); ok {
+			x.byKey[key] = w
+		}
+	}
+}
+
+func (x *Index) dropWorkspace(id fleet.WorkspaceID) {
+	w := x.workspaces[id]
+	if w == nil {
+		return
+	}
+	delete(x.workspaces, id)
+	for _, digest := range w.KeyDigests {
+		if key, ok := decodeDigest(digest); ok {
+			delete(x.byKey, key)
+		}
+	}
+}
+
+func decodeDigest(text string) (KeyDigest, bool) {
+	var key KeyDigest
+	if hex.DecodedLen(len(text)) != len(key) {
+		return key, false
+	}
+	_, err := hex.Decode(key[:], []byte(text))
+	return key, err == nil
+}
+
+func (x *Index) applySwitch(s *Switch) {
+	var names *map[string]bool
+	switch s.Kind {
+	case KindZone:
+		names = &x.zonesOut
+	case KindInstance:
+		names = &x.instancesOut
+	case KindUpstream:
+		names = &x.upstreamsOut
+	default:
+		return
+	}
+	*names = maps.Clone(*names)
+	if s.Out {
+		(*names)[s.Name] = true
+	} else {
+		delete(*names, s.Name)
+	}
+}
+
+func indexPlans(plans []lists.Plan) map[string]lists.Plan {
+	m := make(map[string]lists.Plan, len(plans))
+	for _, p := range plans {
+		m[p.Name] = p
+	}
+	return m
+}
+
+func indexUsage(a *lists.Allowances) usage {
+	u := usage{
+		pools:      make(map[fleet.PoolID]*lists.Pool, len(a.Pools)),
+		models:     make(map[fleet.ModelName]*lists.Model, len(a.Models)),
+		services:   make(map[string]*lists.Service, len(a.Services)),
+		allowances: make(map[string]*allowance, len(a.Plans)),
+	}
+	for i := range a.Pools {
+		u.pools[a.Pools[i].Name] = &a.Pools[i]
+	}
+	for i := range a.Models {
+		u.models[a.Models[i].Name] = &a.Models[i]
+		u.order = append(u.order, a.Models[i].Name)
+	}
+	for i := range a.Services {
+		u.services[a.Services[i].Name] = &a.Services[i]
+	}
+	for _, p := range a.Plans {
+		u.allowances[p.Plan] = &allowance{set(p.Models), set(p.Adapters), set(p.Services), p.Capacity}
+	}
+	return u
+}
+
+func set[K comparable](names []K) map[K]bool {
+	m := make(map[K]bool, len(names))
+	for _, n := range names {
+		m[n] = true
+	}
+	return m
+}
--- /dev/null
+++ b/internal/operator/linearizable_test.go
@@ -0,0 +1,212 @@
+package operator
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+var schedules = flag.Uint64("schedules", 200, "how many seeded schedules to run")
+
+// The model is one versioned register: a set by version, and a read.
+type registerState struct {
+	version fleet.ConfigVersion
+	plan    string
+}
+
+type registerInput struct {
+	read   bool
+	expect fleet.ConfigVersion
+	any    bool
+	plan   string
+}
+
+type registerOutput struct {
+	unknown bool
+	code    Code
+	version fleet.ConfigVersion
+	plan    string
+}
+
+var register = porcupine.Model{
+	Init: func() any { return registerState{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, in, out := state.(registerState), input.(registerInput), output.(registerOutput)
+		if in.read {
+			return out.version == s.version && out.plan == s.plan, s
+		}
+		next, code := s, CodeConflict
+		if in.any || in.expect == s.version {
+			next, code = registerState{s.version + 1, in.plan}, CodeAccepted
+		}
+		return out.unknown || out.code == code && out.version == next.version, next
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v -> %+v", input, output) },
+}
+
+// schedule is a run of several operators against one control log. Commands are
+// committed in one order; answers get lost, commands are sent again and copies
+// of them arrive late; the leader changes, by snapshot or by its log.
+type schedule struct {
+	rng     *rand.Rand
+	log     [][]byte
+	config  *Config
+	history []porcupine.Operation
+	clock   int64
+	pending []func() // sends in flight
+	records bool     // off: every copy of a command is executed
+}
+
+type operatorClient struct {
+	id    int
+	seen  fleet.ConfigVersion
+	calls int
+}
+
+func (s *schedule) tick() int64 { s.clock++; return s.clock }
+
+func (s *schedule) run(operators, calls int) {
+	for id := range operators {
+		s.next(&operatorClient{id: id}, calls)
+	}
+	for len(s.pending) > 0 {
+		i := s.rng.IntN(len(s.pending))
+		send := s.pending[i]
+		s.pending = append(s.pending[:i], s.pending[i+1:]...)
+		send()
+		if s.rng.IntN(10) == 0 {
+			s.changeLeader()
+		}
+	}
+}
+
+// next starts an operator's next call.
+func (s *schedule) next(c *operatorClient, left int) {
+	if left == 0 {
+		return
+	}
+	c.calls++
+	call := s.tick()
+	if s.rng.IntN(3) == 0 {
+		s.pending = append(s.pending, func() { s.read(c, call, left) })
+		return
+	}
+	in := registerInput{expect: c.seen, any: s.rng.IntN(8) == 0, plan: fmt.Sprintf("%d-%d", c.id, c.calls)}
+	cmd := Command{Kind: KindLists, Operation: in.plan, Expect: in.expect, AnyVersion: in.any, Lists: someLists(workspace("w", in.plan))}
+	encoded, _ := cmd.Encode()
+	s.send(c, call, in, encoded, left, 1+s.rng.IntN(3))
+}
+
+func (s *schedule) read(c *operatorClient, call int64, left int) {
+	state := &s.config.Committed().State
+	out := registerOutput{version: state.Version}
+	if len(state.Lists.Plans.Workspaces) > 0 {
+		out.plan = state.Lists.Plans.Workspaces[0].Plan
+	}
+	c.seen = out.version
+	s.done(c, call, registerInput{read: true}, out, left)
+}
+
+// send puts a command in flight; when its answer is lost the operator sends it
+// again, while the first copy may still be under way.
+func (s *schedule) send(c *operatorClient, call int64, in registerInput, encoded []byte, left, attempts int) {
+	lost := attempts > 1
+	s.pending = append(s.pending, func() {
+		b := s.commit(encoded)
+		if lost {
+			return
+		}
+		a, _ := DecodeAnswer(b)
+		c.seen = a.Version
+		s.done(c, call, in, registerOutput{code: a.Code, version: a.Version}, left)
+	})
+	if lost {
+		s.pending = append(s.pending, func() { s.send(c, call, in, encoded, left, attempts-1) })
+	}
+}
+
+func (s *schedule) commit(encoded []byte) []byte {
+	s.log = append(s.log, encoded)
+	if !s.records {
+		clear(s.config.byID)
+	}
+	return s.config.Apply(uint64(len(s.log)), encoded)
+}
+
+func (s *schedule) done(c *operatorClient, call int64, in registerInput, out registerOutput, left int) {
+	s.history = append(s.history, porcupine.Operation{ClientId: c.id, Input: in, Call: call, Output: out, Return: s.tick()})
+	s.next(c, left-1)
+}
+
+// changeLeader goes on with a replica made from a snapshot or from the log.
+func (s *schedule) changeLeader() {
+	if s.rng.IntN(2) == 0 {
+		s.config = restored(s.config)
+		return
+	}
+	c := NewConfig()
+	for i, encoded := range s.log {
+		if !s.records {
+			clear(c.byID)
+		}
+		c.Apply(uint64(i), encoded)
+	}
+	s.config = c
+}
+
+func linearizable(seed uint64, records bool) bool {
+	s := &schedule{rng: rand.New(rand.NewPCG(seed, 3)), config: NewConfig(), records: records}
+	s.run(4, 6)
+	sort.Slice(s.history, func(i, j int) bool { return s.history[i].Call < s.history[j].Call })
+	return porcupine.CheckOperations(register, s.history)
+}
+
+func TestOperatorsCallsAreLinearizable(t *testing.T) {
+	for seed := range *schedules {
+		if !linearizable(seed, true) {
+			t.Fatalf("seed %d: not linearizable", seed)
+		}
+	}
+}
+
+// Without the record of operations a command that is sent again runs twice, or
+// is told a conflict with itself.
+func TestNotLinearizableWithoutRecords(t *testing.T) {
+	for seed := range *schedules {
+		if !linearizable(seed, false) {
+			t.Logf("seed %d", seed)
+			return
+		}
+	}
+	t.Fatal("no violation found")
+}
+
+// Replicas that took the same commands, some by way of snapshots, are equal.
+func TestReplicasAreEqual(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 4))
+		a, b := NewConfig(), NewConfig()
+		for i := range 80 {
+			cmd := randomCommand(rng, rng.IntN(60))
+			x, y := run(a, cmd), run(b, cmd)
+			if x != y {
+				t.Fatalf("seed %d, command %d: %+v, %+v", seed, i, x, y)
+			}
+			if rng.IntN(5) == 0 {
+				b = restored(b)
+			}
+		}
+		x, _ := a.Snapshot()
+		y, _ := b.Snapshot()
+		if !bytes.Equal(x, y) {
+			t.Fatalf("seed %d: snapshots differ", seed)
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/order.go
@@ -0,0 +1,186 @@
+package operator
+
+//go:generate go tool msgp -tests=false -io=false -file order.go
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// Action is what an order asks of an engine.
+type Action string
+
+// Actions of an order.
+const (
+	ActionLoad   Action = "load"
+	ActionUnload Action = "unload"
+	ActionRole   Action = "role"
+)
+
+// OrderSpec is an order as an operator gives it.
+type OrderSpec struct {
+	Upstream fleet.UpstreamID `msg:"u" json:"upstream"`
+	Action   Action           `msg:"a" json:"action"`
+	Model    fleet.ModelName  `msg:"m,omitempty" json:"model,omitempty"`
+	Adapter  string           `msg:"ad,omitempty" json:"adapter,omitempty"`
+	// Release is the version of the model or adapter.
+	Release string `msg:"r,omitempty" json:"release,omitempty"`
+	Role    string `msg:"ro,omitempty" json:"role,omitempty"`
+	// Supersede replaces an unfinished order of the upstream.
+	Supersede bool `msg:"s,omitempty" json:"supersede,omitempty"`
+}
+
+// OrderState is how far an order has come.
+type OrderState uint8
+
+// States of an Order.
+const (
+	OrderPending OrderState = iota + 1
+	OrderClaimed
+	OrderSucceeded
+	OrderFailed
+)
+
+// String returns the state's name.
+func (s OrderState) String() string {
+	switch s {
+	case OrderPending:
+		return "pending"
+	case OrderClaimed:
+		return "claimed"
+	case OrderSucceeded:
+		return "succeeded"
+	case OrderFailed:
+		return "failed"
+	default:
+		return "unknown"
+	}
+}
+
+// MarshalText returns the state's name, for JSON.
+func (s OrderState) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads what MarshalText wrote.
+func (s *OrderState) UnmarshalText(text []byte) error {
+	for state := OrderPending; state <= OrderFailed; state++ {
+		if state.String() == string(text) {
+			*s = state
+			return nil
+		}
+	}
+	*s = 0
+	return nil
+}
+
+// Order is the newest order of one upstream.
+type Order struct {
+	Spec      OrderSpec           `msg:"s" json:"spec"`
+	Operation string              `msg:"o" json:"operation"`
+	Version   fleet.ConfigVersion `msg:"v" json:"version"`
+	State     OrderState          `msg:"st" json:"state"`
+	// Fencing, Holder and Boot belong to the last claim. Fencing outlives the
+	// order: the upstream's next claim gets a larger one.
+	Fencing fleet.FencingNumber `msg:"f" json:"fencing"`
+	Holder  fleet.InstanceID    `msg:"h,omitempty" json:"holder,omitempty"`
+	Boot    fleet.BootID        `msg:"b,omitempty" json:"boot,omitempty"`
+	Detail  string              `msg:"d,omitempty" json:"detail,omitempty"`
+}
+
+func (o *Order) finished() bool { return o.State == OrderSucceeded || o.State == OrderFailed }
+
+// Claim asks for the fencing number under which an owner executes an order.
+type Claim struct {
+	Upstream  fleet.UpstreamID `msg:"u"`
+	Operation string           `msg:"o"`
+	Instance  fleet.InstanceID `msg:"i"`
+	Boot      fleet.BootID     `msg:"b"`
+	// After is the upstream's fencing number that the claimant knows. A claim
+	// that does not know the newest is stale, so that a late copy of a former
+	// owner's claim takes nothing away from the next owner.
+	After fleet.FencingNumber `msg:"a"`
+}
+
+// Finish reports how an order ended under a fencing number.
+type Finish struct {
+	Upstream  fleet.UpstreamID    `msg:"u"`
+	Fencing   fleet.FencingNumber `msg:"f"`
+	Succeeded bool                `msg:"s"`
+	Detail    string              `msg:"d,omitempty"`
+}
+
+// findOrder returns the index of an upstream's order, or where it would stand.
+func findOrder(orders []Order, id fleet.UpstreamID) (int, bool) {
+	return slices.BinarySearchFunc(orders, id, func(o Order, id fleet.UpstreamID) int {
+		return cmp.Compare(o.Spec.Upstream, id)
+	})
+}
+
+// withOrder returns a copy of orders that holds o in its upstream's place.
+func withOrder(orders []Order, o Order) []Order {
+	out := slices.Clone(orders)
+	i, found := findOrder(out, o.Spec.Upstream)
+	if found {
+		out[i] = o
+		return out
+	}
+	return slices.Insert(out, i, o)
+}
+
+// place puts a new order into the state. It returns CodeBusy when the upstream
+// has an unfinished one.
+func (s *State) place(spec OrderSpec, operation string) (Order, Code) {
+	o := Order{Spec: spec, Operation: operation, Version: s.Version + 1, State: OrderPending}
+	if i, found := findOrder(s.Orders, spec.Upstream); found {
+		if !s.Orders[i].finished() && !spec.Supersede {
+			return Order{}, CodeBusy
+		}
+		o.Fencing = s.Orders[i].Fencing
+	}
+	s.Orders = withOrder(s.Orders, o)
+	return o, CodeAccepted
+}
+
+// claim hands out a fencing number larger than every one before it. The same
+// claimant gets the same number again.
+func (s *State) claim(c Claim) (fleet.FencingNumber, Code) {
+	i, found := findOrder(s.Orders, c.Upstream)
+	if !found {
+		return 0, CodeNoOrder
+	}
+	o := s.Orders[i]
+	switch {
+	case o.finished() || o.Operation != c.Operation:
+		return o.Fencing, CodeNoOrder
+	case o.State == OrderClaimed && o.Holder == c.Instance && o.Boot == c.Boot:
+		return o.Fencing, CodeAccepted
+	case o.Fencing != c.After:
+		return o.Fencing, CodeStale
+	}
+	s.Fencing++
+	o.State, o.Fencing, o.Holder, o.Boot = OrderClaimed, s.Fencing, c.Instance, c.Boot
+	s.Orders = withOrder(s.Orders, o)
+	return o.Fencing, CodeAccepted
+}
+
+// finish ends an order under the fencing number in force.
+func (s *State) finish(f Finish) Code {
+	i, found := findOrder(s.Orders, f.Upstream)
+	if !found {
+		return CodeNoOrder
+	}
+	o := s.Orders[i]
+	if o.Fencing != f.Fencing || o.State == OrderPending {
+		return CodeStale
+	}
+	if o.finished() {
+		return CodeAccepted // reported again
+	}
+	o.State, o.Detail = OrderFailed, f.Detail
+	if f.Succeeded {
+		o.State = OrderSucceeded
+	}
+	s.Orders = withOrder(s.Orders, o)
+	return CodeAccepted
+}
--- /dev/null
+++ b/internal/operator/protocol.go
@@ -0,0 +1,72 @@
+package operator
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
+)
+
+// Paths of the operators' interface.
+const (
+	pathConfig    = "/v1/config"
+	pathStatus    = "/v1/status"
+	pathUpstreams = "/v1/upstreams"
+	pathOrders    = "/v1/orders"
+	pathZone      = "/v1/zones/"
+	pathInstance  = "/v1/instances/"
+	pathUpstream  = "/v1/upstreams/"
+)
+
+// Headers of the operators' interface.
+const (
+	headerOperation = "Idempotency-Key"
+	headerOutcome   = "Wigeonflow-Outcome"
+	headerExpect    = "If-Match"
+	headerVersion   = "ETag"
+	anyVersion      = "*"
+)
+
+// maxBody bounds a request's body in bytes.
+const maxBody = 64 << 20
+
+// States in the body of a PUT that takes something out or in.
+const (
+	stateIn  = "in"
+	stateOut = "out"
+)
+
+// stateBody is the body of a PUT that takes something out or in.
+type stateBody struct {
+	State string `json:"state"`
+}
+
+// Result is the body of every answer to a change.
+type Result struct {
+	// Version is the one that the change made, or the one in force when it was
+	// refused.
+	Version fleet.ConfigVersion `json:"version"`
+	// Decided is set when the answer is the control log's own.
+	Decided bool   `json:"decided"`
+	Error   string `json:"error,omitempty"`
+	// Faults are set when the lists were refused.
+	Faults []lists.Fault `json:"faults,omitempty"`
+}
+
+func formatVersion(v fleet.ConfigVersion) string {
+	return `"` + strconv.FormatUint(uint64(v), 10) + `"`
+}
+
+func parseVersion(tag string) (fleet.ConfigVersion, bool) {
+	digits, ok := strings.CutPrefix(tag, `"`)
+	if !ok {
+		return 0, false
+	}
+	digits, ok = strings.CutSuffix(digits, `"`)
+	if !ok {
+		return 0, false
+	}
+	v, err := strconv.ParseUint(digits, 10, 64)
+	return fleet.ConfigVersion(v), err == nil
+}
