--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -1,6 +1,7 @@
 package fleet
 
 //go:generate go tool msgp -tests=false -io=false -file types.go
+//go:generate go tool msgp -tests=false -io=false -file outcome.go
 
 // InstanceID names one process of the fleet. It stays the same across restarts.
 type InstanceID string
@@ -40,6 +41,7 @@
 
 // FencingNumber orders the holders of an upstream. It only grows.
 type FencingNumber uint64
+
 // Member is one router in the committed membership.
 type Member struct {
 	ID   InstanceID       `msg:"id"`
