--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,200 @@
+// Package agent runs one process of the fleet: it joins the mesh, the control
+// and router roles, the HTTP servers and their orderly end. It owns no state of
+// its own.
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"github.com/wigeonflow/wigeonflow/internal/control"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/ledger"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/router"
+	"github.com/wigeonflow/wigeonflow/internal/session"
+	"github.com/wigeonflow/wigeonflow/internal/settings"
+	"github.com/wigeonflow/wigeonflow/internal/telemetry"
+)
+
+// headerTimeout bounds reading a request's header.
+const headerTimeout = 10 * time.Second
+
+// Agent is one running process of the fleet.
+type Agent struct {
+	settings settings.Settings
+	log      hclog.Logger
+	metrics  metrics.Registry
+	tracer   *telemetry.Tracer
+
+	mesh      *mesh.Server
+	pool      *mesh.Pool
+	control   *control.Server
+	router    *router.Router
+	callers   *http.Server
+	operators *http.Server
+	failed    chan error
+}
+
+// Start starts what the settings' roles ask for. Logs go to w.
+func Start(ctx context.Context, s settings.Settings, w io.Writer) (*Agent, error) {
+	a := &Agent{settings: s, log: telemetry.NewLogger(s, w), metrics: metrics.NewRegistry(), failed: make(chan error, 4)}
+	secret, err := readSecret(s.FleetSecretFile)
+	if err != nil {
+		return nil, err
+	}
+	if a.tracer, err = telemetry.NewTracer(ctx, s); err != nil {
+		return nil, err
+	}
+	cfg := mesh.Config{
+		Instance: s.Instance, Secret: secret, MaxFrameBytes: max(s.Limits.MaxFrameBytes, minMeshFrame(s)),
+		MaxStreams: s.Limits.MaxStreams, MaxConnections: s.Limits.MaxConnections, Logger: a.log.Named("mesh"),
+	}
+	a.mesh, a.pool = mesh.NewServer(cfg), mesh.NewPool(cfg)
+	clock := fleet.MonotonicClock()
+	if s.Has(settings.RoleControl) {
+		if err := a.startControl(clock); err != nil {
+			return nil, err
+		}
+	}
+	if s.Has(settings.RoleRouter) {
+		a.router = router.New(router.Config{Settings: s, Clock: clock, Logger: a.log, Metrics: a.metrics, Tracer: a.tracer}, a.mesh, a.pool)
+	}
+	return a, a.listen()
+}
+
+// frameHeadroom is what a request's own fields add to its body in a frame.
+const frameHeadroom = 256 << 10
+
+// minMeshFrame is the frame that the largest request fits into.
+func minMeshFrame(s settings.Settings) int { return int(s.Limits.MaxBodyBytes) + frameHeadroom }
+
+// readSecret reads the fleet's secret; without a file there is none, and the
+// mesh trusts its network.
+func readSecret(path string) ([]byte, error) {
+	if path == "" {
+		return nil, nil
+	}
+	secret, err := os.ReadFile(path)
+	return bytes.TrimSpace(secret), fleet.At(err, "agent.secret", path)
+}
+
+func (a *Agent) startControl(clock fleet.Clock) error {
+	s := a.settings
+	var err error
+	a.control, err = control.Start(control.Config{
+		Addr: s.Listen.Mesh, Members: s.Control.Members, Dir: s.DataDir,
+		Session: session.Settings{Lease: s.Session.Lease, RenewInterval: s.Session.RenewInterval},
+		Ledger: ledger.Limits{
+			MaxAge: s.Ledger.MaxAge, MaxRecords: s.Ledger.MaxRecords, MaxAnswer: int(s.Ledger.MaxAnswerBytes),
+		},
+		Upstreams: router.PlatformList(s.Platform.URL), OperatorAddr: reachable(s.Listen.Operators, s.Listen.Mesh),
+		Clock: clock, Logger: a.log, Metrics: a.metrics,
+	}, a.mesh, a.pool)
+	return err
+}
+
+// reachable returns the address under which others reach a listener that may
+// listen on every address.
+func reachable(listen, mesh string) string {
+	host, port, err := net.SplitHostPort(listen)
+	if err != nil {
+		return listen
+	}
+	if ip := net.ParseIP(host); ip == nil || ip.IsUnspecified() {
+		host, _, _ = net.SplitHostPort(mesh)
+	}
+	return net.JoinHostPort(host, port)
+}
+
+// listen opens every listener before it serves on any, so that a taken address
+// is told at start.
+func (a *Agent) listen() error {
+	s := a.settings
+	meshListener, err := net.Listen("tcp", s.Listen.Mesh)
+	if err != nil {
+		return fleet.At(err, "agent.listen", s.Listen.Mesh)
+	}
+	go func() { a.fail(a.mesh.Serve(meshListener)) }()
+	if a.control != nil {
+		a.operators = a.httpServer(operatorsHandler(a))
+		if err := a.serve(a.operators, s.Listen.Operators, s.Listen.OperatorsTLS); err != nil {
+			return err
+		}
+		go func() {
+			<-a.control.Done()
+			a.fail(a.control.Err())
+		}()
+	}
+	if a.router != nil {
+		a.callers = a.httpServer(a.router.Handler())
+		if err := a.serve(a.callers, s.Listen.Callers, s.Listen.CallersTLS); err != nil {
+			return err
+		}
+		a.router.Start()
+	}
+	a.log.Info("started", "roles", s.Roles, "mesh", s.Listen.Mesh)
+	return nil
+}
+
+func (a *Agent) httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: a.settings.Limits.MaxHeaderBytes,
+		ErrorLog: a.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+}
+
+func (a *Agent) serve(server *http.Server, addr string, files settings.TLS) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fleet.At(err, "agent.listen", addr)
+	}
+	go func() {
+		if files.CertificateFile != "" {
+			a.fail(server.ServeTLS(l, files.CertificateFile, files.KeyFile))
+			return
+		}
+		a.fail(server.Serve(l))
+	}()
+	return nil
+}
+
+func (a *Agent) fail(err error) {
+	if err == nil || errors.Is(err, http.ErrServerClosed) {
+		return
+	}
+	select {
+	case a.failed <- err:
+	default:
+	}
+}
+
+// Failed returns the failure that ends the process.
+func (a *Agent) Failed() <-chan error { return a.failed }
+
+// Stop ends the process without cutting a request. Where ctx ends before, it
+// ends what still runs and returns an error.
+func (a *Agent) Stop(ctx context.Context) error {
+	var errs []error
+	if a.router != nil {
+		a.router.Drain(ctx)
+		errs = append(errs, a.callers.Shutdown(ctx), a.router.Stop(ctx))
+	}
+	if a.control != nil {
+		errs = append(errs, a.control.Close(ctx), a.operators.Shutdown(ctx))
+	}
+	errs = append(errs, a.mesh.Shutdown(ctx))
+	a.pool.Close()
+	errs = append(errs, a.tracer.Shutdown(ctx))
+	err := errors.Join(errs...)
+	a.log.Info("stopped", "error", err)
+	return err
+}
--- /dev/null
+++ b/internal/agent/operators.go
@@ -0,0 +1,37 @@
+package agent
+
+import (
+	"encoding/hex"
+	"io"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
+	"github.com/wigeonflow/wigeonflow/internal/telemetry"
+)
+
+// operatorsHandler serves the operators' API with health and metrics beside it.
+func operatorsHandler(a *Agent) http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	m.Handle("/metrics", telemetry.MetricsHandler(a.metrics))
+	m.PathPrefix("/v1/").Handler(operator.NewHandler(operator.HandlerSettings{
+		Backend: a.control.Backend(), Tokens: operatorTokens(a), Log: a.log.Named("operators"), Metrics: a.metrics,
+	}))
+	return m
+}
+
+// operatorTokens returns the digests of every operator's keys; the settings have
+// checked that they are hex SHA-256.
+func operatorTokens(a *Agent) []operator.KeyDigest {
+	var tokens []operator.KeyDigest
+	for _, o := range a.settings.Operators {
+		for _, text := range o.KeyDigests {
+			var digest operator.KeyDigest
+			if n, err := hex.Decode(digest[:], []byte(text)); err == nil && n == len(digest) {
+				tokens = append(tokens, digest)
+			}
+		}
+	}
+	return tokens
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -42,6 +42,8 @@
 	return []*ffcli.Command{
 		standin.Commands(stdout, stderr),
 		load.Command(stdout, stderr),
+		serveCommand(stderr),
+		standin.Commands(stdout, stderr),
 		versionCommand(stdout),
 	}
 }
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,69 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/wigeonflow/wigeonflow/internal/agent"
+	"github.com/wigeonflow/wigeonflow/internal/settings"
+)
+
+func serveCommand(stderr io.Writer) *ffcli.Command {
+	fs := flag.NewFlagSet("serve", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	path := fs.String("config", "", "the instance's settings file")
+	var overrides settings.Overrides
+	overrides.Register(fs)
+	return &ffcli.Command{
+		Name: "serve", ShortUsage: "wigeonflow serve --config FILE [flags]",
+		ShortHelp: "Run one process of the fleet.", FlagSet: fs, Options: settings.Options(),
+		Exec: func(ctx context.Context, _ []string) error { return serve(ctx, *path, &overrides, stderr) },
+	}
+}
+
+func serve(ctx context.Context, path string, overrides *settings.Overrides, stderr io.Writer) error {
+	if path == "" {
+		return &exitError{exitUsage, errors.New("serve needs --config FILE")}
+	}
+	s, faults := settings.LoadWith(path, overrides)
+	faults = append(faults, settings.CheckFiles(path, s)...)
+	if err := faultsError(faults, stderr); err != nil {
+		return err
+	}
+	a, err := agent.Start(ctx, s, stderr)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case err := <-a.Failed():
+		return err
+	case <-signals:
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.GracePeriod)
+	defer cancel()
+	go func() {
+		<-signals // a second signal ends the grace period
+		cancel()
+	}()
+	return a.Stop(ctx)
+}
+
+// faultsError prints every fault and returns the error that ends the command.
+func faultsError[F fmt.Stringer](faults []F, stderr io.Writer) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	for _, f := range faults {
+		fmt.Fprintln(stderr, f)
+	}
+	return &exitError{exitRefused, fmt.Errorf("%d faults found", len(faults))}
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -8,6 +8,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/wigeonflow/wigeonflow/internal/consensus"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/ledger"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/session"
 )
 
@@ -24,10 +26,14 @@
 	clock    fleet.Clock
 	group    *consensus.Group
 	settings session.Settings
-	roster   *session.Roster // read under machine.read
+	limits   ledger.Limits
 	machine  *machine
-	version  func() fleet.ConfigVersion // read under machine.read
-	wake     chan struct{}              // capacity 1: a command was applied
+	roster   *session.Roster // read under machine.read
+	ledger   *ledger.State   // read under machine.read
+	config   *operator.Config
+	wake     chan struct{} // capacity 1: a command was applied
+
+	ledgerClock ledgerClock
 
 	mu      sync.Mutex
 	grantor *session.Grantor // nil while another member leads
@@ -72,9 +78,13 @@
 	}
 	l.machine.read(func() {
 		l.grantor = session.NewGrantor(l.clock(), l.settings, l.roster, l.version())
+		l.ledgerClock.set(ledger.NewClock(l.ledger, l.clock()))
 	})
+	go l.proposeLedger(context.Background(), ledger.Command{Op: ledger.OpSetLimits, Limits: &l.limits})
 }
 
+func (l *leader) version() fleet.ConfigVersion { return l.config.Committed().State.Version }
+
 // refresh hands what was applied to the grantor.
 func (l *leader) refresh() {
 	l.mu.Lock()
@@ -98,6 +108,42 @@
 		}
 		go l.propose(ctx, tagged(tagRoster, encoded))
 	}
+	for _, gone := range l.lapsed() {
+		go l.proposeLedger(ctx, ledger.Command{Op: ledger.OpLapse, Owner: gone.Owner, Boot: gone.Boot})
+	}
+}
+
+// lapsed returns the processes that hold begun records and no session. What
+// they began may have run.
+func (l *leader) lapsed() (gone []ledger.Process) {
+	l.mu.Lock()
+	leading := l.grantor != nil
+	l.mu.Unlock()
+	if !leading {
+		return nil
+	}
+	l.machine.read(func() {
+		members := make(map[ledger.Process]bool)
+		for _, m := range l.roster.Membership().Members {
+			members[ledger.Process{Owner: m.ID, Boot: m.Boot}] = true
+		}
+		for _, p := range l.ledger.Processes() {
+			if !members[p] {
+				gone = append(gone, p)
+			}
+		}
+	})
+	return gone
+}
+
+func (l *leader) proposeLedger(ctx context.Context, command ledger.Command) {
+	command.Now = l.ledgerClock.get().Now(l.clock())
+	encoded, err := command.Encode()
+	if err != nil {
+		l.log.Error("ledger command not encoded", "error", err)
+		return
+	}
+	l.propose(ctx, tagged(tagLedger, encoded))
 }
 
 func (l *leader) due() []session.Command {
@@ -110,13 +156,13 @@
 	return l.grantor.Tick(now, until)
 }
 
-// propose appends a roster command. The grantor proposes it again where the
-// outcome stays unknown.
+// propose appends a command of the leader itself. What it is for stays due until
+// it is committed, so that it is proposed again where it was lost.
 func (l *leader) propose(ctx context.Context, command []byte) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	if _, err := l.group.Propose(ctx, command); err != nil {
-		l.log.Warn("roster change not committed", "error", err)
+		l.log.Warn("command not committed", "step", "leader.propose", "error", err)
 	}
 }
 
--- /dev/null
+++ b/internal/control/ledger_endpoint.go
@@ -0,0 +1,76 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/wigeonflow/wigeonflow/internal/consensus"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/ledger"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
+)
+
+//go:generate go tool msgp -tests=false -io=false -file ledger_endpoint.go
+
+// MethodLedger commits one ledger command: a LedgerRequest is answered by a
+// LedgerReply.
+const MethodLedger = "ledger.apply"
+
+// CodeUnknownOutcome ends a call whose command may yet be committed. Commands
+// are idempotent, so that the caller sends it again.
+const CodeUnknownOutcome = "unknown-outcome"
+
+// LedgerRequest carries an encoded ledger.Command.
+type LedgerRequest struct {
+	Command []byte `msg:"c"`
+}
+
+// LedgerReply carries an encoded ledger.Result.
+type LedgerReply struct {
+	Result []byte `msg:"r"`
+}
+
+// ledgerClock stamps commands with the leader's time.
+type ledgerClock struct {
+	mu    sync.Mutex
+	clock ledger.Clock
+}
+
+func (c *ledgerClock) set(clock ledger.Clock) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.clock = clock
+}
+
+func (c *ledgerClock) get() ledger.Clock {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock
+}
+
+func (s *Server) applyLedger(ctx context.Context, _ string, req *LedgerRequest) (*LedgerReply, error) {
+	command, err := ledger.Stamp(req.Command, s.leader.ledgerClock.get().Now(s.cfg.Clock()))
+	if err != nil {
+		return nil, fleet.At(err, MethodLedger, s.cfg.Addr)
+	}
+	result, err := s.group.Propose(ctx, tagged(tagLedger, command))
+	if err != nil {
+		return nil, s.proposalError(ctx, MethodLedger, err)
+	}
+	return &LedgerReply{Result: result}, nil
+}
+
+// proposalError tells a caller whether to look for another leader or to send
+// the command again.
+func (s *Server) proposalError(ctx context.Context, step string, err error) error {
+	var unknown *consensus.UnknownOutcomeError
+	if errors.As(err, &unknown) {
+		return &mesh.RemoteError{Code: CodeUnknownOutcome, Step: step, Peer: s.cfg.Addr, Message: err.Error()}
+	}
+	var elsewhere *consensus.NotLeaderError
+	if errors.As(err, &elsewhere) {
+		return notLeader(step, elsewhere.Addr)
+	}
+	return s.notLeader(ctx, step)
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -8,7 +8,9 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/wigeonflow/wigeonflow/internal/consensus"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/ledger"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/session"
 )
 
@@ -21,18 +23,27 @@
 	// Dir is the data folder.
 	Dir     string
 	Session session.Settings
-	Clock   fleet.Clock
-	Logger  hclog.Logger
-	Metrics metrics.Registry
+	// Ledger bounds the records of requests that run at most once.
+	Ledger ledger.Limits
+	// Upstreams returns the platform's list, for operators.
+	Upstreams func(context.Context) ([]fleet.Upstream, error)
+	// OperatorAddr is where operators reach this member, IP:port.
+	OperatorAddr string
+	Clock        fleet.Clock
+	Logger       hclog.Logger
+	Metrics      metrics.Registry
 }
 
 // Server is one member of the control group.
 type Server struct {
 	cfg     Config
 	log     hclog.Logger
+	pool    *mesh.Pool
 	group   *consensus.Group
 	machine *machine
 	roster  *session.Roster
+	config  *operator.Config
+	ledger  *ledger.State
 	leader  *leader
 	cancel  context.CancelFunc
 }
@@ -44,7 +55,7 @@
 // methods at the mesh server, which must not serve yet.
 func Start(cfg Config, server *mesh.Server, pool *mesh.Pool) (*Server, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{cfg: cfg, log: cfg.Logger.Named("control"), cancel: cancel}
+	s := &Server{cfg: cfg, log: cfg.Logger.Named("control"), pool: pool, cancel: cancel}
 	wake := make(chan struct{}, 1)
 	s.machine = newMachine(func(partTag) {
 		select {
@@ -53,7 +64,11 @@
 		}
 	})
 	s.roster = session.NewRoster(cfg.Session)
+	s.config = operator.NewConfig()
+	s.ledger = ledger.NewState()
 	s.machine.add(tagRoster, s.roster)
+	s.machine.add(tagConfig, s.config)
+	s.machine.add(tagLedger, s.ledger)
 	group, err := consensus.Start(s.consensusConfig(newTransport(ctx, pool, s.log.Named("transport"))))
 	if err != nil {
 		cancel()
@@ -62,11 +77,13 @@
 	s.group = group
 	s.leader = &leader{
 		log: s.log, clock: cfg.Clock, group: group, settings: cfg.Session,
-		roster: s.roster, machine: s.machine, wake: wake,
-		version: func() fleet.ConfigVersion { return 0 },
+		roster: s.roster, config: s.config, ledger: s.ledger, limits: cfg.Ledger, machine: s.machine, wake: wake,
 	}
 	server.Handle(MethodStep, receive(group))
 	server.Handle(MethodRenew, mesh.Unary(s.renew))
+	server.Handle(MethodFetch, mesh.Unary(s.fetch))
+	server.Handle(MethodOperators, mesh.Unary(s.operators))
+	server.Handle(MethodLedger, mesh.Unary(s.applyLedger))
 	go s.leader.run(ctx)
 	return s, nil
 }
@@ -98,6 +115,9 @@
 	return notLeader(step, status.LeaderAddr)
 }
 
+// Backend returns what the operators' HTTP API needs of this member.
+func (s *Server) Backend() operator.Backend { return backend{s} }
+
 // Done is closed when the member has stopped, by Close or by a failure.
 func (s *Server) Done() <-chan struct{} { return s.group.Done() }
 
--- a/internal/entry/chat_request.go
+++ b/internal/entry/chat_request.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/tidwall/gjson"
 	"github.com/tidwall/sjson"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
@@ -90,23 +89,6 @@
 	return defaultOutputTokens
 }
 
-// chatHash places the chat: the same workspace, chat and adapter always give
-// the same value. A request without a chat is placed by its own content.
-func (r *chatRequest) chatHash(workspace fleet.WorkspaceID) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(string(workspace))
-	_, _ = d.Write([]byte{0})
-	if r.Chat == "" {
-		_, _ = d.Write(r.body)
-	} else {
-		_, _ = d.WriteString(string(r.Chat))
-	}
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(r.Adapter)
-	return d.Sum64()
-}
-
 // upstreamBody returns the body that goes to the engine: always a stream with
 // its usage, and a cache key that no other workspace can name.
 func (r *chatRequest) upstreamBody(cacheKey string) ([]byte, error) {
--- a/internal/entry/chat_run.go
+++ b/internal/entry/chat_run.go
@@ -86,7 +86,7 @@
 // placement's order.
 func (r *chatRun) place() *answer.Refusal {
 	table := r.server.cfg.Table()
-	if err := r.server.cfg.Ready(); err != nil || table == nil {
+	if err := r.server.cfg.Serving(); err != nil || table == nil {
 		return unavailable("this router cannot serve yet", 0)
 	}
 	r.candidates = table.Candidates(r.key, r.pool, r.server.cfg.Zone, make([]placement.Candidate, 0, maxHops))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -62,10 +62,14 @@
 	Table func() *placement.Table
 	// Member returns a router of the current membership.
 	Member func(fleet.InstanceID) (fleet.Member, bool)
-	// Ready returns why new requests cannot be served, nil when they can.
+	// Serving returns why new requests cannot be served, nil when they can.
+	Serving func() error
+	// Ready returns why the balancer should send nothing here, nil when it may.
 	Ready func() error
-	Plans Plans
-	Pool  *mesh.Pool
+	// Stopping tells whether callers should close their connections.
+	Stopping func() bool
+	Plans    Plans
+	Pool     *mesh.Pool
 	// MaxBodyBytes bounds a request's body; 0 means DefaultMaxBodyBytes.
 	MaxBodyBytes int64
 	// MaxWait is how long a request may wait for capacity; 0 means DefaultMaxWait.
@@ -141,6 +145,9 @@
 		defer s.running.Add(-1)
 		id := fleet.RequestID(uuid.NewString())
 		w.Header().Set(answer.HeaderRequestID, string(id))
+		if s.cfg.Stopping() {
+			w.Header().Set("Connection", "close")
+		}
 		refusal := s.authenticated(w, r, id, h)
 		outcome := "answered"
 		if refusal != nil {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -95,7 +95,7 @@
 // run makes attempts until one is answered or nothing may be tried any more.
 func (r *callRun) run(ctx context.Context, w http.ResponseWriter) *answer.Refusal {
 	table := r.server.cfg.Table()
-	if err := r.server.cfg.Ready(); err != nil || table == nil {
+	if err := r.server.cfg.Serving(); err != nil || table == nil {
 		return unavailable("this router cannot serve yet", 0)
 	}
 	r.candidates = table.Candidates(r.placementKey(), r.pool, r.server.cfg.Zone, make([]placement.Candidate, 0, maxHops))
--- a/internal/operator/lookup.go
+++ b/internal/operator/lookup.go
@@ -83,3 +83,24 @@
 	o, ok := x.orders[id]
 	return o, ok
 }
+
+// WorkspaceIDs returns the IDs of all workspaces, in no order.
+func (x *Index) WorkspaceIDs() []fleet.WorkspaceID {
+	ids := make([]fleet.WorkspaceID, 0, len(x.workspaces))
+	for id := range x.workspaces {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Plans returns the first list, in no order.
+func (x *Index) Plans() lists.Plans {
+	var out lists.Plans
+	for _, p := range x.plans {
+		out.Plans = append(out.Plans, p)
+	}
+	for _, w := range x.workspaces {
+		out.Workspaces = append(out.Workspaces, *w)
+	}
+	return out
+}
--- a/internal/owner/booking.go
+++ b/internal/owner/booking.go
@@ -37,6 +37,7 @@
 			Body:    ledger.BodyDigestOf(r.req.Method, r.req.Path, r.req.Body),
 			Attempt: answer.AttemptID(r.req.Header.Attempt),
 			Owner:   r.owner.cfg.Instance, Boot: r.owner.cfg.Boot,
+			Tenure: r.owner.cfg.Lease().Tenure,
 		}),
 	}
 }
@@ -82,7 +83,7 @@
 // step carries out the core's actions and reports whether the booking ended.
 func (b *booking) step(ctx context.Context, event ledger.BookingEvent) (ended bool) {
 	now := b.attempt.owner.cfg.Clock()
-	for _, action := range b.core.Step(now, b.attempt.owner.cfg.Authority().Until(), event) {
+	for _, action := range b.core.Step(now, b.attempt.owner.cfg.Lease(), event) {
 		switch a := action.(type) {
 		case ledger.Propose:
 			go b.propose(a.Command)
@@ -111,7 +112,7 @@
 }
 
 func (b *booking) dispatch(ctx context.Context) {
-	whole, facts, err := b.attempt.dispatch(ctx)
+	whole, facts, err := b.attempt.dispatch(ctx, b.mayWrite)
 	done := ledger.Dispatched{Facts: facts}
 	if err == nil {
 		done.Answer = ledger.Answer{Status: whole.Status, Header: ledgerFields(fieldsOf(whole.Header)), Body: whole.Body}
@@ -119,6 +120,18 @@
 	b.tell(done)
 }
 
+// mayWrite is asked directly before the first byte leaves.
+func (b *booking) mayWrite() error {
+	o := b.attempt.owner
+	if err := o.beforeWrite(b.attempt.req.Header.Upstream)(); err != nil {
+		return err
+	}
+	if !b.core.MayWrite(o.cfg.Clock(), o.cfg.Lease()) {
+		return errNotAuthorised.New("the lease under which the attempt was recorded has ended")
+	}
+	return nil
+}
+
 // tell hands an event to the loop. A result that finds the queue full is lost,
 // which the core allows for; the queue has room for the one Dispatched.
 func (b *booking) tell(event ledger.BookingEvent) {
--- a/internal/owner/chat_endpoint.go
+++ b/internal/owner/chat_endpoint.go
@@ -30,6 +30,8 @@
 	if req.ResumeAfter > 0 {
 		s.orphans.resume(req.Header.Attempt)
 	}
+	s.running.Add(1)
+	defer s.running.Add(-1)
 	slot, verdict := s.admit(ctx, &req.Header, req.ResumeAfter > 0, req.Share)
 	if err := send(ctx, st, &verdict); err != nil || slot == nil {
 		if slot != nil {
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -29,7 +29,6 @@
 	// InFlight is the former owner's work that still runs.
 	InFlight int     `msg:"n"`
 	Window   float64 `msg:"w"`
-	Warming  bool    `msg:"c"`
 }
 
 // Acknowledged answers a message that needs no other answer.
@@ -133,7 +132,7 @@
 }
 
 func (h Handover) core() admission.Handover {
-	return admission.Handover{Upstream: h.Upstream, Boot: h.Boot, InFlight: h.InFlight, Window: h.Window, Warming: h.Warming}
+	return admission.Handover{Upstream: h.Upstream, Boot: h.Boot, InFlight: h.InFlight, Window: h.Window}
 }
 
 func (s *Server) lose(id fleet.UpstreamID, v View) {
@@ -151,7 +150,7 @@
 		if m.ID == next && next != s.cfg.Instance {
 			s.lost[id] = successor{member: m, state: Handover{
 				From: s.cfg.Instance, Upstream: id, Boot: state.Boot, Epoch: v.Membership.Epoch,
-				Window: state.Window, Warming: state.Warming,
+				Window: state.Window,
 			}}
 		}
 	}
--- a/internal/owner/ownership_gen.go
+++ b/internal/owner/ownership_gen.go
@@ -55,9 +55,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Handover) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 6
 	// string "f"
-	o = append(o, 0x87, 0xa1, 0x66)
+	o = append(o, 0x86, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -90,9 +90,6 @@
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o = msgp.AppendFloat64(o, z.Window)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendBool(o, z.Warming)
 	return
 }
 
@@ -150,12 +147,6 @@
 				err = msgp.WrapError(err, "Window")
 				return
 			}
-		case "c":
-			z.Warming, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Warming")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -170,7 +161,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Handover) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + z.Upstream.Msgsize() + 2 + z.Boot.Msgsize() + 2 + z.Epoch.Msgsize() + 2 + msgp.IntSize + 2 + msgp.Float64Size + 2 + msgp.BoolSize
+	s = 1 + 2 + z.From.Msgsize() + 2 + z.Upstream.Msgsize() + 2 + z.Boot.Msgsize() + 2 + z.Epoch.Msgsize() + 2 + msgp.IntSize + 2 + msgp.Float64Size
 	return
 }
 
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -32,6 +32,8 @@
 	Clock    fleet.Clock
 	// Authority returns what this instance may do at present.
 	Authority func() session.Authority
+	// Lease returns the session lease as the ledger counts it.
+	Lease func() ledger.Lease
 	// Ledger has a command committed by the control group.
 	Ledger func(context.Context, ledger.Command) (ledger.Result, error)
 	// Pool reaches the other routers.
@@ -49,6 +51,7 @@
 	log     hclog.Logger
 	gate    *gate
 	client  *http.Client
+	running atomic.Int64
 	orphans orphans
 
 	mu        sync.Mutex // serialises reconcile
@@ -180,3 +183,7 @@
 		return s.gate.core.SetPool(now, id, load, dst)
 	})
 }
+
+// Running returns how many admitted requests have not ended, those at upstreams
+// that this instance gave up included.
+func (s *Server) Running() int64 { return s.running.Load() }
--- /dev/null
+++ b/internal/router/plans.go
@@ -0,0 +1,216 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/entry"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/plan"
+)
+
+// MethodBorrow asks a workspace's plan home for credits: a plan.BorrowRequest
+// is answered by a plan.BorrowReply.
+const MethodBorrow = "plan.borrow"
+
+const (
+	// borrowTick spaces the borrower's requests that no caller waits for.
+	borrowTick = 50 * time.Millisecond
+	// borrowTimeout bounds one request to a plan home.
+	borrowTimeout = time.Second
+	// startTimeout bounds how long a caller waits for its plan's counts.
+	startTimeout = 3 * time.Second
+	// borrowRetry spaces a caller's looks at its plan.
+	borrowRetry = 10 * time.Millisecond
+)
+
+// plans runs the plan cores: the home of the workspaces that this router counts
+// for, and the borrower for its own callers.
+type plans struct {
+	router *Router
+
+	mu       sync.Mutex
+	home     *plan.Home
+	borrower *plan.Borrower
+	waiters  map[fleet.WorkspaceID]chan struct{} // closed when a reply is taken
+	members  map[fleet.InstanceID]fleet.Member
+	handed   map[fleet.WorkspaceID]plan.Books // from former homes, not yet taken over
+	taken    map[fleet.WorkspaceID]bool       // homes without books, whose borrowers must report
+	seen     homesSeen
+}
+
+func newPlans(r *Router, server *mesh.Server) *plans {
+	p := &plans{
+		router: r, home: plan.NewHome(), borrower: plan.NewBorrower(r.self.ID, r.self.Boot),
+		waiters: make(map[fleet.WorkspaceID]chan struct{}),
+		handed:  make(map[fleet.WorkspaceID]plan.Books),
+		taken:   make(map[fleet.WorkspaceID]bool),
+	}
+	server.Handle(MethodBorrow, mesh.Unary(p.borrow))
+	server.Handle(MethodBooks, mesh.Unary(p.takeBooks))
+	server.Handle(MethodReport, mesh.Unary(p.report))
+	return p
+}
+
+// charge is what a running request holds of its plan.
+type charge struct {
+	plans  *plans
+	ticket plan.Ticket
+	once   sync.Once
+}
+
+// Settle implements entry.Charge.
+func (c *charge) Settle(tokens int64) {
+	c.once.Do(func() {
+		c.plans.mu.Lock()
+		defer c.plans.mu.Unlock()
+		c.plans.borrower.Settle(c.plans.router.cfg.Clock(), c.ticket, tokens)
+	})
+}
+
+// errPlanHome means that the plan's counts could not be reached in time.
+var errPlanHome = fleet.Errors.NewType("plan_home_unreachable")
+
+// Start implements entry.Plans.
+func (p *plans) Start(ctx context.Context, workspace fleet.WorkspaceID, tokens int64) (entry.Charge, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		answer, wait := p.start(workspace, tokens)
+		switch answer.Step {
+		case plan.Started:
+			return &charge{plans: p, ticket: answer.Ticket}, 0, nil
+		case plan.Over:
+			return nil, answer.RetryAfter, nil
+		}
+		p.ask(workspace)
+		select {
+		case <-wait:
+		case <-time.After(borrowRetry):
+		case <-ctx.Done():
+			return nil, 0, fleet.At(errPlanHome.Wrap(ctx.Err(), "borrow"), "plan.borrow", string(p.homeOf(workspace)))
+		}
+	}
+}
+
+// start looks at the credits in hand and returns what tells of new ones.
+func (p *plans) start(workspace fleet.WorkspaceID, tokens int64) (plan.Answer, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	answer := p.borrower.Start(p.router.cfg.Clock(), workspace, tokens)
+	if answer.Step != plan.Wait {
+		return answer, nil
+	}
+	wait := p.waiters[workspace]
+	if wait == nil {
+		wait = make(chan struct{})
+		p.waiters[workspace] = wait
+	}
+	return answer, wait
+}
+
+// ask sends a request for credits, unless one is on its way.
+func (p *plans) ask(workspace fleet.WorkspaceID) {
+	p.mu.Lock()
+	request, ok := p.borrower.Ask(p.router.cfg.Clock(), workspace)
+	p.mu.Unlock()
+	if ok {
+		go p.send(request)
+	}
+}
+
+// send asks the home and takes its reply.
+func (p *plans) send(request plan.BorrowRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
+	defer cancel()
+	reply, err := p.call(ctx, request)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.router.cfg.Clock()
+	if err != nil {
+		p.router.log.Debug("credits not borrowed", "workspace", string(request.Workspace), "error", err)
+		p.borrower.Failed(now, request.Workspace)
+		return
+	}
+	p.borrower.Take(now, reply)
+	if reply.NeedHistory {
+		if again, ok := p.borrower.Ask(now, request.Workspace); ok {
+			go p.send(again)
+		}
+	}
+	if wait := p.waiters[request.Workspace]; wait != nil {
+		close(wait)
+		delete(p.waiters, request.Workspace)
+	}
+}
+
+func (p *plans) call(ctx context.Context, request plan.BorrowRequest) (plan.BorrowReply, error) {
+	home := p.homeOf(request.Workspace)
+	if home == p.router.self.ID {
+		reply, err := p.borrow(ctx, "", &request)
+		if err != nil {
+			return plan.BorrowReply{}, err
+		}
+		return *reply, nil
+	}
+	member, ok := p.router.member(home)
+	if !ok {
+		return plan.BorrowReply{}, errPlanHome.New("the workspace has no home")
+	}
+	var reply plan.BorrowReply
+	err := p.router.pool.Call(ctx, member.Addr, MethodBorrow, &request, &reply)
+	return reply, err
+}
+
+func (p *plans) homeOf(workspace fleet.WorkspaceID) fleet.InstanceID {
+	table := p.router.table.Load()
+	if table == nil {
+		return ""
+	}
+	return table.Home(workspace)
+}
+
+// borrow serves MethodBorrow. A router whose lease has run out counts for
+// nobody: another may be the home by now.
+func (p *plans) borrow(_ context.Context, _ string, request *plan.BorrowRequest) (*plan.BorrowReply, error) {
+	if !p.router.authority.Load().Owns(p.router.cfg.Clock(), homeKey(request.Workspace)) {
+		return &plan.BorrowReply{Workspace: request.Workspace, Sequence: request.Sequence, Refusal: plan.RefusalNotHome}, nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reply := p.home.Borrow(p.router.cfg.Clock(), *request)
+	return &reply, nil
+}
+
+// run sends what is due without a caller waiting until ctx ends.
+func (p *plans) run(ctx context.Context) {
+	ticker := time.NewTicker(borrowTick)
+	defer ticker.Stop()
+	var due []plan.BorrowRequest
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if round%reportRounds == 0 {
+			p.askReports(ctx)
+		}
+		p.mu.Lock()
+		due = p.borrower.Due(p.router.cfg.Clock(), due[:0])
+		p.mu.Unlock()
+		for _, request := range due {
+			go p.send(request)
+		}
+	}
+}
+
+// setPlans takes the first list of the configuration in force.
+func (p *plans) setPlans() {
+	plans := p.router.view.Index().Plans()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.home.SetPlans(p.router.cfg.Clock(), plans)
+}
--- a/internal/router/reconcile.go
+++ b/internal/router/reconcile.go
@@ -9,6 +9,7 @@
 	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/owner"
 	"github.com/wigeonflow/wigeonflow/internal/placement"
+	"github.com/wigeonflow/wigeonflow/internal/upstream"
 )
 
 const (
@@ -97,7 +98,7 @@
 		Upstreams: upstreams, Out: out, Pools: poolSettings(index, upstreams),
 		Membership: membership, Owner: ring.Owner,
 	})
-	r.plans.reconcile(membership, ring)
+	r.plans.reconcile(ctx, membership, ring)
 }
 
 // seen is what the placement in force was made of.
@@ -145,3 +146,12 @@
 	}
 	return pools
 }
+
+// PlatformList returns a function that reads the platform's list at a base URL.
+func PlatformList(url string) func(context.Context) ([]fleet.Upstream, error) {
+	platform := upstream.NewPlatform(hostOf(url), upstream.NewHTTPClient())
+	return func(ctx context.Context) ([]fleet.Upstream, error) {
+		list, err := platform.Instances(ctx)
+		return list.Instances, err
+	}
+}
--- a/internal/router/rings.go
+++ b/internal/router/rings.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"strings"
 	"sync"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
@@ -20,8 +21,16 @@
 
 func newRings() *rings { return &rings{byEpoch: make(map[fleet.Epoch]*placement.Ring)} }
 
-// owner implements session.OwnerFunc for keys that are upstreams' IDs.
+// homeKeyPrefix marks the keys of plan homes among those of upstreams.
+const homeKeyPrefix = "\x00home/"
+
+func homeKey(workspace fleet.WorkspaceID) string { return homeKeyPrefix + string(workspace) }
+
+// owner implements session.OwnerFunc for upstreams' IDs and for homeKey.
 func (r *rings) owner(m fleet.Membership, key string) fleet.InstanceID {
+	if workspace, ok := strings.CutPrefix(key, homeKeyPrefix); ok {
+		return r.ring(m).Home(fleet.WorkspaceID(workspace))
+	}
 	return r.ring(m).Owner(fleet.UpstreamID(key))
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 	"github.com/wigeonflow/wigeonflow/internal/control"
 	"github.com/wigeonflow/wigeonflow/internal/entry"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/ledger"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/owner"
@@ -47,7 +48,12 @@
 
 	holderMu sync.Mutex
 	holder   *session.Holder
-	sent     map[uint64][]session.PoolLoad // loads of renewals without a reply
+	tenure   ledger.LeaseTracker
+
+	leases atomic.Pointer[ledger.Lease]
+
+	reconcileMu sync.Mutex
+	seen        seen
 
 	authority atomic.Pointer[session.Authority]
 	table     atomic.Pointer[placement.Table]
@@ -71,23 +77,24 @@
 		platform: upstream.NewPlatform(hostOf(s.Platform.URL), upstream.NewHTTPClient()),
 		view:     operator.NewView(),
 		rings:    newRings(),
-		sent:     make(map[uint64][]session.PoolLoad),
 		changed:  make(chan struct{}, 1),
 	}
 	r.holder = session.NewHolder(sessionSettings(s), r.self, r.rings.owner)
 	r.authority.Store(new(session.Authority))
+	r.leases.Store(new(ledger.Lease))
 	r.members.Store(&map[fleet.InstanceID]fleet.Member{})
 	r.upstreams.Store(&[]fleet.Upstream{})
 	r.owner = owner.NewServer(owner.Config{
 		Instance: r.self.ID, Boot: r.self.Boot, Clock: cfg.Clock,
 		Authority: func() session.Authority { return *r.authority.Load() },
+		Lease:     func() ledger.Lease { return *r.leases.Load() },
 		Ledger:    r.ledger, Pool: pool,
 		Logger: cfg.Logger, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	}, server)
 	r.plans = newPlans(r, server)
 	r.entry = entry.NewServer(entry.Config{
 		Clock: cfg.Clock, Zone: s.Zone, Index: r.view.Index, Table: r.table.Load, Member: r.member,
-		Ready: r.ready, Plans: r.plans, Pool: pool,
+		Ready: r.ready, Serving: r.serving, Stopping: r.stopping.Load, Plans: r.plans, Pool: pool,
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxWait: s.Queue.MaxWait,
 		Logger: cfg.Logger, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	})
@@ -116,14 +123,13 @@
 var (
 	errStopping = errors.New("this router is stopping")
 	errNoLease  = errors.New("this router has no session lease")
+	errOut      = errors.New("operators have taken this router out of service")
 	errNoLists  = errors.New("no configuration is in force")
 )
 
-// ready returns why new requests cannot be served.
-func (r *Router) ready() error {
+// serving returns why new requests cannot be served.
+func (r *Router) serving() error {
 	switch {
-	case r.stopping.Load():
-		return errStopping
 	case !r.authority.Load().Valid(r.cfg.Clock()):
 		return errNoLease
 	case r.view.Version() == 0:
@@ -133,6 +139,19 @@
 	}
 }
 
+// ready returns why the balancer should send nothing here.
+func (r *Router) ready() error {
+	index := r.view.Index()
+	switch {
+	case r.stopping.Load():
+		return errStopping
+	case index.ZoneOut(r.self.Zone) || index.InstanceOut(r.self.ID):
+		return errOut
+	default:
+		return r.serving()
+	}
+}
+
 // notify has the reconcile loop look at the view again.
 func (r *Router) notify() {
 	select {
--- a/internal/router/session_loop.go
+++ b/internal/router/session_loop.go
@@ -7,8 +7,8 @@
 
 	"github.com/wigeonflow/wigeonflow/internal/admission"
 	"github.com/wigeonflow/wigeonflow/internal/control"
-	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/ledger"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/session"
 	"github.com/wigeonflow/wigeonflow/internal/settings"
 )
@@ -78,6 +78,10 @@
 func (r *Router) publishAuthority() {
 	authority := r.holder.Authority()
 	r.authority.Store(&authority)
+	if now := r.cfg.Clock(); authority.Valid(now) {
+		lease := r.tenure.Renewed(now, authority.Until())
+		r.leases.Store(&lease)
+	}
 }
 
 func (r *Router) takeReply(reply *session.RenewReply, own []session.PoolLoad) {
@@ -114,7 +118,7 @@
 
 // fetchConfig brings the newest committed configuration into force.
 func (r *Router) fetchConfig(ctx context.Context) {
-	var update operatorUpdate
+	var update operator.Update
 	err := r.control.Call(ctx, control.MethodFetch, &control.FetchRequest{After: r.view.Version()}, &update)
 	if err != nil {
 		r.log.Warn("configuration not fetched", "error", err)
@@ -131,5 +135,3 @@
 		r.notify()
 	}
 }
-
-var _ fleet.Clock
--- /dev/null
+++ b/internal/router/stop.go
@@ -0,0 +1,70 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+const (
+	// drainNotice is how long a stopping router answers as not ready before it
+	// gives up ownership, so that the balancer has seen it.
+	drainNotice = 2 * time.Second
+	// stopPoll spaces looks at what still runs.
+	stopPoll = 50 * time.Millisecond
+)
+
+// errGracePeriod means that work was still running when a stop had to end.
+var errGracePeriod = fleet.Errors.NewType("grace_period_over")
+
+// Drain makes the router answer as not ready while it goes on serving what
+// arrives, until the balancer has seen it.
+func (r *Router) Drain(ctx context.Context) {
+	r.log.Info("draining", "running", r.entry.Running())
+	r.stopping.Store(true)
+	r.pause(ctx, drainNotice)
+}
+
+// Stop gives the lease, and with it upstreams and plan homes, back once callers'
+// requests have ended, and finishes the work that other entries run here. Drain
+// and the end of the callers' server come before it. It returns an error where
+// ctx ends with work still running.
+func (r *Router) Stop(ctx context.Context) error {
+	err := r.await(ctx, func() bool { return r.entry.Running() == 0 })
+	r.holderMu.Lock()
+	r.holder.Leave()
+	r.holderMu.Unlock()
+	if err == nil {
+		err = r.await(ctx, r.left)
+	}
+	r.cancel()
+	r.wg.Wait()
+	return err
+}
+
+// left tells whether the lease is back and nothing runs here.
+func (r *Router) left() bool {
+	r.holderMu.Lock()
+	left := r.holder.Left()
+	r.holderMu.Unlock()
+	return left && r.owner.Running() == 0
+}
+
+func (r *Router) await(ctx context.Context, done func() bool) error {
+	for !done() {
+		if !r.pause(ctx, stopPoll) {
+			return errGracePeriod.New("%d callers' requests and %d at upstreams still run", r.entry.Running(), r.owner.Running())
+		}
+	}
+	return nil
+}
+
+func (r *Router) pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/session/lease_status.go
@@ -0,0 +1,44 @@
+package session
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// LeaseStatus is what a Grantor knows of one committed member.
+type LeaseStatus struct {
+	Member fleet.Member
+	// Left is how long the member's lease can still last; 0 without a lease.
+	Left time.Duration
+	// Acknowledged is an epoch that the member acts upon, at least.
+	Acknowledged fleet.Epoch
+	Version      fleet.ConfigVersion
+	InFlight     uint32
+	Upstreams    uint32
+}
+
+// Leases returns the committed members' leases, ordered by ID.
+func (g *Grantor) Leases(now time.Duration) []LeaseStatus {
+	var out []LeaseStatus
+	for _, s := range g.sessions {
+		if !s.committed {
+			continue
+		}
+		status := LeaseStatus{
+			Member: s.member, Left: max(s.until-now, 0), Acknowledged: s.acked, Version: s.version,
+		}
+		for _, l := range s.loads {
+			status.InFlight += l.InFlight
+			status.Upstreams += l.Upstreams
+		}
+		out = append(out, status)
+	}
+	slices.SortFunc(out, func(a, b LeaseStatus) int { return strings.Compare(string(a.Member.ID), string(b.Member.ID)) })
+	return out
+}
+
+// Settled returns the newest epoch that every lease holder is known to act upon.
+func (g *Grantor) Settled() fleet.Epoch { return g.settled }
--- a/internal/session/load.go
+++ b/internal/session/load.go
@@ -20,11 +20,15 @@
 		p := l.pool(o.Pool)
 		p.InFlight -= o.InFlight
 		p.Upstreams -= o.Upstreams
+		p.Warm -= o.Warm
+		p.WarmUpstreams -= o.WarmUpstreams
 	}
 	for _, n := range new {
 		p := l.pool(n.Pool)
 		p.InFlight += n.InFlight
 		p.Upstreams += n.Upstreams
+		p.Warm += n.Warm
+		p.WarmUpstreams += n.WarmUpstreams
 	}
 }
 
--- a/internal/session/message.go
+++ b/internal/session/message.go
@@ -14,6 +14,9 @@
 	InFlight uint32       `msg:"f"`
 	// Upstreams counts the pool's upstreams that the router owns.
 	Upstreams uint32 `msg:"u"`
+	// Warm and WarmUpstreams are the part of these past their cold start.
+	Warm          uint32 `msg:"w,omitempty"`
+	WarmUpstreams uint32 `msg:"x,omitempty"`
 }
 
 // PoolMean holds the sums of a pool over the whole fleet; their quotient is
@@ -22,6 +25,9 @@
 	Pool      fleet.PoolID `msg:"p"`
 	InFlight  uint32       `msg:"f"`
 	Upstreams uint32       `msg:"u"`
+	// Warm and WarmUpstreams are the part of these past their cold start.
+	Warm          uint32 `msg:"w,omitempty"`
+	WarmUpstreams uint32 `msg:"x,omitempty"`
 }
 
 // RenewRequest asks the control leader for a lease. A router that is not a
--- a/internal/session/message_gen.go
+++ b/internal/session/message_gen.go
@@ -92,20 +92,47 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PoolLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "p"
-	o = append(o, 0x83, 0xa1, 0x70)
-	o, err = z.Pool.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Pool")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Warm == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.WarmUpstreams == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o, err = z.Pool.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Pool")
+			return
+		}
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendUint32(o, z.InFlight)
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o = msgp.AppendUint32(o, z.Upstreams)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "w"
+			o = append(o, 0xa1, 0x77)
+			o = msgp.AppendUint32(o, z.Warm)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "x"
+			o = append(o, 0xa1, 0x78)
+			o = msgp.AppendUint32(o, z.WarmUpstreams)
+		}
 	}
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendUint32(o, z.InFlight)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendUint32(o, z.Upstreams)
 	return
 }
 
@@ -145,6 +172,18 @@
 				err = msgp.WrapError(err, "Upstreams")
 				return
 			}
+		case "w":
+			z.Warm, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Warm")
+				return
+			}
+		case "x":
+			z.WarmUpstreams, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WarmUpstreams")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -159,27 +198,54 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PoolLoad) Msgsize() (s int) {
-	s = 1 + 2 + z.Pool.Msgsize() + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	s = 1 + 2 + z.Pool.Msgsize() + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *PoolMean) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "p"
-	o = append(o, 0x83, 0xa1, 0x70)
-	o, err = z.Pool.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Pool")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Warm == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.WarmUpstreams == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o, err = z.Pool.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Pool")
+			return
+		}
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendUint32(o, z.InFlight)
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o = msgp.AppendUint32(o, z.Upstreams)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "w"
+			o = append(o, 0xa1, 0x77)
+			o = msgp.AppendUint32(o, z.Warm)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "x"
+			o = append(o, 0xa1, 0x78)
+			o = msgp.AppendUint32(o, z.WarmUpstreams)
+		}
 	}
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendUint32(o, z.InFlight)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendUint32(o, z.Upstreams)
 	return
 }
 
@@ -219,6 +285,18 @@
 				err = msgp.WrapError(err, "Upstreams")
 				return
 			}
+		case "w":
+			z.Warm, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Warm")
+				return
+			}
+		case "x":
+			z.WarmUpstreams, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WarmUpstreams")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -233,7 +311,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PoolMean) Msgsize() (s int) {
-	s = 1 + 2 + z.Pool.Msgsize() + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	s = 1 + 2 + z.Pool.Msgsize() + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
 	return
 }
 
@@ -327,20 +405,11 @@
 			o = append(o, 0xa1, 0x6e)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Means)))
 			for za0002 := range z.Means {
-				// map header, size 3
-				// string "p"
-				o = append(o, 0x83, 0xa1, 0x70)
-				o, err = z.Means[za0002].Pool.MarshalMsg(o)
+				o, err = z.Means[za0002].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Means", za0002, "Pool")
+					err = msgp.WrapError(err, "Means", za0002)
 					return
 				}
-				// string "f"
-				o = append(o, 0xa1, 0x66)
-				o = msgp.AppendUint32(o, z.Means[za0002].InFlight)
-				// string "u"
-				o = append(o, 0xa1, 0x75)
-				o = msgp.AppendUint32(o, z.Means[za0002].Upstreams)
 			}
 		}
 	}
@@ -454,46 +523,11 @@
 				z.Means = make([]PoolMean, zb0004)
 			}
 			for za0002 := range z.Means {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Means[za0002].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Means", za0002)
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Means", za0002)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "p":
-						bts, err = z.Means[za0002].Pool.UnmarshalMsg(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Means", za0002, "Pool")
-							return
-						}
-					case "f":
-						z.Means[za0002].InFlight, bts, err = msgp.ReadUint32Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Means", za0002, "InFlight")
-							return
-						}
-					case "u":
-						z.Means[za0002].Upstreams, bts, err = msgp.ReadUint32Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Means", za0002, "Upstreams")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Means", za0002)
-							return
-						}
-					}
-				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -521,7 +555,7 @@
 	}
 	s += 2 + z.Settled.Msgsize() + 2 + z.Version.Msgsize() + 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Means {
-		s += 1 + 2 + z.Means[za0002].Pool.Msgsize() + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+		s += z.Means[za0002].Msgsize()
 	}
 	return
 }
@@ -601,20 +635,11 @@
 			o = append(o, 0xa1, 0x6c)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
 			for za0001 := range z.Loads {
-				// map header, size 3
-				// string "p"
-				o = append(o, 0x83, 0xa1, 0x70)
-				o, err = z.Loads[za0001].Pool.MarshalMsg(o)
+				o, err = z.Loads[za0001].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Loads", za0001, "Pool")
+					err = msgp.WrapError(err, "Loads", za0001)
 					return
 				}
-				// string "f"
-				o = append(o, 0xa1, 0x66)
-				o = msgp.AppendUint32(o, z.Loads[za0001].InFlight)
-				// string "u"
-				o = append(o, 0xa1, 0x75)
-				o = msgp.AppendUint32(o, z.Loads[za0001].Upstreams)
 			}
 		}
 		if (zb0001Mask & 0x200) == 0 { // if not omitted
@@ -705,46 +730,11 @@
 				z.Loads = make([]PoolLoad, zb0002)
 			}
 			for za0001 := range z.Loads {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Loads[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Loads", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Loads", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "p":
-						bts, err = z.Loads[za0001].Pool.UnmarshalMsg(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Loads", za0001, "Pool")
-							return
-						}
-					case "f":
-						z.Loads[za0001].InFlight, bts, err = msgp.ReadUint32Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Loads", za0001, "InFlight")
-							return
-						}
-					case "u":
-						z.Loads[za0001].Upstreams, bts, err = msgp.ReadUint32Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Loads", za0001, "Upstreams")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Loads", za0001)
-							return
-						}
-					}
-				}
 			}
 		case "x":
 			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
@@ -768,7 +758,7 @@
 func (z *RenewRequest) Msgsize() (s int) {
 	s = 1 + 2 + z.Instance.Msgsize() + 2 + z.Boot.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + z.Zone.Msgsize() + 2 + msgp.Uint32Size + 2 + msgp.Uint64Size + 2 + z.KnownEpoch.Msgsize() + 2 + z.KnownVersion.Msgsize() + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Loads {
-		s += 1 + 2 + z.Loads[za0001].Pool.Msgsize() + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+		s += z.Loads[za0001].Msgsize()
 	}
 	s += 2 + msgp.BoolSize
 	return
