examples: the two deployments, the demonstration and their starters

Ruled out: one port range on 127.0.0.1 (unreadable, and two examples clash); each zone has its own loopback network instead. Conclusion: tests hold sizes, addresses and key digests. The scripts' stand-in half runs; the whole of them waits for wigeonflow serve and apply.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin/wigeonflow
 
-.PHONY: build check demo generate fmt
+.PHONY: build check demo dala-press lamphun generate fmt
 
 build:
 	$(GO) build -o $(BIN) ./cmd/wigeonflow
@@ -17,6 +17,10 @@
 demo: build
 	./scripts/demo.sh
 
+# dala-press and lamphun run an example until they are interrupted.
+dala-press lamphun: build
+	./scripts/fleet.sh $@
+
 generate:
 	$(GO) generate ./...
 
--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,130 @@
+// Package examples_test checks the settings and lists of the examples.
+package examples_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
+	"github.com/wigeonflow/wigeonflow/internal/settings"
+	"github.com/wigeonflow/wigeonflow/internal/standin"
+)
+
+// size is what an example stands for.
+type size struct {
+	name                                          string
+	zones, control, routers, engines, services, n int // n workspaces
+}
+
+var sizes = []size{
+	{"dala-press", 4, 3, 6, 20, 4, 10},
+	{"lamphun", 4, 3, 5, 10, 4, 10},
+	{"demo", 3, 3, 3, 3, 2, 1},
+}
+
+func TestExamplesHaveTheirSize(t *testing.T) {
+	for _, tc := range sizes {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(len(instances(t, tc.name, "control-*.yaml")), tc.control)
+			is.Equal(len(instances(t, tc.name, "router-*.yaml")), tc.routers)
+			both, faults := lists.Load(tc.name+"/plans.yaml", tc.name+"/allowances.yaml")
+			is.Equal(len(faults), 0)
+			is.Equal(len(both.Plans.Workspaces), tc.n)
+			upstreams, err := standin.ReadInstances(tc.name + "/platform.yaml")
+			is.NoErr(err)
+			count := make(map[string]int)
+			zones := make(map[fleet.AvailabilityZone]bool)
+			for _, u := range upstreams {
+				count[kindOf(both, u.Pool)]++
+				zones[u.Zone] = true
+			}
+			is.Equal(count, map[string]int{lists.KindEngine: tc.engines, lists.KindService: tc.services})
+			is.Equal(len(zones), tc.zones)
+		})
+	}
+}
+
+func kindOf(both lists.Both, pool fleet.PoolID) string {
+	for _, p := range both.Allowances.Pools {
+		if p.Name == pool {
+			return p.Kind
+		}
+	}
+	return ""
+}
+
+func instances(t *testing.T, example, pattern string) []settings.Settings {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(example, pattern))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all []settings.Settings
+	for _, f := range files {
+		s, faults := settings.Load(f)
+		for _, fault := range faults {
+			t.Error(fault)
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+func TestNoAddressIsUsedTwice(t *testing.T) {
+	is := is.New(t)
+	used := make(map[string]bool)
+	take := func(addr string) {
+		is.True(!used[addr]) // the address is free
+		used[addr] = true
+	}
+	for _, tc := range sizes {
+		for _, s := range instances(t, tc.name, "*-[0-9].yaml") {
+			take(s.Listen.Mesh)
+			if s.Has(settings.RoleRouter) {
+				take(s.Listen.Callers)
+			}
+			if s.Has(settings.RoleControl) {
+				take(s.Listen.Operators)
+			}
+		}
+		upstreams, err := standin.ReadInstances(tc.name + "/platform.yaml")
+		is.NoErr(err)
+		for _, u := range upstreams {
+			take(u.Addr)
+		}
+	}
+}
+
+var demoKey = regexp.MustCompile("`([a-z-]+-(?:demo|workspace|operator))`")
+
+func TestDemonstrationKeysMatchTheDigests(t *testing.T) {
+	for _, tc := range sizes {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			readme, err := os.ReadFile(tc.name + "/README.md")
+			is.NoErr(err)
+			var files []byte
+			for _, name := range []string{"/plans.yaml", "/control-1.yaml"} {
+				data, err := os.ReadFile(tc.name + name)
+				is.NoErr(err)
+				files = append(files, data...)
+			}
+			keys := demoKey.FindAllStringSubmatch(string(readme), -1)
+			is.Equal(len(keys), tc.n+1) // one a workspace, and the operators'
+			for _, key := range keys {
+				digest := sha256.Sum256([]byte(key[1]))
+				is.True(strings.Contains(string(files), hex.EncodeToString(digest[:])))
+				is.True(!strings.Contains(string(files), key[1])) // the files hold digests only
+			}
+		})
+	}
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,108 @@
+#!/usr/bin/env bash
+# Starts the demonstration fleet of separate processes, asks two chats twice, a
+# lookup and a booking with a repeated key, prints what became of each, and stops
+# the fleet. Fails if an answer is not as it should be.
+set -u
+root=$(cd "$(dirname "$0")/.." && pwd)
+example=$root/examples/demo
+data=$(mktemp -d)
+. "$root/scripts/lib.sh"
+finish() {
+  stop_all
+  rm -rf "$data"
+}
+trap finish EXIT
+trap 'exit 1' INT TERM
+[ -x "$bin" ] || { echo "no $bin: run make build first" >&2; exit 2; }
+
+key=demo-workspace
+failed=0
+
+# check CONDITION... notes a failure, with the text in $what, unless the test holds.
+check() {
+  test "$@" && return
+  echo "  not as it should be: $what ($*)"
+  failed=1
+}
+
+router() { setting "$example/router-$1.yaml" callers; }
+
+# header NAME prints a header of the last answer.
+header() { sed -n "s/^$1: *//Ip" "$data/headers" | tr -d '\r' | head -1; }
+
+# ask ROUTER CHAT MESSAGES asks one turn and sets content, cached and upstream.
+ask() {
+  local body
+  curl -sS --max-time 30 -D "$data/headers" -o "$data/body" "http://$(router "$1")/v1/chat/completions" \
+    -H "Authorization: Bearer $key" -H 'Content-Type: application/json' \
+    -d "{\"model\":\"care-notes\",\"max_tokens\":32,\"prompt_cache_key\":\"$2\",\"messages\":[$3]}" || failed=1
+  body=$(cat "$data/body")
+  content=$(sed -n 's/.*"content":"\([^"]*\)".*/\1/p' <<<"$body")
+  cached=$(sed -n 's/.*"cached_tokens":\([0-9]*\).*/\1/p' <<<"$body")
+  upstream=$(header Wigeonflow-Upstream)
+  printf '%-28s router %s  upstream %-10s cached prompt tokens %-4s %s words\n' \
+    "chat $2, turn $turn" "$1" "${upstream:-none}" "${cached:-none}" "$(wc -w <<<"$content")"
+  what="chat $2, turn $turn: 32 words"
+  check "$(wc -w <<<"$content")" -eq 32
+}
+
+# user TEXT and assistant TEXT print a message.
+user() { printf '{"role":"user","content":"%s"}' "$1"; }
+assistant() { printf '{"role":"assistant","content":"%s"}' "$1"; }
+
+# call METHOD ROUTER PATH [CURL_ARGUMENTS...] calls the service and sets body and status.
+call() {
+  local method=$1 via=$2 path=$3
+  shift 3
+  status=$(curl -sS --max-time 30 -X "$method" -D "$data/headers" -o "$data/body" -w '%{http_code}' \
+    "http://$(router "$via")/services/counter$path" -H "Authorization: Bearer $key" "$@") || failed=1
+  body=$(cat "$data/body")
+  outcome=$(header Wigeonflow-Outcome)
+  printf '%-28s router %s  upstream %-10s status %s  outcome %s\n' \
+    "$method $path" "$via" "$(header Wigeonflow-Upstream)" "$status" "${outcome:-ran}"
+}
+
+# runs prints how often the services ran the key.
+runs() {
+  local id pool addr n=0
+  while read -r id pool addr; do
+    [ "$pool" = counter ] || continue
+    n=$((n + $(curl -sS "http://$addr/standin/runs" | sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p;t;s/.*/0/p")))
+  done < <(upstreams "$example/platform.yaml")
+  echo "$n"
+}
+
+start_fleet "$example" || exit 1
+print_addresses "$example"
+echo
+
+history='The silk tie of the district choir came in on Monday with a coffee stain and a loose seam near the tip'
+turn=1
+ask 1 choir "$(user "$history")"; choir=$content; choir_at=$upstream
+ask 2 court "$(user "$history for the court")"; court=$content; court_at=$upstream
+turn=2
+ask 3 choir "$(user "$history"),$(assistant "$choir"),$(user 'When is it ready?')"
+what="chat choir returns to its engine and cache"
+check "$upstream" = "$choir_at"
+check "${cached:-0}" -gt 0
+ask 1 court "$(user "$history for the court"),$(assistant "$court"),$(user 'When is it ready?')"
+what="chat court returns to its engine and cache"
+check "$upstream" = "$court_at"
+check "${cached:-0}" -gt 0
+
+call GET 1 /stock/silk
+what="the lookup answers for itself"
+check "$status" = 200
+booking="booking-$$"
+call POST 2 /pickups -H "Idempotency-Key: $booking" -d '{"choir":"district"}'
+first=$body
+what="the booking ran"
+check "$status" = 201
+call POST 3 /pickups -H "Idempotency-Key: $booking" -d '{"choir":"district"}'
+what="the repeated key gets the first answer"
+check "$body" = "$first"
+times=$(runs "$booking")
+echo "the booking ran $times time(s)"
+what="the booking ran once"
+check "$times" = 1
+exit $failed
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Runs one of the examples on loopback until it is interrupted: stand-ins, control
+# instances and routers as separate processes.
+# Usage: scripts/fleet.sh EXAMPLE [DATA_FOLDER]   (default data/EXAMPLE)
+set -u
+root=$(cd "$(dirname "$0")/.." && pwd)
+example=$root/examples/${1:?usage: scripts/fleet.sh EXAMPLE [DATA_FOLDER]}
+[ -f "$example/platform.yaml" ] || { echo "no example at $example" >&2; exit 2; }
+mkdir -p "${2:-$root/data/$1}"
+data=$(cd "${2:-$root/data/$1}" && pwd)
+. "$root/scripts/lib.sh"
+[ -x "$bin" ] || { echo "no $bin: run make build first" >&2; exit 2; }
+
+trap stop_all EXIT
+trap 'exit 0' INT TERM
+start_fleet "$example" || exit 1
+print_addresses "$example"
+echo "logs in $data/log; interrupt to stop"
+wait
--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,126 @@
+# Functions that start and stop the processes of a trial fleet on loopback.
+# To be sourced, with root (the repository) and data (the data folder) set.
+
+bin=$root/bin/wigeonflow
+pids=()
+names=()
+
+# start NAME COMMAND... runs a command in the data folder, its output in log/NAME.log.
+start() {
+  local name=$1
+  shift
+  (cd "$data" && exec "$@") >"$data/log/$name.log" 2>&1 &
+  pids+=($!)
+  names+=("$name")
+}
+
+# stop_all stops the processes that start started, the last one first, and waits
+# for them. It knows them by their process ids only.
+stop_all() {
+  local i
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+    kill -TERM "${pids[i]}" 2>/dev/null
+  done
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+    wait "${pids[i]}" 2>/dev/null
+  done
+  pids=()
+}
+
+# await URL waits until URL answers with success; it fails after 30 s or once a
+# process has ended.
+await() {
+  local i p
+  for ((i = 0; i < 300; i++)); do
+    curl -fsS -o /dev/null --max-time 2 "$1" 2>/dev/null && return 0
+    for p in "${!pids[@]}"; do
+      kill -0 "${pids[p]}" 2>/dev/null && continue
+      echo "${names[p]} has ended:" >&2
+      tail -5 "$data/log/${names[p]}.log" >&2
+      return 1
+    done
+    sleep 0.1
+  done
+  echo "no answer from $1" >&2
+  return 1
+}
+
+# setting FILE NAME prints the value of a scalar setting of a settings file.
+setting() {
+  sed -n "s/^ *$2: *//p" "$1" | head -1
+}
+
+# upstreams FILE prints "ID POOL HOST:PORT" of each instance in a platform file.
+upstreams() {
+  sed -n 's/^ *- {id: \([^,]*\), pool: \([^,]*\), addr: "\([^"]*\)".*/\1 \2 \3/p' "$1"
+}
+
+# pool_kind FILE POOL prints the kind of a pool in an allowances file.
+pool_kind() {
+  awk -v pool="$2" '$1 == "-" && $2 == "name:" { name = $3 } $1 == "kind:" && name == pool { print $2; exit }' "$1"
+}
+
+# start_standins EXAMPLE_DIR starts the platform and every upstream of its list.
+start_standins() {
+  local id pool addr
+  while read -r id pool addr; do
+    start "$id" env GOMAXPROCS=1 "$bin" standin "$(pool_kind "$1/allowances.yaml" "$pool")" --listen "$addr"
+  done < <(upstreams "$1/platform.yaml")
+  start platform env GOMAXPROCS=1 "$bin" standin platform --file "$1/platform.yaml" --lag 1s --probe \
+    --listen "$(setting "$1/router-1.yaml" url | sed 's|^http://||')"
+}
+
+# start_instances EXAMPLE_DIR PATTERN starts the instances with these settings.
+start_instances() {
+  local file name
+  for file in "$1"/$2; do
+    name=$(setting "$file" instance)
+    mkdir -p "$data/state/$name"
+    start "$name" env GOMAXPROCS=2 "$bin" serve --config "$file"
+  done
+}
+
+# apply_lists EXAMPLE_DIR KEY puts the example's lists in force. The operation is
+# the same at every start, so that a second start on the same data changes nothing.
+apply_lists() {
+  WIGEONFLOW_OPERATOR_KEY=$2 "$bin" apply --control "$(setting "$1/control-1.yaml" operators)" \
+    --expect 0 --operation "example-start" "$1/plans.yaml" "$1/allowances.yaml"
+}
+
+# operator_key EXAMPLE_DIR prints the demonstration key of the operators.
+operator_key() {
+  grep -oE '[a-z]+-operator(-demo)?' "$1/README.md" | tail -1
+}
+
+# start_fleet EXAMPLE_DIR starts a whole example and waits until it serves.
+start_fleet() {
+  local file
+  mkdir -p "$data/log"
+  [ -s "$data/fleet.secret" ] || head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$data/fleet.secret"
+  chmod 600 "$data/fleet.secret"
+  start_standins "$1" || return 1
+  start_instances "$1" 'control-*.yaml' || return 1
+  for file in "$1"/control-*.yaml; do
+    await "http://$(setting "$file" operators)/healthz" || return 1
+  done
+  apply_lists "$1" "$(operator_key "$1")" || return 1
+  start_instances "$1" 'router-*.yaml' || return 1
+  for file in "$1"/router-*.yaml; do
+    await "http://$(setting "$file" callers)/readyz" || return 1
+  done
+}
+
+# print_addresses EXAMPLE_DIR prints where each process of an example listens.
+print_addresses() {
+  local file id pool addr
+  for file in "$1"/control-*.yaml; do
+    printf '%-12s operators http://%s\n' "$(setting "$file" instance)" "$(setting "$file" operators)"
+  done
+  for file in "$1"/router-*.yaml; do
+    printf '%-12s callers   http://%s\n' "$(setting "$file" instance)" "$(setting "$file" callers)"
+  done
+  while read -r id pool addr; do
+    printf '%-12s %-9s http://%s\n' "$id" "$pool" "$addr"
+  done < <(upstreams "$1/platform.yaml")
+  printf '%-12s           %s\n' platform "$(setting "$1/router-1.yaml" url)"
+}
