The whole path: caller to entry to owner to upstream, through separate processes

Ruled out: answering 429 while a plan home opens: a first run of the demo got 429 for every request, since a home without books lends nothing for the lifetime of the former one's credits; the entry now waits for an opening home. Change: router role (session, configuration, platform, plan homes with books handed over), operators' commands, demo in one process and as separate processes, a test of the joined parts. Conclusion: the thin path stands; faults on real processes come next.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,10 +40,16 @@
 // commands lists every subcommand, in the order that help prints them.
 func commands(stdout, stderr io.Writer) []*ffcli.Command {
 	return []*ffcli.Command{
-		standin.Commands(stdout, stderr),
-		load.Command(stdout, stderr),
 		serveCommand(stderr),
+		demoCommand(stdout),
+		checkCommand(stdout, stderr),
+		applyCommand(stdout, stderr),
+		getCommand(stdout, stderr),
+		zoneCommand(stdout, stderr),
+		instanceCommand(stdout, stderr),
+		upstreamCommand(stdout, stderr),
 		standin.Commands(stdout, stderr),
+		load.Command(stdout, stderr),
 		versionCommand(stdout),
 	}
 }
--- /dev/null
+++ b/internal/cli/demo.go
@@ -0,0 +1,18 @@
+package cli
+
+import (
+	"context"
+	"io"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/wigeonflow/wigeonflow/internal/demo"
+)
+
+func demoCommand(stdout io.Writer) *ffcli.Command {
+	return &ffcli.Command{
+		Name: "demo", ShortUsage: "wigeonflow demo",
+		ShortHelp: "Run a whole small fleet in this process, ask it and print what served.",
+		Exec:      func(ctx context.Context, _ []string) error { return demo.Run(ctx, stdout) },
+	}
+}
--- /dev/null
+++ b/internal/demo/fleet.go
@@ -0,0 +1,318 @@
+// Package demo runs a whole small fleet in one process on loopback: control
+// members, routers and stand-ins, each with its own listeners. The demo command
+// and tests of the joined parts use it; nothing is faked between the parts.
+package demo
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/agent"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
+	"github.com/wigeonflow/wigeonflow/internal/settings"
+	"github.com/wigeonflow/wigeonflow/internal/standin"
+)
+
+// Keys of the demonstration.
+const (
+	WorkspaceKey = "demo-workspace"
+	OperatorKey  = "demo-operator"
+)
+
+// Names in the demonstration's lists.
+const (
+	Model       = "care-notes"
+	Service     = "counter"
+	enginePool  = "language"
+	servicePool = "counter"
+)
+
+// Options size a fleet. Zero fields mean the defaults.
+type Options struct {
+	// Dir is the data folder. Required.
+	Dir string
+	// Control is the number of control members; default 1.
+	Control int
+	// Routers is the number of routers; default 2.
+	Routers int
+	// Engines and Services are the numbers of stand-ins; default 3 and 2.
+	Engines, Services int
+	// Engine configures the engines.
+	Engine standin.EngineConfig
+	// Plan is the demonstration's plan; default unlimited.
+	Plan lists.Plan
+	// Log receives the processes' logs; default none.
+	Log io.Writer
+	// LogLevel is the level of the logs; default warn.
+	LogLevel string
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Control, 1)
+	setDefault(&o.Routers, 2)
+	setDefault(&o.Engines, 3)
+	setDefault(&o.Services, 2)
+	setDefault(&o.LogLevel, "warn")
+	if o.Log == nil {
+		o.Log = io.Discard
+	}
+	o.Plan.Name = "demo"
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// zones are the availability zones that instances are spread over.
+var zones = []fleet.AvailabilityZone{"north", "middle", "south"}
+
+// Upstream is a running stand-in.
+type Upstream struct {
+	Listed  fleet.Upstream
+	Engine  *standin.Engine  // nil for a service
+	Service *standin.Service // nil for an engine
+	server  *http.Server
+}
+
+// URL returns the stand-in's base URL.
+func (u *Upstream) URL() string { return "http://" + u.Listed.Addr }
+
+// Fleet is a running fleet.
+type Fleet struct {
+	opts      Options
+	Upstreams []*Upstream
+	Platform  *standin.Platform
+	Control   []*agent.Agent
+	Routers   []*agent.Agent
+	// RouterURLs and OperatorAddrs tell where the processes listen.
+	RouterURLs    []string
+	OperatorAddrs []string
+
+	settings  []settings.Settings // control members, then routers
+	platform  *http.Server
+	platformA string
+}
+
+// Start starts a fleet and puts its lists in force. The fleet serves once Ready
+// returns.
+func Start(ctx context.Context, opts Options) (*Fleet, error) {
+	f := &Fleet{opts: opts.withDefaults()}
+	if err := f.startStandins(); err != nil {
+		return nil, errors.Join(err, f.Stop(ctx))
+	}
+	f.plan()
+	for i := range f.opts.Control + f.opts.Routers {
+		a, err := agent.Start(ctx, f.settings[i], f.opts.Log)
+		if err != nil {
+			return nil, errors.Join(err, f.Stop(ctx))
+		}
+		if i < f.opts.Control {
+			f.Control = append(f.Control, a)
+		} else {
+			f.Routers = append(f.Routers, a)
+		}
+	}
+	if _, err := f.Operators().Apply(ctx, operator.Expect{}, "demo-start", f.Lists()); err != nil {
+		return nil, errors.Join(err, f.Stop(ctx))
+	}
+	return f, nil
+}
+
+// Operators returns a client of the operators' API.
+func (f *Fleet) Operators() *operator.Client {
+	return operator.NewClient(operator.ClientSettings{Addrs: f.OperatorAddrs, Token: OperatorKey})
+}
+
+func (f *Fleet) startStandins() error {
+	var listed []fleet.Upstream
+	for i := range f.opts.Engines + f.opts.Services {
+		u := &Upstream{Listed: fleet.Upstream{Zone: zones[i%len(zones)]}}
+		var handler http.Handler
+		if i < f.opts.Engines {
+			u.Engine = standin.NewEngine(f.opts.Engine)
+			u.Listed.ID, u.Listed.Pool = fleet.UpstreamID(fmt.Sprintf("engine-%d", i+1)), enginePool
+			handler = u.Engine
+		} else {
+			u.Service = standin.NewService(standin.ServiceConfig{})
+			u.Listed.ID, u.Listed.Pool = fleet.UpstreamID(fmt.Sprintf("counter-%d", i-f.opts.Engines+1)), servicePool
+			handler = u.Service
+		}
+		var err error
+		if u.server, u.Listed.Addr, err = serve(handler); err != nil {
+			return err
+		}
+		f.Upstreams = append(f.Upstreams, u)
+		listed = append(listed, u.Listed)
+	}
+	f.Platform = standin.NewPlatform(standin.PlatformConfig{Instances: listed})
+	var err error
+	f.platform, f.platformA, err = serve(f.Platform)
+	return err
+}
+
+func serve(h http.Handler) (*http.Server, string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(l) }()
+	return server, l.Addr().String(), nil
+}
+
+// plan chooses every process' addresses and settings.
+func (f *Fleet) plan() {
+	var members []string
+	for range f.opts.Control {
+		members = append(members, freeAddr())
+	}
+	for i := range f.opts.Control + f.opts.Routers {
+		s := settings.Settings{
+			Zone:     zones[i%len(zones)],
+			Control:  settings.Control{Members: members},
+			Platform: settings.Platform{URL: "http://" + f.platformA, PollInterval: 200 * time.Millisecond},
+			Log:      settings.Log{Level: f.opts.LogLevel},
+		}
+		if i < f.opts.Control {
+			s.Instance = fleet.InstanceID(fmt.Sprintf("control-%d", i+1))
+			s.Roles = []settings.Role{settings.RoleControl}
+			s.Listen = settings.Listen{Mesh: members[i], Operators: freeAddr()}
+			s.DataDir = filepath.Join(f.opts.Dir, string(s.Instance))
+			s.Operators = []settings.Operator{{Name: "demo", KeyDigests: []string{digest(OperatorKey)}}}
+			f.OperatorAddrs = append(f.OperatorAddrs, s.Listen.Operators)
+		} else {
+			s.Instance = fleet.InstanceID(fmt.Sprintf("router-%d", i-f.opts.Control+1))
+			s.Roles = []settings.Role{settings.RoleRouter}
+			s.Listen = settings.Listen{Mesh: freeAddr(), Callers: freeAddr()}
+			f.RouterURLs = append(f.RouterURLs, "http://"+s.Listen.Callers)
+		}
+		f.settings = append(f.settings, s.WithDefaults())
+	}
+}
+
+// freeAddr returns a loopback address that nothing listens at just now.
+func freeAddr() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "127.0.0.1:0"
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Lists returns the demonstration's lists.
+func (f *Fleet) Lists() lists.Both {
+	return lists.Both{
+		Plans: lists.Plans{
+			Plans:      []lists.Plan{f.opts.Plan},
+			Workspaces: []lists.Workspace{{ID: "demo", Plan: "demo", KeyDigests: []string{digest(WorkspaceKey)}}},
+		},
+		Allowances: lists.Allowances{
+			Pools: []lists.Pool{
+				{Name: enginePool, Kind: "engine", LoadFactor: 1.5, ChecksFencing: true},
+				{Name: servicePool, Kind: "service", StartConcurrency: 8},
+			},
+			Models: []lists.Model{{Name: Model, Pool: enginePool}},
+			Services: []lists.Service{{Name: Service, Pool: servicePool, Routes: []lists.Route{
+				{Method: http.MethodPost, Path: "/pickups", LookupPath: "/keys"},
+				{Method: http.MethodGet, Path: "/", Repeatable: true},
+			}}},
+			Plans: []lists.Allowance{{Plan: "demo", Models: []fleet.ModelName{Model}, Services: []string{Service}}},
+		},
+	}
+}
+
+// readyPoll spaces looks at the routers' readiness.
+const readyPoll = 50 * time.Millisecond
+
+// Ready waits until every router serves.
+func (f *Fleet) Ready(ctx context.Context) error {
+	for _, url := range f.RouterURLs {
+		for !isReady(ctx, url) {
+			select {
+			case <-ctx.Done():
+				return fleet.At(ctx.Err(), "demo.ready", url)
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, url string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Stop ends routers, control members and stand-ins, in this order.
+func (f *Fleet) Stop(ctx context.Context) error {
+	var errs []error
+	for _, group := range [][]*agent.Agent{f.Routers, f.Control} {
+		results := make(chan error, len(group))
+		for _, a := range group {
+			go func() { results <- a.Stop(ctx) }()
+		}
+		for range group {
+			errs = append(errs, <-results)
+		}
+	}
+	for _, u := range f.Upstreams {
+		_ = u.server.Close()
+		if u.Engine != nil {
+			u.Engine.Close()
+		}
+	}
+	if f.platform != nil {
+		_ = f.platform.Close()
+		f.Platform.Close()
+	}
+	return errors.Join(errs...)
+}
+
+// Do sends a request of the demonstration's workspace to a router.
+func (f *Fleet) Do(ctx context.Context, router int, method, path, key, body string) (*http.Response, []byte, error) {
+	url := f.RouterURLs[router%len(f.RouterURLs)] + path
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+WorkspaceKey)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return resp, answer, err
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -227,6 +227,7 @@
 	h.Set(answer.HeaderOutcome, fleet.OutcomeRan.String())
 	h.Set(HeaderUpstream, string(r.candidates[r.current].Upstream))
 	if r.reply.Replayed {
+		h.Del(HeaderUpstream)
 		h.Set(HeaderReplayed, "true")
 	}
 	w.WriteHeader(r.reply.Status)
--- a/internal/router/homes.go
+++ b/internal/router/homes.go
@@ -26,6 +26,9 @@
 	// booksTimeout bounds handing books over. It is well below the lease, for the
 	// session's next renewal waits for it.
 	booksTimeout = 500 * time.Millisecond
+	// openingTime is how long a home without books waits for the credits of the
+	// former one to lapse, clock drift included.
+	openingTime = plan.CreditLifetime + plan.CreditLifetime/16
 	// reportRounds is how many borrowTicks pass between requests for reports.
 	reportRounds = 5
 )
@@ -105,7 +108,7 @@
 		peers = append(peers, id)
 	}
 	p.home.Take(now, w, peers)
-	p.taken[w] = true
+	p.taken[w] = now
 }
 
 // handOver sends the books to their new homes, side by side. Books that do not
@@ -145,9 +148,10 @@
 func (p *plans) askReports(ctx context.Context) {
 	silent := make(map[fleet.InstanceID][]fleet.WorkspaceID)
 	p.mu.Lock()
-	for w := range p.taken {
+	now := p.router.cfg.Clock()
+	for w, at := range p.taken {
 		peers := p.home.Silent(w)
-		if len(peers) == 0 {
+		if len(peers) == 0 && now-at >= openingTime {
 			delete(p.taken, w)
 		}
 		for _, peer := range peers {
--- a/internal/router/plans.go
+++ b/internal/router/plans.go
@@ -11,17 +11,27 @@
 	"github.com/wigeonflow/wigeonflow/internal/plan"
 )
 
+//go:generate go tool msgp -tests=false -io=false -file plans.go
+
 // MethodBorrow asks a workspace's plan home for credits: a plan.BorrowRequest
-// is answered by a plan.BorrowReply.
+// is answered by a BorrowAnswer.
 const MethodBorrow = "plan.borrow"
 
+// BorrowAnswer is a home's reply.
+type BorrowAnswer struct {
+	Reply plan.BorrowReply `msg:"r"`
+	// Opening means that the home has taken over without books and lends less
+	// than the plan until it knows what is in use.
+	Opening bool `msg:"o"`
+}
+
 const (
 	// borrowTick spaces the borrower's requests that no caller waits for.
 	borrowTick = 50 * time.Millisecond
 	// borrowTimeout bounds one request to a plan home.
 	borrowTimeout = time.Second
 	// startTimeout bounds how long a caller waits for its plan's counts.
-	startTimeout = 3 * time.Second
+	startTimeout = 5 * time.Second
 	// borrowRetry spaces a caller's looks at its plan.
 	borrowRetry = 10 * time.Millisecond
 )
@@ -36,8 +46,9 @@
 	borrower *plan.Borrower
 	waiters  map[fleet.WorkspaceID]chan struct{} // closed when a reply is taken
 	members  map[fleet.InstanceID]fleet.Member
-	handed   map[fleet.WorkspaceID]plan.Books // from former homes, not yet taken over
-	taken    map[fleet.WorkspaceID]bool       // homes without books, whose borrowers must report
+	handed   map[fleet.WorkspaceID]plan.Books    // from former homes, not yet taken over
+	taken    map[fleet.WorkspaceID]time.Duration // when homes without books were taken
+	opening  map[fleet.WorkspaceID]bool          // as their homes last told
 	seen     homesSeen
 }
 
@@ -46,7 +57,8 @@
 		router: r, home: plan.NewHome(), borrower: plan.NewBorrower(r.self.ID, r.self.Boot),
 		waiters: make(map[fleet.WorkspaceID]chan struct{}),
 		handed:  make(map[fleet.WorkspaceID]plan.Books),
-		taken:   make(map[fleet.WorkspaceID]bool),
+		taken:   make(map[fleet.WorkspaceID]time.Duration),
+		opening: make(map[fleet.WorkspaceID]bool),
 	}
 	server.Handle(MethodBorrow, mesh.Unary(p.borrow))
 	server.Handle(MethodBooks, mesh.Unary(p.takeBooks))
@@ -78,37 +90,42 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for {
-		answer, wait := p.start(workspace, tokens)
-		switch answer.Step {
-		case plan.Started:
+		answer, changed, opening := p.start(workspace, tokens)
+		pause := borrowRetry
+		switch {
+		case answer.Step == plan.Started:
 			return &charge{plans: p, ticket: answer.Ticket}, 0, nil
-		case plan.Over:
+		case answer.Step == plan.Wait:
+			p.ask(workspace)
+		case !opening:
 			return nil, answer.RetryAfter, nil
+		default:
+			pause = max(answer.RetryAfter, borrowRetry)
 		}
-		p.ask(workspace)
 		select {
-		case <-wait:
-		case <-time.After(borrowRetry):
+		case <-changed:
+		case <-time.After(pause):
 		case <-ctx.Done():
 			return nil, 0, fleet.At(errPlanHome.Wrap(ctx.Err(), "borrow"), "plan.borrow", string(p.homeOf(workspace)))
 		}
 	}
 }
 
-// start looks at the credits in hand and returns what tells of new ones.
-func (p *plans) start(workspace fleet.WorkspaceID, tokens int64) (plan.Answer, <-chan struct{}) {
+// start looks at the credits in hand. It returns what tells of new ones, and
+// whether the home is still opening.
+func (p *plans) start(workspace fleet.WorkspaceID, tokens int64) (plan.Answer, <-chan struct{}, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	answer := p.borrower.Start(p.router.cfg.Clock(), workspace, tokens)
 	if answer.Step != plan.Wait {
-		return answer, nil
+		return answer, nil, p.opening[workspace]
 	}
 	wait := p.waiters[workspace]
 	if wait == nil {
 		wait = make(chan struct{})
 		p.waiters[workspace] = wait
 	}
-	return answer, wait
+	return answer, wait, false
 }
 
 // ask sends a request for credits, unless one is on its way.
@@ -125,7 +142,8 @@
 func (p *plans) send(request plan.BorrowRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 	defer cancel()
-	reply, err := p.call(ctx, request)
+	answer, err := p.call(ctx, request)
+	reply := answer.Reply
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.router.cfg.Clock()
@@ -135,6 +153,11 @@
 		return
 	}
 	p.borrower.Take(now, reply)
+	if answer.Opening {
+		p.opening[request.Workspace] = true
+	} else {
+		delete(p.opening, request.Workspace)
+	}
 	if reply.NeedHistory {
 		if again, ok := p.borrower.Ask(now, request.Workspace); ok {
 			go p.send(again)
@@ -146,20 +169,20 @@
 	}
 }
 
-func (p *plans) call(ctx context.Context, request plan.BorrowRequest) (plan.BorrowReply, error) {
+func (p *plans) call(ctx context.Context, request plan.BorrowRequest) (BorrowAnswer, error) {
 	home := p.homeOf(request.Workspace)
 	if home == p.router.self.ID {
 		reply, err := p.borrow(ctx, "", &request)
 		if err != nil {
-			return plan.BorrowReply{}, err
+			return BorrowAnswer{}, err
 		}
 		return *reply, nil
 	}
 	member, ok := p.router.member(home)
 	if !ok {
-		return plan.BorrowReply{}, errPlanHome.New("the workspace has no home")
+		return BorrowAnswer{}, errPlanHome.New("the workspace has no home")
 	}
-	var reply plan.BorrowReply
+	var reply BorrowAnswer
 	err := p.router.pool.Call(ctx, member.Addr, MethodBorrow, &request, &reply)
 	return reply, err
 }
@@ -174,14 +197,17 @@
 
 // borrow serves MethodBorrow. A router whose lease has run out counts for
 // nobody: another may be the home by now.
-func (p *plans) borrow(_ context.Context, _ string, request *plan.BorrowRequest) (*plan.BorrowReply, error) {
+func (p *plans) borrow(_ context.Context, _ string, request *plan.BorrowRequest) (*BorrowAnswer, error) {
 	if !p.router.authority.Load().Owns(p.router.cfg.Clock(), homeKey(request.Workspace)) {
-		return &plan.BorrowReply{Workspace: request.Workspace, Sequence: request.Sequence, Refusal: plan.RefusalNotHome}, nil
+		return &BorrowAnswer{Opening: true, Reply: plan.BorrowReply{
+			Workspace: request.Workspace, Sequence: request.Sequence, Refusal: plan.RefusalNotHome,
+		}}, nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	reply := p.home.Borrow(p.router.cfg.Clock(), *request)
-	return &reply, nil
+	_, opening := p.taken[request.Workspace]
+	return &BorrowAnswer{Reply: reply, Opening: opening || reply.Refusal == plan.RefusalNotHome}, nil
 }
 
 // run sends what is due without a caller waiting until ctx ends.
