session: an election no longer prolongs the configuration's grace; a boot that leaves while joining is not waited for

Cause 1: a new Grantor does not know when the configuration was committed, and gave every router the whole grace anew. It now requires the version it starts with. Ruled out: replicating commit times, since a router that is refused hears the version at once and keeps its lease while it fetches. Change besides: schedules gain one-way and two-way cuts of a router, a leader that stalls between reading its clock and acting, and a roster restored at each election; renewals that go to a former leader are a fault of their own, with their own row in the table of gaps.

--- a/internal/session/config_age.go
+++ b/internal/session/config_age.go
@@ -8,7 +8,9 @@
 
 // configAge knows which version every router has had time to put in force. A
 // router below it gets no lease, so an accepted change is in force on every
-// router with a lease after ConfigGrace plus Lease at the latest.
+// router with a lease after ConfigGrace plus Lease at the latest. A router that
+// is refused hears the version in the reply and keeps its lease while it
+// fetches.
 type configAge struct {
 	version fleet.ConfigVersion
 	// recent holds the versions whose grace is not known to be over, in order.
--- /dev/null
+++ b/internal/session/core_test.go
@@ -0,0 +1,305 @@
+package session
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+const leads = time.Hour // a leader lease that outlasts the test
+
+// rig is a Grantor with its roster, on one clock.
+type rig struct {
+	roster  *Roster
+	grantor *Grantor
+}
+
+func newRig(now time.Duration, members ...fleet.Member) *rig {
+	r := &rig{roster: NewRoster(Settings{})}
+	for _, m := range members {
+		apply(r.roster, Op{OpJoin, m})
+	}
+	r.grantor = NewGrantor(now, Settings{}, r.roster, 1)
+	return r
+}
+
+// commit applies what the Grantor proposes and returns the ops.
+func (r *rig) commit(now time.Duration) []Op {
+	var ops []Op
+	for _, cmd := range r.grantor.Tick(now, leads) {
+		ops = append(ops, cmd.Ops...)
+		apply(r.roster, cmd.Ops...)
+	}
+	r.grantor.Committed(now, r.roster)
+	return ops
+}
+
+func request(m fleet.Member, seq uint64, epoch fleet.Epoch) *RenewRequest {
+	return &RenewRequest{Instance: m.ID, Boot: m.Boot, Addr: m.Addr, Zone: m.Zone, Weight: m.Weight, Seq: seq, KnownEpoch: epoch, KnownVersion: 1}
+}
+
+func TestGrantorRenew(t *testing.T) {
+	a, a2, b := member("a", "a1"), member("a", "a2"), member("b", "b1")
+	moved := a
+	moved.Addr = "10.0.0.9:7000"
+	leaving, busy := request(a, 1, 1), request(a, 1, 1)
+	leaving.Leaving, busy.Leaving = true, true
+	busy.Loads = []PoolLoad{{Pool: "llm", InFlight: 1, Upstreams: 1}}
+	cases := []struct {
+		name   string
+		leader time.Duration // end of the leader lease
+		req    *RenewRequest
+		status Status
+		ops    []OpKind // committed at the next tick, at once
+	}{
+		{"member", leads, request(a, 1, 1), StatusGranted, nil},
+		{"member, leader lease over", 0, request(a, 1, 1), StatusNotLeader, nil},
+		{"member that knows a later epoch than this leader", leads, request(a, 1, 2), StatusNotLeader, nil},
+		{"unknown instance", leads, request(b, 1, 0), StatusJoining, []OpKind{OpJoin}},
+		{"next boot while the former may hold a lease", leads, request(a2, 1, 0), StatusJoining, nil},
+		{"member with a new address", leads, request(moved, 1, 1), StatusGranted, []OpKind{OpJoin}},
+		{"member gives its lease back", leads, leaving, StatusLeft, []OpKind{OpLeave}},
+		{"member leaves with work in flight", leads, busy, StatusGranted, nil},
+		{"leaving boot that is no member", leads, &RenewRequest{Instance: "z", Boot: "1", Leaving: true}, StatusLeft, nil},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(0, a)
+			is.Equal(r.grantor.Renew(0, tc.leader, tc.req).Status, tc.status)
+			var kinds []OpKind
+			for _, op := range r.commit(0) {
+				kinds = append(kinds, op.Kind)
+			}
+			is.Equal(kinds, tc.ops)
+		})
+	}
+}
+
+func TestGrantorWaitsOutALease(t *testing.T) {
+	is := is.New(t)
+	a, b := member("a", "a1"), member("b", "b1")
+	r := newRig(time.Hour, a, b) // a leader's clock may start anywhere
+	is.Equal(len(r.commit(time.Hour+DefaultLease-1)), 0)
+	r.grantor.Renew(time.Hour+DefaultLease-1, 2*time.Hour, request(b, 1, 2))
+	is.Equal(len(r.grantor.Tick(time.Hour+DefaultLease, time.Hour)), 0) // no proof of leadership
+	cmds := r.grantor.Tick(time.Hour+DefaultLease, 2*time.Hour)
+	is.Equal(len(cmds), 1)
+	is.Equal(cmds[0].Ops[0].Member.ID, a.ID)
+	is.Equal(r.grantor.Renew(time.Hour+DefaultLease, 2*time.Hour, request(a, 1, 2)).Status, StatusJoining) // none once its removal is proposed
+}
+
+func TestGrantorNextBootJoinsAfterTheLease(t *testing.T) {
+	is := is.New(t)
+	a, a2 := member("a", "a1"), member("a", "a2")
+	r := newRig(0, a)
+	for now := time.Duration(0); now < DefaultLease; now += DefaultRenewInterval {
+		is.Equal(r.grantor.Renew(now, leads, request(a2, 1, 0)).Status, StatusJoining)
+		is.Equal(len(r.commit(now)), 0)
+	}
+	is.Equal(r.commit(DefaultLease)[0].Kind, OpExpire)
+	is.Equal(r.commit(DefaultLease)[0].Kind, OpJoin)
+	is.Equal(r.grantor.Renew(DefaultLease, leads, request(a2, 2, 0)).Status, StatusGranted)
+}
+
+// A boot that leaves while its join is under way is not waited for.
+func TestGrantorBootThatLeavesWhileItJoins(t *testing.T) {
+	is := is.New(t)
+	b := member("b", "b1")
+	leaving := request(b, 2, 0)
+	leaving.Leaving = true
+	r := newRig(0, member("a", "a1"))
+	r.grantor.Renew(0, leads, request(b, 1, 0))
+	is.Equal(r.grantor.Renew(0, leads, leaving).Status, StatusLeft)
+	is.Equal(len(r.commit(0)), 0) // before it was proposed
+
+	r.grantor.Renew(0, leads, request(b, 1, 0))
+	join := r.grantor.Tick(0, leads)
+	r.grantor.Renew(0, leads, leaving)
+	apply(r.roster, join[0].Ops...)
+	r.grantor.Committed(0, r.roster)
+	is.Equal(r.commit(0)[0].Kind, OpLeave) // after
+}
+
+func TestGrantorProposesAgain(t *testing.T) {
+	is := is.New(t)
+	r := newRig(0, member("a", "a1"))
+	is.Equal(len(r.grantor.Tick(DefaultLease, leads)), 1)
+	is.Equal(len(r.grantor.Tick(DefaultLease+DefaultProposalTimeout-1, leads)), 0)
+	is.Equal(len(r.grantor.Tick(DefaultLease+DefaultProposalTimeout, leads)), 1)
+}
+
+// Settled follows the slowest router that can hold a lease.
+func TestGrantorSettles(t *testing.T) {
+	is := is.New(t)
+	a, b, c := member("a", "a1"), member("b", "b1"), member("c", "c1")
+	r := newRig(0, a, b)
+	settled := func(now time.Duration, m fleet.Member, epoch fleet.Epoch) fleet.Epoch {
+		return r.grantor.Renew(now, leads, request(m, 1, epoch)).Settled
+	}
+	is.Equal(settled(0, a, 2), fleet.Epoch(0)) // b may hold a lease and has not said
+	is.Equal(settled(0, b, 2), fleet.Epoch(2))
+	r.grantor.Renew(1, leads, request(c, 1, 0))
+	r.commit(1)
+	is.Equal(settled(1, c, 0), fleet.Epoch(2)) // c starts at epoch 3, a and b do not know it
+	is.Equal(settled(2, a, 3), fleet.Epoch(2))
+	late := DefaultLease // b's lease, renewed at 0, is over; a renewed at 2
+	is.Equal(settled(late, a, 3), fleet.Epoch(3))
+	is.Equal(settled(late, b, 2), fleet.Epoch(3)) // it gets a lease together with epoch 3
+}
+
+func TestGrantorSumsLoads(t *testing.T) {
+	is := is.New(t)
+	a, b := member("a", "a1"), member("b", "b1")
+	r := newRig(0, a, b)
+	loaded := func(m fleet.Member, seq uint64, inFlight uint32) []PoolMean {
+		req := request(m, seq, 2)
+		req.Loads = []PoolLoad{{Pool: "llm", InFlight: inFlight, Upstreams: 2}}
+		return r.grantor.Renew(0, leads, req).Means
+	}
+	loaded(a, 1, 5)
+	is.Equal(loaded(b, 1, 3), []PoolMean{{"llm", 8, 4}})
+	is.Equal(loaded(b, 2, 1), []PoolMean{{"llm", 6, 4}})
+	is.Equal(loaded(b, 1, 9), []PoolMean{{"llm", 6, 4}}) // a late copy
+	r.commit(DefaultLease)
+	r.grantor.Renew(DefaultLease, leads, request(a, 2, 2))
+	is.Equal(len(r.grantor.loads.sums()), 0) // both have expired
+}
+
+// A router that stays on an old configuration has no lease once ConfigGrace and
+// a lease are over, whatever it asks and whoever leads; one that follows keeps
+// its lease.
+func TestStaleConfigurationLosesTheLease(t *testing.T) {
+	cases := []struct {
+		name    string
+		elect   time.Duration // after the change
+		longest time.Duration
+	}{
+		{"one leader", time.Hour, DefaultConfigGrace + DefaultLease},
+		{"an election before the grace is over", 4 * time.Second, 4*time.Second + DefaultLease},
+		{"an election after it", 6 * time.Second, DefaultConfigGrace + DefaultLease},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			const changeAt = 2 * time.Second
+			r := newRig(0, member("a", "a1"), member("b", "b1"))
+			stale, fresh := NewHolder(Settings{}, member("a", "a1"), nil), NewHolder(Settings{}, member("b", "b1"), nil)
+			var lastValid time.Duration
+			for now := time.Duration(0); now < 20*time.Second; now += 100 * time.Millisecond {
+				switch now {
+				case changeAt:
+					r.grantor.SetVersion(now, 2)
+				case changeAt + tc.elect:
+					r.grantor = NewGrantor(now, Settings{}, r.roster, 2)
+				}
+				r.exchange(now, stale, 1)
+				r.exchange(now, fresh, max(1, fresh.Version()))
+				r.commit(now)
+				if stale.Valid(now) {
+					lastValid = now
+				}
+				is.New(t).True(now == 0 || fresh.Valid(now))
+			}
+			t.Logf("lease ended %v after the change", lastValid-changeAt)
+			is.New(t).True(lastValid-changeAt <= tc.longest)
+			is.New(t).Equal(len(r.roster.Membership().Members), 1)
+		})
+	}
+}
+
+// Without a grace the same router keeps its lease on the old configuration.
+func TestStaleConfigurationKeepsTheLeaseWithoutGrace(t *testing.T) {
+	r := newRig(0, member("a", "a1"))
+	r.grantor.settings.ConfigGrace = time.Hour
+	stale := NewHolder(Settings{}, member("a", "a1"), nil)
+	r.grantor.SetVersion(0, 2)
+	for now := time.Duration(0); now <= 20*time.Second; now += 100 * time.Millisecond {
+		r.exchange(now, stale, 1)
+		r.commit(now)
+	}
+	is.New(t).True(stale.Valid(20 * time.Second))
+}
+
+// exchange lets a holder renew if it is due.
+func (r *rig) exchange(now time.Duration, h *Holder, version fleet.ConfigVersion) {
+	if now >= h.NextRenewal() {
+		h.Take(now, r.grantor.Renew(now, leads, h.Request(now, version, nil)))
+	}
+}
+
+func TestHolderTake(t *testing.T) {
+	self := member("a", "a1")
+	one := &fleet.Membership{Epoch: 5, Members: []fleet.Member{self}}
+	grant := func(seq uint64) RenewReply {
+		return RenewReply{Seq: seq, Status: StatusGranted, Lease: DefaultLease, Epoch: 5, Settled: 5, Version: 3}
+	}
+	with := func(seq uint64, edit func(*RenewReply)) RenewReply {
+		r := grant(seq)
+		edit(&r)
+		return r
+	}
+	usable := Settings{}.withDefaults().usable(DefaultLease)
+	// Requests 1, 2 and 3 are sent at 1 s, 2 s and 3 s; reply 1 came in time.
+	cases := []struct {
+		name    string
+		replies []RenewReply
+		taken   []bool
+		until   time.Duration
+	}{
+		{"in order", []RenewReply{grant(2), grant(3)}, []bool{true, true}, 3*time.Second + usable},
+		{"doubled", []RenewReply{grant(2), grant(2)}, []bool{true, false}, 2*time.Second + usable},
+		{"crossed", []RenewReply{grant(3), grant(2)}, []bool{true, false}, 3*time.Second + usable},
+		{"to no request", []RenewReply{grant(9)}, []bool{false}, time.Second + usable},
+		{"from a leader that knows an older epoch", []RenewReply{with(2, func(r *RenewReply) { r.Epoch = 4 })}, []bool{false}, time.Second + usable},
+		{"from a leader that knows an older configuration", []RenewReply{with(2, func(r *RenewReply) { r.Version = 2 })}, []bool{false}, time.Second + usable},
+		{"not from a leader", []RenewReply{{Seq: 2, Status: StatusNotLeader}}, []bool{false}, time.Second + usable},
+		{"a newer epoch without its changes", []RenewReply{with(2, func(r *RenewReply) { r.Epoch = 7 })}, []bool{false}, time.Second + usable},
+		{"changes with a gap", []RenewReply{with(2, func(r *RenewReply) { r.Epoch, r.Changes = 7, []Change{{Epoch: 7}} })}, []bool{false}, time.Second + usable},
+		{"changes in order", []RenewReply{with(2, func(r *RenewReply) { r.Epoch, r.Changes = 7, []Change{{Epoch: 6}, {Epoch: 7}} })}, []bool{true}, 2*time.Second + usable},
+		{"stale configuration", []RenewReply{with(2, func(r *RenewReply) { r.Status = StatusStaleConfig })}, []bool{true}, time.Second + usable},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			h := NewHolder(Settings{}, self, func(fleet.Membership, string) fleet.InstanceID { return self.ID })
+			h.Request(time.Second, 3, nil)
+			first := with(1, func(r *RenewReply) { r.Membership = one })
+			is.True(h.Take(time.Second, &first))
+			h.Request(2*time.Second, 3, nil)
+			h.Request(3*time.Second, 3, nil)
+			for i := range tc.replies {
+				is.Equal(h.Take(3*time.Second, &tc.replies[i]), tc.taken[i])
+			}
+			is.Equal(h.Authority().Until(), tc.until)
+			is.True(h.Owns(tc.until-1, "u"))
+			is.True(!h.Owns(tc.until, "u")) // a frozen holder that wakes late
+		})
+	}
+}
+
+func TestHolderGivesTheLeaseBack(t *testing.T) {
+	is := is.New(t)
+	self := member("a", "a1")
+	r := newRig(0, self)
+	h := NewHolder(Settings{}, self, func(fleet.Membership, string) fleet.InstanceID { return self.ID })
+	work := []PoolLoad{{Pool: "llm", InFlight: 1, Upstreams: 1}}
+	exchange := func(loads []PoolLoad) {
+		h.Take(0, r.grantor.Renew(0, leads, h.Request(0, 1, loads)))
+	}
+	exchange(work)
+	h.Leave()
+	exchange(work)
+	is.True(h.Valid(1)) // it finishes what runs
+	late := r.grantor.Renew(0, leads, h.Request(0, 1, work))
+	req := h.Request(0, 1, nil)
+	is.True(!h.Valid(1)) // before the request is even sent
+	h.Take(0, late)
+	is.True(!h.Valid(1)) // and a late grant does not bring it back
+	h.Take(0, r.grantor.Renew(0, leads, req))
+	is.True(h.Left())
+	is.Equal(r.commit(0)[0].Kind, OpLeave)
+	is.Equal(len(r.roster.Membership().Members), 0)
+}
--- a/internal/session/grantor.go
+++ b/internal/session/grantor.go
@@ -67,13 +67,17 @@
 	askedAt    time.Duration
 	proposed   bool
 	proposedAt time.Duration
+	// gone is set once the boot has left again. If its join is committed all
+	// the same, its removal follows at once.
+	gone bool
 }
 
 // NewGrantor returns the Grantor of a leader that has applied the first entry
 // of its own term, so that every command of earlier leaders that can still be
 // committed is in the roster. It takes every member as just renewed by an
 // earlier leader, with unknown acknowledgements, and so waits out a full lease
-// before it removes anyone.
+// before it removes anyone. When the configuration was committed is not known
+// either, so that routers must follow it at once: an election prolongs nothing.
 func NewGrantor(now time.Duration, settings Settings, roster *Roster, version fleet.ConfigVersion) *Grantor {
 	g := &Grantor{
 		settings: settings.withDefaults(),
@@ -81,7 +85,7 @@
 		joiners:  make(map[sessionKey]*joiner),
 		loads:    newLoadSums(),
 	}
-	g.SetVersion(now, version)
+	g.config = configAge{version: version, required: version}
 	g.Committed(now, roster)
 	if g.settings.without.grantorWait {
 		return g
@@ -107,13 +111,16 @@
 
 func (g *Grantor) commit(now time.Duration, m fleet.Member) {
 	key := keyOf(m)
-	delete(g.joiners, key)
 	s := g.sessions[key]
 	if s == nil {
 		// Just joined: it has no lease yet, so until stays at now.
 		s = &session{until: now, removeAt: now + g.settings.Lease}
 		g.sessions[key] = s
+		if j := g.joiners[key]; j != nil && j.gone {
+			s.removal, s.proposedAt = OpLeave, now-g.settings.ProposalTimeout
+		}
 	}
+	delete(g.joiners, key)
 	s.committed = true
 	if s.update && s.member == m {
 		s.update = false
@@ -151,6 +158,7 @@
 	s := g.sessions[sessionKey{req.Instance, req.Boot}]
 	switch {
 	case s == nil && req.Leaving:
+		g.giveUp(sessionKey{req.Instance, req.Boot})
 		reply.Status = StatusLeft
 	case s == nil || !s.committed || s.removal == OpExpire:
 		reply.Status = g.ask(now, req)
@@ -177,6 +185,18 @@
 	return StatusJoining
 }
 
+// giveUp notes that a boot which asked to join has left again.
+func (g *Grantor) giveUp(key sessionKey) {
+	j := g.joiners[key]
+	switch {
+	case j == nil:
+	case j.proposed:
+		j.gone = true
+	default:
+		delete(g.joiners, key)
+	}
+}
+
 func (g *Grantor) renewMember(now time.Duration, s *session, req *RenewRequest, reply *RenewReply) {
 	s.acked = max(s.acked, req.KnownEpoch)
 	s.version = max(s.version, req.KnownVersion)
--- a/internal/session/lease_test.go
+++ b/internal/session/lease_test.go
@@ -54,6 +54,22 @@
 	}
 }
 
+// Once the faults are over, every upstream gets an owner again.
+func TestEveryKeyIsOwnedAfterTheFaults(t *testing.T) {
+	const quiet = 30 * time.Second // also for what is frozen or under way
+	for seed := range *schedules {
+		w := newWorld(seed, Settings{}, everyFault)
+		w.run(scheduleLength)
+		w.faults = faults{every: time.Hour}
+		w.run(scheduleLength + quiet)
+		for k := range testKeys {
+			if w.now-w.ownedAt[k] > testStep {
+				t.Fatalf("seed %d: upstream-%d has had no owner since %v", seed, k, w.ownedAt[k])
+			}
+		}
+	}
+}
+
 func withDrift(f faults, drift float64) faults {
 	f.drift = drift
 	return f
@@ -81,6 +97,7 @@
 		// The next owner may crash as well before it takes over.
 		{"crash and restart", faults{crash: 1, every: 20 * time.Second}, 2*DefaultLease + time.Second},
 		{"leader changes only", faults{cutLeader: 8 * time.Second}, 0},
+		{"leader changes, a fifth of the renewals go to the former leader", faults{cutLeader: 8 * time.Second, misroute: 0.2}, time.Second},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/session/removal.go
+++ b/internal/session/removal.go
@@ -58,7 +58,7 @@
 		switch {
 		case now >= j.askedAt+g.settings.Lease:
 			delete(g.joiners, key) // gave up
-		case j.proposed && !g.due(now, j.proposedAt):
+		case j.gone || j.proposed && !g.due(now, j.proposedAt):
 		case g.blocked(now, key):
 		default:
 			j.proposed, j.proposedAt = true, now
--- a/internal/session/schedule_test.go
+++ b/internal/session/schedule_test.go
@@ -61,6 +61,8 @@
 	clock       testClock
 	holder      *Holder
 	frozenUntil time.Duration
+	muteUntil   time.Duration // what it sends is lost
+	deafUntil   time.Duration // what is sent to it is lost
 	dead        bool
 	leaving     bool
 }
@@ -70,13 +72,16 @@
 	drift                        float64
 	loss, duplicate, slow        float64
 	freeze, crash, zombie, leave float64
+	cut                          float64       // of one router, one way or both
+	stall                        float64       // of the leader between reading its clock and acting
 	cutLeader                    time.Duration // mean time between cuts; 0 means none
+	misroute                     float64       // of a renewal to the former leader
 	every                        time.Duration // mean time between faults of routers
 }
 
 var everyFault = faults{
 	drift: 0.004, loss: 0.1, duplicate: 0.1, slow: 0.1,
-	freeze: 0.3, crash: 0.2, zombie: 0.1, leave: 0.2, cutLeader: 8 * time.Second,
+	freeze: 0.3, crash: 0.2, zombie: 0.1, leave: 0.2, cut: 0.3, stall: 0.02, misroute: 0.2, cutLeader: 8 * time.Second,
 	every: 2 * time.Second,
 }
 
@@ -131,11 +136,8 @@
 
 // run advances the world to the given true time or to the first violation.
 func (w *world) run(until time.Duration) {
-	for len(w.events) > 0 && w.violation == "" {
+	for len(w.events) > 0 && w.events[0].at <= until && w.violation == "" {
 		e := heap.Pop(&w.events).(event)
-		if e.at > until {
-			return
-		}
 		w.now = e.at
 		e.run()
 		w.check()
@@ -171,6 +173,7 @@
 		}
 	}
 	w.inFlight = nil
+	w.restore()
 	l := &testLeader{clock: w.newClock()}
 	now := l.clock.at(w.now)
 	l.until = now + testLeaderLease
@@ -178,8 +181,20 @@
 	w.former, w.leader = w.leader, l
 }
 
+// restore replaces the roster by one made from its snapshot.
+func (w *world) restore() {
+	snapshot, _ := w.roster.Snapshot()
+	w.roster = NewRoster(w.settings)
+	if err := w.roster.Restore(snapshot); err != nil {
+		w.violation = err.Error()
+	}
+}
+
 // cutLeader cuts the leader off; the next one starts after its leader lease.
 func (w *world) cutLeader() {
+	if w.faults.cutLeader == 0 {
+		return
+	}
 	w.leader.cut = true
 	end := w.leader.clock.trueTime(w.leader.until) + time.Millisecond
 	w.after(max(0, end-w.now)+time.Duration(w.rng.Int64N(int64(testElection))), func() {
@@ -240,7 +255,7 @@
 	}
 	for _, r := range w.routers {
 		w.send(func() {
-			if !r.dead && w.now >= r.frozenUntil {
+			if !r.dead && w.now >= r.frozenUntil && w.now >= r.deafUntil {
 				now := r.clock.at(w.now)
 				r.holder.Notice(now, n)
 				w.renewDue(r, now)
@@ -256,28 +271,42 @@
 
 func (w *world) renew(r *testRouter, now time.Duration) {
 	l := w.leader
-	if w.former != nil && w.chance(0.2) {
+	if w.former != nil && w.chance(w.faults.misroute) {
 		l = w.former
 	}
 	req := r.holder.Request(now, 1, []PoolLoad{{Pool: "llm", InFlight: 0, Upstreams: 1}})
 	wire, _ := req.MarshalMsg(nil)
-	w.send(func() { w.answer(l, r, wire) })
+	if w.now < r.muteUntil {
+		return
+	}
+	w.send(func() {
+		now, until := l.clock.at(w.now), l.until
+		if !w.chance(w.faults.stall) {
+			w.answer(l, r, wire, now, until)
+			return
+		}
+		w.after(w.spread(3*time.Second), func() { w.answer(l, r, wire, now, until) })
+	})
 }
 
-// answer lets the leader answer; a cut leader still hears some routers.
-func (w *world) answer(l *testLeader, r *testRouter, wire []byte) {
+// answer lets the leader answer, as of now on its clock; a cut leader still
+// hears some routers.
+func (w *world) answer(l *testLeader, r *testRouter, wire []byte, now, until time.Duration) {
 	var req RenewRequest
 	if _, err := req.UnmarshalMsg(wire); err != nil {
 		w.violation = err.Error()
 		return
 	}
-	reply, _ := l.grantor.Renew(l.clock.at(w.now), l.until, &req).MarshalMsg(nil)
+	reply, _ := l.grantor.Renew(now, until, &req).MarshalMsg(nil)
 	w.send(func() { w.deliver(r, reply) })
 	w.notice(l)
 }
 
 // deliver hands a reply to a router, once it is awake.
 func (w *world) deliver(r *testRouter, wire []byte) {
+	if w.now < r.deafUntil {
+		return
+	}
 	if w.now < r.frozenUntil {
 		w.after(r.frozenUntil-w.now, func() { w.deliver(r, wire) })
 		return
@@ -331,6 +360,15 @@
 		// The platform starts a second process while the first is frozen.
 		r.frozenUntil = w.now + w.spread(6*time.Second)
 		w.startRouter(r.name)
+	case w.chance(w.faults.cut):
+		length := w.spread(4 * time.Second)
+		way := w.rng.IntN(3)
+		if way != 1 {
+			r.muteUntil = w.now + length
+		}
+		if way != 0 {
+			r.deafUntil = w.now + length
+		}
 	case w.chance(w.faults.leave):
 		r.leaving = true
 		r.holder.Leave()
