lists: a text that YAML reads as a number is a fault; decode the tree once

Cause: the benchmark of 18,000 workspaces with digests of digits showed that a YAML scalar such as 0010 reaches a text field as another text (0010 as 8), and that a digest with leading zeros and no letters was refused with a misleading remedy. Ruled out: a fault of the decoder's strict mode; YAML defines it so. Change: such a scalar in a text field is a fault with the remedy to quote it. The list is decoded from the tree that was walked, not parsed again.

--- a/internal/lists/load.go
+++ b/internal/lists/load.go
@@ -75,14 +75,14 @@
 		return nil, []Fault{{File: src.Name, Problem: "more than one YAML document", Remedy: "keep one document in the file"}}
 	}
 	at := newPositions()
-	var faults []Fault
-	if len(file.Docs) == 1 && file.Docs[0].Body != nil {
-		faults = at.walk(src.Name, file.Docs[0].Body, reflect.TypeOf(out).Elem(), "")
+	if len(file.Docs) == 0 || file.Docs[0].Body == nil {
+		return at, nil
 	}
-	if len(faults) > 0 {
+	body := file.Docs[0].Body
+	if faults := at.walk(src.Name, body, reflect.TypeOf(out).Elem(), ""); len(faults) > 0 {
 		return at, faults
 	}
-	if err := yaml.UnmarshalWithOptions(src.Data, out, yaml.Strict()); err != nil {
+	if err := yaml.NodeToValue(body, out, yaml.Strict()); err != nil {
 		return at, []Fault{yamlFault(src.Name, err)}
 	}
 	return at, nil
--- a/internal/lists/load_test.go
+++ b/internal/lists/load_test.go
@@ -77,6 +77,9 @@
 		{"unknown top field", "workspaces:", "customers:", []string{"plans.yaml:6:1: customers: unknown field"}},
 		{"syntax", "plans:\n  - name: basic", "plans: [\n  - name: basic", []string{"plans.yaml:"}},
 		{"wrong type", "concurrency: 4", "concurrency: four", []string{"plans.yaml:4:18: cannot unmarshal"}},
+		{"ID that reads as a number", "id: choirs", "id: 0010", []string{"plans.yaml:11:5: workspaces[1].id: YAML reads 0010 as a value of type integer; put it in quotes"}},
+		{"name that reads as a truth value", "name: large", "name: true", []string{"plans.yaml:5:5: plans[1].name: YAML reads true as a value of type bool; put it in quotes"}},
+		{"digest of digits alone", strings.Repeat("b", 64), strings.Repeat("0", 63) + "1", []string{"plans.yaml:13:19: workspaces[1].key_digests[0]: YAML reads 000"}},
 		{"duplicate key", "concurrency: 4", "concurrency: 4\n    concurrency: 5", []string{"plans.yaml:5:5: "}},
 		{"negative limit", "concurrency: 4", "concurrency: -4", []string{"plans.yaml:4:5: plans[0].concurrency: -4 is too small; use at least 0"}},
 		{"workspace on unknown plan", "plan: large\n", "plan: gold\n", []string{`plans.yaml:12:5: workspaces[1].plan: unknown plan "gold"; define the plan or use one of: basic, large`}},
@@ -118,6 +121,21 @@
 	}
 }
 
+func TestParseQuotedNumbers(t *testing.T) {
+	is := is.New(t)
+	plans := strings.Replace(goodPlans, "id: choirs", `id: "0010"`, 1)
+	plans = strings.Replace(plans, strings.Repeat("b", 64), `"`+strings.Repeat("1", 64)+`"`, 1)
+	both, faults := parseTexts(plans, goodAllowances)
+	is.Equal(faults, nil)
+	is.Equal(string(both.Plans.Workspaces[1].ID), "0010")
+	is.Equal(both.Plans.Workspaces[1].KeyDigests[0], strings.Repeat("1", 64))
+
+	// Too long for a number: YAML keeps it as a text.
+	both, faults = parseTexts(strings.Replace(goodPlans, strings.Repeat("b", 64), strings.Repeat("1", 64), 1), goodAllowances)
+	is.Equal(faults, nil)
+	is.Equal(both.Plans.Workspaces[1].KeyDigests[0], strings.Repeat("1", 64))
+}
+
 func TestParseAllUnknownFieldsAtOnce(t *testing.T) {
 	is := is.New(t)
 	_, faults := parseTexts("plan: []\nworkspace: []\n", "pool: []\n")
--- a/internal/lists/position.go
+++ b/internal/lists/position.go
@@ -57,10 +57,24 @@
 		return p.walkMapping(file, []*ast.MappingValueNode{n}, want, field)
 	case *ast.SequenceNode:
 		return p.walkSequence(file, n, want, field)
+	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode, *ast.InfinityNode, *ast.NanNode:
+		if want.Kind() == reflect.String {
+			return []Fault{p.place(unquoted(field, n), file)}
+		}
 	}
 	return nil
 }
 
+// unquoted is the fault of a text that YAML reads as another type, and would
+// change: 0010 becomes 8.
+func unquoted(field string, node ast.Node) Fault {
+	return Fault{
+		Field:   field,
+		Problem: fmt.Sprintf("YAML reads %s as a value of type %s", node.GetToken().Value, strings.ToLower(node.Type().String())),
+		Remedy:  "put it in quotes",
+	}
+}
+
 func (p *positions) record(node ast.Node, field string) {
 	if _, known := p.byField[field]; known {
 		return
