--- a/internal/answer/decision.go
+++ b/internal/answer/decision.go
@@ -157,7 +157,7 @@
 func (p *Progress) Next(now time.Duration, end End, facts Facts, relay Relay) Decision {
 	p.outcome = Merge(p.outcome, facts.Outcome())
 	switch {
-	case end == EndWhole && facts.Whole:
+	case end == EndWhole && facts.Whole && !facts.Declined:
 		return Decision{Action: ActionDone, Outcome: p.outcome}
 	case end == EndCallerLeft:
 		return p.cancel(facts)
--- a/internal/ledger/booking.go
+++ b/internal/ledger/booking.go
@@ -89,7 +89,8 @@
 // Reply asks to tell the entry router what became of the attempt.
 type Reply struct {
 	Code ReplyCode
-	// Answer is an encoded Answer, for ReplyAnswer.
+	// Answer is an encoded Answer, for ReplyAnswer, and for ReplyUnknown if the
+	// service declined.
 	Answer []byte
 	// Replayed tells that the answer is that of an earlier attempt.
 	Replayed bool
@@ -324,16 +325,25 @@
 		return nil
 	}
 	switch {
-	case e.Facts.Whole:
+	case e.Facts.Whole && !e.Facts.Declined:
 		return b.finish(now, e.Answer)
 	case !e.Facts.MayHaveLeft:
 		return b.abandon(now, Reply{Code: ReplyNotSent}, true)
 	default:
-		reply := Reply{Code: ReplyUnknown, Holder: b.config.Attempt, Outcome: fleet.OutcomeUnknown}
-		return append(b.send(now, phaseRecording, OpMarkUnknown, b.config.RecordFor), reply)
+		return b.markUnknown(now, e)
 	}
 }
 
+// markUnknown leaves the key to be settled. An upstream that declines has seen
+// the request: its answer goes to the caller, but is not kept as the key's.
+func (b *Booking) markUnknown(now time.Duration, e Dispatched) []BookingAction {
+	reply := Reply{Code: ReplyUnknown, Holder: b.config.Attempt, Outcome: fleet.OutcomeUnknown}
+	if e.Facts.Declined {
+		reply.Answer, _ = e.Answer.Encode()
+	}
+	return append(b.send(now, phaseRecording, OpMarkUnknown, b.config.RecordFor), reply)
+}
+
 func (b *Booking) finish(now time.Duration, whole Answer) []BookingAction {
 	encoded, err := whole.Encode()
 	if err != nil {
--- a/internal/upstream/chat_stream.go
+++ b/internal/upstream/chat_stream.go
@@ -71,13 +71,15 @@
 	return s.fail(answer.EndCut, s.cutCause(err))
 }
 
-// checkHeaders accepts the answer only if it names the attempt, whatever its
-// status.
+// checkHeaders accepts the answer only if it names the attempt. An error answer
+// may leave the name out, but may not hold another.
 func (s *chatStream) checkHeaders(req ChatRequest) error {
-	if got := s.resp.Header.Get(answer.HeaderRequestID); got != string(req.Attempt) {
+	got := s.resp.Header.Get(answer.HeaderRequestID)
+	failed := s.resp.StatusCode != http.StatusOK
+	if got != string(req.Attempt) && (got != "" || !failed) {
 		return s.fail(answer.EndCrossed, ErrCrossed.New("answer names attempt %q", got))
 	}
-	if s.resp.StatusCode != http.StatusOK {
+	if failed {
 		return s.failStatus(req)
 	}
 	kind, _, err := mime.ParseMediaType(s.resp.Header.Get("Content-Type"))
@@ -100,7 +102,7 @@
 	switch {
 	case status == http.StatusConflict && req.Resume:
 		end = answer.EndResumeDeclined
-	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+	case declined(status):
 		end = answer.EndDeclined
 		s.facts.Declined = true
 	case status >= http.StatusInternalServerError:
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -128,6 +128,11 @@
 	_ = body.Close()
 }
 
+// declined tells whether status says that an upstream did not start a request.
+func declined(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // retryAfter reads the seconds of a Retry-After header; 0 if there are none.
 func retryAfter(h http.Header) time.Duration {
 	seconds, err := strconv.Atoi(h.Get("Retry-After"))
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -11,7 +11,8 @@
 // concurrently.
 type Service interface {
 	// Do makes one attempt at a call. The facts hold whether or not there is an
-	// error; errors are *AttemptError.
+	// error; errors are *AttemptError. A whole answer that says the service is
+	// full is returned as an answer, with Facts.Declined.
 	Do(ctx context.Context, req CallRequest) (CallAnswer, answer.Facts, error)
 	// Lookup asks what became of the call under key.
 	Lookup(ctx context.Context, path, key string) (LookupAnswer, error)
--- a/internal/upstream/service_http.go
+++ b/internal/upstream/service_http.go
@@ -167,6 +167,7 @@
 		return CallAnswer{}, err
 	}
 	c.facts.Whole = true
+	c.facts.Declined = declined(resp.StatusCode)
 	c.end = answer.EndWhole
 	return CallAnswer{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}, nil
 }
