Tie bookings to the lease's tenure through session and owner

Cause: ledger.Booking now takes a ledger.Lease, since a lease that was lost and granted again under the same boot must not let an old booking write. Ruled out: a tracker in the router's shell, which could miss a lapse between two renewals; the session holder sees every grant. Conclusion: control must commit OpLapse before a process may join again.

--- a/internal/ledger/booking.go
+++ b/internal/ledger/booking.go
@@ -181,7 +181,7 @@
 // now, on its monotonic clock, under the lease that it holds. The shell asks it
 // directly before the write, since the process may have stood still at any time
 // before. A lease of another tenure doesn't count: the key may have been freed
-// in between.
+// in between. MayWrite may be called from any goroutine.
 func (b *Booking) MayWrite(now time.Duration, lease Lease) bool {
 	if b.flaw == bookingFlawNoLeaseCheck {
 		return true
--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -22,7 +22,8 @@
 	// OpMarkUnknown tells that the attempt may have run and its answer is lost.
 	OpMarkUnknown
 	// OpLapse makes the attempts of a process that lost its session unknown. The
-	// process may come back under the same boot ID in a later tenure.
+	// process may come back under the same boot ID in a later tenure: control
+	// commits OpLapse before it lets the process join again.
 	OpLapse
 	// OpSettleRan stores the answer that the service keeps of an unknown attempt.
 	OpSettleRan
--- a/internal/owner/booking.go
+++ b/internal/owner/booking.go
@@ -37,6 +37,7 @@
 			Body:    ledger.BodyDigestOf(r.req.Method, r.req.Path, r.req.Body),
 			Attempt: answer.AttemptID(r.req.Header.Attempt),
 			Owner:   r.owner.cfg.Instance, Boot: r.owner.cfg.Boot,
+			Tenure: r.owner.cfg.Authority().Tenure(),
 		}),
 	}
 }
@@ -82,7 +83,7 @@
 // step carries out the core's actions and reports whether the booking ended.
 func (b *booking) step(ctx context.Context, event ledger.BookingEvent) (ended bool) {
 	now := b.attempt.owner.cfg.Clock()
-	for _, action := range b.core.Step(now, b.attempt.owner.cfg.Authority().Until(), event) {
+	for _, action := range b.core.Step(now, b.lease(), event) {
 		switch a := action.(type) {
 		case ledger.Propose:
 			go b.propose(a.Command)
@@ -97,6 +98,22 @@
 	return ended
 }
 
+func (b *booking) lease() ledger.Lease {
+	authority := b.attempt.owner.cfg.Authority()
+	return ledger.Lease{Tenure: authority.Tenure(), Until: authority.Until()}
+}
+
+// beforeWrite is asked directly before the first byte of the request leaves. A
+// lease that was interrupted since the begin does not count, since the key may
+// have been freed meanwhile.
+func (b *booking) beforeWrite() error {
+	lease := b.lease() // before the clock: a pause in between is then seen
+	if !b.core.MayWrite(b.attempt.owner.cfg.Clock(), lease) {
+		return errNotAuthorised.New("lease ended since the begin was recorded")
+	}
+	return b.attempt.owner.beforeWrite(b.attempt.req.Header.Upstream)()
+}
+
 // propose sends a command to the control leader. A lost result is not told: the
 // core sends the command again.
 func (b *booking) propose(command ledger.Command) {
@@ -111,7 +128,7 @@
 }
 
 func (b *booking) dispatch(ctx context.Context) {
-	whole, facts, err := b.attempt.dispatch(ctx)
+	whole, facts, err := b.attempt.dispatch(ctx, b.beforeWrite)
 	done := ledger.Dispatched{Facts: facts}
 	if err == nil {
 		done.Answer = ledger.Answer{Status: whole.Status, Header: ledgerFields(fieldsOf(whole.Header)), Body: whole.Body}
--- a/internal/owner/call_endpoint.go
+++ b/internal/owner/call_endpoint.go
@@ -61,7 +61,7 @@
 
 // direct makes the attempt without a record.
 func (r *callRun) direct(ctx context.Context) *CallReply {
-	whole, facts, err := r.dispatch(ctx)
+	whole, facts, err := r.dispatch(ctx, r.owner.beforeWrite(r.req.Header.Upstream))
 	if err != nil {
 		return r.failed(facts, err)
 	}
@@ -71,8 +71,8 @@
 	}
 }
 
-// dispatch sends the request to the service, once.
-func (r *callRun) dispatch(ctx context.Context) (upstream.CallAnswer, answer.Facts, error) {
+// dispatch sends the request to the service, once, unless beforeWrite stops it.
+func (r *callRun) dispatch(ctx context.Context, beforeWrite func() error) (upstream.CallAnswer, answer.Facts, error) {
 	span, trace := r.owner.cfg.Tracer.Start("upstream.call", r.req.Header.Trace)
 	header := make(http.Header, len(r.req.Fields)+1)
 	for _, f := range r.req.Fields {
@@ -85,7 +85,7 @@
 		Attempt: answer.AttemptID(r.req.Header.Attempt),
 		Method:  r.req.Method, Target: r.req.Path, Header: header, Body: r.req.Body,
 		IdempotencyKey: r.req.IdempotencyKey, Repeatable: r.req.Repeatable,
-		BeforeWrite: r.owner.beforeWrite(r.req.Header.Upstream),
+		BeforeWrite: beforeWrite,
 	})
 	span.End(err)
 	r.slot.release(0, err != nil)
--- a/internal/session/authority.go
+++ b/internal/session/authority.go
@@ -12,6 +12,7 @@
 	self    fleet.Member
 	owner   OwnerFunc
 	until   time.Duration
+	tenure  uint64
 	settled fleet.Epoch
 	// memberships has no gaps and ends with the current epoch. It starts at
 	// settled, or later while the router has not seen all of them.
@@ -22,6 +23,11 @@
 // Until returns the end of the lease: it holds before that moment.
 func (a Authority) Until() time.Duration { return a.until }
 
+// Tenure numbers the times without interruption in which the router held a
+// lease. Within one, control can't have declared it gone: each grant came while
+// the one before still held.
+func (a Authority) Tenure() uint64 { return a.tenure }
+
 // Valid tells whether the lease holds at now.
 func (a Authority) Valid(now time.Duration) bool { return now < a.until }
 
--- a/internal/session/holder.go
+++ b/internal/session/holder.go
@@ -130,6 +130,9 @@
 		sentAt = now
 	}
 	if !h.released {
+		if !h.current.Valid(now) {
+			h.current.tenure++
+		}
 		h.current.until = max(h.current.until, sentAt+h.settings.usable(reply.Lease))
 	}
 	if h.current.settled < h.epoch {
--- a/internal/upstream/service_test.go
+++ b/internal/upstream/service_test.go
@@ -224,7 +224,7 @@
 		return false
 	})
 	_, facts, err := NewService(server.addr, nil).Do(ctx, CallRequest{Attempt: "a1", Method: http.MethodPost, Target: "/"})
-	t.Log(err); is.True(errors.Is(err, context.Canceled))
+	is.True(errors.Is(err, context.Canceled))
 	is.Equal(facts.Outcome(), fleet.OutcomeUnknown)
 }
 
