Outcome table, engine contract tests; a declined resumption has not run whole

The table showed that an engine's refusal to resume counted as an answer, so that the request's outcome became ran. Ruled out: taking the gate in a chat's body for proof of not-run. The test showed that the transport sends the head before it reads the body; the facts say so, and the test now counts requests whose body came whole. Change: TestDecisionOfEveryStepAndFault (33 rows, 4 kinds), drawn histories, chats through 13 fault schedules against a fake engine, reports, orders. An owner's refusal is no attempt, so an unkeyed call may go to the next owner.

--- a/internal/answer/decision.go
+++ b/internal/answer/decision.go
@@ -172,7 +172,7 @@
 	case KindKeyed:
 		return p.nextKeyed(end, facts, relay)
 	default:
-		return p.fail(end, facts, relay)
+		return p.nextUnkeyed(end, facts, relay)
 	}
 }
 
@@ -242,6 +242,15 @@
 	return p.fail(end, facts, relay)
 }
 
+// nextUnkeyed makes no second attempt. An owner's refusal is none: no work was
+// opened.
+func (p *Progress) nextUnkeyed(end End, facts Facts, relay Relay) Decision {
+	if end == EndRefused && p.outcome == fleet.OutcomeNotRun {
+		return p.nextCandidate(end, facts, relay)
+	}
+	return p.fail(end, facts, relay)
+}
+
 func (p *Progress) nextCandidate(end End, facts Facts, relay Relay) Decision {
 	p.tried++
 	if p.tried >= p.budget.Candidates {
--- /dev/null
+++ b/internal/answer/decision_test.go
@@ -0,0 +1,165 @@
+package answer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+var (
+	notSent  = Facts{}
+	sent     = Facts{MayHaveLeft: true}
+	accepted = Facts{MayHaveLeft: true, Accepted: true}
+	declined = Facts{MayHaveLeft: true, Whole: true, Declined: true}
+	refused  = Facts{MayHaveLeft: true, Whole: true}
+	whole    = Facts{MayHaveLeft: true, Accepted: true, Whole: true}
+
+	nothing = Relay{}
+	held    = Relay{Offset: 4}                // gathered for a caller that wants a whole answer
+	relayed = Relay{Started: true, Offset: 4} // streamed to the caller
+)
+
+const (
+	notRun  = fleet.OutcomeNotRun
+	ran     = fleet.OutcomeRan
+	unknown = fleet.OutcomeUnknown
+)
+
+// TestDecisionOfEveryStepAndFault goes through the steps of a request and, at
+// each, through the faults that can end the attempt there.
+func TestDecisionOfEveryStepAndFault(t *testing.T) {
+	type want struct {
+		action Action
+		status int
+	}
+	next, done, cancel := want{ActionNextCandidate, 0}, want{ActionDone, 0}, want{ActionCancel, 0}
+	resume, restart, lookup := want{ActionResume, 0}, want{ActionRestart, 0}, want{ActionLookup, 0}
+	failStream := want{ActionFailStream, 0}
+	fail := func(status int) want { return want{ActionFail, status} }
+	none := want{ActionFail, -1} // can't happen for this kind
+	for _, c := range []struct {
+		step, fault string
+		end         End
+		facts       Facts
+		relay       Relay
+		outcome     fleet.Outcome
+		chat        want
+		repeatable  want
+		keyed       want
+		unkeyed     want
+	}{
+		{"admission", "owner refuses", EndRefused, notSent, nothing, notRun, next, next, next, next},
+		{"admission", "owner unreachable", EndNotConnected, notSent, nothing, notRun, next, next, next, fail(503)},
+		{"admission", "owner lost before its verdict", EndOwnerLost, sent, nothing, unknown, restart, restart, lookup, fail(409)},
+		{"admission", "caller leaves", EndCallerLeft, notSent, nothing, notRun, cancel, cancel, cancel, cancel},
+		{"admission", "time is up", EndDeadline, notSent, nothing, notRun, fail(504), fail(504), fail(504), fail(504)},
+
+		{"connecting", "upstream unreachable", EndNotConnected, notSent, nothing, notRun, next, next, next, fail(503)},
+		{"connecting", "lease ends", EndRefused, notSent, nothing, notRun, next, next, next, next},
+		{"connecting", "lease ends after the head was written", EndRefused, sent, nothing, unknown, restart, restart, lookup, fail(409)},
+
+		{"waiting for the answer", "upstream full or cold", EndDeclined, declined, nothing, unknown, next, next, lookup, fail(409)},
+		{"waiting for the answer", "upstream cuts", EndCut, sent, nothing, unknown, restart, restart, lookup, fail(409)},
+		{"waiting for the answer", "upstream stalls", EndCut, sent, nothing, unknown, restart, restart, lookup, fail(409)},
+		{"waiting for the answer", "crossed answer", EndCrossed, sent, nothing, unknown, restart, restart, lookup, fail(409)},
+		{"waiting for the answer", "owner lost", EndOwnerLost, sent, nothing, unknown, restart, restart, lookup, fail(409)},
+		{"waiting for the answer", "caller leaves", EndCallerLeft, sent, nothing, unknown, cancel, cancel, cancel, cancel},
+		{"waiting for the answer", "time is up", EndDeadline, sent, nothing, unknown, fail(504), fail(504), fail(409), fail(409)},
+		{"waiting for the answer", "request refused", EndBadRequest, refused, nothing, ran, fail(400), fail(400), fail(409), fail(409)},
+
+		{"answer without a token", "upstream cuts", EndCut, accepted, nothing, unknown, resume, restart, lookup, fail(409)},
+		{"answer without a token", "owner lost", EndOwnerLost, accepted, nothing, unknown, resume, restart, lookup, fail(409)},
+		{"answer without a token", "can't resume", EndResumeDeclined, sent, nothing, unknown, restart, none, none, none},
+
+		{"gathering a whole answer", "upstream cuts", EndCut, accepted, held, unknown, resume, none, none, none},
+		{"gathering a whole answer", "owner lost", EndOwnerLost, sent, held, unknown, resume, none, none, none},
+		{"gathering a whole answer", "can't resume", EndResumeDeclined, sent, held, unknown, restart, none, none, none},
+		{"gathering a whole answer", "engine gone", EndNotConnected, notSent, held, notRun, next, none, none, none},
+
+		{"streaming", "upstream cuts", EndCut, accepted, relayed, unknown, resume, none, none, none},
+		{"streaming", "crossed event", EndCrossed, accepted, relayed, unknown, resume, none, none, none},
+		{"streaming", "owner lost", EndOwnerLost, sent, relayed, unknown, resume, none, none, none},
+		{"streaming", "new owner refuses the resumption", EndRefused, notSent, relayed, notRun, resume, none, none, none},
+		{"streaming", "engine unreachable at the resumption", EndNotConnected, notSent, relayed, notRun, resume, none, none, none},
+		{"streaming", "engine full at the resumption", EndDeclined, declined, relayed, unknown, resume, none, none, none},
+		{"streaming", "can't resume", EndResumeDeclined, sent, relayed, unknown, failStream, none, none, none},
+		{"streaming", "time is up", EndDeadline, accepted, relayed, unknown, failStream, none, none, none},
+		{"streaming", "caller leaves", EndCallerLeft, accepted, relayed, unknown, cancel, none, none, none},
+
+		{"end", "none", EndWhole, whole, relayed, ran, done, done, done, done},
+	} {
+		for kind, want := range []want{c.chat, c.repeatable, c.keyed, c.unkeyed} {
+			if want == none {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s, %s, kind %d", c.step, c.fault, kind), func(t *testing.T) {
+				is := is.New(t)
+				p := NewProgress(Kind(kind), Budget{Deadline: time.Minute, Lookup: true})
+				got := p.Next(time.Second, c.end, c.facts, c.relay)
+				is.Equal(got.Action, want.action)
+				is.Equal(got.Status, want.status)
+				is.Equal(got.Outcome, c.outcome)
+				is.Equal(p.Outcome(), c.outcome)
+				if got.Action == ActionResume {
+					is.Equal(got.Offset, c.relay.Offset)
+				}
+			})
+		}
+	}
+}
+
+func drawFacts(t *rapid.T) Facts {
+	return rapid.SampledFrom([]Facts{notSent, sent, accepted, declined, refused, whole}).Draw(t, "facts")
+}
+
+// TestDecisionsKeepTheirPromises draws whole histories of a request.
+func TestDecisionsKeepTheirPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kind := Kind(rapid.IntRange(0, int(KindUnkeyed)).Draw(t, "kind"))
+		p := NewProgress(kind, Budget{Lookup: rapid.Bool().Draw(t, "lookup")})
+		left, relay := false, Relay{}
+		for step := 0; ; step++ {
+			if step > 2*(DefaultCandidates+DefaultResumes+DefaultRestarts) {
+				t.Fatal("tried for ever")
+			}
+			end := End(rapid.IntRange(0, int(ends)-1).Draw(t, "end"))
+			facts := drawFacts(t)
+			left = left || facts.MayHaveLeft
+			if kind == KindChat && facts.Accepted && rapid.Bool().Draw(t, "relays") {
+				relay = Relay{Started: true, Offset: relay.Offset + 1}
+			}
+			d := p.Next(0, end, facts, relay)
+			if d.Outcome == fleet.OutcomeNotRun && left {
+				t.Fatal("not-run after a byte may have left")
+			}
+			again := d.Action == ActionNextCandidate || d.Action == ActionRestart
+			if again && left && kind >= KindKeyed {
+				t.Fatal("a request that may not be repeated is tried again")
+			}
+			if again && relay.Started {
+				t.Fatal("a second answer after a byte of the first one was relayed")
+			}
+			if d.Action == ActionResume && kind != KindChat {
+				t.Fatal("only chats resume")
+			}
+			if d.Action == ActionFail && (relay.Started || d.Status < 400) {
+				t.Fatalf("error status %d, relay started: %t", d.Status, relay.Started)
+			}
+			if !again && d.Action != ActionResume && d.Action != ActionLookup {
+				return
+			}
+		}
+	})
+}
+
+func TestBudgetOfNoneIsKept(t *testing.T) {
+	is := is.New(t)
+	p := NewProgress(KindChat, Budget{Candidates: -1, Resumes: -1, Restarts: -1})
+	is.Equal(p.Next(0, EndCut, accepted, nothing).Action, ActionFail)
+	is.Equal(p.Next(0, EndRefused, notSent, nothing).Action, ActionFail)
+}
--- /dev/null
+++ b/internal/answer/whole_test.go
@@ -0,0 +1,109 @@
+package answer
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+func TestCompletionGathersChunks(t *testing.T) {
+	is := is.New(t)
+	var c Completion
+	for _, data := range []string{
+		`{"id":"chatcmpl-a","created":5,"model":"m","system_fingerprint":"f","choices":[{"index":0,"delta":{"role":"assistant","content":"Hel"},"logprobs":{"content":[{"token":"Hel"}]},"finish_reason":null},{"index":1,"delta":{"content":"x"},"finish_reason":"length"}]}`,
+		`{"id":"chatcmpl-a","choices":[{"index":0,"delta":{"content":"lo","tool_calls":[{"index":0,"id":"t1","type":"function","function":{"name":"press","arguments":"{\"a\""}}]},"logprobs":{"content":[{"token":"lo"}]},"finish_reason":null}]}`,
+		`{"id":"chatcmpl-a","choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":":1}"}}]},"finish_reason":"tool_calls"}]}`,
+		`{"id":"chatcmpl-a","choices":[],"usage":{"prompt_tokens":3,"completion_tokens":3,"total_tokens":6,"prompt_tokens_details":{"cached_tokens":2}}}`,
+	} {
+		is.NoErr(c.Add([]byte(data)))
+	}
+	body, err := c.Body()
+	is.NoErr(err)
+	want := `{"id":"chatcmpl-a","object":"chat.completion","created":5,"model":"m","system_fingerprint":"f","choices":[` +
+		`{"index":0,"message":{"role":"assistant","content":"Hello","refusal":null,"tool_calls":[{"id":"t1","type":"function","function":{"name":"press","arguments":"{\"a\":1}"}}]},"logprobs":{"content":[{"token":"Hel"},{"token":"lo"}]},"finish_reason":"tool_calls"},` +
+		`{"index":1,"message":{"role":"assistant","content":"x","refusal":null},"logprobs":null,"finish_reason":"length"}],` +
+		`"usage":{"prompt_tokens":3,"completion_tokens":3,"total_tokens":6,"prompt_tokens_details":{"cached_tokens":2}}}`
+	is.Equal(string(body), want)
+}
+
+func TestCompletionFaults(t *testing.T) {
+	is := is.New(t)
+	var c Completion
+	_, err := c.Body()
+	is.True(err != nil) // no chunk
+	is.True(c.Add([]byte(`{`)) != nil)
+	bounded := Completion{MaxBytes: 10}
+	is.True(bounded.Add([]byte(`{"id":"chatcmpl-a"}`)) != nil)
+}
+
+func TestStreamingBody(t *testing.T) {
+	for _, c := range []struct {
+		name, body string
+		asked      Asked
+		ok         bool
+	}{
+		{"whole", `{"model":"m"}`, Asked{}, true},
+		{"stream", `{"model":"m","stream":true}`, Asked{Stream: true}, true},
+		{"stream with usage", `{"stream":true,"stream_options":{"include_usage":true}}`, Asked{Stream: true, Usage: true}, true},
+		{"other options stay", `{"stream_options":{"x":1}}`, Asked{}, true},
+		{"null options", `{"stream":null,"stream_options":null}`, Asked{}, true},
+		{"not an object", `[]`, Asked{}, false},
+		{"null", `null`, Asked{}, false},
+		{"wrong type", `{"stream":"yes"}`, Asked{}, false},
+		{"cut", `{"stream":`, Asked{}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			body, asked, err := StreamingBody([]byte(c.body))
+			is.Equal(err == nil, c.ok)
+			if !c.ok {
+				return
+			}
+			is.Equal(asked, c.asked)
+			var got, before map[string]any
+			is.NoErr(json.Unmarshal(body, &got))
+			is.NoErr(json.Unmarshal([]byte(c.body), &before))
+			is.Equal(got["stream"], true)
+			is.Equal(got["stream_options"].(map[string]any)["include_usage"], true)
+			is.Equal(got["model"], before["model"])
+		})
+	}
+}
+
+func TestRefusalIsWritten(t *testing.T) {
+	is := is.New(t)
+	refusal := Refusal{
+		Status: http.StatusServiceUnavailable, Outcome: fleet.OutcomeNotRun, RequestID: "r1",
+		Code: "no_capacity", Message: "no upstream has room", RetryAfter: 1200 * time.Millisecond,
+	}
+	w := httptest.NewRecorder()
+	is.NoErr(refusal.Write(w))
+	is.Equal(w.Code, 503)
+	is.Equal(w.Header().Get(HeaderOutcome), "not-run")
+	is.Equal(w.Header().Get(HeaderRequestID), "r1")
+	is.Equal(w.Header().Get(HeaderRetryAfter), "2")
+	is.Equal(w.Body.String(), `{"error":{"message":"no upstream has room","type":"server_error","param":null,"code":"no_capacity"}}`)
+
+	refusal.Outcome = fleet.OutcomeUnknown
+	event := string(refusal.AppendEvent(nil))
+	is.True(strings.HasPrefix(event, `data: {"error":{`))
+	is.True(strings.Contains(event, `"outcome":"unknown"`))
+	is.True(strings.HasSuffix(event, "}\n\n"))
+	is.True(!strings.Contains(event, "[DONE]"))
+}
+
+func TestErrorTypesFollowTheStatus(t *testing.T) {
+	is := is.New(t)
+	for status, want := range map[int]string{
+		401: TypeAuthentication, 403: TypePermission, 409: TypeInvalidRequest, 422: TypeInvalidRequest, 429: TypeRateLimit, 502: TypeServer, 503: TypeServer,
+	} {
+		is.Equal(errorType(status), want)
+	}
+}
--- a/internal/upstream/chat_stream.go
+++ b/internal/upstream/chat_stream.go
@@ -108,7 +108,7 @@
 	case status >= http.StatusInternalServerError:
 		end = answer.EndCut
 	}
-	s.facts.Whole = end != answer.EndCut
+	s.facts.Whole = end == answer.EndBadRequest || end == answer.EndDeclined
 	failure := s.fail(end, ErrUnexpectedStatus.New("status %d", status))
 	failure.Status, failure.Body = status, body
 	failure.RetryAfter = retryAfter(s.resp.Header)
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -67,9 +67,10 @@
 	// MaxStall is the longest pause between bytes, the one before the answer's
 	// headers included; 0 means none is too long.
 	MaxStall time.Duration
-	// BeforeWrite, if set, is asked before a connection is opened and again when
-	// the transport takes the body. An error from it ends the attempt, at the
-	// first time as one that did not run.
+	// BeforeWrite, if set, is asked before a connection is opened, and again when
+	// the transport takes the body. An error from it ends the attempt: at the
+	// first time no byte left, at the second the request's head may have left,
+	// but none of its body.
 	BeforeWrite func() error
 }
 
--- /dev/null
+++ b/internal/upstream/engine_test.go
@@ -0,0 +1,363 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/answer"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// fakeEngine generates tokens for chats. Each connection gets the next fault.
+type fakeEngine struct {
+	mu        sync.Mutex
+	tokens    int
+	faults    []engineFault
+	cancelled []string
+	requests  []*http.Request
+	received  chan struct{} // told once per chat request, if set
+}
+
+type engineFault struct {
+	status   int    // instead of a stream
+	retry    string // Retry-After
+	crossed  bool   // headers name another attempt
+	unnamed  bool   // headers name none
+	json     bool   // not a stream
+	cutAfter int    // cut after so many events
+	stall    bool   // hold the stream after cutAfter events
+	doubled  bool   // every event twice
+	skip     int    // leave out this token
+	foreign  int    // this token's chunk names another attempt
+}
+
+func (f *fakeEngine) take(r *http.Request) engineFault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.requests = append(f.requests, r)
+	if len(f.faults) == 0 {
+		return engineFault{}
+	}
+	fault := f.faults[0]
+	f.faults = f.faults[1:]
+	return fault
+}
+
+func (f *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodDelete {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.cancelled = append(f.cancelled, strings.TrimPrefix(r.URL.Path, "/v1/requests/"))
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return // a request without its whole body is not run
+	}
+	f.chat(w, r, f.take(r))
+}
+
+func (f *fakeEngine) chat(w http.ResponseWriter, r *http.Request, fault engineFault) {
+	id := r.Header.Get("X-Request-Id")
+	switch {
+	case fault.crossed:
+		w.Header().Set("X-Request-Id", "other")
+	case !fault.unnamed:
+		w.Header().Set("X-Request-Id", id)
+	}
+	w.Header().Set("Engine-Boot-Id", "boot1")
+	w.Header().Set("Content-Type", "text/event-stream; charset=utf-8")
+	if fault.json {
+		w.Header().Set("Content-Type", "application/json")
+	}
+	if fault.retry != "" {
+		w.Header().Set("Retry-After", fault.retry)
+	}
+	if fault.status != 0 {
+		w.WriteHeader(fault.status)
+		fmt.Fprint(w, `{"error":{}}`)
+		return
+	}
+	_ = http.NewResponseController(w).Flush()
+	if f.received != nil {
+		f.received <- struct{}{}
+	}
+	from, _ := strconv.Atoi(r.Header.Get("Wigeonflow-Resume-Offset"))
+	f.generate(w, r, fault, answer.AttemptID(id), from)
+}
+
+func (f *fakeEngine) generate(w http.ResponseWriter, r *http.Request, fault engineFault, id answer.AttemptID, from int) {
+	for n, sent := from+1, 0; n <= f.tokens+2; n, sent = n+1, sent+1 {
+		if fault.stall && sent == fault.cutAfter {
+			<-r.Context().Done()
+			return
+		}
+		if fault.cutAfter > 0 && sent == fault.cutAfter {
+			panic(http.ErrAbortHandler)
+		}
+		if n == fault.skip {
+			continue
+		}
+		copies := 1
+		if fault.doubled {
+			copies = 2
+		}
+		for range copies {
+			_, _ = w.Write(f.event(id, n, n == fault.foreign))
+		}
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func (f *fakeEngine) event(id answer.AttemptID, n int, foreign bool) []byte {
+	if foreign {
+		id = "other"
+	}
+	switch {
+	case n <= f.tokens:
+		data := fmt.Appendf(nil, `{"id":"chatcmpl-%s","choices":[{"index":0,"delta":{"content":"w%d "},"finish_reason":null}]}`, id, n)
+		return answer.AppendEvent(nil, answer.Event{Offset: uint64(n), Data: data})
+	case n == f.tokens+1:
+		data := fmt.Appendf(nil, `{"id":"chatcmpl-%s","choices":[],"usage":{"prompt_tokens":1,"completion_tokens":%d}}`, id, f.tokens)
+		return answer.AppendEvent(nil, answer.Event{Data: data})
+	default:
+		return answer.AppendDone(nil)
+	}
+}
+
+func startEngine(t *testing.T, f *fakeEngine) *HTTPEngine {
+	t.Helper()
+	server := httptest.NewServer(f)
+	client := NewHTTPClient()
+	t.Cleanup(func() {
+		client.CloseIdleConnections()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return NewEngine(server.Listener.Addr().String(), client)
+}
+
+// ask runs one attempt and its resumptions the way an entry router does.
+func ask(ctx context.Context, e Engine) (text string, counts answer.Counts, last answer.Decision) {
+	assembler := answer.NewAssembler("a1")
+	progress := answer.NewProgress(answer.KindChat, answer.Budget{Resumes: 50})
+	var whole answer.Completion
+	relay := func() answer.Relay {
+		return answer.Relay{Started: assembler.Offset() > 0, Offset: assembler.Offset()}
+	}
+	req := ChatRequest{Attempt: "a1", Body: []byte(`{"stream":true}`)}
+	for {
+		end, facts := attempt(ctx, e, req, assembler, &whole)
+		last = progress.Next(0, end, facts, relay())
+		if last.Action != answer.ActionResume {
+			body, _ := whole.Body()
+			return string(body), assembler.Counts(), last
+		}
+		req.Resume, req.Offset = true, last.Offset
+	}
+}
+
+func attempt(ctx context.Context, e Engine, req ChatRequest, a *answer.Assembler, whole *answer.Completion) (answer.End, answer.Facts) {
+	stream, err := e.Chat(ctx, req)
+	if err != nil {
+		return EndOf(err)
+	}
+	defer stream.Close()
+	for {
+		ev, err := stream.Next(ctx)
+		if err != nil {
+			return EndOf(err)
+		}
+		switch a.Accept(req.Attempt, ev) {
+		case answer.VerdictRelay:
+			_ = whole.Add(ev.Data)
+		case answer.VerdictEnd:
+			return answer.EndWhole, stream.Facts()
+		case answer.VerdictGap, answer.VerdictUnmatched, answer.VerdictCrossed:
+			_ = stream.Detach()
+			return answer.EndCut, answer.Facts{MayHaveLeft: true, Accepted: true}
+		}
+	}
+}
+
+func TestChatIsWholeThroughFaults(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults []engineFault
+	}{
+		{"no fault", nil},
+		{"cut once", []engineFault{{cutAfter: 3}}},
+		{"cut after every token", []engineFault{{cutAfter: 1}, {cutAfter: 1}, {cutAfter: 1}, {cutAfter: 1}, {cutAfter: 1}}},
+		{"cut before the usage", []engineFault{{cutAfter: 5}}},
+		{"cut before the end", []engineFault{{cutAfter: 6}}},
+		{"doubled events", []engineFault{{doubled: true}}},
+		{"lost token", []engineFault{{skip: 3}}},
+		{"lost last token", []engineFault{{skip: 5}}},
+		{"lost usage", []engineFault{{skip: 6}}},
+		{"crossed token", []engineFault{{foreign: 2}}},
+		{"crossed resumption", []engineFault{{cutAfter: 2}, {crossed: true}}},
+		{"engine full at the resumption", []engineFault{{cutAfter: 2}, {status: 503}}},
+		{"all at once", []engineFault{{cutAfter: 2, doubled: true}, {status: 503}, {skip: 4}, {crossed: true}, {foreign: 5}, {cutAfter: 1}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			engine := startEngine(t, &fakeEngine{tokens: 5, faults: c.faults})
+			body, _, last := ask(t.Context(), engine)
+			is.Equal(last.Action, answer.ActionDone)
+			is.True(strings.Contains(body, `"content":"w1 w2 w3 w4 w5 "`))
+			is.True(strings.Contains(body, `"completion_tokens":5`))
+		})
+	}
+}
+
+func TestChatReportsWhyItFailed(t *testing.T) {
+	left := answer.Facts{MayHaveLeft: true}
+	accepted := answer.Facts{MayHaveLeft: true, Accepted: true}
+	for _, c := range []struct {
+		name   string
+		fault  engineFault
+		resume bool
+		end    answer.End
+		facts  answer.Facts
+		wait   time.Duration
+	}{
+		{"full", engineFault{status: 503, retry: "7"}, false, answer.EndDeclined, answer.Facts{MayHaveLeft: true, Whole: true, Declined: true}, 7 * time.Second},
+		{"too many requests", engineFault{status: 429}, false, answer.EndDeclined, answer.Facts{MayHaveLeft: true, Whole: true, Declined: true}, 0},
+		{"can't resume", engineFault{status: 409}, true, answer.EndResumeDeclined, left, 0},
+		{"bad request", engineFault{status: 400}, false, answer.EndBadRequest, answer.Facts{MayHaveLeft: true, Whole: true}, 0},
+		{"bad request without a name", engineFault{status: 400, unnamed: true}, false, answer.EndBadRequest, answer.Facts{MayHaveLeft: true, Whole: true}, 0},
+		{"engine failure", engineFault{status: 500}, false, answer.EndCut, left, 0},
+		{"crossed headers", engineFault{crossed: true}, false, answer.EndCrossed, left, 0},
+		{"crossed failure", engineFault{crossed: true, status: 503}, false, answer.EndCrossed, left, 0},
+		{"headers without a name", engineFault{unnamed: true}, false, answer.EndCrossed, left, 0},
+		{"not a stream", engineFault{json: true}, false, answer.EndCut, left, 0},
+		{"cut at once", engineFault{cutAfter: 1}, false, answer.EndCut, accepted, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			engine := startEngine(t, &fakeEngine{tokens: 0, faults: []engineFault{c.fault}})
+			stream, err := engine.Chat(t.Context(), ChatRequest{Attempt: "a1", Resume: c.resume})
+			for err == nil {
+				_, err = stream.Next(t.Context())
+			}
+			end, facts := EndOf(err)
+			is.Equal(end, c.end)
+			is.Equal(facts, c.facts)
+			var failed *AttemptError
+			is.True(errors.As(err, &failed))
+			is.Equal(failed.RetryAfter, c.wait)
+		})
+	}
+}
+
+func TestChatWithoutAConnectionDidNotRun(t *testing.T) {
+	is := is.New(t)
+	_, err := NewEngine(refusedAddr(t), NewHTTPClient()).Chat(t.Context(), ChatRequest{Attempt: "a1"})
+	end, facts := EndOf(err)
+	is.Equal(end, answer.EndNotConnected)
+	is.Equal(facts.Outcome(), fleet.OutcomeNotRun)
+}
+
+func TestChatAsksBeforeItWrites(t *testing.T) {
+	for refuseAt := 1; refuseAt <= 2; refuseAt++ {
+		t.Run(fmt.Sprint("refused at question ", refuseAt), func(t *testing.T) {
+			is := is.New(t)
+			f := &fakeEngine{}
+			asked := 0
+			_, err := startEngine(t, f).Chat(t.Context(), ChatRequest{Attempt: "a1", Body: []byte("{}"), BeforeWrite: func() error {
+				asked++
+				if asked == refuseAt {
+					return errors.New("lease ended")
+				}
+				return nil
+			}})
+			_, facts := EndOf(err)
+			is.Equal(facts.MayHaveLeft, refuseAt == 2) // the head may have left by then
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			is.Equal(len(f.requests), 0)
+		})
+	}
+}
+
+func TestChatThatStallsIsCut(t *testing.T) {
+	is := is.New(t)
+	engine := startEngine(t, &fakeEngine{tokens: 5, faults: []engineFault{{stall: true, cutAfter: 2}}})
+	stream, err := engine.Chat(t.Context(), ChatRequest{Attempt: "a1", MaxStall: 50 * time.Millisecond})
+	for err == nil {
+		_, err = stream.Next(t.Context())
+	}
+	end, facts := EndOf(err)
+	is.Equal(end, answer.EndCut)
+	is.Equal(facts, answer.Facts{MayHaveLeft: true, Accepted: true})
+}
+
+func TestClosingAStreamCancelsWhatStillRuns(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		end       func(t *testing.T, s ChatStream)
+		cancelled int
+	}{
+		{"caller leaves", func(t *testing.T, s ChatStream) { _ = s.Close() }, 1},
+		{"closed twice", func(t *testing.T, s ChatStream) { _ = s.Close(); _ = s.Close() }, 1},
+		{"detached to be resumed", func(t *testing.T, s ChatStream) { _ = s.Detach(); _ = s.Close() }, 0},
+		{"read to the end", func(t *testing.T, s ChatStream) {
+			for {
+				if _, err := s.Next(t.Context()); errors.Is(err, io.EOF) {
+					break
+				}
+			}
+			_ = s.Close()
+		}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fakeEngine{tokens: 3}
+			stream, err := startEngine(t, f).Chat(t.Context(), ChatRequest{Attempt: "a1"})
+			is.NoErr(err)
+			is.Equal(stream.BootID(), fleet.BootID("boot1"))
+			c.end(t, stream)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			is.Equal(len(f.cancelled), c.cancelled)
+		})
+	}
+}
+
+// TestNextEndsWithItsContext ends a read that would wait for ever.
+func TestNextEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	f := &fakeEngine{tokens: 5, faults: []engineFault{{stall: true}}, received: make(chan struct{}, 1)}
+	stream, err := startEngine(t, f).Chat(t.Context(), ChatRequest{Attempt: "a1"})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	<-f.received
+	cancel()
+	_, err = stream.Next(ctx)
+	is.True(errors.Is(err, context.Canceled))
+}
+
+func TestChatSendsTheProtocolsHeaders(t *testing.T) {
+	is := is.New(t)
+	f := &fakeEngine{}
+	stream, err := startEngine(t, f).Chat(t.Context(), ChatRequest{
+		Attempt: "a1", Body: []byte("{}"), Resume: true, Offset: 12, Priority: fleet.PriorityInteractive,
+	})
+	is.NoErr(err)
+	defer stream.Close()
+	h := f.requests[0].Header
+	is.Equal(h.Get("X-Request-Id"), "a1")
+	is.Equal(h.Get("Wigeonflow-Resume-Offset"), "12")
+	is.Equal(h.Get("Wigeonflow-Priority"), "1")
+	is.Equal(f.requests[0].ContentLength, int64(2))
+}
