--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -182,20 +182,19 @@
 }
 
 // lapse goes through the begun records, which are as many as there are attempts
-// in flight. A begin of an ended tenure that comes later is refused as far as
-// the tenure is known here; writing under it is stopped by the process itself.
+// in flight. Records of a later tenure stay: their process came back before the
+// command was committed. A begin of an ended tenure that comes later is refused.
 func (s *State) lapse(c *Command) Result {
 	gone := session{c.Owner, c.Boot}
 	ended := max(c.Tenure, s.endedTenures.value(gone))
+	s.endedTenures.add(gone, s.now+s.limits.MaxAge, ended)
 	for r := s.queues[statusBegun].front; r != nil; {
 		next := r.next
-		if r.owner == gone {
-			ended = max(ended, r.tenure)
+		if r.owner == gone && r.tenure <= ended {
 			s.move(r, statusUnknown)
 		}
 		r = next
 	}
-	s.endedTenures.add(gone, s.now+s.limits.MaxAge, ended)
 	return Result{Code: CodeDone}
 }
 
--- a/internal/owner/call_endpoint.go
+++ b/internal/owner/call_endpoint.go
@@ -21,6 +21,8 @@
 	span, trace := s.cfg.Tracer.Start("owner.call", req.Header.Trace)
 	req.Header.Trace = trace
 	defer func() { span.End(nil) }()
+	s.running.Add(1)
+	defer s.running.Add(-1)
 	slot, verdict := s.admit(ctx, &req.Header, false, 0)
 	if err := send(ctx, st, &verdict); err != nil || slot == nil {
 		if slot != nil {
@@ -71,7 +73,7 @@
 	}
 }
 
-// dispatch sends the request to the service, once, unless beforeWrite stops it.
+// dispatch sends the request to the service, once.
 func (r *callRun) dispatch(ctx context.Context, beforeWrite func() error) (upstream.CallAnswer, answer.Facts, error) {
 	span, trace := r.owner.cfg.Tracer.Start("upstream.call", r.req.Header.Trace)
 	header := make(http.Header, len(r.req.Fields)+1)
