--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -109,13 +109,13 @@
 		go l.propose(ctx, tagged(tagRoster, encoded))
 	}
 	for _, gone := range l.lapsed() {
-		go l.proposeLedger(ctx, ledger.Command{Op: ledger.OpLapse, Owner: gone.Owner, Boot: gone.Boot})
+		go l.proposeLedger(ctx, gone.Lapse())
 	}
 }
 
 // lapsed returns the processes that hold begun records and no session. What
 // they began may have run.
-func (l *leader) lapsed() (gone []ledger.Process) {
+func (l *leader) lapsed() (gone []ledger.Holding) {
 	l.mu.Lock()
 	leading := l.grantor != nil
 	l.mu.Unlock()
@@ -127,9 +127,9 @@
 		for _, m := range l.roster.Membership().Members {
 			members[ledger.Process{Owner: m.ID, Boot: m.Boot}] = true
 		}
-		for _, p := range l.ledger.Processes() {
-			if !members[p] {
-				gone = append(gone, p)
+		for _, h := range l.ledger.Holdings() {
+			if !members[h.Process] {
+				gone = append(gone, h)
 			}
 		}
 	})
--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -21,8 +21,9 @@
 	OpAbandon
 	// OpMarkUnknown tells that the attempt may have run and its answer is lost.
 	OpMarkUnknown
-	// OpLapse makes the attempts of a process that lost its session unknown. The
-	// process may come back under the same boot ID in a later tenure.
+	// OpLapse makes the attempts unknown that a process began up to a tenure in
+	// which it lost its session. The process may come back under the same boot ID
+	// in a later tenure.
 	OpLapse
 	// OpSettleRan stores the answer that the service keeps of an unknown attempt.
 	OpSettleRan
--- a/internal/ledger/simulation_test.go
+++ b/internal/ledger/simulation_test.go
@@ -32,6 +32,7 @@
 	state  *State
 	index  uint64
 	owners []*simOwner
+	ends   map[Process]time.Duration // of the sessions of killed processes
 
 	runs     map[Key][]answer.AttemptID // at the service
 	notRun   map[answer.AttemptID]bool  // told to callers
@@ -83,6 +84,7 @@
 		rng: rand.New(rand.NewSource(seed)), state: NewState(), bookingFlaw: flawed,
 		runs: map[Key][]answer.AttemptID{}, notRun: map[answer.AttemptID]bool{},
 		answers: map[Key]string{}, replies: map[ReplyCode]int{},
+		ends: map[Process]time.Duration{},
 	}
 	s.state.flaw = stateFlaw
 	for i := range simOwners {
@@ -147,13 +149,17 @@
 	})
 }
 
-// control declares sessions gone and takes snapshots.
+// control declares sessions gone, has their attempts lapse and takes snapshots.
 func (s *simulation) control() {
 	s.at(100*time.Millisecond, nil, s.control)
 	for _, o := range s.owners {
-		if !o.lapsed && s.now > o.heard+simLease+100*time.Millisecond {
+		if s.now > o.heard+simLease+100*time.Millisecond {
 			o.lapsed = true
-			s.apply(Command{Op: OpLapse, Owner: o.id, Boot: o.bootID()})
+		}
+	}
+	for _, h := range s.state.Holdings() {
+		if !s.member(h.Process) {
+			s.at(s.upTo(200*time.Millisecond), nil, func() { s.apply(h.Lapse()) })
 		}
 	}
 	if s.chance(3) {
@@ -161,6 +167,17 @@
 	}
 }
 
+// member tells whether a process has a session. That of a killed one ends with
+// its lease.
+func (s *simulation) member(p Process) bool {
+	for _, o := range s.owners {
+		if o.id == p.Owner && o.bootID() == p.Boot {
+			return !o.lapsed
+		}
+	}
+	return s.now < s.ends[p]
+}
+
 // restart replaces the state by one that was restored from a snapshot.
 func (s *simulation) restart() {
 	data, err := s.state.Snapshot()
@@ -190,10 +207,7 @@
 
 // kill ends a process; another one starts at once under a new boot ID.
 func (s *simulation) kill(o *simOwner) {
-	gone := o.bootID()
-	s.at(simLease+200*time.Millisecond, nil, func() {
-		s.apply(Command{Op: OpLapse, Owner: o.id, Boot: gone})
-	})
+	s.ends[Process{o.id, o.bootID()}] = s.now + simLease + 100*time.Millisecond
 	o.boot++
 	o.kills++
 	o.lapsed, o.lease, o.heard = false, LeaseTracker{}, s.now
