session: a grantor acts in its own term only

Cause: found in reading how control joins the parts: the leader's lease and the change of leadership reach the member by two ways, and the change channel holds the newest only. A member that lost the leadership and won it again could use the Grantor of its earlier term under the lease of the later one; that Grantor knows nothing of the leases granted between, and expires their holders. Ruled out: ordering the two ways, which a freeze between them undoes. Change: Proof carries the term, consensus.LeaderLease returns it, and a Grantor refuses another term's proof. Each case of a mechanism that is off is run again with it on, from the same seed. Two more profiles of faults.

--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -68,7 +68,7 @@
 	requests   chan func(now time.Duration)
 	leadership chan Leadership
 	told       Leadership
-	lease      atomic.Int64 // until when, since origin; 0 without a lease
+	lease      atomic.Pointer[Lease] // nil without a lease
 	stop       chan struct{}
 	stopOnce   sync.Once
 	done       chan struct{}
@@ -198,11 +198,11 @@
 
 func (g *Group) publish() {
 	core := g.replica.core
-	until, ok := core.LeaseUntil()
-	if !ok {
-		until = 0
+	var lease *Lease
+	if until, ok := core.LeaseUntil(); ok {
+		lease = &Lease{Term: core.hard.Term, Until: g.origin.Add(until)}
 	}
-	g.lease.Store(int64(until))
+	g.lease.Store(lease)
 	g.meters.update(g.replica)
 	leads := core.role == RoleLeader && core.log.applied >= core.leadership.termStart
 	next := Leadership{Leading: leads, Term: core.hard.Term}
@@ -225,7 +225,7 @@
 }
 
 func (g *Group) shutDown(cause error) {
-	g.lease.Store(0)
+	g.lease.Store(nil)
 	g.closeErr = g.replica.stop(cause)
 }
 
@@ -239,13 +239,22 @@
 	}
 }
 
-// LeaderLease returns until when this member can prove to lead; ok is false when
-// it can't now. Look at the clock again right before acting on it: the process
-// may have been stopped in between.
-func (g *Group) LeaderLease() (until time.Time, ok bool) {
-	d := time.Duration(g.lease.Load())
-	until = g.origin.Add(d)
-	return until, d != 0 && g.now() < d
+// Lease is a leader's proof that it leads.
+type Lease struct {
+	Term uint64
+	// Until is the end: before it no other member can begin to lead.
+	Until time.Time
+}
+
+// LeaderLease returns until when this member can prove to lead, and in which
+// term; ok is false when it can't now. Look at the clock again right before
+// acting on it: the process may have been stopped in between.
+func (g *Group) LeaderLease() (lease Lease, ok bool) {
+	l := g.lease.Load()
+	if l == nil {
+		return Lease{}, false
+	}
+	return *l, g.now() < l.Until.Sub(g.origin)
 }
 
 // LeadershipChanges returns the channel that tells of changes. It holds the
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -39,15 +39,15 @@
 	grantor *session.Grantor // nil while another member leads
 }
 
-// leaseUntil returns the end of the leader lease on the fleet clock. The clock
-// is read first: a pause before time.Until makes the result earlier than true.
-func (l *leader) leaseUntil() (now, until time.Duration) {
+// proof returns the leader lease on the fleet clock. The clock is read first: a
+// pause before time.Until makes its end earlier than true.
+func (l *leader) proof() (now time.Duration, proof session.Proof) {
 	now = l.clock()
-	end, ok := l.group.LeaderLease()
+	lease, ok := l.group.LeaderLease()
 	if !ok {
-		return now, now
+		return now, session.Proof{}
 	}
-	return now, now + time.Until(end)
+	return now, session.Proof{Term: lease.Term, Until: now + time.Until(lease.Until)}
 }
 
 // run follows the leadership until ctx ends.
@@ -77,7 +77,7 @@
 		return
 	}
 	l.machine.read(func() {
-		l.grantor = session.NewGrantor(l.clock(), l.settings, l.roster, l.version())
+		l.grantor = session.NewGrantor(l.clock(), change.Term, l.settings, l.roster, l.version())
 		l.ledgerClock.set(ledger.NewClock(l.ledger, l.clock()))
 	})
 	go l.proposeLedger(context.Background(), ledger.Command{Op: ledger.OpSetLimits, Limits: &l.limits})
@@ -152,8 +152,8 @@
 	if l.grantor == nil {
 		return nil
 	}
-	now, until := l.leaseUntil()
-	return l.grantor.Tick(now, until)
+	now, proof := l.proof()
+	return l.grantor.Tick(now, proof)
 }
 
 // propose appends a command of the leader itself. What it is for stays due until
@@ -173,6 +173,6 @@
 	if l.grantor == nil {
 		return nil
 	}
-	now, until := l.leaseUntil()
-	return l.grantor.Renew(now, until, req)
+	now, proof := l.proof()
+	return l.grantor.Renew(now, proof, req)
 }
--- a/internal/session/bench_test.go
+++ b/internal/session/bench_test.go
@@ -46,7 +46,7 @@
 		ops = append(ops, Op{OpJoin, benchMember(i)})
 	}
 	apply(f.roster, ops...)
-	f.grantor = NewGrantor(0, Settings{}, f.roster, 17)
+	f.grantor = NewGrantor(0, 1, Settings{}, f.roster, 17)
 	for i := range n {
 		req := request(benchMember(i), 1, 1)
 		req.KnownVersion, req.Loads = 17, benchLoads(i, 2)
--- a/internal/session/core_test.go
+++ b/internal/session/core_test.go
@@ -9,7 +9,8 @@
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
 
-const leads = time.Hour // a leader lease that outlasts the test
+// leads is a leader lease that outlasts the test.
+var leads = Proof{Term: 1, Until: 2 * time.Hour}
 
 // rig is a Grantor with its roster, on one clock.
 type rig struct {
@@ -22,7 +23,7 @@
 	for _, m := range members {
 		apply(r.roster, Op{OpJoin, m})
 	}
-	r.grantor = NewGrantor(now, Settings{}, r.roster, 1)
+	r.grantor = NewGrantor(now, 1, Settings{}, r.roster, 1)
 	return r
 }
 
@@ -50,13 +51,14 @@
 	busy.Loads = []PoolLoad{{Pool: "llm", InFlight: 1, Upstreams: 1}}
 	cases := []struct {
 		name   string
-		leader time.Duration // end of the leader lease
+		leader Proof
 		req    *RenewRequest
 		status Status
 		ops    []OpKind // committed at the next tick, at once
 	}{
 		{"member", leads, request(a, 1, 1), StatusGranted, nil},
-		{"member, leader lease over", 0, request(a, 1, 1), StatusNotLeader, nil},
+		{"member, leader lease over", Proof{Term: 1}, request(a, 1, 1), StatusNotLeader, nil},
+		{"member, leader lease of a later term", Proof{Term: 2, Until: time.Hour}, request(a, 1, 1), StatusNotLeader, nil},
 		{"member that knows a later epoch than this leader", leads, request(a, 1, 2), StatusNotLeader, nil},
 		{"unknown instance", leads, request(b, 1, 0), StatusJoining, []OpKind{OpJoin}},
 		{"next boot while the former may hold a lease", leads, request(a2, 1, 0), StatusJoining, nil},
@@ -84,12 +86,12 @@
 	a, b := member("a", "a1"), member("b", "b1")
 	r := newRig(time.Hour, a, b) // a leader's clock may start anywhere
 	is.Equal(len(r.commit(time.Hour+DefaultLease-1)), 0)
-	r.grantor.Renew(time.Hour+DefaultLease-1, 2*time.Hour, request(b, 1, 2))
-	is.Equal(len(r.grantor.Tick(time.Hour+DefaultLease, time.Hour)), 0) // no proof of leadership
-	cmds := r.grantor.Tick(time.Hour+DefaultLease, 2*time.Hour)
+	r.grantor.Renew(time.Hour+DefaultLease-1, leads, request(b, 1, 2))
+	is.Equal(len(r.grantor.Tick(time.Hour+DefaultLease, Proof{Term: 1, Until: time.Hour})), 0) // no proof of leadership
+	cmds := r.grantor.Tick(time.Hour+DefaultLease, leads)
 	is.Equal(len(cmds), 1)
 	is.Equal(cmds[0].Ops[0].Member.ID, a.ID)
-	is.Equal(r.grantor.Renew(time.Hour+DefaultLease, 2*time.Hour, request(a, 1, 2)).Status, StatusJoining) // none once its removal is proposed
+	is.Equal(r.grantor.Renew(time.Hour+DefaultLease, leads, request(a, 1, 2)).Status, StatusJoining) // none once its removal is proposed
 }
 
 func TestGrantorNextBootJoinsAfterTheLease(t *testing.T) {
@@ -161,9 +163,9 @@
 		return r.grantor.Renew(0, leads, req).Means
 	}
 	loaded(a, 1, 5)
-	is.Equal(loaded(b, 1, 3), []PoolMean{{"llm", 8, 4}})
-	is.Equal(loaded(b, 2, 1), []PoolMean{{"llm", 6, 4}})
-	is.Equal(loaded(b, 1, 9), []PoolMean{{"llm", 6, 4}}) // a late copy
+	is.Equal(loaded(b, 1, 3), []PoolMean{{Pool: "llm", InFlight: 8, Upstreams: 4}})
+	is.Equal(loaded(b, 2, 1), []PoolMean{{Pool: "llm", InFlight: 6, Upstreams: 4}})
+	is.Equal(loaded(b, 1, 9), []PoolMean{{Pool: "llm", InFlight: 6, Upstreams: 4}}) // a late copy
 	r.commit(DefaultLease)
 	r.grantor.Renew(DefaultLease, leads, request(a, 2, 2))
 	is.Equal(len(r.grantor.loads.sums()), 0) // both have expired
@@ -193,7 +195,7 @@
 				case changeAt:
 					r.grantor.SetVersion(now, 2)
 				case changeAt + tc.elect:
-					r.grantor = NewGrantor(now, Settings{}, r.roster, 2)
+					r.grantor = NewGrantor(now, 1, Settings{}, r.roster, 2)
 				}
 				r.exchange(now, stale, 1)
 				r.exchange(now, fresh, max(1, fresh.Version()))
--- a/internal/session/grantor.go
+++ b/internal/session/grantor.go
@@ -9,14 +9,14 @@
 // Grantor grants leases on behalf of the control log's leader. It is made anew
 // at each election and thrown away when the leadership ends.
 //
-// Every call that grants, settles or removes takes the leader's proof: the end
-// of its leader lease on the same clock as now, before which no other leader
-// can act. A Grantor may stall at any point after now was read: what it then
+// Every call that grants, settles or removes takes the leader's Proof. A Grantor
+// may stall at any point after now was read: what it then
 // sends is derived from now, and a lease counts from a send time before now.
 //
 // It is not safe for concurrent use.
 type Grantor struct {
 	settings   Settings
+	term       uint64
 	membership fleet.Membership
 	changes    []Change
 	sessions   map[sessionKey]*session
@@ -27,6 +27,21 @@
 	noticed    Notice
 }
 
+// Proof is a leader's proof that it leads: its term, and the end of its leader
+// lease on the same clock as now, before which no other leader can act.
+type Proof struct {
+	Term  uint64
+	Until time.Duration
+}
+
+// proven tells whether the proof holds for this Grantor. One of another term
+// proves nothing: between the two terms another leader may have granted leases
+// that this Grantor does not know of.
+func (g *Grantor) proven(now time.Duration, proof Proof) bool {
+	sameTerm := proof.Term == g.term || g.settings.without.term
+	return sameTerm && now < proof.Until
+}
+
 // sessionKey names one start of one instance.
 type sessionKey struct {
 	id   fleet.InstanceID
@@ -73,13 +88,14 @@
 }
 
 // NewGrantor returns the Grantor of a leader that has applied the first entry
-// of its own term, so that every command of earlier leaders that can still be
+// of the given term, its own, so that every command of earlier leaders that can still be
 // committed is in the roster. It takes every member as just renewed by an
 // earlier leader, with unknown acknowledgements, and so waits out a full lease
 // before it removes anyone. When the configuration was committed is not known
 // either, so that routers must follow it at once: an election prolongs nothing.
-func NewGrantor(now time.Duration, settings Settings, roster *Roster, version fleet.ConfigVersion) *Grantor {
+func NewGrantor(now time.Duration, term uint64, settings Settings, roster *Roster, version fleet.ConfigVersion) *Grantor {
 	g := &Grantor{
+		term:     term,
 		settings: settings.withDefaults(),
 		sessions: make(map[sessionKey]*session),
 		joiners:  make(map[sessionKey]*joiner),
@@ -145,11 +161,10 @@
 	g.config.set(now, version)
 }
 
-// Renew answers one request. The leader proves its leadership until
-// leaderUntil; from that moment on it grants nothing.
-func (g *Grantor) Renew(now, leaderUntil time.Duration, req *RenewRequest) *RenewReply {
+// Renew answers one request. Without proof of leadership it grants nothing.
+func (g *Grantor) Renew(now time.Duration, proof Proof, req *RenewRequest) *RenewReply {
 	reply := &RenewReply{Seq: req.Seq}
-	if now >= leaderUntil || req.KnownEpoch > g.membership.Epoch {
+	if !g.proven(now, proof) || req.KnownEpoch > g.membership.Epoch {
 		reply.Status = StatusNotLeader
 		return reply
 	}
@@ -269,8 +284,8 @@
 
 // Notice returns what to tell every router, and false when that has not
 // changed since the last call.
-func (g *Grantor) Notice(now, leaderUntil time.Duration) (Notice, bool) {
-	if now >= leaderUntil {
+func (g *Grantor) Notice(now time.Duration, proof Proof) (Notice, bool) {
+	if !g.proven(now, proof) {
 		return Notice{}, false
 	}
 	n := Notice{Epoch: g.membership.Epoch, Settled: g.settle(now), Version: g.config.version}
--- a/internal/session/lease_test.go
+++ b/internal/session/lease_test.go
@@ -13,11 +13,27 @@
 
 const scheduleLength = 40 * time.Second
 
+// Profiles of faults besides everyFault.
+var (
+	slowReplies = everyFault.with(func(f *faults) {
+		f.slow, f.every = 0.3, 700*time.Millisecond
+	})
+	reelections = everyFault.with(func(f *faults) {
+		f.reelect, f.cutLeader, f.every = 1, 5*time.Second, 700*time.Millisecond
+	})
+)
+
+func (f faults) with(edit func(*faults)) faults {
+	edit(&f)
+	return f
+}
+
 // Never two owners of one upstream with valid leases at the same true instant.
 func TestOneOwnerUnderEveryFault(t *testing.T) {
 	var owned int
+	profiles := []faults{everyFault, slowReplies, reelections}
 	for seed := range *schedules {
-		w := newWorld(seed, Settings{}, everyFault)
+		w := newWorld(seed, Settings{}, profiles[seed%uint64(len(profiles))])
 		w.run(scheduleLength)
 		if w.violation != "" {
 			t.Fatalf("seed %d: %s", seed, w.violation)
@@ -27,33 +43,42 @@
 	is.New(t).True(owned > 0) // ownership moved at least once
 }
 
-// Each mechanism is needed: without it the same seeds give two owners.
+// Each mechanism is needed: without it some seed gives two owners, and with it
+// the same seed does not.
 func TestTwoOwnersWithoutAMechanism(t *testing.T) {
 	cases := []struct {
-		name     string
-		settings Settings
-		faults   faults
+		name           string
+		without, sound Settings
+		faults         faults
 	}{
-		{"lease counted from the reply", Settings{without: mechanisms{sendTime: true}}, everyFault},
-		{"new grantor does not wait", Settings{without: mechanisms{grantorWait: true}}, everyFault},
-		{"settled epoch ignored", Settings{without: mechanisms{settled: true}}, everyFault},
-		{"clocks drift beyond the bound", Settings{MaxDrift: 1e-9}, withDrift(everyFault, 0.2)},
+		{"lease counted from the reply", Settings{without: mechanisms{sendTime: true}}, Settings{}, slowReplies},
+		{"new grantor does not wait", Settings{without: mechanisms{grantorWait: true}}, Settings{}, everyFault},
+		{"settled epoch ignored", Settings{without: mechanisms{settled: true}}, Settings{}, everyFault},
+		{"grantor used in a later term", Settings{without: mechanisms{term: true}}, Settings{}, reelections},
+		{"clocks drift beyond the bound", Settings{MaxDrift: 1e-9}, Settings{MaxDrift: 0.2}, withDrift(everyFault, 0.2)},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			for seed := range max(*schedules, 60) {
-				w := newWorld(seed, tc.settings, tc.faults)
-				w.run(scheduleLength)
-				if w.violation != "" {
-					t.Logf("seed %d: %s", seed, w.violation)
-					return
+				violation := violationOf(seed, tc.without, tc.faults)
+				if violation == "" {
+					continue
 				}
+				t.Logf("seed %d: %s", seed, violation)
+				is.New(t).Equal(violationOf(seed, tc.sound, tc.faults), "")
+				return
 			}
 			t.Fatal("no violation found")
 		})
 	}
 }
 
+func violationOf(seed uint64, settings Settings, f faults) string {
+	w := newWorld(seed, settings, f)
+	w.run(scheduleLength)
+	return w.violation
+}
+
 // Once the faults are over, every upstream gets an owner again.
 func TestEveryKeyIsOwnedAfterTheFaults(t *testing.T) {
 	const quiet = 30 * time.Second // also for what is frozen or under way
@@ -71,8 +96,7 @@
 }
 
 func withDrift(f faults, drift float64) faults {
-	f.drift = drift
-	return f
+	return f.with(func(f *faults) { f.drift = drift })
 }
 
 // A drift as large as in the failing case is safe when the bound covers it.
--- a/internal/session/removal.go
+++ b/internal/session/removal.go
@@ -9,10 +9,10 @@
 )
 
 // Tick returns the commands to propose now: removals of members whose lease
-// has run out or was given back, joins and updates. It returns none at or after
-// leaderUntil. Call it a few times a second.
-func (g *Grantor) Tick(now, leaderUntil time.Duration) []Command {
-	if now >= leaderUntil {
+// has run out or was given back, joins and updates. It returns none without proof
+// of leadership. Call it a few times a second.
+func (g *Grantor) Tick(now time.Duration, proof Proof) []Command {
+	if !g.proven(now, proof) {
 		return nil
 	}
 	g.dropEnded(now)
--- a/internal/session/schedule_test.go
+++ b/internal/session/schedule_test.go
@@ -51,7 +51,7 @@
 type testLeader struct {
 	clock   testClock
 	grantor *Grantor
-	until   time.Duration // on its clock
+	proof   Proof
 	cut     bool
 }
 
@@ -76,12 +76,13 @@
 	stall                        float64       // of the leader between reading its clock and acting
 	cutLeader                    time.Duration // mean time between cuts; 0 means none
 	misroute                     float64       // of a renewal to the former leader
+	reelect                      float64       // of a leader from before the last one
 	every                        time.Duration // mean time between faults of routers
 }
 
 var everyFault = faults{
 	drift: 0.004, loss: 0.1, duplicate: 0.1, slow: 0.1,
-	freeze: 0.3, crash: 0.2, zombie: 0.1, leave: 0.2, cut: 0.3, stall: 0.02, misroute: 0.2, cutLeader: 8 * time.Second,
+	freeze: 0.3, crash: 0.2, zombie: 0.1, leave: 0.2, cut: 0.3, stall: 0.02, misroute: 0.2, reelect: 0.4, cutLeader: 8 * time.Second,
 	every: 2 * time.Second,
 }
 
@@ -109,6 +110,7 @@
 	former    *testLeader
 	routers   []*testRouter
 	boots     int
+	term      uint64
 	owners    map[string]fleet.InstanceID // cache of the ownership function
 	violation string
 	ownedAt   [testKeys]time.Duration // last instant with an owner
@@ -174,11 +176,25 @@
 	}
 	w.inFlight = nil
 	w.restore()
-	l := &testLeader{clock: w.newClock()}
+	w.term++
+	l := w.former
+	if l == nil || !w.chance(w.faults.reelect) {
+		l = &testLeader{clock: w.newClock()}
+	}
 	now := l.clock.at(w.now)
-	l.until = now + testLeaderLease
-	l.grantor = NewGrantor(now, w.settings, w.roster, 1)
+	l.cut, l.proof = false, Proof{Term: w.term, Until: now + testLeaderLease}
 	w.former, w.leader = w.leader, l
+	if l.grantor == nil {
+		l.grantor = NewGrantor(now, w.term, w.settings, w.roster, 1)
+		return
+	}
+	// It has led before, and takes a while to put its former Grantor away.
+	term := w.term
+	w.after(w.spread(200*time.Millisecond), func() {
+		if l.proof.Term == term {
+			l.grantor = NewGrantor(l.clock.at(w.now), term, w.settings, w.roster, 1)
+		}
+	})
 }
 
 // restore replaces the roster by one made from its snapshot.
@@ -196,7 +212,7 @@
 		return
 	}
 	w.leader.cut = true
-	end := w.leader.clock.trueTime(w.leader.until) + time.Millisecond
+	end := w.leader.clock.trueTime(w.leader.proof.Until) + time.Millisecond
 	w.after(max(0, end-w.now)+time.Duration(w.rng.Int64N(int64(testElection))), func() {
 		w.startLeader()
 		w.after(w.spread(w.faults.cutLeader), w.cutLeader)
@@ -215,8 +231,8 @@
 func (w *world) step() {
 	l := w.leader
 	if now := l.clock.at(w.now); !l.cut {
-		l.until = now + testLeaderLease
-		for _, cmd := range l.grantor.Tick(now, l.until) {
+		l.proof.Until = now + testLeaderLease
+		for _, cmd := range l.grantor.Tick(now, l.proof) {
 			w.propose(l, cmd)
 		}
 		w.notice(l)
@@ -249,7 +265,7 @@
 
 // notice tells every router what is new.
 func (w *world) notice(l *testLeader) {
-	n, changed := l.grantor.Notice(l.clock.at(w.now), l.until)
+	n, changed := l.grantor.Notice(l.clock.at(w.now), l.proof)
 	if !changed {
 		return
 	}
@@ -280,24 +296,24 @@
 		return
 	}
 	w.send(func() {
-		now, until := l.clock.at(w.now), l.until
+		now, proof := l.clock.at(w.now), l.proof
 		if !w.chance(w.faults.stall) {
-			w.answer(l, r, wire, now, until)
+			w.answer(l, r, wire, now, proof)
 			return
 		}
-		w.after(w.spread(3*time.Second), func() { w.answer(l, r, wire, now, until) })
+		w.after(w.spread(3*time.Second), func() { w.answer(l, r, wire, now, proof) })
 	})
 }
 
 // answer lets the leader answer, as of now on its clock; a cut leader still
 // hears some routers.
-func (w *world) answer(l *testLeader, r *testRouter, wire []byte, now, until time.Duration) {
+func (w *world) answer(l *testLeader, r *testRouter, wire []byte, now time.Duration, proof Proof) {
 	var req RenewRequest
 	if _, err := req.UnmarshalMsg(wire); err != nil {
 		w.violation = err.Error()
 		return
 	}
-	reply, _ := l.grantor.Renew(now, until, &req).MarshalMsg(nil)
+	reply, _ := l.grantor.Renew(now, proof, &req).MarshalMsg(nil)
 	w.send(func() { w.deliver(r, reply) })
 	w.notice(l)
 }
--- a/internal/session/settings.go
+++ b/internal/session/settings.go
@@ -43,6 +43,7 @@
 	sendTime    bool // the lease counts from the send time
 	grantorWait bool // a new Grantor waits out a lease
 	settled     bool // ownership waits for the settled epoch
+	term        bool // a Grantor acts in its own term only
 }
 
 // withDefaults returns the settings with every zero field set to its default.
