--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,161 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"github.com/wigeonflow/wigeonflow/internal/control"
+	"github.com/wigeonflow/wigeonflow/internal/entry"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/ledger"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
+	"github.com/wigeonflow/wigeonflow/internal/owner"
+	"github.com/wigeonflow/wigeonflow/internal/placement"
+	"github.com/wigeonflow/wigeonflow/internal/session"
+	"github.com/wigeonflow/wigeonflow/internal/settings"
+	"github.com/wigeonflow/wigeonflow/internal/telemetry"
+	"github.com/wigeonflow/wigeonflow/internal/upstream"
+)
+
+// Config holds what a router is set up with.
+type Config struct {
+	Settings settings.Settings
+	Clock    fleet.Clock
+	Logger   hclog.Logger
+	Metrics  metrics.Registry
+	Tracer   *telemetry.Tracer
+}
+
+// Router is the router role of one instance.
+type Router struct {
+	cfg      Config
+	log      hclog.Logger
+	self     fleet.Member
+	pool     *mesh.Pool
+	control  *control.Client
+	platform upstream.Platform
+	view     *operator.View
+	rings    *rings
+	entry    *entry.Server
+	owner    *owner.Server
+	plans    *plans
+
+	holderMu sync.Mutex
+	holder   *session.Holder
+	tenure   ledger.LeaseTracker
+
+	leases atomic.Pointer[ledger.Lease]
+
+	reconcileMu sync.Mutex
+	seen        seen
+
+	authority atomic.Pointer[session.Authority]
+	table     atomic.Pointer[placement.Table]
+	members   atomic.Pointer[map[fleet.InstanceID]fleet.Member]
+	upstreams atomic.Pointer[[]fleet.Upstream]
+	stopping  atomic.Bool
+
+	changed chan struct{} // capacity 1: what the view is made of has changed
+	wg      sync.WaitGroup
+	cancel  context.CancelFunc
+}
+
+// New returns a router that is not running and registers its methods at the
+// mesh server.
+func New(cfg Config, server *mesh.Server, pool *mesh.Pool) *Router {
+	s := cfg.Settings
+	r := &Router{
+		cfg: cfg, log: cfg.Logger.Named("router"), pool: pool,
+		self:     fleet.Member{ID: s.Instance, Boot: fleet.BootID(uuid.NewString()), Addr: s.Listen.Mesh, Zone: s.Zone},
+		control:  control.NewClient(pool, s.Control.Members),
+		platform: upstream.NewPlatform(hostOf(s.Platform.URL), upstream.NewHTTPClient()),
+		view:     operator.NewView(),
+		rings:    newRings(),
+		changed:  make(chan struct{}, 1),
+	}
+	r.holder = session.NewHolder(sessionSettings(s), r.self, r.rings.owner)
+	r.authority.Store(new(session.Authority))
+	r.leases.Store(new(ledger.Lease))
+	r.members.Store(&map[fleet.InstanceID]fleet.Member{})
+	r.upstreams.Store(&[]fleet.Upstream{})
+	r.owner = owner.NewServer(owner.Config{
+		Instance: r.self.ID, Boot: r.self.Boot, Clock: cfg.Clock,
+		Authority: func() session.Authority { return *r.authority.Load() },
+		Lease:     func() ledger.Lease { return *r.leases.Load() },
+		Ledger:    r.ledger, Pool: pool,
+		Logger: cfg.Logger, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
+	}, server)
+	r.plans = newPlans(r, server)
+	r.entry = entry.NewServer(entry.Config{
+		Clock: cfg.Clock, Zone: s.Zone, Index: r.view.Index, Table: r.table.Load, Member: r.member,
+		Ready: r.ready, Serving: r.serving, Stopping: r.stopping.Load, Plans: r.plans, Pool: pool,
+		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxWait: s.Queue.MaxWait,
+		Logger: cfg.Logger, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
+	})
+	return r
+}
+
+// Handler returns the callers' HTTP handler.
+func (r *Router) Handler() *entry.Server { return r.entry }
+
+// Start begins to keep the session and to follow the configuration.
+func (r *Router) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	for _, loop := range []func(context.Context){
+		r.owner.Run, r.renewLoop, r.platformLoop, r.reconcileLoop, r.plans.run,
+	} {
+		r.wg.Go(func() { loop(ctx) })
+	}
+}
+
+func (r *Router) member(id fleet.InstanceID) (fleet.Member, bool) {
+	m, ok := (*r.members.Load())[id]
+	return m, ok
+}
+
+var (
+	errStopping = errors.New("this router is stopping")
+	errNoLease  = errors.New("this router has no session lease")
+	errOut      = errors.New("operators have taken this router out of service")
+	errNoLists  = errors.New("no configuration is in force")
+)
+
+// serving returns why new requests cannot be served.
+func (r *Router) serving() error {
+	switch {
+	case !r.authority.Load().Valid(r.cfg.Clock()):
+		return errNoLease
+	case r.view.Version() == 0:
+		return errNoLists
+	default:
+		return nil
+	}
+}
+
+// ready returns why the balancer should send nothing here.
+func (r *Router) ready() error {
+	index := r.view.Index()
+	switch {
+	case r.stopping.Load():
+		return errStopping
+	case index.ZoneOut(r.self.Zone) || index.InstanceOut(r.self.ID):
+		return errOut
+	default:
+		return r.serving()
+	}
+}
+
+// notify has the reconcile loop look at the view again.
+func (r *Router) notify() {
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
