cli: each command is listed once

Cause: two merges had both kept the line for standin; help listed it twice. Ruled out: nothing else reads the list.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,9 +40,8 @@
 // commands lists every subcommand, in the order that help prints them.
 func commands(stdout, stderr io.Writer) []*ffcli.Command {
 	return []*ffcli.Command{
-		standin.Commands(stdout, stderr),
-		load.Command(stdout, stderr),
 		serveCommand(stderr),
+		load.Command(stdout, stderr),
 		standin.Commands(stdout, stderr),
 		versionCommand(stdout),
 	}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"testing"
 
 	"github.com/matryer/is"
@@ -24,3 +25,12 @@
 		})
 	}
 }
+
+func TestEachCommandIsListedOnce(t *testing.T) {
+	is := is.New(t)
+	seen := make(map[string]bool)
+	for _, c := range commands(io.Discard, io.Discard) {
+		is.True(!seen[c.Name]) // the command is new
+		seen[c.Name] = true
+	}
+}
