scripts: measure the path and the peak by one command

Cause: added latency and processor time only mean something beside the direct figure of the same engine in the same run. Ruled out: two fleets side by side (they share the machine but no engine). Change: scripts/measure.sh starts two routers and an engine for each of six models, picks a model whose owner is router-1, and asks it all three ways. Conclusion: not yet run against the fleet; it waits for apply and get.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin/wigeonflow
 
-.PHONY: build check demo dala-press lamphun generate fmt
+.PHONY: build check demo dala-press lamphun measure generate fmt
 
 build:
 	$(GO) build -o $(BIN) ./cmd/wigeonflow
@@ -21,6 +21,11 @@
 dala-press lamphun: build
 	./scripts/fleet.sh $@
 
+# measure compares direct, one-router and two-router paths, then runs the peak trial.
+measure: build
+	./scripts/measure.sh path
+	./scripts/measure.sh peak
+
 generate:
 	$(GO) generate ./...
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -61,10 +61,12 @@
 }
 
 # start_standins EXAMPLE_DIR starts the platform and every upstream of its list.
+# STEP, if set, is the engines' time of a decode step.
 start_standins() {
   local id pool addr
   while read -r id pool addr; do
-    start "$id" env GOMAXPROCS=1 "$bin" standin "$(pool_kind "$1/allowances.yaml" "$pool")" --listen "$addr"
+    start "$id" env GOMAXPROCS=1 ${STEP:+WIGEONFLOW_STANDIN_STEP_TIME=$STEP} \
+      "$bin" standin "$(pool_kind "$1/allowances.yaml" "$pool")" --listen "$addr"
   done < <(upstreams "$1/platform.yaml")
   start platform env GOMAXPROCS=1 "$bin" standin platform --file "$1/platform.yaml" --lag 1s --probe \
     --listen "$(setting "$1/router-1.yaml" url | sed 's|^http://||')"
@@ -83,10 +85,19 @@
 # apply_lists EXAMPLE_DIR KEY puts the example's lists in force. The operation is
 # the same at every start, so that a second start on the same data changes nothing.
 apply_lists() {
-  WIGEONFLOW_OPERATOR_KEY=$2 "$bin" apply --control "$(setting "$1/control-1.yaml" operators)" \
+  WIGEONFLOW_OPERATOR_KEY=$2 "$bin" apply --control "$(operators "$1")" \
     --expect 0 --operation "example-start" "$1/plans.yaml" "$1/allowances.yaml"
 }
 
+# operators EXAMPLE_DIR prints the operators' addresses, separated by commas.
+operators() {
+  local file list=
+  for file in "$1"/control-*.yaml; do
+    list+=,$(setting "$file" operators)
+  done
+  echo "${list#,}"
+}
+
 # operator_key EXAMPLE_DIR prints the demonstration key of the operators.
 operator_key() {
   grep -oE '[a-z]+-operator(-demo)?' "$1/README.md" | tail -1
--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,130 @@
+#!/usr/bin/env bash
+# Measures what routers add, on loopback, with stand-in engines.
+#   scripts/measure.sh path [load flags]   one engine asked directly, through its owner, and through
+#                                          an entry router and its owner, in one run
+#   scripts/measure.sh peak [load flags]   the Dala Press example at a tenth of the design's peak
+# DATA keeps the data folder; STEP is the engines' time of a decode step.
+set -u
+root=$(cd "$(dirname "$0")/.." && pwd)
+what=${1:-}
+shift
+data=${DATA:-$(mktemp -d)}
+mkdir -p "$data"
+. "$root/scripts/lib.sh"
+finish() {
+  stop_all
+  [ -n "${DATA:-}" ] || rm -rf "$data"
+}
+trap finish EXIT
+trap 'exit 1' INT TERM
+[ -x "$bin" ] || { echo "no $bin: run make build first" >&2; exit 2; }
+
+engines=6
+
+# path_example writes an example with two routers and a model on each engine, so
+# that a model's engine has one owner that is known.
+path_example() {
+  local dir=$data/example i digest operator
+  mkdir -p "$dir"
+  digest=$(printf path-workspace | sha256sum | cut -d' ' -f1)
+  operator=$(printf path-operator | sha256sum | cut -d' ' -f1)
+  for i in 1 2; do
+    cat >"$dir/router-$i.yaml" <<YAML
+instance: router-$i
+zone: path
+roles: [router]
+listen:
+  callers: 127.40.1.1$i:8080
+  mesh: 127.40.1.1$i:7400
+control:
+  members: ["127.40.1.1:7400"]
+platform:
+  url: http://127.40.0.1:9200
+fleet_secret_file: fleet.secret
+YAML
+  done
+  cat >"$dir/control-1.yaml" <<YAML
+instance: control-1
+zone: path
+roles: [control]
+listen:
+  operators: 127.40.1.1:8090
+  mesh: 127.40.1.1:7400
+control:
+  members: ["127.40.1.1:7400"]
+data_dir: state/control-1
+fleet_secret_file: fleet.secret
+operators:
+  - name: path
+    key_digests: [$operator]
+YAML
+  echo "The operators' key is path-operator." >"$dir/README.md"
+  cat >"$dir/plans.yaml" <<YAML
+plans:
+  - name: path
+workspaces:
+  - id: path
+    plan: path
+    key_digests: [$digest]
+YAML
+  {
+    echo "instances:"
+    for ((i = 1; i <= engines; i++)); do
+      echo "  - {id: engine-$i, pool: pool-$i, addr: \"127.40.2.$i:9000\", zone: path}"
+    done
+  } >"$dir/platform.yaml"
+  {
+    echo "pools:"
+    for ((i = 1; i <= engines; i++)); do
+      printf '  - name: pool-%d\n    kind: engine\n    load_factor: 4\n    max_concurrency: 512\n    start_concurrency: 512\n' "$i"
+    done
+    echo "models:"
+    for ((i = 1; i <= engines; i++)); do
+      printf '  - name: model-%d\n    pool: pool-%d\n' "$i" "$i"
+    done
+    printf 'plans:\n  - plan: path\n    models: [%s]\n' "$(seq -s ', ' -f 'model-%g' "$engines")"
+  } >"$dir/allowances.yaml"
+  echo "$dir"
+}
+
+# owned_by ROUTER prints the number of an engine that the router owns.
+owned_by() {
+  WIGEONFLOW_OPERATOR_KEY=path-operator "$bin" get --control 127.40.1.1:8090 upstreams |
+    awk -v router="$1" '$5 == router { sub("engine-", "", $1); print $1; exit }'
+}
+
+measure_path() {
+  local dir n
+  dir=$(path_example)
+  start_fleet "$dir" || return 1
+  n=$(owned_by router-1)
+  [ -n "$n" ] || { echo "router-1 owns no engine" >&2; return 1; }
+  "$bin" load --keys path-workspace --model "model-$n" \
+    --direct "direct=http://127.40.2.$n:9000" \
+    --target "one-router=http://127.40.1.11:8080" \
+    --target "two-routers=http://127.40.1.12:8080" \
+    --metrics http://127.40.1.11:8080,http://127.40.1.12:8080 \
+    --concurrency 24 --chats 48 --duration 20s --answer-tokens 100 "$@"
+}
+
+measure_peak() {
+  local dir=$root/examples/dala-press file urls= keys runs
+  start_fleet "$dir" || return 1
+  for file in "$dir"/router-*.yaml; do
+    urls+=,http://$(setting "$file" callers)
+  done
+  keys=$(grep -oE '`dala-[a-z-]+-demo`' "$dir/README.md" | tr -d '`' | grep -v operator | head -3 | paste -sd,)
+  runs=$(upstreams "$dir/platform.yaml" | awk '$2 == "counter" { printf "%shttp://%s", sep, $3; sep = "," }')
+  "$bin" load --keys "$keys" --model care-notes --target "fleet=${urls#,}" --service counter --runs "$runs" \
+    --lookups 0.05 --bookings 0.05 --rate 305 --max-in-flight 900 --chats 2000 --duration 20s \
+    --answer-tokens 220 "$@"
+}
+
+case $what in
+path) measure_path "$@" ;;
+peak) measure_peak "$@" ;;
+*)
+  sed -n '2,7s/^# \?//p' "$0"
+  exit 2
+  ;;
+esac
