control: routers hear of a new epoch, settling or configuration at once

Cause: routers learned of a change with their next renewal, up to a second later, and of its settling with the one after that. Change: MethodWatch, a stream of session.Notice from the leader to each router; a notice only makes the next renewal due, so that a lost one does no harm.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -34,6 +34,7 @@
 	wake     chan struct{} // capacity 1: a command was applied
 
 	ledgerClock ledgerClock
+	board       *board
 
 	mu      sync.Mutex
 	grantor *session.Grantor // nil while another member leads
@@ -54,6 +55,7 @@
 func (l *leader) run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	defer l.board.show(session.Notice{}, false)
 	for {
 		select {
 		case <-ctx.Done():
@@ -74,12 +76,16 @@
 	l.grantor = nil
 	l.log.Info("leadership changed", "leading", change.Leading, "term", change.Term)
 	if !change.Leading {
+		l.board.show(session.Notice{}, false)
 		return
 	}
 	l.machine.read(func() {
 		l.grantor = session.NewGrantor(l.clock(), change.Term, l.settings, l.roster, l.version())
 		l.ledgerClock.set(ledger.NewClock(l.ledger, l.clock()))
 	})
+	now, proof := l.proof()
+	notice, _ := l.grantor.Notice(now, proof)
+	l.board.show(notice, true)
 	go l.proposeLedger(context.Background(), ledger.Command{Op: ledger.OpSetLimits, Limits: &l.limits})
 }
 
@@ -97,6 +103,15 @@
 		l.grantor.Committed(now, l.roster)
 		l.grantor.SetVersion(now, l.version())
 	})
+	l.announce()
+}
+
+// announce shows the routers what has changed. The caller holds mu and leads.
+func (l *leader) announce() {
+	now, proof := l.proof()
+	if notice, changed := l.grantor.Notice(now, proof); changed {
+		l.board.show(notice, true)
+	}
 }
 
 func (l *leader) tick(ctx context.Context) {
@@ -153,6 +168,7 @@
 		return nil
 	}
 	now, proof := l.proof()
+	defer l.announce() // leases that ran out may settle an epoch
 	return l.grantor.Tick(now, proof)
 }
 
@@ -174,5 +190,6 @@
 		return nil
 	}
 	now, proof := l.proof()
+	defer l.announce() // the router may be the last to acknowledge an epoch
 	return l.grantor.Renew(now, proof, req)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -62,6 +62,7 @@
 	stopping  atomic.Bool
 
 	changed chan struct{} // capacity 1: what the view is made of has changed
+	noticed chan struct{} // capacity 1: a renewal would bring something new
 	wg      sync.WaitGroup
 	cancel  context.CancelFunc
 }
@@ -78,6 +79,7 @@
 		view:     operator.NewView(),
 		rings:    newRings(),
 		changed:  make(chan struct{}, 1),
+		noticed:  make(chan struct{}, 1),
 	}
 	r.holder = session.NewHolder(sessionSettings(s), r.self, r.rings.owner)
 	r.authority.Store(new(session.Authority))
@@ -109,7 +111,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	for _, loop := range []func(context.Context){
-		r.owner.Run, r.renewLoop, r.platformLoop, r.reconcileLoop, r.plans.run,
+		r.owner.Run, r.renewLoop, r.watchLoop, r.platformLoop, r.reconcileLoop, r.plans.run,
 	} {
 		r.wg.Go(func() { loop(ctx) })
 	}
--- a/internal/router/session_loop.go
+++ b/internal/router/session_loop.go
@@ -37,10 +37,29 @@
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
+		case <-r.noticed:
 		}
 	}
 }
 
+// watchLoop renews at once whenever the control leader has something new.
+func (r *Router) watchLoop(ctx context.Context) {
+	r.control.Watch(ctx, func(n session.Notice) {
+		r.holderMu.Lock()
+		now := r.cfg.Clock()
+		r.holder.Notice(now, n)
+		due := r.holder.NextRenewal() <= now
+		r.holderMu.Unlock()
+		if !due {
+			return
+		}
+		select {
+		case r.noticed <- struct{}{}:
+		default:
+		}
+	})
+}
+
 func (r *Router) nextRenewal() time.Duration {
 	r.holderMu.Lock()
 	defer r.holderMu.Unlock()
