control: a fleet of light routers in one process, with its cost

Cause: figures of control traffic came from encoded sizes alone. Change: TestFleet runs a control group of three with light routers on loopback, puts changes in force, lets the leader go and puts another in force; with -fleet and -rest it prints costs.

--- /dev/null
+++ b/internal/control/fleet_test.go
@@ -0,0 +1,304 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/ledger"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
+	"github.com/wigeonflow/wigeonflow/internal/session"
+)
+
+var (
+	fleetSizes = flag.String("fleet", "5", "how many routers TestFleet runs, sizes by commas")
+	fleetRest  = flag.Duration("rest", 0, "how long TestFleet measures without changes")
+)
+
+// testFleet is a control group and light routers on loopback.
+type testFleet struct {
+	t       *testing.T
+	clock   fleet.Clock
+	addrs   []string
+	servers []*Server
+	bytes   atomic.Int64 // over the control members' accepted connections
+	routers []*lightRouter
+}
+
+// lightRouter keeps a session and follows the configuration; it serves nothing.
+type lightRouter struct {
+	clock  fleet.Clock
+	client *Client
+	view   *operator.View
+	loads  []session.PoolLoad
+	woken  chan struct{}
+
+	mu     sync.Mutex
+	holder *session.Holder
+}
+
+// countingListener counts what its connections carry.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{conn, l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func newTestFleet(t *testing.T, members, routers int) *testFleet {
+	start := time.Now()
+	f := &testFleet{t: t, clock: func() time.Duration { return time.Since(start) }}
+	var listeners []net.Listener
+	for range members {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		f.addrs = append(f.addrs, l.Addr().String())
+	}
+	for i, l := range listeners {
+		f.startMember(f.addrs[i], l)
+	}
+	for i := range routers {
+		f.startRouter(i)
+	}
+	return f
+}
+
+func (f *testFleet) startMember(addr string, l net.Listener) {
+	cfg := mesh.Config{Instance: fleet.InstanceID(addr)}
+	server, pool := mesh.NewServer(cfg), mesh.NewPool(cfg)
+	member, err := Start(Config{
+		Addr: addr, Members: f.addrs, Dir: f.t.TempDir(), Clock: f.clock,
+		Ledger:    ledger.Limits{MaxAge: time.Hour, MaxRecords: 1000, MaxAnswer: 1 << 16},
+		Upstreams: func(context.Context) ([]fleet.Upstream, error) { return nil, nil },
+		Logger:    hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
+	}, server, pool)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.servers = append(f.servers, member)
+	go func() { _ = server.Serve(countingListener{l, &f.bytes}) }()
+	f.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = member.Close(ctx)
+		_ = server.Shutdown(ctx)
+		pool.Close()
+	})
+}
+
+func (f *testFleet) startRouter(i int) {
+	id := fleet.InstanceID(fmt.Sprintf("router-%03d", i))
+	pool := mesh.NewPool(mesh.Config{Instance: id})
+	self := fleet.Member{ID: id, Boot: "3f0c6a0e-7d0a-4a57-9d59-0d6c3b1f9a11", Addr: fmt.Sprintf("10.20.%d.%d:7400", i/250, i%250), Zone: "bostandyk"}
+	r := &lightRouter{
+		clock: f.clock, client: NewClient(pool, f.addrs), view: operator.NewView(), woken: make(chan struct{}, 1),
+		holder: session.NewHolder(session.Settings{}, self, func(fleet.Membership, string) fleet.InstanceID { return id }),
+		loads: []session.PoolLoad{
+			{Pool: fleet.PoolID(fmt.Sprint("pool-", i%10)), InFlight: 25, Upstreams: 1},
+			{Pool: fleet.PoolID(fmt.Sprint("pool-", (i+1)%10)), InFlight: 25, Upstreams: 1},
+		},
+	}
+	f.routers = append(f.routers, r)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.t.Cleanup(func() { cancel(); pool.Close() })
+	go r.run(ctx)
+	go r.client.Watch(ctx, r.hear)
+}
+
+func (r *lightRouter) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.renew(ctx)
+		r.mu.Lock()
+		wait := r.holder.NextRenewal() - r.clock()
+		r.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(max(wait, 20*time.Millisecond)):
+		case <-r.woken:
+		}
+	}
+}
+
+func (r *lightRouter) hear(n session.Notice) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holder.Notice(r.clock(), n)
+	if r.holder.NextRenewal() <= r.clock() {
+		select {
+		case r.woken <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (r *lightRouter) renew(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, session.DefaultLease/2)
+	defer cancel()
+	r.mu.Lock()
+	request := r.holder.Request(r.clock(), r.view.Version(), r.loads)
+	r.mu.Unlock()
+	var reply session.RenewReply
+	if r.client.Call(ctx, MethodRenew, request, &reply) != nil {
+		return
+	}
+	r.mu.Lock()
+	r.holder.Take(r.clock(), &reply)
+	r.mu.Unlock()
+	var update operator.Update
+	if reply.Version > r.view.Version() && r.client.Call(ctx, MethodFetch, &FetchRequest{After: r.view.Version()}, &update) == nil {
+		_, _ = r.view.Apply(&update)
+	}
+}
+
+func (r *lightRouter) ready(epoch fleet.Epoch, version fleet.ConfigVersion) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.holder.Authority()
+	return a.Valid(r.clock()) && a.Membership().Epoch >= epoch && a.Settled() == a.Membership().Epoch && r.view.Version() >= version
+}
+
+// await waits until every router has a lease under a settled epoch of the whole
+// fleet, and the version in force.
+func (f *testFleet) await(version fleet.ConfigVersion) {
+	for _, r := range f.routers {
+		for !r.ready(1, version) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// change commits a change at whichever member leads.
+func (f *testFleet) change(operation string) fleet.ConfigVersion {
+	cmd := operator.Command{Kind: operator.KindZone, Operation: operation, AnyVersion: true, Name: "medeu", Out: true}
+	encoded, err := cmd.Encode()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for {
+		for _, s := range f.servers {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			answer, err := s.Backend().Propose(ctx, encoded)
+			cancel()
+			if err != nil {
+				continue
+			}
+			a, err := operator.DecodeAnswer(answer)
+			if err = errors.Join(err); err != nil || a.Code != operator.CodeAccepted {
+				f.t.Fatal(a, err)
+			}
+			return a.Version
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestFleet runs a control group with routers: each change comes into force on
+// every router, also after the leader has gone. With -fleet and -rest it prints
+// what that costs.
+func TestFleet(t *testing.T) {
+	for _, size := range strings.Split(*fleetSizes, ",") {
+		t.Run(size, func(t *testing.T) {
+			n, err := strconv.Atoi(size)
+			is.New(t).NoErr(err)
+			f := newTestFleet(t, 3, n)
+			f.await(f.change("first"))
+			f.measureRest(n)
+			f.measureChanges()
+			f.closeLeader()
+			f.await(f.change("after the leader has gone"))
+		})
+	}
+}
+
+func (f *testFleet) closeLeader() {
+	for i, s := range f.servers {
+		if _, leading := s.group.LeaderLease(); leading {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_ = s.Close(ctx)
+			f.servers = slices.Delete(slices.Clone(f.servers), i, i+1)
+			return
+		}
+	}
+}
+
+// measureRest prints what the fleet costs while nothing changes.
+func (f *testFleet) measureRest(n int) {
+	if *fleetRest == 0 {
+		return
+	}
+	time.Sleep(2 * time.Second) // until joins have settled
+	bytes, cpu := f.bytes.Load(), cpuTime()
+	time.Sleep(*fleetRest)
+	seconds := fleetRest.Seconds()
+	bytes, cpu = f.bytes.Load()-bytes, cpuTime()-cpu
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	f.t.Logf("%d routers at rest: %.0f B/s over all control connections, %.2f%% of a core and %.1f MB for 3 members and all routers in one process",
+		n, float64(bytes)/seconds, 100*cpu.Seconds()/seconds, float64(m.HeapAlloc)/1e6)
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// measureChanges prints how long changes take from the call until they are in
+// force on every router.
+func (f *testFleet) measureChanges() {
+	var took []time.Duration
+	for i := range 20 {
+		start := time.Now()
+		f.await(f.change(fmt.Sprint("change-", i)))
+		took = append(took, time.Since(start))
+	}
+	slices.Sort(took)
+	f.t.Logf("a change in force on every router: p50 %v, longest %v of %d", took[len(took)/2], took[len(took)-1], len(took))
+}
