control: the upstreams' list comes from a router

Ruled out: making the platform's URL a required setting of control members. Change: control asks the routers of its roster, method router.upstreams.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -96,8 +96,8 @@
 		Ledger: ledger.Limits{
 			MaxAge: s.Ledger.MaxAge, MaxRecords: s.Ledger.MaxRecords, MaxAnswer: int(s.Ledger.MaxAnswerBytes),
 		},
-		Upstreams: router.PlatformList(s.Platform.URL), OperatorAddr: reachable(s.Listen.Operators, s.Listen.Mesh),
-		Clock: clock, Logger: a.log, Metrics: a.metrics,
+		OperatorAddr: reachable(s.Listen.Operators, s.Listen.Mesh),
+		Clock:        clock, Logger: a.log, Metrics: a.metrics,
 	}, a.mesh, a.pool)
 	return err
 }
--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -97,12 +97,12 @@
 	if err != nil {
 		return nil, err
 	}
-	list, err := b.server.cfg.Upstreams(ctx)
-	if err != nil {
-		return nil, operator.ErrUnavailable.Wrap(err, "platform")
-	}
 	var membership fleet.Membership
 	b.server.machine.read(func() { membership = b.server.roster.Membership() })
+	list, err := b.server.upstreams(ctx, membership)
+	if err != nil {
+		return nil, operator.ErrUnavailable.Wrap(err, "upstreams")
+	}
 	ring := placement.NewRing(membership)
 	view := operator.NewView()
 	if _, err := view.Apply(&operator.Update{Full: &committed.State}); err != nil {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -25,8 +25,6 @@
 	Session session.Settings
 	// Ledger bounds the records of requests that run at most once.
 	Ledger ledger.Limits
-	// Upstreams returns the platform's list, for operators.
-	Upstreams func(context.Context) ([]fleet.Upstream, error)
 	// OperatorAddr is where operators reach this member, IP:port.
 	OperatorAddr string
 	Clock        fleet.Clock
--- a/internal/router/reconcile.go
+++ b/internal/router/reconcile.go
@@ -5,11 +5,11 @@
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/admission"
+	"github.com/wigeonflow/wigeonflow/internal/control"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/owner"
 	"github.com/wigeonflow/wigeonflow/internal/placement"
-	"github.com/wigeonflow/wigeonflow/internal/upstream"
 )
 
 const (
@@ -147,11 +147,7 @@
 	return pools
 }
 
-// PlatformList returns a function that reads the platform's list at a base URL.
-func PlatformList(url string) func(context.Context) ([]fleet.Upstream, error) {
-	platform := upstream.NewPlatform(hostOf(url), upstream.NewHTTPClient())
-	return func(ctx context.Context) ([]fleet.Upstream, error) {
-		list, err := platform.Instances(ctx)
-		return list.Instances, err
-	}
+// listUpstreams serves control.MethodUpstreams.
+func (r *Router) listUpstreams(context.Context, string, *control.UpstreamsRequest) (*control.UpstreamsReply, error) {
+	return &control.UpstreamsReply{Upstreams: *r.upstreams.Load()}, nil
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -92,6 +92,7 @@
 		Logger: cfg.Logger, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	}, server)
 	r.plans = newPlans(r, server)
+	server.Handle(control.MethodUpstreams, mesh.Unary(r.listUpstreams))
 	r.entry = entry.NewServer(entry.Config{
 		Clock: cfg.Clock, Zone: s.Zone, Index: r.view.Index, Table: r.table.Load, Member: r.member,
 		Ready: r.ready, Serving: r.serving, Stopping: r.stopping.Load, Plans: r.plans, Pool: pool,
