plan: homes that count, borrowers that spend credits, permissions

Cause: a workspace's plan must hold over all routers while messages are lost, instances freeze or stop and homes move.

Change: Home and Borrower with grants that lapse, slots that the borrower gives up before it says so, refunds by the home's clock, takeover with or without books; messages by msgp; Permissions. A schedule with lost, repeated and late messages, freezes, cuts, restarts and moving homes checks every start against books of its own.

Conclusion: usable; small plans with slots are lent out poorly as yet.

--- /dev/null
+++ b/internal/plan/permission.go
@@ -0,0 +1,108 @@
+package plan
+
+import (
+	"slices"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
+)
+
+// ErrNotAllowed is returned when a plan doesn't include what a request asks for.
+var ErrNotAllowed = fleet.Errors.NewType("not_allowed")
+
+// Permissions answers what each workspace may use. It is immutable and safe for
+// concurrent use.
+type Permissions struct {
+	workspaces map[fleet.WorkspaceID]*allowance
+	models     map[fleet.ModelName]lists.Model
+	services   map[string]lists.Service
+	pools      map[fleet.PoolID]lists.Pool
+}
+
+// allowance is what one plan includes.
+type allowance struct {
+	models   map[fleet.ModelName]bool
+	adapters map[string]bool
+	services map[string]bool
+	capacity float64
+}
+
+// NewPermissions compiles both lists.
+func NewPermissions(b lists.Both) *Permissions {
+	p := &Permissions{
+		workspaces: map[fleet.WorkspaceID]*allowance{},
+		models:     map[fleet.ModelName]lists.Model{},
+		services:   map[string]lists.Service{},
+		pools:      map[fleet.PoolID]lists.Pool{},
+	}
+	for _, m := range b.Allowances.Models {
+		p.models[m.Name] = m
+	}
+	for _, s := range b.Allowances.Services {
+		p.services[s.Name] = s
+	}
+	for _, pool := range b.Allowances.Pools {
+		p.pools[pool.Name] = pool
+	}
+	byPlan := map[string]*allowance{}
+	for _, a := range b.Allowances.Plans {
+		byPlan[a.Plan] = newAllowance(a)
+	}
+	for _, w := range b.Plans.Workspaces {
+		if a := byPlan[w.Plan]; a != nil {
+			p.workspaces[w.ID] = a
+		}
+	}
+	return p
+}
+
+func newAllowance(a lists.Allowance) *allowance {
+	return &allowance{set(a.Models), set(a.Adapters), set(a.Services), a.Capacity}
+}
+
+func set[T comparable](items []T) map[T]bool {
+	s := map[T]bool{}
+	for _, item := range items {
+		s[item] = true
+	}
+	return s
+}
+
+// Model returns the pool that serves the model, with an adapter or "" for none,
+// if the workspace's plan includes both. The error is an ErrNotAllowed.
+func (p *Permissions) Model(w fleet.WorkspaceID, model fleet.ModelName, adapter string) (fleet.PoolID, error) {
+	a, m := p.workspaces[w], p.models[model]
+	switch {
+	case a == nil || !a.models[model] || m.Name == "":
+		return "", ErrNotAllowed.New("model %q", model)
+	case adapter != "" && (!a.adapters[adapter] || !slices.Contains(m.Adapters, adapter)):
+		return "", ErrNotAllowed.New("adapter %q of model %q", adapter, model)
+	}
+	return m.Pool, nil
+}
+
+// Service returns the service if the workspace's plan includes it. The error is
+// an ErrNotAllowed.
+func (p *Permissions) Service(w fleet.WorkspaceID, name string) (lists.Service, error) {
+	a := p.workspaces[w]
+	s, ok := p.services[name]
+	if a == nil || !ok || !a.services[name] {
+		return lists.Service{}, ErrNotAllowed.New("service %q", name)
+	}
+	return s, nil
+}
+
+// Share returns how many of one upstream's slots the workspace may hold in the
+// pool, or 0 for no limit. Held to at each upstream by its owner, the shares add
+// up to the plan's part of the pool without any message.
+func (p *Permissions) Share(w fleet.WorkspaceID, pool fleet.PoolID) int {
+	a := p.workspaces[w]
+	if a == nil || a.capacity == 0 {
+		return 0
+	}
+	slots := p.pools[pool].MaxConcurrency
+	if slots == 0 {
+		slots = lists.DefaultMaxConcurrency
+	}
+	return max(int(a.capacity*float64(slots)), 1)
+}
--- /dev/null
+++ b/internal/plan/plan_test.go
@@ -0,0 +1,174 @@
+package plan
+
+import (
+	"errors"
+	"flag"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
+)
+
+// The load of every case is arrivals a second, about twice what its plan admits.
+var plans = map[string]struct {
+	plan lists.Plan
+	load float64
+}{
+	"small":       {lists.Plan{RequestsPerSecond: 2, Burst: 4, Concurrency: 6, TokensPerMinute: 60_000}, 4},
+	"rate":        {lists.Plan{RequestsPerSecond: 100, Burst: 100}, 200},
+	"concurrency": {lists.Plan{Concurrency: 100}, 70},
+	"tokens":      {lists.Plan{TokensPerMinute: 800_000}, 100},
+	"all":         {lists.Plan{RequestsPerSecond: 100, Burst: 100, Concurrency: 280, TokensPerMinute: 1_400_000}, 200},
+}
+
+// trouble overloads one plan while messages are lost, repeated and late,
+// routers freeze, are cut off or restart, and the home moves.
+func trouble(seed uint64, name string, off options) *schedule {
+	s := newSchedule(seed, 8, plans[name].plan, off)
+	s.rate = plans[name].load
+	s.loss, s.dup = 0.05, 0.05
+	for i := range 20 {
+		s.after(time.Duration(5+6*i)*time.Second, s.upset)
+	}
+	s.run(140 * time.Second)
+	return s
+}
+
+func (s *schedule) upset() {
+	i := s.rng.IntN(len(s.routers))
+	r := s.routers[i]
+	span := time.Duration((0.5 + 4*s.rng.Float64()) * float64(time.Second))
+	switch s.rng.IntN(5) {
+	case 0:
+		r.frozen = s.now + span
+	case 1:
+		r.cut = true
+		s.after(span, func() { r.cut = false })
+	case 2:
+		if i != s.at {
+			s.boot(i)
+		}
+	case 3:
+		s.moveHome(i, true)
+	case 4:
+		s.moveHome(i, false)
+	}
+}
+
+var seeds = flag.Uint64("seeds", 6, "seeds of each schedule")
+
+func TestPlanHoldsInEverySeed(t *testing.T) {
+	for name := range plans {
+		t.Run(name, func(t *testing.T) {
+			started, refused := 0, 0
+			for seed := range *seeds {
+				s := trouble(seed, name, options{})
+				if len(s.breaches) > 0 {
+					t.Errorf("seed %d: %d breaches, first: %s", seed, len(s.breaches), s.breaches[0])
+				}
+				started, refused = started+s.started, refused+s.refused
+			}
+			t.Logf("started %d, refused %d", started, refused)
+			if started == 0 || refused == 0 {
+				t.Errorf("the plan never bound: started %d, refused %d", started, refused)
+			}
+		})
+	}
+}
+
+func TestPlanBreaksWithoutEachMechanism(t *testing.T) {
+	cases := []struct {
+		name   string
+		plan   string
+		off    options
+		breach string
+	}{
+		{"lapsed rate counts as unspent", "rate", options{lapseUnspent: true}, "rate"},
+		{"a new home lends slots at once", "concurrency", options{noTakeoverWait: true}, "concurrency"},
+		{"a new home lends tokens at once", "tokens", options{noTakeoverWait: true}, "tokens"},
+		{"slots are free once a smaller allotment is sent", "concurrency", options{noSlotHold: true}, "concurrency"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			found := false
+			for seed := uint64(0); seed < 30 && !found; seed++ {
+				for _, b := range trouble(seed, tc.plan, tc.off).breaches {
+					found = found || strings.Contains(b, tc.breach)
+				}
+			}
+			is.True(found)
+		})
+	}
+}
+
+func TestRepeatedRequestCountsOnce(t *testing.T) {
+	for _, noReplay := range []bool{false, true} {
+		is := is.New(t)
+		h := NewHome("h1")
+		h.off.noReplay = noReplay
+		h.SetPlans(0, lists.Plans{
+			Plans:      []lists.Plan{{Name: "p", RequestsPerSecond: 10, TokensPerMinute: 1000}},
+			Workspaces: []lists.Workspace{{ID: workspace, Plan: "p"}},
+		})
+		h.TakeFirst(0, workspace)
+		h.books[workspace].tokens.use(0, 900)
+		r := BorrowRequest{
+			Workspace: workspace, Instance: "r", Boot: "1", Sequence: 1, Want: Amount{2, 100},
+			Home: "h1", Refunds: []Refund{{0, 50}},
+		}
+		first, second := h.Borrow(time.Second, r), h.Borrow(2*time.Second, r)
+		once := first.Amount == second.Amount && h.books[workspace].tokens.sum == 850
+		is.Equal(once, !noReplay)
+		r.Sequence = 0
+		is.Equal(h.Borrow(2*time.Second, r).Refusal == RefusalStale, true)
+	}
+}
+
+func TestPermissions(t *testing.T) {
+	p := NewPermissions(lists.Both{
+		Plans: lists.Plans{Workspaces: []lists.Workspace{{ID: "choir", Plan: "gold"}, {ID: "court", Plan: "none"}}},
+		Allowances: lists.Allowances{
+			Pools:    []lists.Pool{{Name: "llm", MaxConcurrency: 40}},
+			Models:   []lists.Model{{Name: "m", Pool: "llm", Adapters: []string{"a", "b"}}, {Name: "x", Pool: "llm"}},
+			Services: []lists.Service{{Name: "counter", Pool: "svc"}},
+			Plans:    []lists.Allowance{{Plan: "gold", Models: []fleet.ModelName{"m"}, Adapters: []string{"a"}, Services: []string{"counter"}, Capacity: 0.25}},
+		},
+	})
+	cases := []struct {
+		name      string
+		workspace fleet.WorkspaceID
+		model     fleet.ModelName
+		adapter   string
+		allowed   bool
+	}{
+		{"a model of the plan", "choir", "m", "", true},
+		{"an adapter of the plan", "choir", "m", "a", true},
+		{"an adapter of the model alone", "choir", "m", "b", false},
+		{"a model outside the plan", "choir", "x", "", false},
+		{"a model that isn't listed", "choir", "y", "", false},
+		{"a plan without an allowance", "court", "m", "", false},
+		{"an unknown workspace", "ward", "m", "", false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			pool, err := p.Model(tc.workspace, tc.model, tc.adapter)
+			is.Equal(err == nil, tc.allowed)
+			is.Equal(pool == "llm", tc.allowed)
+			is.Equal(errorx.IsOfType(err, ErrNotAllowed), !tc.allowed)
+		})
+	}
+	is := is.New(t)
+	_, err := p.Service("choir", "counter")
+	is.NoErr(err)
+	_, err = p.Service("choir", "ledger")
+	is.True(errorx.IsOfType(err, ErrNotAllowed) && !errors.Is(err, nil))
+	is.Equal(p.Share("choir", "llm"), 10)
+	is.Equal(p.Share("court", "llm"), 0)
+}
--- /dev/null
+++ b/internal/plan/schedule_test.go
@@ -0,0 +1,352 @@
+package plan
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
+)
+
+// schedule drives one workspace's home and several borrowers on a virtual clock
+// from one seed, over a network that loses, repeats and delays messages.
+type schedule struct {
+	rng      *rand.Rand
+	now      time.Duration
+	events   eventHeap
+	sequence int
+	plan     lists.Plan
+	off      options
+
+	homes   []*Home // by router; only homes[at] counts
+	at      int     // router that is home, or -1
+	routers []*fakeRouter
+	rate    float64 // arrivals a second over all routers
+	service time.Duration
+	tokens  int64 // estimate of each request
+
+	loss, dup float64
+	delay     time.Duration
+
+	breaches []string
+	started  int
+	refused  int
+	bytes    int
+	messages int
+	// The checker's own books.
+	level    float64
+	levelAt  time.Duration
+	inFlight int
+	used     []use
+	usedSum  int64
+}
+
+type use struct {
+	at     time.Duration
+	tokens int64
+}
+
+type fakeRouter struct {
+	id       fleet.InstanceID
+	boot     int
+	borrower *Borrower
+	frozen   time.Duration // until
+	cut      bool          // from all others
+	waiting  []waiter
+	running  int
+}
+
+type waiter struct {
+	tokens   int64
+	deadline time.Duration
+	fresh    bool // arrived at a frozen router
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+const workspace fleet.WorkspaceID = "choir"
+
+func newSchedule(seed uint64, routers int, plan lists.Plan, off options) *schedule {
+	plan.Name = "p"
+	s := &schedule{
+		rng: rand.New(rand.NewPCG(seed, 2)), now: time.Second, plan: plan, off: off,
+		service: 3 * time.Second, tokens: 500, delay: time.Millisecond,
+	}
+	s.level, s.levelAt = burst(plan), s.now
+	for i := range routers {
+		r := &fakeRouter{id: fleet.InstanceID(fmt.Sprintf("router-%03d", i))}
+		s.routers = append(s.routers, r)
+		s.homes = append(s.homes, nil)
+		s.boot(i)
+		s.every(50*time.Millisecond, func() { s.exchange(r) })
+	}
+	s.homes[0].TakeFirst(s.now, workspace)
+	s.after(0, s.arrive)
+	return s
+}
+
+func burst(p lists.Plan) float64 {
+	if p.Burst == 0 {
+		return max(p.RequestsPerSecond, 1)
+	}
+	return float64(p.Burst)
+}
+
+// boot starts router i anew; what it ran has been cancelled.
+func (s *schedule) boot(i int) {
+	r := s.routers[i]
+	r.boot++
+	s.inFlight -= r.running
+	r.running, r.waiting = 0, nil
+	r.borrower = NewBorrower(r.id, fleet.BootID(fmt.Sprint(r.boot)))
+	s.homes[i] = NewHome(fleet.BootID(fmt.Sprint(r.id, r.boot)))
+	s.homes[i].off = s.off
+	s.homes[i].SetPlans(s.now, lists.Plans{Plans: []lists.Plan{s.plan}, Workspaces: []lists.Workspace{{ID: workspace, Plan: "p"}}})
+}
+
+func (s *schedule) after(d time.Duration, run func()) {
+	s.sequence++
+	heap.Push(&s.events, event{s.now + d, s.sequence, run})
+}
+
+func (s *schedule) every(interval time.Duration, run func()) {
+	s.after(interval, func() { run(); s.every(interval, run) })
+}
+
+func (s *schedule) run(until time.Duration) {
+	for len(s.events) > 0 && s.events[0].at <= until {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.run()
+	}
+	s.now = until
+}
+
+func (s *schedule) breach(format string, args ...any) {
+	s.breaches = append(s.breaches, fmt.Sprintf("%v: ", s.now)+fmt.Sprintf(format, args...))
+}
+
+func (s *schedule) arrive() {
+	r := s.routers[s.rng.IntN(len(s.routers))]
+	s.ask(r, waiter{tokens: s.tokens, deadline: s.now + time.Second})
+	s.after(time.Duration(s.rng.ExpFloat64()/s.rate*float64(time.Second)), s.arrive)
+}
+
+// ask tries to start one request; a frozen router does so when it wakes up.
+func (s *schedule) ask(r *fakeRouter, w waiter) {
+	if s.now < r.frozen {
+		w.fresh = true
+		r.waiting = append(r.waiting, w)
+		return
+	}
+	switch a := r.borrower.Start(s.now, workspace, w.tokens); a.Step {
+	case Started:
+		s.start(r, a.Ticket)
+	case Over:
+		if s.now+a.RetryAfter < w.deadline {
+			s.after(a.RetryAfter, func() { s.ask(r, w) })
+			return
+		}
+		s.refused++
+	case Wait:
+		r.waiting = append(r.waiting, w)
+		if q, ok := r.borrower.Ask(s.now, workspace); ok {
+			s.send(r, q)
+		}
+	}
+}
+
+// start checks one start against the checker's books: a token bucket, the
+// number in flight and a sliding minute.
+func (s *schedule) start(r *fakeRouter, t Ticket) {
+	s.started++
+	s.level = min(s.level+s.plan.RequestsPerSecond*(s.now-s.levelAt).Seconds(), burst(s.plan))
+	s.levelAt = s.now
+	if s.level--; s.plan.RequestsPerSecond > 0 && s.level < -1e-6 {
+		s.breach("rate: %.1f requests over", -s.level)
+	}
+	s.inFlight++
+	r.running++
+	if s.plan.Concurrency > 0 && s.inFlight > s.plan.Concurrency {
+		s.breach("concurrency: %d in flight", s.inFlight)
+	}
+	s.useTokens(t)
+	boot, d := r.boot, time.Duration((0.5+s.rng.Float64())*float64(s.service))
+	s.after(d, func() {
+		if r.boot != boot {
+			return
+		}
+		s.inFlight--
+		r.running--
+		s.refund(t)
+		r.borrower.Settle(s.now, t, t.Reserved/2)
+	})
+}
+
+func (s *schedule) useTokens(t Ticket) {
+	s.used = append(s.used, use{s.now, t.Reserved})
+	s.usedSum += t.Reserved
+	for len(s.used) > 0 && s.used[0].at <= s.now-time.Minute {
+		s.usedSum -= s.used[0].tokens
+		s.used = s.used[1:]
+	}
+	if s.plan.TokensPerMinute > 0 && s.usedSum > s.plan.TokensPerMinute {
+		s.breach("tokens: %d in a minute", s.usedSum)
+	}
+}
+
+// refund corrects the checker's record of a request to what it used.
+func (s *schedule) refund(t Ticket) {
+	for i := range s.used {
+		if s.used[i].at == t.At && s.used[i].tokens == t.Reserved {
+			s.used[i].tokens -= t.Reserved - t.Reserved/2
+			s.usedSum -= t.Reserved - t.Reserved/2
+			return
+		}
+	}
+}
+
+// exchange sends what is due and settles what waits.
+func (s *schedule) exchange(r *fakeRouter) {
+	if s.now < r.frozen {
+		return
+	}
+	for _, q := range r.borrower.Due(s.now, nil) {
+		s.send(r, q)
+	}
+	s.retry(r)
+}
+
+func (s *schedule) retry(r *fakeRouter) {
+	waiting := r.waiting
+	r.waiting = nil
+	for _, w := range waiting {
+		switch {
+		case w.fresh:
+			w.fresh = false
+			s.ask(r, w)
+		case s.now > w.deadline:
+			r.borrower.Abandon(workspace, w.tokens)
+			s.refused++
+		default:
+			s.again(r, w)
+		}
+	}
+}
+
+// again retries a request that waits.
+func (s *schedule) again(r *fakeRouter, w waiter) {
+	a := r.borrower.Retry(s.now, workspace, w.tokens)
+	if a.Step == Started {
+		s.start(r, a.Ticket)
+		return
+	}
+	r.waiting = append(r.waiting, w)
+	if a.RetryAfter > 0 {
+		return
+	}
+	if q, ok := r.borrower.Ask(s.now, workspace); ok {
+		s.send(r, q)
+	}
+}
+
+// send carries a request to the home and its reply back.
+func (s *schedule) send(r *fakeRouter, q BorrowRequest) {
+	raw, _ := q.MarshalMsg(nil)
+	s.bytes += len(raw)
+	s.messages++
+	boot := r.boot
+	s.carry(r, func() {
+		if s.at < 0 {
+			return
+		}
+		var got BorrowRequest
+		if _, err := got.UnmarshalMsg(raw); err != nil {
+			s.breach("unmarshal: %v", err)
+			return
+		}
+		reply := s.homes[s.at].Borrow(s.now, got)
+		answer, _ := reply.MarshalMsg(nil)
+		s.bytes += len(answer)
+		s.messages++
+		s.carry(r, func() {
+			if r.boot == boot {
+				s.deliver(r, reply)
+			}
+		})
+	})
+}
+
+// deliver hands a reply over, or keeps it until a frozen router wakes up.
+func (s *schedule) deliver(r *fakeRouter, reply BorrowReply) {
+	if s.now < r.frozen {
+		boot := r.boot
+		s.after(r.frozen-s.now, func() {
+			if r.boot == boot {
+				s.deliver(r, reply)
+			}
+		})
+		return
+	}
+	r.borrower.Take(s.now, reply)
+	s.retry(r)
+}
+
+// carry delivers a message late, twice or never.
+func (s *schedule) carry(r *fakeRouter, run func()) {
+	if r.cut || s.rng.Float64() < s.loss {
+		return
+	}
+	delay := func() time.Duration { return time.Duration((0.5 + s.rng.ExpFloat64()) * float64(s.delay)) }
+	s.after(delay(), run)
+	if s.rng.Float64() < s.dup {
+		s.after(delay()+time.Duration(s.rng.Float64()*float64(3*time.Second)), run)
+	}
+}
+
+// moveHome makes another router the home: with the books, or after the loss of
+// the former one.
+func (s *schedule) moveHome(to int, planned bool) {
+	from := s.at
+	if to == from || from < 0 {
+		return
+	}
+	if planned {
+		books, _ := s.homes[from].Release(s.now, workspace)
+		s.at = to
+		s.homes[to].TakeOver(s.now, books)
+		return
+	}
+	s.at = -1
+	s.boot(from)
+	s.after(3*time.Second, func() { // the session lease
+		s.at = to
+		var peers []fleet.InstanceID
+		for _, r := range s.routers {
+			peers = append(peers, r.id)
+		}
+		s.homes[to].Take(s.now, workspace, peers)
+		s.homes[to].Lost(s.now, s.routers[from].id)
+	})
+}
