--- /dev/null
+++ b/internal/admission/gate_test.go
@@ -0,0 +1,238 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// oneUpstream returns a gate with one upstream whose window is wide open and
+// whose pool allows n requests at once.
+func oneUpstream(n int) *Gate {
+	g := NewGate()
+	g.SetPoolSettings("llm", PoolSettings{MaxConcurrency: n, StartConcurrency: n})
+	g.SetUpstream(0, UpstreamState{ID: "e1", Pool: "llm", Boot: "b1"}, nil)
+	return g
+}
+
+func ask(id string) Request {
+	return Request{ID: fleet.RequestID(id), Upstream: "e1", Priority: fleet.PriorityInteractive}
+}
+
+func TestRefusals(t *testing.T) {
+	const now = time.Second
+	cases := []struct {
+		name    string
+		prepare func(*Gate)
+		request func(*Request)
+		reason  Reason
+	}{
+		{"an upstream of another owner", nil, func(r *Request) { r.Upstream = "e2" }, ReasonNotOwned},
+		{"an upstream that is out", func(g *Gate) {
+			g.SetUpstream(now, UpstreamState{ID: "e1", Pool: "llm", Boot: "b1", Out: true}, nil)
+		}, nil, ReasonDraining},
+		{"an upstream that is leaving", func(g *Gate) {
+			g.SetUpstream(now, UpstreamState{ID: "e1", Pool: "llm", Boot: "b1", Leaving: true}, nil)
+		}, nil, ReasonDraining},
+		{"an ID in use", func(g *Gate) { g.Admit(now, ask("r")) }, nil, ReasonDuplicate},
+		{"a deadline in the past", nil, func(r *Request) { r.Deadline = now }, ReasonDeadline},
+		{"full, and not to wait", func(g *Gate) { fill(g, 2) }, func(r *Request) { r.NoQueue = true }, ReasonBound},
+		{"full, and too late by the estimate", func(g *Gate) { fill(g, 2) }, func(r *Request) { r.Deadline = now + time.Millisecond }, ReasonDeadline},
+		{"a full queue", func(g *Gate) { fill(g, 2+queueLength) }, func(r *Request) { r.Deadline = now + time.Hour }, ReasonQueueFull},
+		{"a workspace with its share", func(g *Gate) {
+			r := ask("own")
+			r.Workspace, r.WorkspaceLimit = "choir", 1
+			g.Admit(now, r)
+		}, func(r *Request) { r.Workspace, r.WorkspaceLimit, r.NoQueue = "choir", 1, true }, ReasonShare},
+		{"an open breaker", func(g *Gate) { failAll(g, now, breakerFailures) }, nil, ReasonBroken},
+		{"an upstream given up", func(g *Gate) { g.Lose(now, "e1", nil) }, nil, ReasonNotOwned},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			g := oneUpstream(2)
+			if tc.prepare != nil {
+				tc.prepare(g)
+			}
+			r := ask("r")
+			if tc.request != nil {
+				tc.request(&r)
+			}
+			d := g.Admit(now, r)
+			is.Equal(d.Kind, Refused)
+			is.Equal(d.Reason, tc.reason)
+		})
+	}
+}
+
+func fill(g *Gate, n int) {
+	for i := range n {
+		r := ask(fmt.Sprint("fill", i))
+		r.Deadline = time.Hour
+		g.Admit(0, r)
+	}
+}
+
+func failAll(g *Gate, now time.Duration, n int) {
+	for i := range n {
+		id := fmt.Sprint("bad", i)
+		g.Admit(now, ask(id))
+		g.Done(now, fleet.RequestID(id), Result{Failed: true}, nil)
+	}
+}
+
+func TestQueueServesByPriorityAndDeadlineWithoutStarvingBatch(t *testing.T) {
+	is := is.New(t)
+	g := oneUpstream(1)
+	g.Admit(0, ask("running"))
+	for i := range 20 {
+		r := ask(fmt.Sprintf("i%02d", i))
+		r.Deadline = time.Hour - time.Duration(i)*time.Second // later ones are more urgent
+		is.Equal(g.Admit(0, r).Kind, Queued)
+		r.ID, r.Priority = fleet.RequestID(fmt.Sprintf("b%02d", i)), fleet.PriorityBatch
+		is.Equal(g.Admit(0, r).Kind, Queued)
+	}
+	last, order := fleet.RequestID("running"), []fleet.RequestID{}
+	for range 40 {
+		settled := g.Done(time.Second, last, Result{Duration: time.Second, Tokens: 9}, nil)
+		is.Equal(len(settled), 1)
+		is.Equal(settled[0].Decision.Kind, Admitted)
+		last = settled[0].ID
+		order = append(order, last)
+	}
+	is.Equal(order[0], fleet.RequestID("i19"))
+	is.Equal(order[BatchShare-1], fleet.RequestID("b19"))
+	is.Equal(order[2*BatchShare-1], fleet.RequestID("b18"))
+}
+
+func TestQueuedRequestsAreRefusedAtTheirDeadline(t *testing.T) {
+	is := is.New(t)
+	g := oneUpstream(1)
+	g.Admit(0, ask("running"))
+	r := ask("waits")
+	r.Deadline = 5 * time.Second
+	is.Equal(g.Admit(0, r).Kind, Queued)
+	is.Equal(len(g.Tick(4*time.Second, nil)), 0)
+	settled := g.Tick(5*time.Second, nil)
+	is.Equal(len(settled), 1)
+	is.Equal(settled[0].Decision, Decision{Refused, ReasonDeadline, minRetryAfter})
+	is.Equal(len(g.Done(6*time.Second, "running", Result{}, nil)), 0)
+}
+
+func TestDrainRefusesWhatWaitsAndKeepsWhatRuns(t *testing.T) {
+	is := is.New(t)
+	g := oneUpstream(1)
+	g.Admit(0, ask("running"))
+	g.Admit(0, ask("waits"))
+	settled := g.SetUpstream(time.Second, UpstreamState{ID: "e1", Pool: "llm", Boot: "b1", Out: true}, nil)
+	is.Equal(len(settled), 1)
+	is.Equal(settled[0].Decision.Reason, ReasonDraining)
+	is.Equal(g.InFlight("e1"), 1)
+	g.Done(2*time.Second, "running", Result{Duration: time.Second}, nil)
+	is.Equal(g.InFlight("e1"), 0)
+}
+
+func TestBreakerProbesOneAtATimeAndCloses(t *testing.T) {
+	is := is.New(t)
+	g := oneUpstream(4)
+	failAll(g, 0, breakerFailures)
+	is.Equal(g.Admit(breakerBase-1, ask("early")).Reason, ReasonBroken)
+	is.Equal(g.Admit(breakerBase, ask("probe")).Kind, Admitted)
+	is.Equal(g.Admit(breakerBase, ask("second")).Reason, ReasonBroken)
+	g.Done(breakerBase, "probe", Result{Failed: true}, nil)
+	is.Equal(g.Admit(2*breakerBase, ask("too early")).Reason, ReasonBroken) // the pause has doubled
+	is.Equal(g.Admit(3*breakerBase, ask("probe2")).Kind, Admitted)
+	g.Done(3*breakerBase, "probe2", Result{Duration: time.Second}, nil)
+	is.Equal(g.Admit(3*breakerBase, ask("after")).Kind, Admitted)
+}
+
+func TestResumedWorkCountsButIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	g := oneUpstream(1)
+	g.SetForeign(0, "e1", 2, nil)
+	is.Equal(g.Admit(0, Request{ID: "new", Upstream: "e1", NoQueue: true}).Reason, ReasonBound)
+	is.Equal(g.Admit(0, Request{ID: "resumed", Upstream: "e1", Resume: true}).Kind, Admitted)
+	is.Equal(g.InFlight("e1"), 2)
+}
+
+func TestLostAndRegainedUpstreamKeepsItsWork(t *testing.T) {
+	is := is.New(t)
+	g := oneUpstream(2)
+	g.Admit(0, ask("running"))
+	h, _ := g.Lose(0, "e1", nil)
+	is.Equal(h.InFlight, 1)
+	g.SetUpstream(0, UpstreamState{ID: "e1", Pool: "llm", Boot: "b1"}, nil)
+	is.Equal(g.InFlight("e1"), 1)
+	g.Lose(0, "e1", nil)
+	g.Done(time.Second, "running", Result{}, nil)
+	is.Equal(len(g.order), 0)
+}
+
+func TestRetriesStayWithinTheirBudgets(t *testing.T) {
+	is := is.New(t)
+	r := NewRetries()
+	spend := func(w fleet.WorkspaceID) (n int) {
+		for range 100 {
+			if r.Allow(0, w, "llm") {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(spend("choir"), retryBurst)
+	is.Equal(spend("court"), 0) // the pool's budget is spent
+	for range 50 {
+		r.Succeeded(0, "court", "llm")
+	}
+	is.Equal(spend("choir"), 0)
+	is.Equal(spend("court"), 4) // a tenth of 50, rounding
+}
+
+func TestBackoffGrowsWithinItsBounds(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for retry := range 100 {
+		d := Backoff(retry, rng)
+		is.True(d >= 0 && d <= backoffMax)
+		is.True(retry > 1 || d <= backoffBase)
+	}
+}
+
+func TestHotPathAllocatesNothing(t *testing.T) {
+	is := is.New(t)
+	g := oneUpstream(64)
+	requests := make([]Request, 32)
+	for i := range requests {
+		requests[i] = ask(fmt.Sprint("r", i))
+		requests[i].Workspace, requests[i].WorkspaceLimit = "choir", 60
+	}
+	settled := make([]Settled, 0, 64)
+	now := time.Duration(0)
+	is.Equal(testing.AllocsPerRun(1000, func() {
+		now += time.Millisecond
+		for i := range requests {
+			g.Admit(now, requests[i])
+		}
+		for i := range requests {
+			g.FirstToken(now, requests[i].ID, time.Millisecond)
+			settled = g.Done(now, requests[i].ID, Result{Duration: time.Second, Tokens: 100}, settled[:0])
+		}
+		settled = g.Tick(now, settled[:0])
+	}), 0.0)
+}
+
+func BenchmarkAdmitDone(b *testing.B) {
+	g := oneUpstream(64)
+	r := ask("r")
+	settled := make([]Settled, 0, 4)
+	b.ReportAllocs()
+	for i := range b.N {
+		g.Admit(time.Duration(i), r)
+		settled = g.Done(time.Duration(i), r.ID, Result{Duration: time.Second, Tokens: 100}, settled[:0])
+	}
+}
--- a/internal/placement/hash.go
+++ b/internal/placement/hash.go
@@ -21,10 +21,6 @@
 	mixB = 0xe7037ed1a0b428db
 )
 
-// ChatKey identifies a chat for placement: a hash of workspace, chat and
-// adapter. The lowest bit tells a chat (clear) from a single request (set).
-type ChatKey uint64
-
 // requestBit marks keys of requests that belong to no chat.
 const requestBit ChatKey = 1
 
