--- a/internal/plan/book.go
+++ b/internal/plan/book.go
@@ -9,14 +9,18 @@
 )
 
 // settle takes the borrower's reports into the books.
-func (b *book) settle(now time.Duration, who *borrowerBook, r BorrowRequest) {
+func (b *book) settle(now time.Duration, home fleet.BootID, who *borrowerBook, r BorrowRequest) {
 	for _, report := range r.Reports {
 		at := slices.IndexFunc(who.grants, func(g grantBook) bool { return g.id == report.Grant })
 		if at >= 0 && b.report(now, &who.grants[at], report) {
 			who.grants = slices.Delete(who.grants, at, at+1)
 		}
 	}
-	b.tokens.refund(now, r.Refund)
+	if r.Home == home {
+		for _, refund := range r.Refunds {
+			b.tokens.refund(now, refund.At, refund.Tokens)
+		}
+	}
 	if r.Overrun > who.overrun {
 		b.tokens.use(now, r.Overrun-who.overrun)
 		who.overrun = r.Overrun
@@ -25,18 +29,7 @@
 		b.replacePresumed(now, r.History)
 		b.heard(now, r.Instance)
 	}
-	b.settleSlots(who, r)
-}
-
-// settleSlots takes what the borrower may hold from now until it has the reply:
-// what it says it keeps, and no more than it was ever allotted, unless this home
-// doesn't know what the former one allotted.
-func (b *book) settleSlots(who *borrowerBook, r BorrowRequest) {
-	keeps := max(r.InFlight, r.Slots)
-	if who.known {
-		keeps = max(min(keeps, who.slots), r.InFlight)
-	}
-	who.inFlight, who.slots, who.known = r.InFlight, keeps, true
+	who.inFlight, who.slots = r.InFlight, max(r.InFlight, r.Held)
 }
 
 // replacePresumed counts a borrower's own record of its token use in place of
@@ -85,13 +78,16 @@
 
 // lapse counts what is left of expired grants as spent, for the borrower may
 // have spent it to the last moment.
-func (b *book) lapse(now time.Duration) {
+func (b *book) lapse(now time.Duration, off options) {
 	for _, id := range b.order {
 		who := b.borrowers[id]
 		who.grants = slices.DeleteFunc(who.grants, func(g grantBook) bool {
 			if now < g.expires {
 				return false
 			}
+			if off.lapseUnspent {
+				b.report(now, &g, GrantReport{Grant: g.id, Closed: true})
+			}
 			b.spend(now, &g, g.rest)
 			return true
 		})
@@ -215,7 +211,6 @@
 func (b *book) adopt(now time.Duration, handed BorrowerBook) {
 	who := b.borrower(BorrowRequest{Instance: handed.Instance, Boot: handed.Boot})
 	who.sequence, who.slots, who.allotted, who.overrun = handed.Sequence, handed.Slots, handed.Slots, handed.Overrun
-	who.known = true
 	for _, g := range handed.Grants {
 		who.grants = append(who.grants, grantBook{id: g.Grant, rest: g.Rest, spent: g.Spent, expires: now + g.Remain})
 		b.rate.outstanding += float64(g.Rest.Requests)
--- a/internal/plan/home.go
+++ b/internal/plan/home.go
@@ -26,12 +26,13 @@
 
 // options switch single mechanisms off, for tests that show what each prevents.
 type options struct {
-	noOutstanding, noTakeoverWait, noSlotHold, noReplay bool
+	lapseUnspent, noTakeoverWait, noSlotHold, noReplay bool
 }
 
 // Home counts the plans of the workspaces whose plan home this instance is. It
 // is not safe for concurrent use.
 type Home struct {
+	boot  fleet.BootID
 	plans map[fleet.WorkspaceID]lists.Plan
 	books map[fleet.WorkspaceID]*book
 	off   options
@@ -60,9 +61,8 @@
 	boot     fleet.BootID
 	sequence uint64
 	reply    BorrowReply
-	slots    int  // what the borrower may hold, at most, as far as is known
-	allotted int  // what the last reply allows
-	known    bool // slots counts all that the borrower may hold
+	slots    int // what the borrower may hold, at most, as far as is known
+	allotted int // what the last reply allows
 	inFlight int
 	overrun  int64
 	grants   []grantBook
@@ -77,9 +77,10 @@
 	expires time.Duration
 }
 
-// NewHome returns a home that counts for no workspace yet.
-func NewHome() *Home {
-	return &Home{plans: map[fleet.WorkspaceID]lists.Plan{}, books: map[fleet.WorkspaceID]*book{}}
+// NewHome returns the home of one boot of an instance. It counts for no
+// workspace yet.
+func NewHome(boot fleet.BootID) *Home {
+	return &Home{boot: boot, plans: map[fleet.WorkspaceID]lists.Plan{}, books: map[fleet.WorkspaceID]*book{}}
 }
 
 // SetPlans takes the first list. Changed limits hold for loans from now on.
@@ -141,7 +142,7 @@
 		return Books{}, false
 	}
 	delete(h.books, id)
-	b.lapse(now)
+	b.lapse(now, h.off)
 	return b.export(now, id), true
 }
 
@@ -165,7 +166,10 @@
 // Borrow answers one request for credits.
 func (h *Home) Borrow(now time.Duration, r BorrowRequest) BorrowReply {
 	b := h.books[r.Workspace]
-	reply := BorrowReply{Workspace: r.Workspace, Sequence: r.Sequence, Grant: r.Sequence, Lifetime: CreditLifetime}
+	reply := BorrowReply{
+		Workspace: r.Workspace, Sequence: r.Sequence, Grant: r.Sequence,
+		Lifetime: CreditLifetime, Home: h.boot, Clock: now,
+	}
 	if b == nil {
 		reply.Refusal = RefusalNotHome
 		return reply
@@ -174,7 +178,7 @@
 		reply.Refusal = RefusalUnknown
 		return reply
 	}
-	b.lapse(now)
+	b.lapse(now, h.off)
 	who := b.borrower(r)
 	switch {
 	case r.Sequence < who.sequence:
@@ -183,7 +187,7 @@
 	case r.Sequence == who.sequence && r.Sequence > 0 && !h.off.noReplay:
 		return who.reply
 	}
-	b.settle(now, who, r)
+	b.settle(now, h.boot, who, r)
 	h.lend(now, b, who, r, &reply)
 	who.sequence, who.reply = r.Sequence, reply
 	return reply
@@ -200,9 +204,6 @@
 		return
 	}
 	reply.Amount = b.take(now, who, r.Want)
-	if h.off.noOutstanding {
-		b.rate.outstanding, b.tokens.outstanding = 0, 0
-	}
 	expires := now + CreditLifetime + driftMargin
 	if reply.Amount != (Amount{}) {
 		who.grants = append(who.grants, grantBook{id: reply.Grant, rest: reply.Amount, expires: expires})
@@ -265,7 +266,7 @@
 	}
 	if who.boot != r.Boot {
 		who.boot, who.sequence, who.overrun = r.Boot, 0, r.Overrun
-		who.slots, who.allotted, who.inFlight, who.known = 0, 0, 0, true
+		who.slots, who.allotted, who.inFlight = 0, 0, 0
 	}
 	return who
 }
--- a/internal/plan/messages.go
+++ b/internal/plan/messages.go
@@ -35,13 +35,16 @@
 	InFlight int `msg:"f,omitempty"`
 	// Want is what the borrower expects to need.
 	Want Amount `msg:"a"`
-	// Slots is the number of slots it wants in all, those in use included. Until
-	// the reply it holds no more than that many and those in use.
+	// Slots is the number of slots it wants in all, those in use included. Held is
+	// how many it uses at most until it has the reply.
 	Slots   int           `msg:"k,omitempty"`
+	Held    int           `msg:"j,omitempty"`
 	Reports []GrantReport `msg:"p,omitempty"`
-	// Refund is what recent answers used less than was reserved for them. It
-	// counts once, with this sequence.
-	Refund int64 `msg:"d,omitempty"`
+	// Refunds is what recent answers used less than was reserved for them. They
+	// count once, with this sequence.
+	Refunds []Refund `msg:"d,omitempty"`
+	// Home is the boot of the home to whose clock the refunds refer.
+	Home fleet.BootID `msg:"m,omitempty"`
 	// Overrun is what answers used more than was reserved, all told.
 	Overrun int64 `msg:"o,omitempty"`
 	// History is the borrower's own token use of the last minute, newest step
@@ -49,6 +52,13 @@
 	History []int64 `msg:"h,omitempty"`
 }
 
+// Refund takes back tokens that were reserved too high.
+type Refund struct {
+	// At is when they were reserved, by the home's clock and no later than true.
+	At     time.Duration `msg:"a"`
+	Tokens int64         `msg:"t"`
+}
+
 // BorrowReply lends credits until Lifetime from the sending of the request.
 type BorrowReply struct {
 	Workspace fleet.WorkspaceID `msg:"w"`
@@ -59,6 +69,9 @@
 	// Slots is how many requests the borrower may have in flight.
 	Slots    int           `msg:"k,omitempty"`
 	Lifetime time.Duration `msg:"l"`
+	// Home is the boot of the home, and Clock its time at sending.
+	Home  fleet.BootID  `msg:"m"`
+	Clock time.Duration `msg:"o"`
 	// Unlimited tells what of the plan has no limit.
 	Unlimited Unlimited `msg:"u"`
 	// RetryAfter is set when something wanted could not be lent.
--- a/internal/plan/meter.go
+++ b/internal/plan/meter.go
@@ -83,20 +83,14 @@
 	return max(q.limit-q.sum-q.outstanding, 0)
 }
 
-// refund takes back n tokens of use, from the oldest steps first: what was
-// reserved too high may have been counted in any step that still counts, and the
-// oldest ones stop counting first.
-func (q *quota) refund(now time.Duration, n int64) {
+// refund takes back n tokens that were reserved at a past time and counted then
+// or later. Taken from a step no newer than the one that counted them, they
+// never free more than is used in any minute that is still to come.
+func (q *quota) refund(now, at time.Duration, n int64) {
 	q.advance(now)
-	for age := quotaSteps - 1; age >= 0 && n > 0; age-- {
-		slot := q.slot(age)
-		if slot == nil || *slot <= 0 {
-			continue
-		}
-		part := min(n, *slot)
-		*slot -= part
-		q.sum -= part
-		n -= part
+	if slot := q.slot(int(q.step - int64(at/quotaStep))); slot != nil && at >= 0 && n > 0 {
+		*slot -= n
+		q.sum -= n
 	}
 }
 
