--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -187,3 +187,10 @@
 // Running returns how many admitted requests have not ended, those at upstreams
 // that this instance gave up included.
 func (s *Server) Running() int64 { return s.running.Load() }
+
+// Pressed tells whether work waits for a load bound that the next session
+// renewal may raise.
+func (s *Server) Pressed() (pressed bool) {
+	s.gate.with(func(core *admission.Gate) { pressed = core.Pressed() })
+	return pressed
+}
--- a/internal/plan/borrower.go
+++ b/internal/plan/borrower.go
@@ -31,7 +31,8 @@
 type Step uint8
 
 const (
-	// Wait means credits must be fetched: call Ask, and Start again after Take.
+	// Wait means credits must be fetched: call Ask, and Retry after Take, until
+	// the request has started or is given up with Abandon.
 	Wait Step = iota
 	// Started means the request may run under the returned Ticket.
 	Started
@@ -42,7 +43,8 @@
 // Answer is what Start says about one request.
 type Answer struct {
 	Step Step
-	// RetryAfter estimates when the plan has room again, for Over.
+	// RetryAfter estimates when the plan has room again, for Over and Wait; 0
+	// means not known.
 	RetryAfter time.Duration
 	Ticket     Ticket
 }
@@ -83,7 +85,9 @@
 	retryAt    time.Duration
 	known      bool // a reply has come within the credit lifetime
 	refusal    Refusal
-	refund     int64
+	refunds    []Refund // by the clock of home
+	home       fleet.BootID
+	homeAhead  time.Duration // home's clock less this one's, no more than true
 	overrun    int64
 	history    quota
 	needed     bool // the home wants the history
@@ -137,11 +141,27 @@
 	if now < a.retryAt {
 		return Answer{Step: Over, RetryAfter: a.retryAt - now}
 	}
-	a.waiting.Requests++
-	a.waiting.Tokens += tokens
+	a.wait(1, tokens)
 	return Answer{Step: Wait}
 }
 
+// Retry is Start for a request that waits.
+func (b *Borrower) Retry(now time.Duration, id fleet.WorkspaceID, tokens int64) Answer {
+	a := b.account(id)
+	a.drop(now, b.off)
+	if !a.covers(now, tokens, b.off) {
+		return Answer{Step: Wait, RetryAfter: max(a.retryAt-now, 0)}
+	}
+	a.wait(-1, -tokens)
+	a.spend(now, tokens)
+	return Answer{Step: Started, Ticket: Ticket{id, tokens, now}}
+}
+
+// Abandon ends the waiting of a request that won't be retried.
+func (b *Borrower) Abandon(id fleet.WorkspaceID, tokens int64) {
+	b.account(id).wait(-1, -tokens)
+}
+
 // Settle ends a request that used the given number of tokens.
 func (b *Borrower) Settle(now time.Duration, t Ticket, tokens int64) {
 	a := b.account(t.Workspace)
@@ -151,8 +171,8 @@
 	case tokens > t.Reserved:
 		a.overrun += tokens - t.Reserved
 		a.history.use(now, tokens-t.Reserved)
-	case now-t.At < refundAge:
-		a.refund += t.Reserved - tokens
+	case a.home != "" && now-t.At < refundAge:
+		a.addRefund(t.At+a.homeAhead, t.Reserved-tokens)
 	}
 }
 
@@ -199,7 +219,6 @@
 		return
 	}
 	a.pending, a.refusal = false, r.Refusal
-	a.waiting = Amount{}
 	a.retryAt = 0
 	if r.RetryAfter > 0 {
 		a.retryAt = now + r.RetryAfter
@@ -208,6 +227,7 @@
 		a.changed = true
 		return
 	}
+	a.setHome(now, r)
 	a.known, a.unlimited, a.needed = true, r.Unlimited, r.NeedHistory
 	a.slots, a.slotsUntil = r.Slots, a.sentAt+r.Lifetime
 	if r.Amount != (Amount{}) {
@@ -238,9 +258,9 @@
 	r := BorrowRequest{
 		Workspace: a.id, Instance: b.instance, Boot: b.boot,
 		InFlight: a.inFlight, Want: want, Slots: a.wantSlots(),
-		Refund: a.refund, Overrun: a.overrun,
+		Refunds: a.refunds, Home: a.home, Overrun: a.overrun,
 	}
-	a.slots = min(a.slots, max(a.inFlight, r.Slots))
+	r.Held = a.keepSlots(now, r.Slots)
 	for _, g := range a.grants {
 		r.Reports = append(r.Reports, GrantReport{g.id, g.spent, g.closed})
 	}
@@ -250,6 +270,6 @@
 	}
 	a.sequence++
 	r.Sequence = a.sequence
-	a.pending, a.sentAt, a.refund, a.changed = true, now, 0, false
+	a.pending, a.sentAt, a.refunds, a.changed = true, now, nil, false
 	return r
 }
--- a/internal/router/plans.go
+++ b/internal/router/plans.go
@@ -54,7 +54,7 @@
 
 func newPlans(r *Router, server *mesh.Server) *plans {
 	p := &plans{
-		router: r, home: plan.NewHome(), borrower: plan.NewBorrower(r.self.ID, r.self.Boot),
+		router: r, home: plan.NewHome(r.self.Boot), borrower: plan.NewBorrower(r.self.ID, r.self.Boot),
 		waiters: make(map[fleet.WorkspaceID]chan struct{}),
 		handed:  make(map[fleet.WorkspaceID]plan.Books),
 		taken:   make(map[fleet.WorkspaceID]time.Duration),
--- a/internal/router/session_loop.go
+++ b/internal/router/session_loop.go
@@ -13,8 +13,13 @@
 	"github.com/wigeonflow/wigeonflow/internal/settings"
 )
 
-// minRenewPause bounds how often a router renews while it waits for something.
-const minRenewPause = 20 * time.Millisecond
+const (
+	// minRenewPause bounds how often a router renews while it waits for a grant.
+	minRenewPause = 20 * time.Millisecond
+	// pressedPause is the time between renewals while work waits for a load bound
+	// that a newer mean may raise.
+	pressedPause = 200 * time.Millisecond
+)
 
 func sessionSettings(s settings.Settings) session.Settings {
 	return session.Settings{Lease: s.Session.Lease, RenewInterval: s.Session.RenewInterval}
@@ -33,11 +38,26 @@
 func (r *Router) renewLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.renew(ctx)
-		wait := max(r.nextRenewal()-r.cfg.Clock(), minRenewPause)
+		r.awaitRenewal(ctx)
+	}
+}
+
+// awaitRenewal waits until the next renewal is due.
+func (r *Router) awaitRenewal(ctx context.Context) {
+	renewed := r.cfg.Clock()
+	for {
+		left := max(r.nextRenewal(), renewed+minRenewPause) - r.cfg.Clock()
+		if r.owner.Pressed() {
+			left = min(left, renewed+pressedPause-r.cfg.Clock())
+		}
+		if left <= 0 {
+			return
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
-		case <-r.noticed:
+			return
+		case <-r.noticed: // look at the time of the next renewal again
+		case <-time.After(min(left, pressedPause)):
 		}
 	}
 }
