--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -111,9 +111,8 @@
 	server, pool := mesh.NewServer(cfg), mesh.NewPool(cfg)
 	member, err := Start(Config{
 		Addr: addr, Members: f.addrs, Dir: f.t.TempDir(), Clock: f.clock,
-		Ledger:    ledger.Limits{MaxAge: time.Hour, MaxRecords: 1000, MaxAnswer: 1 << 16},
-		Upstreams: func(context.Context) ([]fleet.Upstream, error) { return nil, nil },
-		Logger:    hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
+		Ledger: ledger.Limits{MaxAge: time.Hour, MaxRecords: 1000, MaxAnswer: 1 << 16},
+		Logger: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
 	}, server, pool)
 	if err != nil {
 		f.t.Fatal(err)
