control: operators' calls stay linearizable over processes that are killed, frozen and emptied

Cause: the parts were proved as cores; the whole was not run under failure. Change: TestProcesses runs three control processes on loopback, three operators and three routers. The leader is killed during applies; stopped for 4 s, past its lease, and woken; all members are killed and restarted; a follower's data folder is deleted. No router's version ever falls, the last version comes into force on each, and porcupine finds the calls linearizable. TestEmptiedMemberDoesNotVote: with the leader dead and a follower emptied no change is accepted; with the leader back nothing is lost. Seen besides: right after an election status says that one more loss can be borne though the emptied member cannot bear it; a while later it says 0.

--- /dev/null
+++ b/internal/control/process_test.go
@@ -0,0 +1,431 @@
+package control
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/ledger"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
+)
+
+// memberEnv makes the test binary run one control member: its mesh address, its
+// operators' address, its data folder and all mesh addresses.
+const memberEnv = "WIGEONFLOW_TEST_MEMBER"
+
+const processToken = "operator"
+
+func TestMain(m *testing.M) {
+	if args := os.Getenv(memberEnv); args != "" {
+		runMember(strings.Split(args, ","))
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// runMember runs one control member until the process is killed.
+func runMember(args []string) {
+	addr, operators, dir, members := args[0], args[1], args[2], args[3:]
+	log := hclog.New(&hclog.LoggerOptions{Level: hclog.Warn, Output: os.Stderr}).With("member", addr)
+	cfg := mesh.Config{Instance: fleet.InstanceID(addr)}
+	server := mesh.NewServer(cfg)
+	member, err := Start(Config{
+		Addr: addr, Members: members, Dir: dir, Clock: fleet.MonotonicClock(), OperatorAddr: operators,
+		Ledger: ledger.Limits{MaxAge: time.Hour, MaxRecords: 1000, MaxAnswer: 1 << 16},
+		Logger: log, Metrics: metrics.NewRegistry(),
+	}, server, mesh.NewPool(cfg))
+	if err != nil {
+		log.Error("not started", "error", err)
+		os.Exit(1)
+	}
+	handler := operator.NewHandler(operator.HandlerSettings{
+		Backend: member.Backend(), Tokens: []operator.KeyDigest{sha256.Sum256([]byte(processToken))},
+	})
+	go func() { log.Error("operators", "error", http.ListenAndServe(operators, handler)) }()
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		log.Error("no listener", "error", err)
+		os.Exit(1)
+	}
+	go func() { _ = server.Serve(listener) }()
+	<-member.Done()
+	log.Error("stopped", "error", member.Err())
+	os.Exit(1)
+}
+
+// processFleet is a control group of processes, with light routers in this one.
+type processFleet struct {
+	*testFleet
+	operators []string
+	dirs      []string
+	processes []*exec.Cmd
+}
+
+func newProcessFleet(t *testing.T, members, routers int) *processFleet {
+	f := &processFleet{testFleet: &testFleet{t: t, clock: fleet.MonotonicClock()}}
+	for i := range members {
+		f.addrs = append(f.addrs, unusedAddr(t))
+		f.operators = append(f.operators, unusedAddr(t))
+		f.dirs = append(f.dirs, filepath.Join(t.TempDir(), fmt.Sprint("member-", i)))
+	}
+	f.processes = make([]*exec.Cmd, members)
+	for i := range members {
+		f.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range f.processes {
+			f.kill(i)
+		}
+	})
+	for i := range routers {
+		f.startRouter(i)
+	}
+	return f
+}
+
+func unusedAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (f *processFleet) start(i int) {
+	if err := os.MkdirAll(f.dirs[i], 0o700); err != nil {
+		f.t.Fatal(err)
+	}
+	args := append([]string{f.addrs[i], f.operators[i], f.dirs[i]}, f.addrs...)
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), memberEnv+"="+strings.Join(args, ","))
+	if testing.Verbose() {
+		cmd.Stderr = os.Stderr
+	}
+	if err := cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.processes[i] = cmd
+}
+
+func (f *processFleet) kill(i int) {
+	_ = f.processes[i].Process.Kill()
+	_ = f.processes[i].Wait()
+}
+
+func (f *processFleet) signal(i int, s syscall.Signal) {
+	if err := f.processes[i].Process.Signal(s); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *processFleet) client() *operator.Client {
+	return operator.NewClient(operator.ClientSettings{
+		Addrs: f.operators, Token: processToken, AttemptTimeout: time.Second, RetryInterval: 50 * time.Millisecond, Attempts: 100,
+	})
+}
+
+// leader returns the index of the member that leads.
+func (f *processFleet) leader() int {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		status, err := f.client().Status(ctx)
+		cancel()
+		for i, addr := range f.addrs {
+			if err == nil && string(status.Leader) == addr {
+				return i
+			}
+		}
+	}
+}
+
+// operations is the history of several operators' calls.
+type operations struct {
+	mu      sync.Mutex
+	history []porcupine.Operation
+	told    int
+}
+
+// longest returns the longest call since it was last asked.
+func (o *operations) longest() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var longest int64
+	for _, op := range o.history[o.told:] {
+		if !op.Output.(applyOutput).unknown {
+			longest = max(longest, op.Return-op.Call)
+		}
+	}
+	o.told = len(o.history)
+	return time.Duration(longest)
+}
+
+type applyInput struct {
+	read   bool
+	expect fleet.ConfigVersion
+	plan   string
+}
+
+type applyOutput struct {
+	unknown  bool
+	accepted bool
+	version  fleet.ConfigVersion // in force after the call
+	plan     string
+}
+
+type applied struct {
+	version fleet.ConfigVersion
+	plan    string
+}
+
+var configuration = porcupine.Model{
+	Init: func() any { return applied{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, in, out := state.(applied), input.(applyInput), output.(applyOutput)
+		switch {
+		case in.read:
+			return out.version == s.version && out.plan == s.plan, s
+		case in.expect != s.version:
+			return out.unknown || !out.accepted && out.version == s.version, s
+		default:
+			next := applied{s.version + 1, in.plan}
+			return out.unknown || out.accepted && out.version == next.version, next
+		}
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v -> %+v", input, output) },
+}
+
+// record runs one call. An unknown outcome may take effect at any later time.
+func (o *operations) record(client int, in applyInput, call func() applyOutput) applyOutput {
+	start := time.Now().UnixNano()
+	out := call()
+	end := time.Now().UnixNano()
+	if out.unknown {
+		end = 1 << 62
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.history = append(o.history, porcupine.Operation{ClientId: client, Input: in, Call: start, Output: out, Return: end})
+	return out
+}
+
+// callsAfter is how many calls each operator makes once a fault is over, and
+// callPause spaces them.
+const (
+	callsAfter = 6
+	callPause  = 10 * time.Millisecond
+)
+
+// operate lets one operator read and apply until done is closed, and some
+// calls longer.
+func (f *processFleet) operate(o *operations, id int, done <-chan struct{}) {
+	client := f.client()
+	var seen fleet.ConfigVersion
+	for i, left := 0, callsAfter; left > 0; i++ {
+		select {
+		case <-done:
+			left--
+		default:
+		}
+		in := applyInput{read: i%3 == 2, expect: seen, plan: fmt.Sprintf("plan-%d-%d-%d", id, i, time.Now().UnixNano())}
+		out := o.record(id, in, func() applyOutput {
+			if in.read {
+				return readConfig(client)
+			}
+			return applyConfig(client, in)
+		})
+		if !out.unknown {
+			seen = out.version
+		}
+		time.Sleep(callPause)
+	}
+}
+
+func readConfig(client *operator.Client) applyOutput {
+	for {
+		both, version, err := client.Config(context.Background())
+		if err != nil {
+			continue
+		}
+		out := applyOutput{version: version}
+		if len(both.Plans.Plans) > 0 {
+			out.plan = both.Plans.Plans[0].Name
+		}
+		return out
+	}
+}
+
+func applyConfig(client *operator.Client, in applyInput) applyOutput {
+	both := lists.Both{Plans: lists.Plans{Plans: []lists.Plan{{Name: in.plan}}}}
+	version, err := client.Apply(context.Background(), operator.Expect{Version: in.expect}, in.plan, both)
+	if err == nil {
+		return applyOutput{accepted: true, version: version}
+	}
+	inForce, told := operator.VersionInForce(err)
+	return applyOutput{unknown: !errorx.IsOfType(err, operator.ErrRefused) || !told, version: inForce}
+}
+
+// watchVersions reports a router whose version falls, until stop is called; and
+// it counts the time that routers have had no lease.
+func (f *processFleet) watchVersions() (unleased *atomic.Int64, stop func()) {
+	done := make(chan struct{})
+	unleased = new(atomic.Int64)
+	var wg sync.WaitGroup
+	for i, r := range f.routers {
+		wg.Go(func() {
+			var last fleet.ConfigVersion
+			for at := f.clock(); ; at = f.clock() {
+				if v := r.view.Version(); v < last {
+					f.t.Errorf("router %d went from version %d back to %d", i, last, v)
+				} else {
+					last = v
+				}
+				select {
+				case <-done:
+					return
+				case <-time.After(time.Millisecond):
+				}
+				if !r.leased() {
+					unleased.Add(int64(f.clock() - at))
+				}
+			}
+		})
+	}
+	return unleased, func() { close(done); wg.Wait() }
+}
+
+func (r *lightRouter) leased() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.holder.Valid(r.clock())
+}
+
+// TestProcesses applies configurations while control members are killed, frozen
+// past their lease, emptied, and all restarted.
+func TestProcesses(t *testing.T) {
+	faults := []struct {
+		name  string
+		fault func(f *processFleet)
+	}{
+		{"the leader is killed and restarted", func(f *processFleet) {
+			i := f.leader()
+			f.kill(i)
+			time.Sleep(time.Second)
+			f.start(i)
+		}},
+		{"the leader is frozen past its lease and woken", func(f *processFleet) {
+			i := f.leader()
+			f.signal(i, syscall.SIGSTOP)
+			time.Sleep(4 * time.Second)
+			f.signal(i, syscall.SIGCONT)
+		}},
+		{"all members are killed and restarted", func(f *processFleet) {
+			for i := range f.processes {
+				f.kill(i)
+			}
+			for i := range f.processes {
+				f.start(i)
+			}
+		}},
+		{"a follower loses its data folder", func(f *processFleet) {
+			i := (f.leader() + 1) % len(f.processes)
+			f.kill(i)
+			if err := os.RemoveAll(f.dirs[i]); err != nil {
+				f.t.Error(err)
+			}
+			f.start(i)
+		}},
+	}
+	f := newProcessFleet(t, 3, 3)
+	f.await(readConfig(f.client()).version)
+	unleased, stop := f.watchVersions()
+	o := &operations{}
+	for _, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			var wg sync.WaitGroup
+			done := make(chan struct{})
+			for id := range 3 {
+				wg.Go(func() { f.operate(o, id, done) })
+			}
+			time.Sleep(10 * callPause)
+			fault.fault(f)
+			close(done)
+			wg.Wait()
+			last := readConfig(f.client())
+			f.await(last.version) // in force on every router
+			t.Logf("version %d in force on every router, longest call %v, %v of router time without a lease",
+				last.version, o.longest(), time.Duration(unleased.Swap(0)))
+		})
+	}
+	stop()
+	sort.Slice(o.history, func(i, j int) bool { return o.history[i].Call < o.history[j].Call })
+	is := is.New(t)
+	is.Equal(porcupine.CheckOperationsTimeout(configuration, o.history, time.Minute), porcupine.Ok)
+	unknown := 0
+	for _, op := range o.history {
+		if op.Output.(applyOutput).unknown {
+			unknown++
+		}
+	}
+	t.Logf("%d calls, %d of unknown outcome", len(o.history), unknown)
+}
+
+// TestEmptiedMemberDoesNotVote: with the leader dead and one follower emptied,
+// one member alone holds the log, and no change may be accepted. With the
+// leader back nothing is lost.
+func TestEmptiedMemberDoesNotVote(t *testing.T) {
+	is := is.New(t)
+	f := newProcessFleet(t, 3, 0)
+	ctx := context.Background()
+	_, err := f.client().SetZone(ctx, operator.Expect{}, "before", "medeu", true)
+	is.NoErr(err)
+	leader := f.leader()
+	emptied := (leader + 1) % 3
+	f.kill(emptied)
+	f.kill(leader)
+	is.NoErr(os.RemoveAll(f.dirs[emptied]))
+	f.start(emptied)
+
+	impatient := operator.NewClient(operator.ClientSettings{
+		Addrs: f.operators, Token: processToken, AttemptTimeout: 300 * time.Millisecond, RetryInterval: 50 * time.Millisecond, Attempts: 40,
+	})
+	_, err = impatient.SetZone(ctx, operator.Expect{Version: 1}, "while two are lost", "alatau", true)
+	is.True(err != nil)
+	is.True(!errorx.IsOfType(err, operator.ErrRefused)) // nobody decided
+	t.Log(err)
+
+	f.start(leader)
+	version, err := f.client().SetZone(ctx, operator.Expect{Any: true}, "after", "turksib", true)
+	is.NoErr(err)
+	status, err := f.client().Status(ctx)
+	is.NoErr(err)
+	is.True(slices.Contains(status.ZonesOut, "medeu"))
+	t.Logf("version %d, zones out %v, %d losses left", version, status.ZonesOut, status.LossesLeft)
+	for status.LossesLeft > 0 { // the emptied member bears no loss
+		time.Sleep(100 * time.Millisecond)
+		status, err = f.client().Status(ctx)
+		is.NoErr(err)
+	}
+}
