--- a/internal/answer/assembler.go
+++ b/internal/answer/assembler.go
@@ -114,12 +114,13 @@
 // Accept takes the next event that arrived for attempt and tells what to do
 // with it. Only VerdictRelay and VerdictEnd bring something for the caller.
 func (a *Assembler) Accept(attempt AttemptID, ev Event) Verdict {
-	v := a.judge(attempt, ev)
+	usage := isUsage(ev)
+	v := a.judge(attempt, ev, usage)
 	a.counts[v]++
 	switch v {
 	case VerdictRelay:
 		a.relayed = true
-		if isUsage(ev) {
+		if usage {
 			a.tail = true
 		} else {
 			a.offset = ev.Offset
@@ -130,7 +131,7 @@
 	return v
 }
 
-func (a *Assembler) judge(attempt AttemptID, ev Event) Verdict {
+func (a *Assembler) judge(attempt AttemptID, ev Event, usage bool) Verdict {
 	if attempt != a.attempt {
 		return VerdictCrossed
 	}
@@ -143,7 +144,7 @@
 	if v := a.matches(ev.Data); v != VerdictRelay {
 		return v
 	}
-	return a.judgeOrder(ev)
+	return a.judgeOrder(ev, usage)
 }
 
 // judgeEnd accepts an end only behind the usage chunk, which the router always
@@ -157,13 +158,13 @@
 
 // judgeOrder judges a chunk that is the attempt's own. The usage chunk may come
 // with the next number or none.
-func (a *Assembler) judgeOrder(ev Event) Verdict {
+func (a *Assembler) judgeOrder(ev Event, usage bool) Verdict {
 	switch {
 	case a.acceptAny:
 		return VerdictRelay
 	case a.tail:
 		return VerdictDuplicate
-	case isUsage(ev):
+	case usage:
 		return a.judgeUsage(ev)
 	case ev.Offset == 0:
 		return VerdictUnmatched
@@ -194,7 +195,7 @@
 // another attempt's chunk by way of its text, since quotes inside a JSON string
 // are escaped.
 func (a *Assembler) matches(data []byte) Verdict {
-	if bytes.Contains(data, a.marker) {
+	if len(data) > 0 && bytes.HasPrefix(data[1:], a.marker) || bytes.Contains(data, a.marker) {
 		return VerdictRelay
 	}
 	id, ok := chunkID(data)
--- /dev/null
+++ b/internal/ledger/booking_test.go
@@ -0,0 +1,162 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/answer"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+var (
+	goodLease  = Lease{Tenure: 1, Until: time.Hour}
+	laterLease = Lease{Tenure: 2, Until: time.Hour}
+	noLease    = Lease{Tenure: 1}
+)
+
+func newTestBooking() *Booking {
+	return NewBooking(BookingConfig{Key: keyA, Body: bodyA, Attempt: "a1", Owner: "r1", Boot: "1", Tenure: 1})
+}
+
+func received(op Op, code Code, attempt answer.AttemptID) Received {
+	return Received{Op: op, Result: Result{Code: code, Attempt: attempt}}
+}
+
+// names renders actions for comparison.
+func names(actions []BookingAction) string {
+	out := ""
+	for _, action := range actions {
+		switch a := action.(type) {
+		case Propose:
+			out += fmt.Sprintf("propose %d; ", a.Command.Op)
+		case Dispatch:
+			out += "dispatch; "
+		case Reply:
+			out += fmt.Sprintf("reply %d %s; ", a.Code, a.Outcome)
+		case End:
+			out += fmt.Sprintf("end %t; ", a.Recorded)
+		}
+	}
+	return out
+}
+
+func TestBookingOfEveryFault(t *testing.T) {
+	type step struct {
+		at    time.Duration
+		lease Lease
+		event BookingEvent
+		want  string
+	}
+	left := answer.Facts{MayHaveLeft: true}
+	whole := answer.Facts{MayHaveLeft: true, Accepted: true, Whole: true}
+	declined := answer.Facts{MayHaveLeft: true, Accepted: true, Whole: true, Declined: true}
+	start := step{0, goodLease, Started{}, "propose 1; "}
+	granted := step{1, goodLease, received(OpBegin, CodeStarted, "a1"), "dispatch; "}
+	tick := func(at time.Duration, want string) step { return step{at, goodLease, Ticked{}, want} }
+	result := func(op Op, code Code, attempt answer.AttemptID, want string) step {
+		return step{2, goodLease, received(op, code, attempt), want}
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step
+	}{
+		{"no fault", []step{start, granted, {2, goodLease, Dispatched{Facts: whole}, "propose 2; reply 0 ran; "}, result(OpFinish, CodeDone, "a1", "end true; ")}},
+		{"begin lost", []step{start, tick(DefaultResend, "propose 1; "), granted}},
+		{"begin answered twice", []step{start, granted, result(OpBegin, CodeStarted, "a1", "")}},
+		{"control lost before the begin", []step{start, tick(DefaultBeginWithin, "propose 3; reply 6 not-run; "), result(OpBegin, CodeStarted, "a1", ""), result(OpAbandon, CodeDone, "a1", "end true; ")}},
+		{"control lost for good", []step{start, tick(DefaultBeginWithin, "propose 3; reply 6 not-run; "), tick(DefaultBeginWithin+DefaultRecordFor, "end false; ")}},
+		{"lease ended before the begin's answer", []step{start, {1, noLease, received(OpBegin, CodeStarted, "a1"), "propose 3; reply 7 not-run; "}}},
+		{"lease lost and granted again", []step{start, {1, laterLease, received(OpBegin, CodeStarted, "a1"), "propose 3; reply 7 not-run; "}}},
+		{"own attempt taken for lost", []step{start, result(OpBegin, CodeUnknown, "a1", "propose 3; reply 7 not-run; ")}},
+		{"session ended", []step{start, result(OpBegin, CodeSessionEnded, "", "propose 3; reply 7 not-run; ")}},
+		{"service unreachable", []step{start, granted, {2, goodLease, Dispatched{}, "propose 3; "}, result(OpAbandon, CodeDone, "a1", "reply 8 not-run; end true; ")}},
+		{"service and control unreachable", []step{start, granted, {2, goodLease, Dispatched{}, "propose 3; "}, tick(2+DefaultBeginWithin, "reply 8 not-run; propose 3; "), tick(3+DefaultBeginWithin, ""), tick(2+DefaultRecordFor, "end false; ")}},
+		{"answer lost", []step{start, granted, {2, goodLease, Dispatched{Facts: left}, "propose 4; reply 3 unknown; "}, result(OpMarkUnknown, CodeDone, "a1", "end true; ")}},
+		{"service declines", []step{start, granted, {2, goodLease, Dispatched{Facts: declined}, "propose 4; reply 3 unknown; "}}},
+		{"control lost before the finish", []step{start, granted, {2, goodLease, Dispatched{Facts: whole}, "propose 2; reply 0 ran; "}, tick(2+DefaultResend, "propose 2; "), tick(2+DefaultRecordFor, "end false; ")}},
+		{"dispatched told twice", []step{start, granted, {2, goodLease, Dispatched{Facts: whole}, "propose 2; reply 0 ran; "}, {2, goodLease, Dispatched{Facts: left}, ""}}},
+		{"started twice", []step{start, {1, goodLease, Started{}, ""}}},
+		{"result can't be read", []step{start, result(OpBegin, CodeInvalid, "", "")}},
+		{"replay", []step{start, result(OpBegin, CodeReplay, "a0", "reply 0 ran; end true; ")}},
+		{"answer not kept", []step{start, result(OpBegin, CodeRan, "a0", "reply 1 ran; end true; ")}},
+		{"in progress", []step{start, result(OpBegin, CodeInProgress, "a0", "reply 2 unknown; end true; ")}},
+		{"unknown", []step{start, result(OpBegin, CodeUnknown, "a0", "reply 3 unknown; end true; ")}},
+		{"another body", []step{start, result(OpBegin, CodeBodyMismatch, "a0", "reply 4 not-run; end true; ")}},
+		{"ledger full", []step{start, result(OpBegin, CodeFull, "", "reply 5 not-run; end true; ")}},
+		{"attempt ended", []step{start, result(OpBegin, CodeAttemptEnded, "", "reply 7 not-run; end true; ")}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestBooking()
+			for _, s := range c.steps {
+				is.Equal(names(b.Step(s.at, s.lease, s.event)), s.want)
+			}
+		})
+	}
+}
+
+func TestBookingAsksForTheLeaseBeforeTheFirstByte(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		flaw  bookingFlaw
+		now   time.Duration
+		lease Lease
+		want  bool
+	}{
+		{"lease holds", bookingFlawNone, 0, goodLease, true},
+		{"woke after the lease", bookingFlawNone, 2 * time.Hour, goodLease, false},
+		{"within the margin", bookingFlawNone, time.Hour - DefaultLeaseMargin, goodLease, false},
+		{"woke into another tenure", bookingFlawNone, 0, laterLease, false},
+		{"woke into another tenure, unchecked", bookingFlawAnyTenure, 0, laterLease, true},
+		{"woke after the lease, unchecked", bookingFlawNoLeaseCheck, 2 * time.Hour, goodLease, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBooking()
+			b.flaw = c.flaw
+			is.New(t).Equal(b.MayWrite(c.now, c.lease), c.want)
+		})
+	}
+}
+
+func TestBookingKeepsADeclinedAnswerForItsCaller(t *testing.T) {
+	is := is.New(t)
+	b := newTestBooking()
+	b.Step(0, goodLease, Started{})
+	b.Step(0, goodLease, received(OpBegin, CodeStarted, "a1"))
+	actions := b.Step(0, goodLease, Dispatched{
+		Facts:  answer.Facts{MayHaveLeft: true, Whole: true, Declined: true},
+		Answer: Answer{Status: 503, Body: []byte("full")},
+	})
+	reply := actions[1].(Reply)
+	got, err := DecodeAnswer(reply.Answer)
+	is.NoErr(err)
+	is.Equal(got.Status, 503)
+	is.Equal(reply.Outcome, fleet.OutcomeUnknown)
+	is.Equal(len(actions[0].(Propose).Command.Answer), 0) // not kept as the key's answer
+}
+
+func TestLeaseTrackerNumbersTenures(t *testing.T) {
+	is := is.New(t)
+	var tracker LeaseTracker
+	is.Equal(tracker.Lease(), Lease{})
+	is.Equal(tracker.Renewed(0, 3), Lease{Tenure: 1, Until: 3})
+	is.Equal(tracker.Renewed(2, 5), Lease{Tenure: 1, Until: 5})
+	is.Equal(tracker.Renewed(3, 4), Lease{Tenure: 1, Until: 5}) // a late, shorter grant
+	is.Equal(tracker.Renewed(5, 8), Lease{Tenure: 2, Until: 8}) // came when the lease was over
+}
+
+func TestClockNeverRunsAhead(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	apply(t, s, after(begin("a1", "r1", 1), 100))
+	clock := NewClock(s, 7000) // another leader's local clock
+	is.Equal(clock.Now(7000), time.Duration(100))
+	is.Equal(clock.Now(7005), time.Duration(105))
+	is.Equal(clock.Now(6000), time.Duration(100))
+	stamped, err := Stamp([]byte{0xc0}, 5)
+	is.True(err != nil)
+	is.Equal(stamped, nil)
+}
