--- a/internal/session/core_test.go
+++ b/internal/session/core_test.go
@@ -161,9 +161,9 @@
 		return r.grantor.Renew(0, leads, req).Means
 	}
 	loaded(a, 1, 5)
-	is.Equal(loaded(b, 1, 3), []PoolMean{{"llm", 8, 4}})
-	is.Equal(loaded(b, 2, 1), []PoolMean{{"llm", 6, 4}})
-	is.Equal(loaded(b, 1, 9), []PoolMean{{"llm", 6, 4}}) // a late copy
+	is.Equal(loaded(b, 1, 3), []PoolMean{{Pool: "llm", InFlight: 8, Upstreams: 4}})
+	is.Equal(loaded(b, 2, 1), []PoolMean{{Pool: "llm", InFlight: 6, Upstreams: 4}})
+	is.Equal(loaded(b, 1, 9), []PoolMean{{Pool: "llm", InFlight: 6, Upstreams: 4}}) // a late copy
 	r.commit(DefaultLease)
 	r.grantor.Renew(DefaultLease, leads, request(a, 2, 2))
 	is.Equal(len(r.grantor.loads.sums()), 0) // both have expired
