Chaos trial: the demonstration fleet under bookings while processes fail

Change: scripts/chaos.sh runs the example on its own addresses with the load command, whose report checks runs per key, answers and refusals.

--- /dev/null
+++ b/scripts/chaos.sh
@@ -0,0 +1,103 @@
+#!/usr/bin/env bash
+# Runs the demonstration fleet under load while processes are killed, frozen and
+# restarted, and checks every answer: no key runs twice, no answer is cut, crossed
+# or not the key's own, no refusal is false. The seed sets which process fails,
+# how and for how long; how that meets the load differs from run to run.
+# Usage: scripts/chaos.sh [SEED [SECONDS [BOOKING_SHARE [RATE]]]]
+set -u
+root=$(cd "$(dirname "$0")/.." && pwd)
+seed=${1:-1}
+seconds=${2:-60}
+bookings=${3:-1}
+rate=${4:-60}
+data=$(mktemp -d)
+. "$root/scripts/lib.sh"
+[ -x "$bin" ] || { echo "no $bin: run make build first" >&2; exit 2; }
+frozen=
+finish() {
+  [ -n "$frozen" ] && kill -CONT "$frozen" 2>/dev/null
+  stop_all 2>/dev/null
+  if [ -n "${KEEP_LOGS:-}" ]; then echo "logs in $data/log"; else rm -rf "$data"; fi
+}
+trap finish EXIT
+trap 'exit 1' INT TERM
+
+# An example of its own, on its own addresses and without a limit on the plan.
+net=127.$((40 + seed % 200))
+mkdir -p "$data/example"
+for file in "$root"/examples/demo/*.yaml; do
+  sed -e "s/127\.30\./$net./g" -e 's/requests_per_second: .*/requests_per_second: 5000/' \
+    -e 's/burst: .*/burst: 5000/' -e 's/concurrency: 200/concurrency: 2000/' \
+    -e 's/tokens_per_minute: .*/tokens_per_minute: 600000000/' "$file" >"$data/example/${file##*/}"
+done
+cp "$root/examples/demo/README.md" "$data/example/"
+example=$data/example
+
+# index NAME prints the place of the newest process with this name.
+index() {
+  local i
+  for ((i = ${#names[@]} - 1; i >= 0; i--)); do
+    [ "${names[i]}" = "$1" ] && { echo "$i"; return; }
+  done
+}
+
+# restart NAME SIGNAL ends an instance with a signal and starts it again. Its log
+# goes on in another file.
+restart() {
+  local i pid
+  i=$(index "$1")
+  pid=${pids[i]}
+  kill "-$2" "$pid" 2>/dev/null
+  wait "$pid" 2>/dev/null
+  unset "pids[i]" "names[i]"
+  pids=("${pids[@]}")
+  names=("${names[@]}")
+  mv "$data/log/$1.log" "$data/log/$1.$(date +%s%N).log"
+  start_instances "$example" "$1.yaml"
+}
+
+# freeze NAME SECONDS stops a process for a time.
+freeze() {
+  frozen=${pids[$(index "$1")]}
+  kill -STOP "$frozen" 2>/dev/null
+  sleep "$2"
+  kill -CONT "$frozen" 2>/dev/null
+  frozen=
+}
+
+# fault does the next thing that the seed asks for.
+fault() {
+  local router=router-$((RANDOM % 3 + 1)) control=control-$((RANDOM % 3 + 1)) counter=counter-$((RANDOM % 2 + 1))
+  local time=$((RANDOM % 8 + 1))
+  case $((RANDOM % 7)) in
+    0) echo "kill $router" && restart "$router" KILL ;;
+    1) echo "stop and start $router" && restart "$router" TERM ;;
+    2) echo "freeze $router for $time s" && freeze "$router" "$time" ;;
+    3) echo "kill $control" && restart "$control" KILL ;;
+    4) echo "freeze $control for $time s" && freeze "$control" "$time" ;;
+    5) echo "freeze $counter for $time s" && freeze "$counter" "$time" ;;
+    6) echo "kill $router and $control" && restart "$router" KILL && restart "$control" KILL ;;
+  esac
+}
+
+start_fleet "$example" || exit 1
+targets=$(for r in 1 2 3; do echo "http://$(setting "$example/router-$r.yaml" callers)"; done | paste -sd,)
+runs=$(upstreams "$example/platform.yaml" | awk '$2 == "counter" { print "http://" $3 }' | paste -sd,)
+sleep "${WARM_UP:-5}"
+"$bin" load --target "fleet=$targets" --keys demo-workspace --model care-notes --service counter \
+  --bookings "$bookings" --repeats "${REPEATS:-2}" --lookups "${LOOKUPS:-0}" --runs "$runs" --rate "$rate" --duration "${seconds}s" --timeout 30s \
+  --seed "$seed" >"$data/report" 2>&1 &
+load=$!
+RANDOM=$seed
+end=$((SECONDS + seconds - 5))
+faults=0
+while [ "$SECONDS" -lt "$end" ] && [ -z "${NO_FAULTS:-}" ]; do
+  fault
+  faults=$((faults + 1))
+  sleep "$((RANDOM % 3 + 1))"
+done
+wait "$load"
+status=$?
+cat "$data/report"
+echo "seed $seed: $faults faults in $seconds s, exit $status"
+exit "$status"
