scripts: NETWORK moves an example to another loopback network

Cause: two runs of one script on one machine clashed: bind: address already in use at the mesh address of router-1. Ruled out: ports drawn at random (addresses stand in the lists and in READMEs). Change: localize copies the example and rewrites the network; the demo's second chat has a text of its own, so that its first turn can't find the other's cache. Conclusion: the demo and the path run beside another fleet.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,12 +1,13 @@
 #!/usr/bin/env bash
 # Starts the demonstration fleet of separate processes, asks two chats twice, a
 # lookup and a booking with a repeated key, prints what became of each, and stops
-# the fleet. Fails if an answer is not as it should be.
+# the fleet. Fails if an answer is not as it should be. NETWORK, such as 127.41,
+# moves it to another loopback network.
 set -u
 root=$(cd "$(dirname "$0")/.." && pwd)
-example=$root/examples/demo
 data=$(mktemp -d)
 . "$root/scripts/lib.sh"
+example=$(localize "$root/examples/demo")
 finish() {
   stop_all
   rm -rf "$data"
@@ -77,15 +78,16 @@
 echo
 
 history='The silk tie of the district choir came in on Monday with a coffee stain and a loose seam near the tip'
+court_history="A judge of the city court asks for his black wool tie, pressed flat and steamed, before the session on Friday"
 turn=1
 ask 1 choir "$(user "$history")"; choir=$content; choir_at=$upstream
-ask 2 court "$(user "$history for the court")"; court=$content; court_at=$upstream
+ask 2 court "$(user "$court_history")"; court=$content; court_at=$upstream
 turn=2
 ask 3 choir "$(user "$history"),$(assistant "$choir"),$(user 'When is it ready?')"
 what="chat choir returns to its engine and cache"
 check "$upstream" = "$choir_at"
 check "${cached:-0}" -gt 0
-ask 1 court "$(user "$history for the court"),$(assistant "$court"),$(user 'When is it ready?')"
+ask 1 court "$(user "$court_history"),$(assistant "$court"),$(user 'When is it ready?')"
 what="chat court returns to its engine and cache"
 check "$upstream" = "$court_at"
 check "${cached:-0}" -gt 0
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -2,6 +2,7 @@
 # Runs one of the examples on loopback until it is interrupted: stand-ins, control
 # instances and routers as separate processes.
 # Usage: scripts/fleet.sh EXAMPLE [DATA_FOLDER]   (default data/EXAMPLE)
+# NETWORK, such as 127.41, moves it to another loopback network.
 set -u
 root=$(cd "$(dirname "$0")/.." && pwd)
 example=$root/examples/${1:?usage: scripts/fleet.sh EXAMPLE [DATA_FOLDER]}
@@ -9,6 +10,7 @@
 mkdir -p "${2:-$root/data/$1}"
 data=$(cd "${2:-$root/data/$1}" && pwd)
 . "$root/scripts/lib.sh"
+example=$(localize "$example")
 [ -x "$bin" ] || { echo "no $bin: run make build first" >&2; exit 2; }
 
 trap stop_all EXIT
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -14,6 +14,19 @@
   names+=("$name")
 }
 
+# localize EXAMPLE_DIR prints the folder to run an example from: itself, or a copy
+# in the data folder on the loopback network that NETWORK names, such as 127.41,
+# so that the same example can run several times on one machine.
+localize() {
+  local file copy=$data/example
+  [ -n "${NETWORK:-}" ] || { echo "$1"; return; }
+  mkdir -p "$copy"
+  for file in "$1"/*; do
+    sed "s/127\.[0-9]*\.\([0-9]*\.[0-9]*:\)/$NETWORK.\1/g" "$file" >"$copy/${file##*/}"
+  done
+  echo "$copy"
+}
+
 # stop_all stops the processes that start started, the last one first, and waits
 # for them. It knows them by their process ids only.
 stop_all() {
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -3,7 +3,8 @@
 #   scripts/measure.sh path [load flags]   one engine asked directly, through its owner, and through
 #                                          an entry router and its owner, in one run
 #   scripts/measure.sh peak [load flags]   the Dala Press example at a tenth of the design's peak
-# DATA keeps the data folder; STEP is the engines' time of a decode step.
+# DATA keeps the data folder; STEP is the engines' time of a decode step; NETWORK,
+# such as 127.41, moves it to another loopback network.
 set -u
 root=$(cd "$(dirname "$0")/.." && pwd)
 what=${1:-}
@@ -20,6 +21,7 @@
 [ -x "$bin" ] || { echo "no $bin: run make build first" >&2; exit 2; }
 
 engines=6
+network=${NETWORK:-127.40}
 
 # path_example writes an example with two routers and a model on each engine, so
 # that a model's engine has one owner that is known.
@@ -34,12 +36,12 @@
 zone: path
 roles: [router]
 listen:
-  callers: 127.40.1.1$i:8080
-  mesh: 127.40.1.1$i:7400
+  callers: $network.1.1$i:8080
+  mesh: $network.1.1$i:7400
 control:
-  members: ["127.40.1.1:7400"]
+  members: ["$network.1.1:7400"]
 platform:
-  url: http://127.40.0.1:9200
+  url: http://$network.0.1:9200
 fleet_secret_file: fleet.secret
 YAML
   done
@@ -48,10 +50,10 @@
 zone: path
 roles: [control]
 listen:
-  operators: 127.40.1.1:8090
-  mesh: 127.40.1.1:7400
+  operators: $network.1.1:8090
+  mesh: $network.1.1:7400
 control:
-  members: ["127.40.1.1:7400"]
+  members: ["$network.1.1:7400"]
 data_dir: state/control-1
 fleet_secret_file: fleet.secret
 operators:
@@ -70,7 +72,7 @@
   {
     echo "instances:"
     for ((i = 1; i <= engines; i++)); do
-      echo "  - {id: engine-$i, pool: pool-$i, addr: \"127.40.2.$i:9000\", zone: path}"
+      echo "  - {id: engine-$i, pool: pool-$i, addr: \"$network.2.$i:9000\", zone: path}"
     done
   } >"$dir/platform.yaml"
   {
@@ -89,7 +91,7 @@
 
 # owned_by ROUTER prints the number of an engine that the router owns.
 owned_by() {
-  WIGEONFLOW_OPERATOR_KEY=path-operator "$bin" get --control 127.40.1.1:8090 upstreams |
+  WIGEONFLOW_OPERATOR_KEY=path-operator "$bin" get --control $network.1.1:8090 upstreams |
     awk -v router="$1" '$5 == router { sub("engine-", "", $1); print $1; exit }'
 }
 
@@ -100,15 +102,16 @@
   n=$(owned_by router-1)
   [ -n "$n" ] || { echo "router-1 owns no engine" >&2; return 1; }
   "$bin" load --keys path-workspace --model "model-$n" \
-    --direct "direct=http://127.40.2.$n:9000" \
-    --target "one-router=http://127.40.1.11:8080" \
-    --target "two-routers=http://127.40.1.12:8080" \
-    --metrics http://127.40.1.11:8080,http://127.40.1.12:8080 \
+    --direct "direct=http://$network.2.$n:9000" \
+    --target "one-router=http://$network.1.11:8080" \
+    --target "two-routers=http://$network.1.12:8080" \
+    --metrics http://$network.1.11:8080,http://$network.1.12:8080 \
     --concurrency 24 --chats 48 --duration 20s --answer-tokens 100 "$@"
 }
 
 measure_peak() {
-  local dir=$root/examples/dala-press file urls= keys runs
+  local dir file urls= keys runs
+  dir=$(localize "$root/examples/dala-press")
   start_fleet "$dir" || return 1
   for file in "$dir"/router-*.yaml; do
     urls+=,http://$(setting "$file" callers)
@@ -124,7 +127,7 @@
 path) measure_path "$@" ;;
 peak) measure_peak "$@" ;;
 *)
-  sed -n '2,7s/^# \?//p' "$0"
+  sed -n '2,8s/^# \?//p' "$0"
   exit 2
   ;;
 esac
