load: a warm-up; scripts: each run on a network of its own

Cause: the first seconds of a fleet ramp its engines up, which hid the figures of the steady state; and a script took another run's fleet on the same addresses for its own (401 from a control instance that was not ours). Ruled out: a longer run without a warm-up (the ramp stays in the quantiles).

--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -16,6 +16,9 @@
 	// Sequence runs one target after the other, each for Duration; otherwise they
 	// share the load of one run.
 	Sequence bool
+	// Warmup is how long requests are started before those that are measured;
+	// their answers are checked alike. Default 0.
+	Warmup time.Duration
 	// Duration is how long requests are started; default 10 s.
 	Duration time.Duration
 	// Concurrency is the closed loop's requests in flight; default 8.
@@ -150,7 +153,7 @@
 		return fmt.Errorf("%w: lookups and bookings need a service", errUsage)
 	case c.Bookings > 0 && len(c.Runs) == 0:
 		return fmt.Errorf("%w: bookings need the services that count their runs", errUsage)
-	case c.Duration < 0 || c.Concurrency < 0 || c.Rate < 0 || c.Chats < c.Concurrency && c.Rate == 0:
+	case c.Duration < 0 || c.Warmup < 0 || c.Concurrency < 0 || c.Rate < 0 || c.Chats < c.Concurrency && c.Rate == 0:
 		return fmt.Errorf("%w: chats must be at least the concurrency, and nothing negative", errUsage)
 	}
 	return nil
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -82,6 +82,22 @@
 	}
 }
 
+func TestWarmUpIsCheckedButNotMeasured(t *testing.T) {
+	is := is.New(t)
+	r := newRecorder("a")
+	r.add(result{kind: kindLookup, verdict: VerdictWhole, ended: time.Second})
+	r.add(result{kind: kindLookup, verdict: VerdictLost, ended: time.Second})
+	r.measure()
+	r.add(result{kind: kindLookup, verdict: VerdictWhole, ended: time.Millisecond})
+	report := Report{Targets: []TargetReport{{elapsed: time.Second}}}
+	report.Targets[0].fill(r)
+	got := report.Targets[0]
+	is.Equal(got.Warmed, int64(2))
+	is.Equal(got.Requests, int64(1))
+	is.Equal(got.Service.Max, int64(1000))
+	is.Equal(report.Broken(), int64(1))
+}
+
 // fleetHandler serves a service as a router would, except for its fault.
 type fleetHandler struct {
 	service http.Handler
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -18,7 +18,10 @@
 type recorder struct {
 	label string
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// measuring is unset during the warm-up, in which only verdicts are counted.
+	measuring  bool
+	warmed     int64
 	verdicts   map[Verdict]int64
 	kinds      map[string]int64
 	statuses   map[int]int64
@@ -65,14 +68,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.verdicts[res.verdict]++
+	if res.verdict != VerdictWhole && len(r.samples) < maxSamples {
+		r.samples = append(r.samples, string(res.verdict)+" "+res.kind+": "+res.detail)
+	}
+	if !r.measuring {
+		r.warmed++
+		return
+	}
 	r.kinds[res.kind]++
 	r.statuses[res.status]++
 	if res.upstream != "" {
 		r.upstreams[res.upstream]++
 	}
-	if res.verdict != VerdictWhole && len(r.samples) < maxSamples {
-		r.samples = append(r.samples, string(res.verdict)+" "+res.kind+": "+res.detail)
-	}
 	if res.check == nil {
 		record(r.service, res.ended-res.sent)
 		return
@@ -95,6 +102,13 @@
 	}
 }
 
+// measure ends the warm-up.
+func (r *recorder) measure() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.measuring, r.heldBack = true, 0
+}
+
 // violation counts a broken promise that a later check found.
 func (r *recorder) violation(v Verdict, detail string) {
 	r.mu.Lock()
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -19,7 +19,9 @@
 
 // TargetReport is what one target of a run came to.
 type TargetReport struct {
-	Label          string            `json:"label"`
+	Label string `json:"label"`
+	// Warmed counts the requests of the warm-up: Verdicts holds them, all else not.
+	Warmed         int64             `json:"warmed"`
 	Seconds        float64           `json:"seconds"`
 	Requests       int64             `json:"requests"`
 	RequestsPerSec float64           `json:"requests_per_second"`
@@ -65,7 +67,7 @@
 }
 
 func (t *TargetReport) fill(r *recorder) {
-	t.Label, t.Seconds = r.label, t.elapsed.Seconds()
+	t.Label, t.Seconds, t.Warmed = r.label, t.elapsed.Seconds(), r.warmed
 	t.Kinds, t.Verdicts, t.Statuses, t.Upstreams = r.kinds, r.verdicts, r.statuses, r.upstreams
 	for _, n := range r.kinds {
 		t.Requests += n
@@ -133,6 +135,7 @@
 		fmt.Fprintln(table)
 	}
 	row("", func(t TargetReport) string { return t.Label })
+	row("warm-up", func(t TargetReport) string { return fmt.Sprint(t.Warmed) })
 	row("requests", func(t TargetReport) string { return fmt.Sprint(t.Requests) })
 	row("requests/s", func(t TargetReport) string { return fmt.Sprintf("%.1f", t.RequestsPerSec) })
 	for _, v := range verdicts {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -111,18 +111,18 @@
 	return report
 }
 
-// phase loads the targets for the run's duration and returns how long it took
-// and the routers' processor time, or -1 where it isn't known.
+// phase warms the targets up, then loads them for the run's duration. It returns
+// how long that took and the routers' processor time, or -1 where it isn't known.
 func (r *runner) phase(ctx context.Context, targets []*target) (elapsed, processor time.Duration) {
+	if r.cfg.Warmup > 0 {
+		r.load(ctx, targets, r.cfg.Warmup)
+	}
+	for _, t := range targets {
+		t.rec.measure()
+	}
 	before, ok := r.client.processorTime(ctx)
 	start := time.Now()
-	until, cancel := context.WithDeadline(ctx, start.Add(r.cfg.Duration))
-	defer cancel()
-	if r.cfg.Rate > 0 {
-		r.openLoop(ctx, until, targets)
-	} else {
-		r.closedLoop(ctx, until, targets)
-	}
+	r.load(ctx, targets, r.cfg.Duration)
 	elapsed = time.Since(start)
 	after, stillOK := r.client.processorTime(ctx)
 	if !ok || !stillOK {
@@ -131,6 +131,17 @@
 	return elapsed, after - before
 }
 
+// load starts requests for a time and waits for their answers.
+func (r *runner) load(ctx context.Context, targets []*target, d time.Duration) {
+	until, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	if r.cfg.Rate > 0 {
+		r.openLoop(ctx, until, targets)
+		return
+	}
+	r.closedLoop(ctx, until, targets)
+}
+
 // closedLoop keeps Concurrency requests in flight until the end.
 func (r *runner) closedLoop(ctx, until context.Context, targets []*target) {
 	var wg sync.WaitGroup
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -2,11 +2,12 @@
 # Starts the demonstration fleet of separate processes, asks two chats twice, a
 # lookup and a booking with a repeated key, prints what became of each, and stops
 # the fleet. Fails if an answer is not as it should be. NETWORK, such as 127.41,
-# moves it to another loopback network.
+# names its loopback network; without it each run takes one of its own.
 set -u
 root=$(cd "$(dirname "$0")/.." && pwd)
 data=$(mktemp -d)
 . "$root/scripts/lib.sh"
+NETWORK=${NETWORK:-$(own_network)}
 example=$(localize "$root/examples/demo")
 finish() {
   stop_all
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -27,37 +27,57 @@
   echo "$copy"
 }
 
-# stop_all stops the processes that start started, the last one first, and waits
-# for them. It knows them by their process ids only.
+# stop_all stops the processes that start started, routers before control instances
+# before stand-ins, so that each can still hand back what it holds. It knows them
+# by their process ids only.
 stop_all() {
-  local i
-  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+  stop_named 'router-*'
+  stop_named 'control-*'
+  stop_named '*'
+}
+
+# stop_named PATTERN stops the processes whose name matches and waits for them.
+stop_named() {
+  local i waiting=()
+  for i in "${!pids[@]}"; do
+    [[ ${names[i]} == $1 ]] || continue
     kill -TERM "${pids[i]}" 2>/dev/null
+    waiting+=("${pids[i]}")
+    unset "pids[i]"
   done
-  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
-    wait "${pids[i]}" 2>/dev/null
+  for i in "${waiting[@]}"; do
+    wait "$i" 2>/dev/null
   done
-  pids=()
 }
 
 # await URL waits until URL answers with success; it fails after 30 s or once a
 # process has ended.
 await() {
-  local i p
+  local i
   for ((i = 0; i < 300; i++)); do
+    all_run || return 1
     curl -fsS -o /dev/null --max-time 2 "$1" 2>/dev/null && return 0
-    for p in "${!pids[@]}"; do
-      kill -0 "${pids[p]}" 2>/dev/null && continue
-      echo "${names[p]} has ended:" >&2
-      tail -5 "$data/log/${names[p]}.log" >&2
-      return 1
-    done
     sleep 0.1
   done
   echo "no answer from $1" >&2
   return 1
 }
 
+# all_run fails, with the end of its log, if a process that was started has ended.
+all_run() {
+  local i
+  for i in "${!pids[@]}"; do
+    kill -0 "${pids[i]}" 2>/dev/null && continue
+    echo "${names[i]} has ended:" >&2
+    tail -5 "$data/log/${names[i]}.log" >&2
+    return 1
+  done
+}
+
+# own_network prints a loopback network that depends on the process, so that runs
+# side by side don't meet.
+own_network() { echo "127.$((64 + $$ % 160))"; }
+
 # setting FILE NAME prints the value of a scalar setting of a settings file.
 setting() {
   sed -n "s/^ *$2: *//p" "$1" | head -1
@@ -132,6 +152,7 @@
   for file in "$1"/router-*.yaml; do
     await "http://$(setting "$file" callers)/readyz" || return 1
   done
+  all_run
 }
 
 # print_addresses EXAMPLE_DIR prints where each process of an example listens.
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -4,7 +4,7 @@
 #                                          an entry router and its owner, in one run
 #   scripts/measure.sh peak [load flags]   the Dala Press example at a tenth of the design's peak
 # DATA keeps the data folder; STEP is the engines' time of a decode step; NETWORK,
-# such as 127.41, moves it to another loopback network.
+# such as 127.41, names the loopback network, else each run takes one of its own.
 set -u
 root=$(cd "$(dirname "$0")/.." && pwd)
 what=${1:-}
@@ -21,7 +21,8 @@
 [ -x "$bin" ] || { echo "no $bin: run make build first" >&2; exit 2; }
 
 engines=6
-network=${NETWORK:-127.40}
+NETWORK=${NETWORK:-$(own_network)}
+network=$NETWORK
 
 # path_example writes an example with two routers and a model on each engine, so
 # that a model's engine has one owner that is known.
@@ -106,7 +107,7 @@
     --target "one-router=http://$network.1.11:8080" \
     --target "two-routers=http://$network.1.12:8080" \
     --metrics http://$network.1.11:8080,http://$network.1.12:8080 \
-    --concurrency 24 --chats 48 --duration 20s --answer-tokens 100 "$@"
+    --concurrency 24 --chats 48 --warmup 3s --duration 20s --answer-tokens 100 "$@"
 }
 
 measure_peak() {
@@ -119,7 +120,7 @@
   keys=$(grep -oE '`dala-[a-z-]+-demo`' "$dir/README.md" | tr -d '`' | grep -v operator | head -3 | paste -sd,)
   runs=$(upstreams "$dir/platform.yaml" | awk '$2 == "counter" { printf "%shttp://%s", sep, $3; sep = "," }')
   "$bin" load --keys "$keys" --model care-notes --target "fleet=${urls#,}" --service counter --runs "$runs" \
-    --lookups 0.05 --bookings 0.05 --rate 305 --max-in-flight 900 --chats 2000 --duration 20s \
+    --lookups 0.05 --bookings 0.05 --rate 305 --max-in-flight 900 --chats 2000 --warmup 10s --duration 20s \
     --answer-tokens 220 "$@"
 }
 
