--- a/internal/plan/account.go
+++ b/internal/plan/account.go
@@ -139,3 +139,41 @@
 	d.tokens += weight * (float64(d.count.Tokens)/seconds - d.tokens)
 	d.count, d.since = Amount{}, now
 }
+
+// addRefund notes a refund, summed up by step of the home's quota.
+func (a *account) addRefund(at time.Duration, tokens int64) {
+	at -= at % quotaStep
+	for i := range a.refunds {
+		if a.refunds[i].At == at {
+			a.refunds[i].Tokens += tokens
+			return
+		}
+	}
+	a.refunds = append(a.refunds, Refund{at, tokens})
+}
+
+// setHome takes the home's clock from its reply. The reply was on its way for
+// some time, so the home's clock is ahead by the difference or more.
+func (a *account) setHome(now time.Duration, r BorrowReply) {
+	ahead := r.Clock - now
+	if a.home != r.Home {
+		a.home, a.homeAhead, a.refunds = r.Home, ahead, nil
+	}
+	a.homeAhead = max(a.homeAhead, ahead)
+}
+
+// keepSlots gives up the slots beyond those wanted and returns how many are
+// left. Giving up comes before the message, so the home may lend them at once.
+func (a *account) keepSlots(now time.Duration, want int) int {
+	if now >= a.slotsUntil {
+		a.slots = 0
+	}
+	a.slots = min(a.slots, max(a.inFlight, want))
+	return a.slots
+}
+
+// wait counts requests that wait for credits.
+func (a *account) wait(requests, tokens int64) {
+	a.waiting.Requests = max(a.waiting.Requests+requests, 0)
+	a.waiting.Tokens = max(a.waiting.Tokens+tokens, 0)
+}
--- a/internal/plan/messages_gen.go
+++ b/internal/plan/messages_gen.go
@@ -214,8 +214,8 @@
 func (z *BorrowReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
 	if z.Slots == 0 {
 		zb0001Len--
@@ -223,15 +223,15 @@
 	}
 	if z.RetryAfter == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x80
+		zb0001Mask |= 0x200
 	}
 	if z.NeedHistory == false {
 		zb0001Len--
-		zb0001Mask |= 0x100
+		zb0001Mask |= 0x400
 	}
 	if z.Refusal == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x200
+		zb0001Mask |= 0x800
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -289,20 +289,30 @@
 		// string "l"
 		o = append(o, 0xa1, 0x6c)
 		o = msgp.AppendDuration(o, z.Lifetime)
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o, err = z.Home.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Home")
+			return
+		}
+		// string "o"
+		o = append(o, 0xa1, 0x6f)
+		o = msgp.AppendDuration(o, z.Clock)
 		// string "u"
 		o = append(o, 0xa1, 0x75)
 		o = msgp.AppendUint8(o, uint8(z.Unlimited))
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "x"
 			o = append(o, 0xa1, 0x78)
 			o = msgp.AppendDuration(o, z.RetryAfter)
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "h"
 			o = append(o, 0xa1, 0x68)
 			o = msgp.AppendBool(o, z.NeedHistory)
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "e"
 			o = append(o, 0xa1, 0x65)
 			o = msgp.AppendUint8(o, uint8(z.Refusal))
@@ -394,6 +404,18 @@
 				err = msgp.WrapError(err, "Lifetime")
 				return
 			}
+		case "m":
+			bts, err = z.Home.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Home")
+				return
+			}
+		case "o":
+			z.Clock, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Clock")
+				return
+			}
 		case "u":
 			{
 				var zb0003 uint8
@@ -440,7 +462,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *BorrowReply) Msgsize() (s int) {
-	s = 1 + 2 + z.Workspace.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.DurationSize + 2 + msgp.Uint8Size + 2 + msgp.DurationSize + 2 + msgp.BoolSize + 2 + msgp.Uint8Size
+	s = 1 + 2 + z.Workspace.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.DurationSize + 2 + z.Home.Msgsize() + 2 + msgp.DurationSize + 2 + msgp.Uint8Size + 2 + msgp.DurationSize + 2 + msgp.BoolSize + 2 + msgp.Uint8Size
 	return
 }
 
@@ -448,8 +470,8 @@
 func (z *BorrowRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.InFlight == 0 {
 		zb0001Len--
@@ -459,21 +481,25 @@
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
-	if z.Reports == nil {
+	if z.Held == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
-	if z.Refund == 0 {
+	if z.Reports == nil {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.Overrun == 0 {
+	if z.Refunds == nil {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.Overrun == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
 	if z.History == nil {
 		zb0001Len--
-		zb0001Mask |= 0x400
+		zb0001Mask |= 0x1000
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -545,6 +571,11 @@
 			o = msgp.AppendInt(o, z.Slots)
 		}
 		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "j"
+			o = append(o, 0xa1, 0x6a)
+			o = msgp.AppendInt(o, z.Held)
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "p"
 			o = append(o, 0xa1, 0x70)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Reports)))
@@ -556,22 +587,38 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "d"
 			o = append(o, 0xa1, 0x64)
-			o = msgp.AppendInt64(o, z.Refund)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Refunds)))
+			for za0002 := range z.Refunds {
+				// map header, size 2
+				// string "a"
+				o = append(o, 0x82, 0xa1, 0x61)
+				o = msgp.AppendDuration(o, z.Refunds[za0002].At)
+				// string "t"
+				o = append(o, 0xa1, 0x74)
+				o = msgp.AppendInt64(o, z.Refunds[za0002].Tokens)
+			}
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o, err = z.Home.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Home")
+			return
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "o"
 			o = append(o, 0xa1, 0x6f)
 			o = msgp.AppendInt64(o, z.Overrun)
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "h"
 			o = append(o, 0xa1, 0x68)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.History)))
-			for za0002 := range z.History {
-				o = msgp.AppendInt64(o, z.History[za0002])
+			for za0003 := range z.History {
+				o = msgp.AppendInt64(o, z.History[za0003])
 			}
 		}
 	}
@@ -667,6 +714,12 @@
 				err = msgp.WrapError(err, "Slots")
 				return
 			}
+		case "j":
+			z.Held, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Held")
+				return
+			}
 		case "p":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -687,9 +740,57 @@
 				}
 			}
 		case "d":
-			z.Refund, bts, err = msgp.ReadInt64Bytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Refunds")
+				return
+			}
+			if cap(z.Refunds) >= int(zb0004) {
+				z.Refunds = (z.Refunds)[:zb0004]
+			} else {
+				z.Refunds = make([]Refund, zb0004)
+			}
+			for za0002 := range z.Refunds {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Refunds", za0002)
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Refunds", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "a":
+						z.Refunds[za0002].At, bts, err = msgp.ReadDurationBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Refunds", za0002, "At")
+							return
+						}
+					case "t":
+						z.Refunds[za0002].Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Refunds", za0002, "Tokens")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Refunds", za0002)
+							return
+						}
+					}
+				}
+			}
+		case "m":
+			bts, err = z.Home.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Refund")
+				err = msgp.WrapError(err, "Home")
 				return
 			}
 		case "o":
@@ -699,21 +800,21 @@
 				return
 			}
 		case "h":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "History")
 				return
 			}
-			if cap(z.History) >= int(zb0004) {
-				z.History = (z.History)[:zb0004]
+			if cap(z.History) >= int(zb0006) {
+				z.History = (z.History)[:zb0006]
 			} else {
-				z.History = make([]int64, zb0004)
+				z.History = make([]int64, zb0006)
 			}
-			for za0002 := range z.History {
-				z.History[za0002], bts, err = msgp.ReadInt64Bytes(bts)
+			for za0003 := range z.History {
+				z.History[za0003], bts, err = msgp.ReadInt64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "History", za0002)
+					err = msgp.WrapError(err, "History", za0003)
 					return
 				}
 			}
@@ -731,11 +832,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *BorrowRequest) Msgsize() (s int) {
-	s = 1 + 2 + z.Workspace.Msgsize() + 2 + z.Instance.Msgsize() + 2 + z.Boot.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + z.Workspace.Msgsize() + 2 + z.Instance.Msgsize() + 2 + z.Boot.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Reports {
 		s += z.Reports[za0001].Msgsize()
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.History) * (msgp.Int64Size))
+	s += 2 + msgp.ArrayHeaderSize + (len(z.Refunds) * (5 + msgp.DurationSize + msgp.Int64Size)) + 2 + z.Home.Msgsize() + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.History) * (msgp.Int64Size))
 	return
 }
 
@@ -1199,6 +1300,67 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Refund) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
+	o = msgp.AppendDuration(o, z.At)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.Tokens)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Refund) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.At, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "At")
+				return
+			}
+		case "t":
+			z.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Refund) Msgsize() (s int) {
+	s = 1 + 2 + msgp.DurationSize + 2 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Refusal) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
