orders: the owner carries them out; wigeonflow order

Cause: orders were committed and shown, and nobody gave them to the engines. Change: each router runs a Runner for every open order of an engine that it owns: it claims and finishes through MethodOrder, reads the state back, and looks at the lease once more before the call. A load makes the upstream cold. The command line has order load, unload and role.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -16,6 +16,8 @@
 	}{
 		{"version prints and succeeds", []string{"version"}, exitDone},
 		{"no command is a usage error", nil, exitUsage},
+		{"an order without its kind is a usage error", []string{"order"}, exitUsage},
+		{"an order without an upstream is a usage error", []string{"order", "load", "--model", "m"}, exitUsage},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -80,6 +80,7 @@
 	server.Handle(MethodStep, receive(group))
 	server.Handle(MethodRenew, mesh.Unary(s.renew))
 	server.Handle(MethodWatch, s.watch)
+	server.Handle(MethodOrder, mesh.Unary(s.order))
 	server.Handle(MethodFetch, mesh.Unary(s.fetch))
 	server.Handle(MethodOperators, mesh.Unary(s.operators))
 	server.Handle(MethodLedger, mesh.Unary(s.applyLedger))
--- a/internal/operator/lookup.go
+++ b/internal/operator/lookup.go
@@ -1,6 +1,9 @@
 package operator
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/lists"
 )
@@ -84,6 +87,11 @@
 	return o, ok
 }
 
+// Orders returns the newest order of each upstream, in no order; see Order.
+func (x *Index) Orders() []Order {
+	return slices.Collect(maps.Values(x.orders))
+}
+
 // WorkspaceIDs returns the IDs of all workspaces, in no order.
 func (x *Index) WorkspaceIDs() []fleet.WorkspaceID {
 	ids := make([]fleet.WorkspaceID, 0, len(x.workspaces))
--- a/internal/operator/order.go
+++ b/internal/operator/order.go
@@ -88,7 +88,8 @@
 	Detail  string              `msg:"d,omitempty" json:"detail,omitempty"`
 }
 
-func (o *Order) finished() bool { return o.State == OrderSucceeded || o.State == OrderFailed }
+// Finished tells whether the order has ended.
+func (o *Order) Finished() bool { return o.State == OrderSucceeded || o.State == OrderFailed }
 
 // Claim asks for the fencing number under which an owner executes an order.
 type Claim struct {
@@ -133,7 +134,7 @@
 func (s *State) place(spec OrderSpec, operation string) (Order, Code) {
 	o := Order{Spec: spec, Operation: operation, Version: s.Version + 1, State: OrderPending}
 	if i, found := findOrder(s.Orders, spec.Upstream); found {
-		if !s.Orders[i].finished() && !spec.Supersede {
+		if !s.Orders[i].Finished() && !spec.Supersede {
 			return Order{}, CodeBusy
 		}
 		o.Fencing = s.Orders[i].Fencing
@@ -151,7 +152,7 @@
 	}
 	o := s.Orders[i]
 	switch {
-	case o.finished() || o.Operation != c.Operation:
+	case o.Finished() || o.Operation != c.Operation:
 		return o.Fencing, CodeNoOrder
 	case o.State == OrderClaimed && o.Holder == c.Instance && o.Boot == c.Boot:
 		return o.Fencing, CodeAccepted
@@ -174,7 +175,7 @@
 	if o.Fencing != f.Fencing || o.State == OrderPending {
 		return CodeStale
 	}
-	if o.finished() {
+	if o.Finished() {
 		return CodeAccepted // reported again
 	}
 	o.State, o.Detail = OrderFailed, f.Detail
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -184,6 +184,11 @@
 	})
 }
 
+// Cold restarts the upstream's window, as after an order to load a model.
+func (s *Server) Cold(id fleet.UpstreamID) {
+	s.gate.with(func(core *admission.Gate) { core.Cold(id) })
+}
+
 // Running returns how many admitted requests have not ended, those at upstreams
 // that this instance gave up included.
 func (s *Server) Running() int64 { return s.running.Load() }
