owner: orders, cache records and restarts; a chat is sent to where its cache is

Cause: orders were committed and never given to engines; a chat that its first candidate could not take was lost to every other entry router; a restarted engine under the same list entry kept its window. Change: runners of orders beside the gate, resident records corrected by cache events and handed over with the upstream, notes to the first candidate's owner, boots taken from the engines' own answers.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -81,6 +81,7 @@
 	server.Handle(MethodRenew, mesh.Unary(s.renew))
 	server.Handle(MethodWatch, s.watch)
 	server.Handle(MethodFetch, mesh.Unary(s.fetch))
+	server.Handle(MethodOrder, mesh.Unary(s.applyOrder))
 	server.Handle(MethodOperators, mesh.Unary(s.operators))
 	server.Handle(MethodLedger, mesh.Unary(s.applyLedger))
 	go s.leader.run(ctx)
--- a/internal/entry/chat_run.go
+++ b/internal/entry/chat_run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -24,6 +25,8 @@
 	maxResumes     = 10
 	minResumePause = 100 * time.Millisecond
 	maxResumePause = time.Second
+	// extraCandidates are the queue at the first candidate and a redirection.
+	extraCandidates = 3
 	// maxHops bounds the owners that are asked before the request queues.
 	maxHops = 4
 )
@@ -41,7 +44,8 @@
 	assembler  *answer.Assembler
 	progress   *answer.Progress
 	candidates []placement.Candidate
-	current    int // index of the candidate in use
+	first      fleet.UpstreamID // the first candidate before any redirection
+	current    int              // index of the candidate in use
 	attempts   int
 	resumes    int
 	retryAfter time.Duration
@@ -54,7 +58,7 @@
 		return refusal
 	}
 	r.progress = answer.NewProgress(answer.KindChat, answer.Budget{
-		Candidates: len(r.candidates) + 1, Resumes: maxResumes,
+		Candidates: len(r.candidates) + extraCandidates, Resumes: maxResumes,
 	})
 	r.newAttempt()
 	for {
@@ -65,8 +69,10 @@
 		decision := r.progress.Next(r.server.cfg.Clock(), end, facts, r.relayed())
 		r.countEnd(end)
 		switch decision.Action {
-		case answer.ActionDone, answer.ActionCancel:
-			r.note(decision.Action)
+		case answer.ActionDone:
+			r.note()
+			return nil
+		case answer.ActionCancel:
 			return nil
 		case answer.ActionNextCandidate, answer.ActionRestart:
 			r.next()
@@ -90,12 +96,10 @@
 		return unavailable("this router cannot serve yet", 0)
 	}
 	r.candidates = table.Candidates(r.key, r.pool, r.server.cfg.Zone, make([]placement.Candidate, 0, maxHops))
-	if id, ok := r.server.records.lookup(r.key); ok {
-		r.candidates = table.Promote(r.candidates, id)
-	}
 	if len(r.candidates) == 0 {
 		return unavailable("no upstream of the model's pool takes new work", 0)
 	}
+	r.first = r.candidates[0].Upstream
 	return nil
 }
 
@@ -147,6 +151,7 @@
 		return answer.EndNotConnected, answer.Facts{}
 	}
 	r.req.Header.Upstream = id
+	r.req.Basis = uint8(r.candidates[r.current].Basis)
 	r.req.Header.BudgetMillis = budgetMillis(r.server.cfg.Clock(), r.deadline)
 	message, err := r.req.MarshalMsg(nil)
 	if err != nil {
@@ -167,6 +172,7 @@
 	if !verdict.Admitted {
 		r.last = fleet.At(errors.New(verdict.Reason.String()), "owner.admit", member.Addr)
 		r.retryAfter = max(r.retryAfter, time.Duration(verdict.RetryAfterMillis)*time.Millisecond)
+		r.redirect(verdict.Elsewhere)
 		return answer.EndRefused, answer.Facts{}
 	}
 	return r.relay(ctx, stream, id)
@@ -248,12 +254,42 @@
 	return answer.EndWhole, c.Facts()
 }
 
-// note records where the chat was served.
-func (r *chatRun) note(action answer.Action) {
-	if action == answer.ActionDone && r.key.Chat() {
-		chosen := r.candidates[r.current]
-		r.server.records.note(r.key, chosen.Upstream, r.current == 0 && chosen.Basis == placement.Ranked)
+// redirect puts the upstream that holds the chat's cache next in order. It is
+// done once a request: the owners' records may disagree.
+func (r *chatRun) redirect(id fleet.UpstreamID) {
+	if id == "" || r.req.Redirected {
+		return
+	}
+	r.req.Redirected = true
+	if !r.server.cfg.Table().Eligible(id) {
+		return
+	}
+	rest := slices.DeleteFunc(slices.Clone(r.candidates[r.current+1:]), func(c placement.Candidate) bool { return c.Upstream == id })
+	named := placement.Candidate{Upstream: id, Basis: placement.Recorded}
+	back := r.candidates[r.current] // serves the chat where the named one cannot
+	r.candidates = append(append(r.candidates[:r.current+1:r.current+1], named, back), rest...)
+}
+
+// note tells the owner of the chat's first candidate where it was served
+// instead, so that it is found there when it returns through any router.
+func (r *chatRun) note() {
+	if !r.key.Chat() {
+		return
 	}
+	served := r.candidates[r.current].Upstream
+	member, ok := r.ownerOf(r.first)
+	if !ok || r.first == served {
+		return
+	}
+	note := owner.Note{Chat: uint64(r.key), Upstream: served, Tokens: int(r.tokens())}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), verdictTimeout)
+		defer cancel()
+		var reply owner.Acknowledged
+		if err := r.server.cfg.Pool.Call(ctx, member.Addr, owner.MethodNote, &note, &reply); err != nil {
+			r.server.log.Debug("chat's upstream not noted", telemetry.LogPeer, member.Addr, "error", err)
+		}
+	}()
 }
 
 // tokens returns what the request used, the estimate where it is not known.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -105,12 +105,11 @@
 	log     hclog.Logger
 	mux     *mux.Router
 	running atomic.Int64
-	records *records
 }
 
 // NewServer returns a server of the callers' API.
 func NewServer(cfg Config) *Server {
-	s := &Server{cfg: cfg.withDefaults(), log: cfg.Logger.Named("entry"), mux: mux.NewRouter(), records: newRecords()}
+	s := &Server{cfg: cfg.withDefaults(), log: cfg.Logger.Named("entry"), mux: mux.NewRouter()}
 	s.mux.HandleFunc("/v1/chat/completions", s.count("chat", s.chat)).Methods(http.MethodPost)
 	s.mux.HandleFunc("/v1/models", s.count("models", s.models)).Methods(http.MethodGet)
 	s.mux.PathPrefix("/services/{name}/").HandlerFunc(s.count("service", s.service))
--- a/internal/owner/chat_endpoint.go
+++ b/internal/owner/chat_endpoint.go
@@ -32,7 +32,7 @@
 	}
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	slot, verdict := s.admit(ctx, &req.Header, req.ResumeAfter > 0, req.Share)
+	slot, verdict := s.admitChat(ctx, &req)
 	if err := send(ctx, st, &verdict); err != nil || slot == nil {
 		if slot != nil {
 			slot.cancel()
@@ -48,6 +48,17 @@
 	return run.run(ctx)
 }
 
+// admitChat sends a chat on where its cache is elsewhere, and admits it else.
+func (s *Server) admitChat(ctx context.Context, req *ChatRequest) (*slot, Verdict) {
+	resume := req.ResumeAfter > 0
+	if !resume {
+		if reason, elsewhere := s.cache.check(req); reason != RefusedNone {
+			return nil, s.count(Verdict{Reason: reason, Elsewhere: elsewhere, Epoch: s.cfg.Authority().Membership().Epoch})
+		}
+	}
+	return s.admit(ctx, &req.Header, resume, req.Share)
+}
+
 // chatRun is one admitted attempt at an engine.
 type chatRun struct {
 	owner  *Server
@@ -70,6 +81,7 @@
 		err := r.relay(ctx)
 		if err == nil {
 			r.slot.release(r.tokens, false)
+			r.owner.cache.served(r.req, r.tokens)
 			return r.close(ctx, answer.EndWhole, answer.Facts{MayHaveLeft: true, Accepted: true, Whole: true}, nil)
 		}
 		if errors.Is(err, errEntryLost) {
@@ -96,6 +108,7 @@
 	if err != nil {
 		return err
 	}
+	r.owner.noteBoot(h.Upstream, chat.BootID())
 	for {
 		event, err := chat.Next(ctx)
 		if err != nil {
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -34,6 +34,10 @@
 	Header Header `msg:"h"`
 	// Chat is the hash under which the chat is placed.
 	Chat uint64 `msg:"c"`
+	// Basis is the placement.Basis of the candidate.
+	Basis uint8 `msg:"b"`
+	// Redirected is set once an owner has named another upstream for the chat.
+	Redirected bool `msg:"x"`
 	// CacheKey is the prompt_cache_key that the engine sees.
 	CacheKey string `msg:"k"`
 	// ResumeAfter is the last offset the entry has; 0 starts the answer.
@@ -53,6 +57,9 @@
 	RetryAfterMillis uint32  `msg:"m"`
 	// Epoch is the membership epoch the owner acts under.
 	Epoch fleet.Epoch `msg:"e"`
+	// Elsewhere names the upstream that holds the chat's cache, where the owner
+	// knows another one than it was asked for.
+	Elsewhere fleet.UpstreamID `msg:"x"`
 }
 
 // Refusal says why an owner did not admit a request.
@@ -74,9 +81,12 @@
 	RefusedUnknownUpstream
 	// RefusedDeadline means that the request cannot be served before its deadline.
 	RefusedDeadline
+	// RefusedNotResident means that the chat's cache is not here, so that its
+	// ranked upstream serves it as well.
+	RefusedNotResident
 )
 
-var refusalNames = [...]string{"none", "not-owner", "no-lease", "full", "out", "unknown-upstream", "deadline"}
+var refusalNames = [...]string{"none", "not-owner", "no-lease", "full", "out", "unknown-upstream", "deadline", "not-resident"}
 
 // String returns the refusal's name in logs and metrics.
 func (r Refusal) String() string {
--- a/internal/owner/messages_gen.go
+++ b/internal/owner/messages_gen.go
@@ -442,9 +442,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ChatRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 8
 	// string "h"
-	o = append(o, 0x86, 0xa1, 0x68)
+	o = append(o, 0x88, 0xa1, 0x68)
 	o, err = z.Header.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Header")
@@ -453,6 +453,12 @@
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint64(o, z.Chat)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendUint8(o, z.Basis)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendBool(o, z.Redirected)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
 	o = msgp.AppendString(o, z.CacheKey)
@@ -498,6 +504,18 @@
 				err = msgp.WrapError(err, "Chat")
 				return
 			}
+		case "b":
+			z.Basis, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Basis")
+				return
+			}
+		case "x":
+			z.Redirected, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Redirected")
+				return
+			}
 		case "k":
 			z.CacheKey, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -536,7 +554,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ChatRequest) Msgsize() (s int) {
-	s = 1 + 2 + z.Header.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.CacheKey) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 2 + z.Header.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.CacheKey) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
 	return
 }
 
@@ -978,9 +996,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Verdict) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "a"
-	o = append(o, 0x84, 0xa1, 0x61)
+	o = append(o, 0x85, 0xa1, 0x61)
 	o = msgp.AppendBool(o, z.Admitted)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -995,6 +1013,13 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o, err = z.Elsewhere.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Elsewhere")
+		return
+	}
 	return
 }
 
@@ -1044,6 +1069,12 @@
 				err = msgp.WrapError(err, "Epoch")
 				return
 			}
+		case "x":
+			bts, err = z.Elsewhere.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Elsewhere")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1058,6 +1089,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Verdict) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + z.Epoch.Msgsize()
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Uint8Size + 2 + msgp.Uint32Size + 2 + z.Epoch.Msgsize() + 2 + z.Elsewhere.Msgsize()
 	return
 }
--- /dev/null
+++ b/internal/owner/orders.go
@@ -0,0 +1,159 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/admission"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
+	"github.com/wigeonflow/wigeonflow/internal/upstream"
+)
+
+// orderTick spaces looks at open orders.
+const orderTick = 200 * time.Millisecond
+
+// orders carries out operators' orders at the upstreams that this instance owns.
+type orders struct {
+	server  *Server
+	mu      sync.Mutex
+	runners map[fleet.UpstreamID]*operator.Runner
+}
+
+// run looks at the orders until ctx ends.
+func (o *orders) run(ctx context.Context) {
+	ticker := time.NewTicker(orderTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			o.tick(ctx)
+		}
+	}
+}
+
+func (o *orders) tick(ctx context.Context) {
+	index := o.server.cfg.Index()
+	for id, t := range o.server.directory.Load().targets {
+		order, ok := index.Order(id)
+		pool := index.Pool(t.upstream.Pool)
+		if !ok || pool == nil || order.State == operator.OrderSucceeded || order.State == operator.OrderFailed {
+			continue
+		}
+		o.step(ctx, t, order, pool.ChecksFencing)
+	}
+}
+
+// step does what the upstream's runner asks for next, in the background.
+func (o *orders) step(ctx context.Context, t target, order operator.Order, checksFencing bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	runner := o.runners[t.upstream.ID]
+	if runner == nil {
+		runner = operator.NewRunner(operator.RunnerSettings{
+			Upstream: t.upstream.ID, Instance: o.server.cfg.Instance, Boot: o.server.cfg.Boot, ChecksFencing: checksFencing,
+		})
+		o.runners[t.upstream.ID] = runner
+	}
+	runner.Offer(order)
+	now, authority := o.server.cfg.Clock(), o.server.cfg.Authority()
+	step := runner.Next(now, authority.Owns(now, string(t.upstream.ID)), authority.Until())
+	if step.Kind != operator.StepNone {
+		go o.do(ctx, t, runner, step)
+	}
+}
+
+// do carries out one step and reports its end.
+func (o *orders) do(ctx context.Context, t target, runner *operator.Runner, step operator.Step) {
+	var report func(now time.Duration)
+	switch step.Kind {
+	case operator.StepClaim:
+		a, err := o.server.cfg.Orders(ctx, &step.Claim, nil)
+		report = func(time.Duration) { runner.Claimed(a, err == nil) }
+	case operator.StepFinish:
+		a, err := o.server.cfg.Orders(ctx, nil, &step.Finish)
+		o.server.log.Info("order ended", "upstream", string(t.upstream.ID), "succeeded", step.Finish.Succeeded, "detail", step.Finish.Detail, "error", err)
+		report = func(time.Duration) { runner.Finished(a, err == nil) }
+	case operator.StepRead:
+		result := o.read(ctx, t, step)
+		report = func(now time.Duration) { runner.Read(now, result) }
+	default:
+		result, detail := o.call(ctx, t, step)
+		report = func(now time.Duration) { runner.Called(now, result, detail) }
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	report(o.server.cfg.Clock())
+}
+
+func (o *orders) deadline(ctx context.Context, step operator.Step) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, max(step.Deadline-o.server.cfg.Clock(), 0))
+}
+
+func (o *orders) read(ctx context.Context, t target, step operator.Step) operator.ReadResult {
+	ctx, cancel := o.deadline(ctx, step)
+	defer cancel()
+	state, err := t.engine.State(ctx)
+	switch {
+	case err != nil:
+		return operator.ReadUnknown
+	case fulfilled(step.Spec, state):
+		return operator.ReadDone
+	default:
+		return operator.ReadOther
+	}
+}
+
+// fulfilled tells whether an engine is as an order wants it.
+func fulfilled(spec operator.OrderSpec, state upstream.OrderState) bool {
+	switch spec.Action {
+	case operator.ActionLoad:
+		return slices.Contains(state.Models, loadedName(spec))
+	case operator.ActionUnload:
+		return !slices.Contains(state.Models, loadedName(spec))
+	default:
+		return state.Role == spec.Role
+	}
+}
+
+// loadedName is how an engine lists what an order loads:
+// MODEL[:ADAPTER][@VERSION].
+func loadedName(spec operator.OrderSpec) fleet.ModelName {
+	name := spec.Model
+	if spec.Adapter != "" {
+		name += fleet.ModelName(":" + spec.Adapter)
+	}
+	if spec.Release != "" {
+		name += fleet.ModelName("@" + spec.Release)
+	}
+	return name
+}
+
+// call gives the order to the engine. The engine's window starts low again:
+// loading costs as much as a start.
+func (o *orders) call(ctx context.Context, t target, step operator.Step) (operator.CallResult, string) {
+	ctx, cancel := o.deadline(ctx, step)
+	defer cancel()
+	if o.server.authorised(t.upstream.ID) != RefusedNone {
+		return operator.CallUnknown, "no lease"
+	}
+	o.server.gate.with(func(core *admission.Gate) { core.Cold(t.upstream.ID) })
+	err := t.engine.Order(ctx, upstream.Order{
+		Kind: string(step.Spec.Action), Model: step.Spec.Model, Adapter: step.Spec.Adapter,
+		Version: step.Spec.Release, Role: step.Spec.Role, Fence: step.Fencing,
+	})
+	var stale *upstream.StaleFenceError
+	switch {
+	case err == nil:
+		return operator.CallTaken, ""
+	case errors.As(err, &stale):
+		return operator.CallFenced, err.Error()
+	default:
+		return operator.CallUnknown, err.Error()
+	}
+}
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/admission"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/placement"
 )
 
 //go:generate go tool msgp -tests=false -io=false -file ownership.go
@@ -29,6 +31,8 @@
 	// InFlight is the former owner's work that still runs.
 	InFlight int     `msg:"n"`
 	Window   float64 `msg:"w"`
+	// Chats are those whose cache the upstream holds; sent once.
+	Chats []placement.ChatRecord `msg:"k,omitempty"`
 }
 
 // Acknowledged answers a message that needs no other answer.
@@ -92,33 +96,93 @@
 	if s.authorised(id) == RefusedNone {
 		return true
 	}
-	_, owned := s.owned[id]
-	return owned && v.Owner(id) == s.cfg.Instance
+	return s.owned[id] != nil && v.Owner(id) == s.cfg.Instance
 }
 
+// holding is what this instance knows of an upstream that it owns.
+type holding struct {
+	upstream fleet.Upstream
+	out      bool
+	// boot is the one that the upstream's own answers name; empty before the first.
+	boot fleet.BootID
+	// starts counts the upstream's starts as seen here; the gate takes it as the
+	// boot, for answers and the platform's list may name boots differently.
+	starts int
+}
+
+func (h *holding) gateBoot() fleet.BootID { return fleet.BootID(strconv.Itoa(h.starts)) }
+
+// noteBoot takes the boot that an engine's own answer names, which is newer than
+// the platform's list.
+func (s *Server) noteBoot(id fleet.UpstreamID, boot fleet.BootID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.owned[id]
+	if h == nil || boot == "" || boot == h.boot {
+		return
+	}
+	restarted := h.boot != ""
+	h.boot = boot
+	if restarted {
+		s.restart(h)
+	}
+}
+
+// restart starts the upstream's window low again and forgets its cache. The
+// caller holds mu.
+func (s *Server) restart(h *holding) {
+	h.starts++
+	s.cache.restarted(h.upstream.ID)
+	s.setUpstream(h)
+}
+
+// take brings an owned upstream in line with the platform's list and the
+// configuration.
 func (s *Server) take(u fleet.Upstream, out bool) {
-	s.owned[u.ID] = u
+	h := s.owned[u.ID]
+	if h == nil {
+		h = &holding{upstream: u}
+		s.owned[u.ID] = h
+		s.cache.own(u.ID)
+	}
+	listedAnew := u.Boot != h.upstream.Boot && h.upstream.Boot != "" && u.Boot != h.boot
+	h.upstream, h.out = u, out
 	delete(s.lost, u.ID)
+	if listedAnew {
+		s.restart(h)
+	}
+	s.setUpstream(h)
+	s.adopt(u.ID)
+}
+
+func (s *Server) setUpstream(h *holding) {
 	s.gate.change(func(now time.Duration, dst []admission.Settled) []admission.Settled {
 		return s.gate.core.SetUpstream(now, admission.UpstreamState{
-			ID: u.ID, Pool: u.Pool, Boot: u.Boot, Out: out, Leaving: u.Leaving,
+			ID: h.upstream.ID, Pool: h.upstream.Pool, Boot: h.gateBoot(), Out: h.out, Leaving: h.upstream.Leaving,
 		}, dst)
 	})
-	s.adopt(u.ID)
 }
 
 // adopt takes over what the former owner told, once this instance owns the
 // upstream.
 func (s *Server) adopt(id fleet.UpstreamID) {
 	from, ok := s.handovers[id]
-	if _, owned := s.owned[id]; !ok || !owned {
+	h := s.owned[id]
+	if !ok || h == nil {
 		return
 	}
-	if !from.adopted {
-		s.gate.with(func(core *admission.Gate) { core.Adopt(from.state.core()) })
-		from.adopted = true
-		s.handovers[id] = from
+	sameStart := h.boot == "" || from.state.Boot == "" || h.boot == from.state.Boot
+	if !from.adopted && sameStart {
+		if h.boot == "" {
+			h.boot = from.state.Boot
+		}
+		s.gate.with(func(core *admission.Gate) {
+			core.Adopt(admission.Handover{Upstream: id, Boot: h.gateBoot(), InFlight: from.state.InFlight, Window: from.state.Window})
+		})
+		s.cache.adopt(id, from.state.Chats)
 	}
+	from.adopted, from.state.Chats = true, nil
+	s.handovers[id] = from
 	s.setForeign(id, from.state.InFlight)
 	if from.state.InFlight == 0 {
 		delete(s.handovers, id)
@@ -131,15 +195,13 @@
 	})
 }
 
-func (h Handover) core() admission.Handover {
-	return admission.Handover{Upstream: h.Upstream, Boot: h.Boot, InFlight: h.InFlight, Window: h.Window}
-}
-
 func (s *Server) lose(id fleet.UpstreamID, v View) {
-	if _, owned := s.owned[id]; !owned {
+	h := s.owned[id]
+	if h == nil {
 		return
 	}
 	delete(s.owned, id)
+	chats := s.cache.give(id)
 	var state admission.Handover
 	s.gate.change(func(now time.Duration, dst []admission.Settled) []admission.Settled {
 		state, dst = s.gate.core.Lose(now, id, dst)
@@ -149,8 +211,8 @@
 	for _, m := range v.Membership.Members {
 		if m.ID == next && next != s.cfg.Instance {
 			s.lost[id] = successor{member: m, state: Handover{
-				From: s.cfg.Instance, Upstream: id, Boot: state.Boot, Epoch: v.Membership.Epoch,
-				Window: state.Window,
+				From: s.cfg.Instance, Upstream: id, Boot: h.boot, Epoch: v.Membership.Epoch,
+				Window: state.Window, Chats: chats,
 			}}
 		}
 	}
--- a/internal/owner/ownership_gen.go
+++ b/internal/owner/ownership_gen.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/tinylib/msgp/msgp"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/placement"
 )
 
 // MarshalMsg implements msgp.Marshaler
@@ -55,41 +56,66 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Handover) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "f"
-	o = append(o, 0x86, 0xa1, 0x66)
-	o, err = z.From.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o, err = z.Upstream.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Upstream")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Chats == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o, err = z.Boot.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Boot")
-		return
-	}
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o, err = z.Epoch.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Epoch")
-		return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o, err = z.From.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "From")
+			return
+		}
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o, err = z.Upstream.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Upstream")
+			return
+		}
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o, err = z.Boot.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Boot")
+			return
+		}
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o, err = z.Epoch.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Epoch")
+			return
+		}
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendInt(o, z.InFlight)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendFloat64(o, z.Window)
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Chats)))
+			for za0001 := range z.Chats {
+				o, err = z.Chats[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Chats", za0001)
+					return
+				}
+			}
+		}
 	}
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendInt(o, z.InFlight)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendFloat64(o, z.Window)
 	return
 }
 
@@ -147,6 +173,25 @@
 				err = msgp.WrapError(err, "Window")
 				return
 			}
+		case "k":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Chats")
+				return
+			}
+			if cap(z.Chats) >= int(zb0002) {
+				z.Chats = (z.Chats)[:zb0002]
+			} else {
+				z.Chats = make([]placement.ChatRecord, zb0002)
+			}
+			for za0001 := range z.Chats {
+				bts, err = z.Chats[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Chats", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -161,7 +206,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Handover) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + z.Upstream.Msgsize() + 2 + z.Boot.Msgsize() + 2 + z.Epoch.Msgsize() + 2 + msgp.IntSize + 2 + msgp.Float64Size
+	s = 1 + 2 + z.From.Msgsize() + 2 + z.Upstream.Msgsize() + 2 + z.Boot.Msgsize() + 2 + z.Epoch.Msgsize() + 2 + msgp.IntSize + 2 + msgp.Float64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Chats {
+		s += z.Chats[za0001].Msgsize()
+	}
 	return
 }
 
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -13,6 +13,7 @@
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/ledger"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/session"
 	"github.com/wigeonflow/wigeonflow/internal/telemetry"
 	"github.com/wigeonflow/wigeonflow/internal/upstream"
@@ -32,6 +33,10 @@
 	Clock    fleet.Clock
 	// Authority returns what this instance may do at present.
 	Authority func() session.Authority
+	// Index returns the configuration in force.
+	Index func() *operator.Index
+	// Orders has a claim or a finish of an order committed by the control group.
+	Orders func(context.Context, *operator.Claim, *operator.Finish) (operator.Answer, error)
 	// Lease returns the session lease as the ledger counts it.
 	Lease func() ledger.Lease
 	// Ledger has a command committed by the control group.
@@ -53,9 +58,11 @@
 	client  *http.Client
 	running atomic.Int64
 	orphans orphans
+	orders  *orders
+	cache   *cache
 
 	mu        sync.Mutex // serialises reconcile
-	owned     map[fleet.UpstreamID]fleet.Upstream
+	owned     map[fleet.UpstreamID]*holding
 	lost      map[fleet.UpstreamID]successor
 	handovers map[fleet.UpstreamID]received
 
@@ -71,19 +78,25 @@
 	s := &Server{
 		cfg: cfg, log: cfg.Logger.Named("owner"), gate: newGate(cfg.Clock), client: upstream.NewHTTPClient(),
 		orphans:   orphans{work: make(map[string]*orphan)},
-		owned:     make(map[fleet.UpstreamID]fleet.Upstream),
+		owned:     make(map[fleet.UpstreamID]*holding),
 		lost:      make(map[fleet.UpstreamID]successor),
 		handovers: make(map[fleet.UpstreamID]received),
 	}
+	s.orders = &orders{server: s, runners: make(map[fleet.UpstreamID]*operator.Runner)}
+	s.cache = newCache(s)
 	s.directory.Store(&directory{})
 	server.Handle(MethodChat, s.chat)
 	server.Handle(MethodCall, s.call)
 	server.Handle(MethodHandover, mesh.Unary(s.handover))
+	server.Handle(MethodNote, mesh.Unary(s.cache.note))
 	return s
 }
 
-// Run settles queued requests until ctx ends.
+// Run settles queued requests, carries out orders and follows the engines'
+// caches until ctx ends.
 func (s *Server) Run(ctx context.Context) {
+	go s.orders.run(ctx)
+	go s.cache.run(ctx)
 	ticker := time.NewTicker(gateTick)
 	defer ticker.Stop()
 	for {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -89,8 +89,9 @@
 	r.owner = owner.NewServer(owner.Config{
 		Instance: r.self.ID, Boot: r.self.Boot, Clock: cfg.Clock,
 		Authority: func() session.Authority { return *r.authority.Load() },
-		Lease:     func() ledger.Lease { return *r.leases.Load() },
-		Ledger:    r.ledger, Pool: pool,
+		Index:     r.view.Index, Orders: r.order,
+		Lease:  func() ledger.Lease { return *r.leases.Load() },
+		Ledger: r.ledger, Pool: pool,
 		Logger: cfg.Logger, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	}, server)
 	r.plans = newPlans(r, server)
--- a/internal/router/session_loop.go
+++ b/internal/router/session_loop.go
@@ -155,6 +155,15 @@
 	return ledger.DecodeResult(reply.Result)
 }
 
+// order has a claim or a finish of an order committed by the control group.
+func (r *Router) order(ctx context.Context, claim *operator.Claim, finish *operator.Finish) (operator.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.Settings.Session.Lease)
+	defer cancel()
+	var answer operator.Answer
+	err := r.control.Call(ctx, control.MethodOrder, &control.OrderRequest{Claim: claim, Finish: finish}, &answer)
+	return answer, err
+}
+
 // fetchConfig brings the newest committed configuration into force.
 func (r *Router) fetchConfig(ctx context.Context) {
 	var update operator.Update
