admission: headroom above the mean goes to requests with a cached prompt

Cause: p99 of load over mean was 1.29 (bound rounded up), and new chats filled the headroom that returning ones need.

Change: the bound is rounded down above 5 requests, so that the multiple holds to the letter; Request.Yield keeps requests with little or nothing cached nearer to the mean on the first pass over the candidates.

--- a/internal/admission/answers.go
+++ b/internal/admission/answers.go
@@ -138,7 +138,7 @@
 func (g *Gate) drainQueue(now time.Duration, u *upstream, dst []Settled) []Settled {
 	dst = g.expire(now, u, &u.lines.interactive, dst)
 	dst = g.expire(now, u, &u.lines.batch, dst)
-	for u.lines.len() > 0 && g.hasRoom(u) {
+	for u.lines.len() > 0 && g.hasRoom(u, 0) {
 		if ok, _ := u.breaker.allow(now); !ok {
 			return dst
 		}
--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -8,7 +8,7 @@
 // It promises that at every admission the upstream's requests in flight,
 // the new one included, are at most
 //
-//	min(window, MaxConcurrency, max(floor, ceil(LoadFactor x mean)))
+//	min(window, MaxConcurrency, Bound(LoadFactor x mean, floor))
 //
 // where the mean is that of the pool's upstreams at the last renewal, those left
 // out whose window has not reached the bound since they started, and
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
@@ -147,7 +146,7 @@
 		return d
 	}
 	if u.lines.len() == 0 || g.overtakes(u, &r) {
-		if ok, _ := u.breaker.allow(now); ok && g.hasRoom(u) && !g.overShare(u, &r) {
+		if ok, _ := u.breaker.allow(now); ok && g.hasRoom(u, r.Yield) && !g.overShare(u, &r) {
 			g.start(now, u, g.newEntry(u, r))
 			return Decision{Kind: Admitted}
 		}
@@ -206,7 +205,7 @@
 	if usual == 0 {
 		usual = float64(defaultDuration)
 	}
-	return time.Duration(usual * float64(ahead+1) / float64(max(g.limit(u), 1)))
+	return time.Duration(usual * float64(ahead+1) / float64(max(g.limit(u, 0), 1)))
 }
 
 func (g *Gate) newEntry(u *upstream, r Request) *entry {
@@ -267,31 +266,27 @@
 // closed tells that the upstream takes no new work.
 func (u *upstream) closed() bool { return u.lost || u.state.Out || u.state.Leaving }
 
-func (g *Gate) hasRoom(u *upstream) bool {
+func (g *Gate) hasRoom(u *upstream, yield float64) bool {
 	load := u.inFlight()
 	if g.off.noForeign {
 		load = u.running
 	}
-	return load < g.limit(u)
+	return load < g.limit(u, yield)
 }
 
 func (g *Gate) overShare(u *upstream, r *Request) bool {
 	return !g.off.noShare && r.WorkspaceLimit > 0 && u.workspace[r.Workspace] >= r.WorkspaceLimit
 }
 
-// limit is the most requests the upstream may have in flight now.
-func (g *Gate) limit(u *upstream) int {
+// limit is the most requests the upstream may have in flight now, for a request
+// that yields a part of the headroom.
+func (g *Gate) limit(u *upstream, yield float64) int {
 	limit := u.pool.settings.MaxConcurrency
 	if !g.off.noBound {
-		limit = min(limit, u.pool.bound())
+		limit = min(limit, u.pool.bound(yield))
 	}
 	if !g.off.noRamp {
 		limit = min(limit, int(u.window.size))
 	}
 	return limit
 }
-
-// bound is the load bound of every upstream of the pool.
-func (p *pool) bound() int {
-	return max(p.settings.StartConcurrency, int(math.Ceil(p.settings.LoadFactor*p.mean()-1e-9)))
-}
--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
@@ -10,7 +11,7 @@
 // once the window has reached the load bound.
 func (u *upstream) recount() {
 	var c Sums
-	u.starting = u.starting && int(u.window.size) < u.pool.bound()
+	u.starting = u.starting && int(u.window.size) < u.pool.bound(0)
 	if !u.closed() {
 		c.All, c.AllUpstreams = u.inFlight(), 1
 		if !u.starting {
@@ -29,6 +30,37 @@
 	return Sums{s.InFlight - o.InFlight, s.Upstreams - o.Upstreams, s.All - o.All, s.AllUpstreams - o.AllUpstreams}
 }
 
+const (
+	// smallBound is the bound up to which fractions of a request are rounded up,
+	// so that a nearly idle pool can grow.
+	smallBound = 5
+	// fullYield is the number of cached tokens from which a request yields none of
+	// the headroom.
+	fullYield = 2000
+)
+
+// Bound rounds a multiple of the mean load to requests: down, so that the
+// multiple holds to the letter, but up below smallBound, and never below floor.
+func Bound(multiple float64, floor int) int {
+	up := int(math.Ceil(multiple - 1e-9))
+	down := int(multiple + 1e-9)
+	return max(floor, min(up, smallBound), down)
+}
+
+// YieldFor returns the Yield of a request whose upstream holds so many tokens of
+// its prompt: 1 for none, falling to 0 at fullYield. The headroom above the mean
+// so goes to requests that would cost more elsewhere.
+func YieldFor(cached int) float64 {
+	return 1 - min(float64(max(cached, 0))/fullYield, 1)
+}
+
+// bound is the load bound of every upstream of the pool for a request that
+// yields a part of the headroom.
+func (p *pool) bound(yield float64) int {
+	headroom := (p.settings.LoadFactor - 1) * (1 - min(max(yield, 0), 1))
+	return Bound(p.mean()*(1+headroom), p.settings.StartConcurrency)
+}
+
 // mean is the mean load of the pool's upstreams that are past their start: the
 // sum of the last renewal, or the same with this instance's own part replaced by
 // its present number, whichever gives less.
@@ -95,7 +127,7 @@
 // Limit returns how many requests the upstream may have in flight now.
 func (g *Gate) Limit(id fleet.UpstreamID) int {
 	if u := g.upstreams[id]; u != nil && !u.closed() {
-		return g.limit(u)
+		return g.limit(u, 0)
 	}
 	return 0
 }
@@ -104,7 +136,7 @@
 // pressed should renew its session early: the bound grows with each renewal.
 func (g *Gate) Pressed() bool {
 	for _, u := range g.order {
-		if u.lines.len() > 0 && !u.closed() && u.inFlight() >= u.pool.bound() && int(u.window.size) > u.pool.bound() {
+		if u.lines.len() > 0 && !u.closed() && u.inFlight() >= u.pool.bound(0) && int(u.window.size) > u.pool.bound(0) {
 			return true
 		}
 	}
--- a/internal/admission/schedule_test.go
+++ b/internal/admission/schedule_test.go
@@ -69,7 +69,6 @@
 	Request
 	key        placement.ChatKey
 	candidates []placement.Candidate
-	next       int
 	arrived    time.Duration
 	router     *fakeRouter
 	engine     *fakeEngine
@@ -290,19 +289,23 @@
 	s.try(r)
 }
 
-// try asks the candidates in turn, then waits at the first.
+// try asks the candidates in turn, first for room below the mean, then for any
+// room, and then waits at the first of them.
 func (s *schedule) try(r *fakeRequest) {
-	for ; r.next <= len(r.candidates); r.next++ {
-		if len(r.candidates) == 0 {
+	n := len(r.candidates)
+	for i := range 2*n + 1 {
+		if n == 0 {
 			break
 		}
-		last := r.next == len(r.candidates)
-		c := r.candidates[r.next%len(r.candidates)]
-		e := s.byID[c.Upstream]
+		last := i == 2*n
+		e := s.byID[r.candidates[i%n].Upstream]
 		if !e.owner.alive {
 			continue
 		}
-		r.Upstream, r.NoQueue, r.router, r.engine = c.Upstream, !last, e.owner, e
+		r.Upstream, r.NoQueue, r.Yield, r.router, r.engine = e.ID, !last, 0, e.owner, e
+		if i < n {
+			r.Yield = YieldFor(0)
+		}
 		switch d := e.owner.gate.Admit(s.now, r.Request); d.Kind {
 		case Admitted:
 			s.start(r)
@@ -347,7 +350,8 @@
 
 // check compares one admission with the promises.
 func (s *schedule) check(e *fakeEngine) {
-	allowed := max(s.settings.StartConcurrency, int(math.Ceil(s.settings.LoadFactor*e.owner.told.mean()-1e-9)))
+	multiple := s.settings.LoadFactor * e.owner.told.mean()
+	allowed := max(s.settings.StartConcurrency, min(int(math.Ceil(multiple)), smallBound), int(math.Floor(multiple+1e-9)))
 	if e.running > allowed {
 		s.breach("bound: %s runs %d of %d", e.ID, e.running, allowed)
 	}
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -17,6 +17,10 @@
 	// workspace holds; a limit of 0 means none.
 	Workspace      fleet.WorkspaceID
 	WorkspaceLimit int
+	// Yield is the part of the headroom between the mean load and the bound that
+	// the request leaves to others, from 0 to 1: see YieldFor. A queued request
+	// yields nothing.
+	Yield float64
 	// NoQueue refuses the request where it would have to wait, so that the
 	// caller tries the next candidate.
 	NoQueue bool
