--- a/internal/control/order_endpoint_gen.go
+++ b/internal/control/order_endpoint_gen.go
@@ -10,48 +10,27 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *OrderRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(2)
-	var zb0001Mask uint8 /* 2 bits */
-	_ = zb0001Mask
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
 	if z.Claim == nil {
-		zb0001Len--
-		zb0001Mask |= 0x1
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Claim.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Claim")
+			return
+		}
 	}
+	// string "f"
+	o = append(o, 0xa1, 0x66)
 	if z.Finish == nil {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		if (zb0001Mask & 0x1) == 0 { // if not omitted
-			// string "c"
-			o = append(o, 0xa1, 0x63)
-			if z.Claim == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.Claim.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "Claim")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// string "f"
-			o = append(o, 0xa1, 0x66)
-			if z.Finish == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				o, err = z.Finish.MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "Finish")
-					return
-				}
-			}
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Finish.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Finish")
+			return
 		}
 	}
 	return
--- a/internal/operator/runner_test.go
+++ b/internal/operator/runner_test.go
@@ -228,4 +228,14 @@
 	is.True(r.Idle())
 	r.Offer(Order{Version: 1, Operation: "o1"}) // seen before
 	is.True(r.Idle())
+
+	// A list that says so has calls made without lease time in hand.
+	r.Offer(Order{Version: 2, Operation: "o2", Spec: OrderSpec{Upstream: "e1"}})
+	r.Next(time.Minute, true, time.Hour)
+	r.Claimed(Answer{Code: CodeAccepted, Fencing: 9}, true)
+	r.Next(time.Minute, true, time.Hour)
+	r.Read(time.Minute, ReadOther)
+	is.Equal(r.Next(time.Minute, true, time.Minute+1).Kind, StepNone)
+	r.SetChecksFencing(true)
+	is.Equal(r.Next(time.Minute, true, time.Minute+1).Kind, StepCall)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -89,8 +89,9 @@
 	r.owner = owner.NewServer(owner.Config{
 		Instance: r.self.ID, Boot: r.self.Boot, Clock: cfg.Clock,
 		Authority: func() session.Authority { return *r.authority.Load() },
-		Lease:     func() ledger.Lease { return *r.leases.Load() },
-		Ledger:    r.ledger, Pool: pool,
+		Index:     r.view.Index, Orders: r.order,
+		Lease:  func() ledger.Lease { return *r.leases.Load() },
+		Ledger: r.ledger, Pool: pool,
 		Logger: cfg.Logger, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	}, server)
 	r.plans = newPlans(r, server)
@@ -112,7 +113,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	for _, loop := range []func(context.Context){
-		r.owner.Run, r.renewLoop, r.watchLoop, r.orderLoop, r.platformLoop, r.reconcileLoop, r.plans.run,
+		r.owner.Run, r.renewLoop, r.watchLoop, r.platformLoop, r.reconcileLoop, r.plans.run,
 	} {
 		r.wg.Go(func() { loop(ctx) })
 	}
