entry, owner, control: retry budgets, yield, disk repair, order command

Cause: work that is run again had no budget, a member's emptied disk needed a hand, operators had no order command. Change: admission.Retries at the entry, admission.YieldFor from the resident records, the leader takes back a waiting folder in the place of a silent member, wigeonflow order load|unload|role.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -48,6 +48,7 @@
 		zoneCommand(stdout, stderr),
 		instanceCommand(stdout, stderr),
 		upstreamCommand(stdout, stderr),
+		orderCommand(stdout, stderr),
 		standin.Commands(stdout, stderr),
 		load.Command(stdout, stderr),
 		versionCommand(stdout),
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -85,6 +85,7 @@
 	server.Handle(MethodOperators, mesh.Unary(s.operators))
 	server.Handle(MethodLedger, mesh.Unary(s.applyLedger))
 	go s.leader.run(ctx)
+	go s.repairLoop(ctx)
 	return s, nil
 }
 
--- a/internal/entry/chat_run.go
+++ b/internal/entry/chat_run.go
@@ -70,11 +70,17 @@
 		r.countEnd(end)
 		switch decision.Action {
 		case answer.ActionDone:
+			r.server.retries.succeeded(r.server.cfg.Clock(), r.req.Header.Workspace, r.pool)
 			r.note()
 			return nil
 		case answer.ActionCancel:
 			return nil
-		case answer.ActionNextCandidate, answer.ActionRestart:
+		case answer.ActionRestart:
+			if !r.server.retries.allow(r.server.cfg.Clock(), r.req.Header.Workspace, r.pool) {
+				return retriesSpent(decision)
+			}
+			r.next()
+		case answer.ActionNextCandidate:
 			r.next()
 		case answer.ActionResume:
 			r.req.ResumeAfter = decision.Offset
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -105,11 +105,12 @@
 	log     hclog.Logger
 	mux     *mux.Router
 	running atomic.Int64
+	retries *retryBudget
 }
 
 // NewServer returns a server of the callers' API.
 func NewServer(cfg Config) *Server {
-	s := &Server{cfg: cfg.withDefaults(), log: cfg.Logger.Named("entry"), mux: mux.NewRouter()}
+	s := &Server{cfg: cfg.withDefaults(), log: cfg.Logger.Named("entry"), mux: mux.NewRouter(), retries: newRetryBudget()}
 	s.mux.HandleFunc("/v1/chat/completions", s.count("chat", s.chat)).Methods(http.MethodPost)
 	s.mux.HandleFunc("/v1/models", s.count("models", s.models)).Methods(http.MethodGet)
 	s.mux.PathPrefix("/services/{name}/").HandlerFunc(s.count("service", s.service))
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -111,10 +111,16 @@
 		decision := r.progress.Next(r.server.cfg.Clock(), end, facts, answer.Relay{})
 		switch decision.Action {
 		case answer.ActionDone:
+			r.server.retries.succeeded(r.server.cfg.Clock(), r.req.Header.Workspace, r.pool)
 			return r.answer(w)
 		case answer.ActionCancel:
 			return nil
-		case answer.ActionNextCandidate, answer.ActionRestart:
+		case answer.ActionRestart:
+			if !r.server.retries.allow(r.server.cfg.Clock(), r.req.Header.Workspace, r.pool) {
+				return retriesSpent(decision)
+			}
+			r.next()
+		case answer.ActionNextCandidate:
 			r.next()
 		default:
 			return r.refusal(decision)
--- a/internal/owner/cache.go
+++ b/internal/owner/cache.go
@@ -49,13 +49,14 @@
 	return &cache{server: s, resident: placement.NewResident(cachedChats), read: make(map[fleet.UpstreamID]uint64)}
 }
 
-// check decides whether a chat should be served here. A chat whose cache another
-// upstream holds is sent there once; one that is asked for at a former candidate
-// is served there only if its cache may be there.
-func (c *cache) check(req *ChatRequest) (Refusal, fleet.UpstreamID) {
+// check decides whether a chat should be served here, and returns how many of
+// its tokens are cached here. A chat whose cache another upstream holds is sent
+// there once; one that is asked for at a former candidate is served there only
+// if its cache may be there.
+func (c *cache) check(req *ChatRequest) (reason Refusal, other fleet.UpstreamID, cached int) {
 	key := placement.ChatKey(req.Chat)
 	if !key.Chat() {
-		return RefusedNone, ""
+		return RefusedNone, "", 0
 	}
 	candidate := placement.Candidate{Upstream: req.Header.Upstream, Basis: placement.Basis(req.Basis)}
 	c.mu.Lock()
@@ -64,11 +65,13 @@
 	elsewhere := presence.Trust == placement.Present && presence.Upstream != candidate.Upstream
 	switch {
 	case elsewhere && !req.Redirected:
-		return RefusedNotResident, presence.Upstream
+		return RefusedNotResident, presence.Upstream, 0
 	case !presence.Serves(candidate):
-		return RefusedNotResident, ""
+		return RefusedNotResident, "", 0
+	case presence.Upstream == candidate.Upstream:
+		return RefusedNone, "", presence.Tokens
 	default:
-		return RefusedNone, ""
+		return RefusedNone, "", 0
 	}
 }
 
--- a/internal/owner/call_endpoint.go
+++ b/internal/owner/call_endpoint.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wigeonflow/wigeonflow/internal/admission"
 	"github.com/wigeonflow/wigeonflow/internal/answer"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
@@ -23,7 +24,7 @@
 	defer func() { span.End(nil) }()
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	slot, verdict := s.admit(ctx, &req.Header, false, 0)
+	slot, verdict := s.admit(ctx, &req.Header, admission.Request{})
 	if err := send(ctx, st, &verdict); err != nil || slot == nil {
 		if slot != nil {
 			slot.cancel()
--- a/internal/owner/chat_endpoint.go
+++ b/internal/owner/chat_endpoint.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/wigeonflow/wigeonflow/internal/admission"
 	"github.com/wigeonflow/wigeonflow/internal/answer"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
@@ -50,13 +51,15 @@
 
 // admitChat sends a chat on where its cache is elsewhere, and admits it else.
 func (s *Server) admitChat(ctx context.Context, req *ChatRequest) (*slot, Verdict) {
-	resume := req.ResumeAfter > 0
-	if !resume {
-		if reason, elsewhere := s.cache.check(req); reason != RefusedNone {
+	ask := admission.Request{WorkspaceLimit: req.Share, Resume: req.ResumeAfter > 0}
+	if !ask.Resume {
+		reason, elsewhere, cached := s.cache.check(req)
+		if reason != RefusedNone {
 			return nil, s.count(Verdict{Reason: reason, Elsewhere: elsewhere, Epoch: s.cfg.Authority().Membership().Epoch})
 		}
+		ask.Yield = admission.YieldFor(cached)
 	}
-	return s.admit(ctx, &req.Header, resume, req.Share)
+	return s.admit(ctx, &req.Header, ask)
 }
 
 // chatRun is one admitted attempt at an engine.
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -141,18 +141,17 @@
 	}
 }
 
-// admit decides on a request. Where the slot is nil the verdict refuses.
-func (s *Server) admit(ctx context.Context, h *Header, resume bool, share int) (*slot, Verdict) {
+// admit decides on a request; ask holds what the header does not. Where the slot
+// is nil the verdict refuses.
+func (s *Server) admit(ctx context.Context, h *Header, ask admission.Request) (*slot, Verdict) {
 	verdict := Verdict{Epoch: s.cfg.Authority().Membership().Epoch}
 	if verdict.Reason = s.authorised(h.Upstream); verdict.Reason != RefusedNone {
 		return nil, s.count(verdict)
 	}
-	slot, decision := s.gate.admit(ctx, admission.Request{
-		ID: h.Request, Upstream: h.Upstream, Priority: h.Priority,
-		Deadline:  s.cfg.Clock() + time.Duration(h.BudgetMillis)*time.Millisecond,
-		Workspace: h.Workspace, WorkspaceLimit: share,
-		NoQueue: !h.MayQueue, Resume: resume,
-	})
+	ask.ID, ask.Upstream, ask.Priority, ask.Workspace = h.Request, h.Upstream, h.Priority, h.Workspace
+	ask.Deadline = s.cfg.Clock() + time.Duration(h.BudgetMillis)*time.Millisecond
+	ask.NoQueue = !h.MayQueue
+	slot, decision := s.gate.admit(ctx, ask)
 	if slot == nil {
 		verdict.Reason = refusalOf(decision.Reason)
 		verdict.RetryAfterMillis = uint32(decision.RetryAfter.Milliseconds())
