load: figures of one window, warm-up at a growing rate

Cause: the drain after each part stood in the rates (253 requests/s for an open loop of 305), and a warm-up at the full rate met engines that were still cold. Ruled out: dropping refusals from the report; those of the warm-up are counted apart, and broken promises count wherever they happen. Change: requests are measured by when they were sent, tokens and processor time by when they fell into the window; the open loop's rate grows during the warm-up; samples of broken promises have a list of their own.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -85,19 +85,37 @@
 func TestWarmUpIsCheckedButNotMeasured(t *testing.T) {
 	is := is.New(t)
 	r := newRecorder("a")
-	r.add(result{kind: kindLookup, verdict: VerdictWhole, ended: time.Second})
-	r.add(result{kind: kindLookup, verdict: VerdictLost, ended: time.Second})
-	r.measure()
-	r.add(result{kind: kindLookup, verdict: VerdictWhole, ended: time.Millisecond})
-	report := Report{Targets: []TargetReport{{elapsed: time.Second}}}
+	r.measure(window{from: 10 * time.Second, to: 20 * time.Second})
+	stream := &streamCheck{}
+	seconds := func(at ...time.Duration) (list []time.Duration) {
+		for _, s := range at {
+			list = append(list, s*time.Second)
+		}
+		return list
+	}
+	r.add(result{kind: kindChat, verdict: VerdictLost, sent: 9 * time.Second, arrivals: seconds(9, 11, 12), check: stream})
+	r.add(result{kind: kindChat, verdict: VerdictWhole, sent: 18 * time.Second, arrivals: seconds(19, 21), check: stream})
+	r.hold(9 * time.Second)
+	report := Report{Targets: []TargetReport{{elapsed: 10 * time.Second}}}
 	report.Targets[0].fill(r)
 	got := report.Targets[0]
-	is.Equal(got.Warmed, int64(2))
-	is.Equal(got.Requests, int64(1))
-	is.Equal(got.Service.Max, int64(1000))
+	is.Equal(got.Warmup, map[Verdict]int64{VerdictLost: 1})
+	is.Equal(got.Verdicts, map[Verdict]int64{VerdictWhole: 1})
+	is.Equal(got.Tokens, int64(3)) // those that arrived inside the window
+	is.Equal(got.FirstToken.Count, int64(1))
+	is.Equal(got.HeldBack, int64(0))
 	is.Equal(report.Broken(), int64(1))
 }
 
+func TestWarmUpRateGrowsEvenly(t *testing.T) {
+	is := is.New(t)
+	r := runner{cfg: Config{Rate: 100, Warmup: 10 * time.Second}}
+	w := window{from: 15 * time.Second, to: 20 * time.Second}
+	is.Equal(r.rate(5*time.Second, w), 2.0)
+	is.Equal(r.rate(10*time.Second, w), 50.0)
+	is.Equal(r.rate(16*time.Second, w), 100.0)
+}
+
 // fleetHandler serves a service as a router would, except for its fault.
 type fleetHandler struct {
 	service http.Handler
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -19,9 +20,10 @@
 	label string
 
 	mu sync.Mutex
-	// measuring is unset during the warm-up, in which only verdicts are counted.
-	measuring  bool
-	warmed     int64
+	// window is the time that figures are of. Of requests sent before it, the
+	// warm-up, only verdicts are counted, and apart.
+	window     window
+	warmed     map[Verdict]int64
 	verdicts   map[Verdict]int64
 	kinds      map[string]int64
 	statuses   map[int]int64
@@ -33,7 +35,26 @@
 	prompt     int64
 	cached     int64
 	heldBack   int64
-	samples    []string
+	samples    samples
+}
+
+// window is a span of the run, from inclusive, to exclusive.
+type window struct{ from, to time.Duration }
+
+func (w window) holds(at time.Duration) bool { return at >= w.from && at < w.to }
+
+// samples describes some requests that didn't end whole, those that broke a
+// promise apart from those that were refused or failed.
+type samples struct{ broken, other []string }
+
+func (s *samples) add(v Verdict, detail string) {
+	list := &s.other
+	if slices.Contains(broken, v) {
+		list = &s.broken
+	}
+	if len(*list) < maxSamples {
+		*list = append(*list, string(v)+" "+detail)
+	}
 }
 
 func newRecorder(label string) *recorder {
@@ -41,13 +62,14 @@
 		return hdrhistogram.New(lowestMicros, highestMicros, figures)
 	}
 	return &recorder{
-		label: label, verdicts: make(map[Verdict]int64), kinds: make(map[string]int64),
+		label: label, warmed: make(map[Verdict]int64),
+		verdicts: make(map[Verdict]int64), kinds: make(map[string]int64),
 		statuses: make(map[int]int64), upstreams: make(map[string]int64),
 		firstToken: histogram(), between: histogram(), service: histogram(),
 	}
 }
 
-// maxSamples bounds the broken requests that the report describes.
+// maxSamples bounds each list of samples.
 const maxSamples = 10
 
 // result is what one request came to.
@@ -67,14 +89,15 @@
 func (r *recorder) add(res result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.verdicts[res.verdict]++
-	if res.verdict != VerdictWhole && len(r.samples) < maxSamples {
-		r.samples = append(r.samples, string(res.verdict)+" "+res.kind+": "+res.detail)
+	r.countTokens(res)
+	if res.verdict != VerdictWhole {
+		r.samples.add(res.verdict, res.kind+": "+res.detail)
 	}
-	if !r.measuring {
-		r.warmed++
+	if res.sent < r.window.from {
+		r.warmed[res.verdict]++
 		return
 	}
+	r.verdicts[res.verdict]++
 	r.kinds[res.kind]++
 	r.statuses[res.status]++
 	if res.upstream != "" {
@@ -87,8 +110,17 @@
 	r.addStream(res)
 }
 
+// countTokens counts the texts that arrived inside the window, whenever their
+// request was sent.
+func (r *recorder) countTokens(res result) {
+	for _, at := range res.arrivals {
+		if r.window.holds(at) {
+			r.tokens++
+		}
+	}
+}
+
 func (r *recorder) addStream(res result) {
-	r.tokens += int64(res.check.events)
 	r.prompt += int64(res.check.usage.PromptTokens)
 	r.cached += int64(res.check.usage.PromptTokensDetails.CachedTokens)
 	last := res.sent
@@ -102,11 +134,11 @@
 	}
 }
 
-// measure ends the warm-up.
-func (r *recorder) measure() {
+// measure sets the window that figures are of.
+func (r *recorder) measure(w window) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.measuring, r.heldBack = true, 0
+	r.window = w
 }
 
 // violation counts a broken promise that a later check found.
@@ -114,15 +146,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.verdicts[v]++
-	if len(r.samples) < maxSamples {
-		r.samples = append(r.samples, string(v)+": "+detail)
-	}
+	r.samples.add(v, detail)
 }
 
-func (r *recorder) hold() {
+// hold counts an arrival that the tool's own bound kept from being sent.
+func (r *recorder) hold(at time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.heldBack++
+	if r.window.holds(at) {
+		r.heldBack++
+	}
 }
 
 func record(h *hdrhistogram.Histogram, d time.Duration) {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -20,8 +20,8 @@
 // TargetReport is what one target of a run came to.
 type TargetReport struct {
 	Label string `json:"label"`
-	// Warmed counts the requests of the warm-up: Verdicts holds them, all else not.
-	Warmed         int64             `json:"warmed"`
+	// Warmup counts the verdicts of the warm-up, which all else leaves out.
+	Warmup         map[Verdict]int64 `json:"warmup"`
 	Seconds        float64           `json:"seconds"`
 	Requests       int64             `json:"requests"`
 	RequestsPerSec float64           `json:"requests_per_second"`
@@ -67,7 +67,7 @@
 }
 
 func (t *TargetReport) fill(r *recorder) {
-	t.Label, t.Seconds, t.Warmed = r.label, t.elapsed.Seconds(), r.warmed
+	t.Label, t.Seconds, t.Warmup = r.label, t.elapsed.Seconds(), r.warmed
 	t.Kinds, t.Verdicts, t.Statuses, t.Upstreams = r.kinds, r.verdicts, r.statuses, r.upstreams
 	for _, n := range r.kinds {
 		t.Requests += n
@@ -78,7 +78,7 @@
 		t.CachedShare = float64(r.cached) / float64(r.prompt)
 	}
 	t.FirstToken, t.Between, t.Service = quantilesOf(r.firstToken), quantilesOf(r.between), quantilesOf(r.service)
-	t.HeldBack, t.Samples = r.heldBack, r.samples
+	t.HeldBack, t.Samples = r.heldBack, append(r.samples.broken, r.samples.other...)
 	t.ProcessorPerToken = processorPerToken(t.processor, t.sharers)
 }
 
@@ -102,7 +102,7 @@
 	var n int64
 	for _, t := range r.Targets {
 		for _, v := range broken {
-			n += t.Verdicts[v]
+			n += t.Verdicts[v] + t.Warmup[v]
 		}
 	}
 	return n
@@ -135,7 +135,8 @@
 		fmt.Fprintln(table)
 	}
 	row("", func(t TargetReport) string { return t.Label })
-	row("warm-up", func(t TargetReport) string { return fmt.Sprint(t.Warmed) })
+	row("warm-up whole", func(t TargetReport) string { return fmt.Sprint(t.Warmup[VerdictWhole]) })
+	row("warm-up other", func(t TargetReport) string { return fmt.Sprint(others(t.Warmup)) })
 	row("requests", func(t TargetReport) string { return fmt.Sprint(t.Requests) })
 	row("requests/s", func(t TargetReport) string { return fmt.Sprintf("%.1f", t.RequestsPerSec) })
 	for _, v := range verdicts {
@@ -159,6 +160,17 @@
 	return r.writeSamples(w)
 }
 
+// others counts the verdicts but whole.
+func others(counts map[Verdict]int64) int64 {
+	var n int64
+	for v, count := range counts {
+		if v != VerdictWhole {
+			n += count
+		}
+	}
+	return n
+}
+
 func quantileRows(row func(string, func(TargetReport) string), name string, of func(TargetReport) Quantiles) {
 	for _, q := range []struct {
 		name string
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -111,32 +111,60 @@
 	return report
 }
 
-// phase warms the targets up, then loads them for the run's duration. It returns
-// how long that took and the routers' processor time, or -1 where it isn't known.
+// phase loads the targets for the warm-up and the run's duration. It returns how
+// long the latter was and the routers' processor time in it, or -1 where it isn't
+// known.
 func (r *runner) phase(ctx context.Context, targets []*target) (elapsed, processor time.Duration) {
-	if r.cfg.Warmup > 0 {
-		r.load(ctx, targets, r.cfg.Warmup)
-	}
+	from := r.client.now() + r.cfg.Warmup
+	w := window{from: from, to: from + r.cfg.Duration}
 	for _, t := range targets {
-		t.rec.measure()
+		t.rec.measure(w)
+	}
+	loaded, cancel := context.WithCancel(ctx)
+	measured := make(chan time.Duration, 1)
+	go func() { measured <- r.processorIn(ctx, loaded, w) }()
+	r.load(ctx, targets, w)
+	elapsed = min(r.client.now()-w.from, r.cfg.Duration)
+	cancel()
+	return elapsed, <-measured
+}
+
+// processorIn returns the routers' processor time in the window, or -1 where it
+// isn't known. The window ends early with the load.
+func (r *runner) processorIn(ctx, loaded context.Context, w window) time.Duration {
+	if !sleepUntil(loaded, r.client.start.Add(w.from)) {
+		return -1
 	}
 	before, ok := r.client.processorTime(ctx)
-	start := time.Now()
-	r.load(ctx, targets, r.cfg.Duration)
-	elapsed = time.Since(start)
-	after, stillOK := r.client.processorTime(ctx)
-	if !ok || !stillOK {
-		return elapsed, -1
+	if !ok {
+		return -1
+	}
+	_ = sleepUntil(loaded, r.client.start.Add(w.to))
+	after, ok := r.client.processorTime(ctx)
+	if !ok {
+		return -1
 	}
-	return elapsed, after - before
+	return after - before
 }
 
-// load starts requests for a time and waits for their answers.
-func (r *runner) load(ctx context.Context, targets []*target, d time.Duration) {
-	until, cancel := context.WithTimeout(ctx, d)
+// rate is the open loop's rate at a time: it grows evenly during the warm-up.
+func (r *runner) rate(at time.Duration, w window) float64 {
+	if r.cfg.Warmup == 0 {
+		return r.cfg.Rate
+	}
+	share := 1 - float64(w.from-at)/float64(r.cfg.Warmup)
+	return r.cfg.Rate * min(max(share, leastShare), 1)
+}
+
+// leastShare of the rate is what a warm-up begins with.
+const leastShare = 0.02
+
+// load starts requests until the end of the window and waits for their answers.
+func (r *runner) load(ctx context.Context, targets []*target, w window) {
+	until, cancel := context.WithDeadline(ctx, r.client.start.Add(w.to))
 	defer cancel()
 	if r.cfg.Rate > 0 {
-		r.openLoop(ctx, until, targets)
+		r.openLoop(ctx, until, targets, w)
 		return
 	}
 	r.closedLoop(ctx, until, targets)
@@ -157,14 +185,14 @@
 
 // openLoop starts requests at the rate, with exponential gaps, whatever becomes
 // of them.
-func (r *runner) openLoop(ctx, until context.Context, targets []*target) {
+func (r *runner) openLoop(ctx, until context.Context, targets []*target, w window) {
 	random := rand.New(rand.NewPCG(r.cfg.Seed, r.cfg.Seed))
 	places := make(chan struct{}, r.cfg.MaxInFlight)
 	var wg sync.WaitGroup
-	due := time.Now()
+	due := r.client.now()
 	for i := 0; until.Err() == nil && r.mayStart(); i++ {
-		due = due.Add(time.Duration(random.ExpFloat64() / r.cfg.Rate * float64(time.Second)))
-		if !sleepUntil(until, due) {
+		due += time.Duration(random.ExpFloat64() / r.rate(due, w) * float64(time.Second))
+		if !sleepUntil(until, r.client.start.Add(due)) {
 			break
 		}
 		t := targets[i%len(targets)]
@@ -172,7 +200,7 @@
 		case places <- struct{}{}:
 			wg.Go(func() { r.one(ctx, t); <-places })
 		default:
-			t.rec.hold()
+			t.rec.hold(due)
 		}
 	}
 	wg.Wait()
@@ -209,7 +237,7 @@
 func (r *runner) oneChat(ctx context.Context, t *target) {
 	ch := t.chats.take()
 	if ch == nil {
-		t.rec.hold()
+		t.rec.hold(r.client.now())
 		return
 	}
 	res := r.client.chat(ctx, t.chatURL(ch), ch)
