--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -58,6 +58,12 @@
 		Instance: s.Instance, Secret: secret, MaxFrameBytes: max(s.Limits.MaxFrameBytes, minMeshFrame(s)),
 		MaxStreams: s.Limits.MaxStreams, MaxConnections: s.Limits.MaxConnections, Logger: a.log.Named("mesh"),
 	}
+	if files := s.Listen.MeshTLS; files.CertificateFile != "" {
+		cfg.TLS = &mesh.TLSFiles{Certificate: files.CertificateFile, Key: files.KeyFile, Authority: files.AuthorityFile}
+		if err := cfg.TLS.Check(); err != nil {
+			return nil, err
+		}
+	}
 	a.mesh, a.pool = mesh.NewServer(cfg), mesh.NewPool(cfg)
 	clock := fleet.MonotonicClock()
 	if s.Has(settings.RoleControl) {
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -257,37 +257,3 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", u.ID, u.Pool, u.Zone, u.Addr, u.Owner, state)
 	}
 }
-
-// orderCommand returns "order load|unload|role".
-func orderCommand(stdout, stderr io.Writer) *ffcli.Command {
-	var spec operator.OrderSpec
-	var model string
-	sub := func(action operator.Action, usage, help string) *ffcli.Command {
-		c := operatorCommand(string(action), "order "+string(action)+" "+usage+" UPSTREAM", help, stderr, true,
-			func(ctx context.Context, f *operatorFlags, args []string) error {
-				if len(args) != 1 {
-					return usageError("order " + string(action) + " takes one upstream")
-				}
-				spec.Action, spec.Upstream, spec.Model = action, fleet.UpstreamID(args[0]), fleet.ModelName(model)
-				return f.change(ctx, stdout, func(ctx context.Context, c *operator.Client, e operator.Expect, id string) (fleet.ConfigVersion, error) {
-					return c.Order(ctx, e, id, spec)
-				})
-			})
-		c.FlagSet.StringVar(&model, "model", "", "the model to load or unload")
-		c.FlagSet.StringVar(&spec.Adapter, "adapter", "", "the model's adapter")
-		c.FlagSet.StringVar(&spec.Release, "release", "", "the version of the model or adapter")
-		c.FlagSet.StringVar(&spec.Role, "role", "", "the engine's new role")
-		c.FlagSet.BoolVar(&spec.Supersede, "supersede", false, "replace an unfinished order of the upstream")
-		return c
-	}
-	return &ffcli.Command{
-		Name: "order", ShortUsage: "wigeonflow order load|unload|role [flags] UPSTREAM",
-		ShortHelp: "Order an engine to load or unload a model, or to change its role.",
-		Subcommands: []*ffcli.Command{
-			sub(operator.ActionLoad, "--model MODEL", "Load a model."),
-			sub(operator.ActionUnload, "--model MODEL", "Unload a model."),
-			sub(operator.ActionRole, "--role ROLE", "Change the role."),
-		},
-		Exec: func(context.Context, []string) error { return flag.ErrHelp },
-	}
-}
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"crypto/tls"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -22,8 +21,8 @@
 	Instance fleet.InstanceID
 	// Secret is the fleet's shared secret.
 	Secret []byte
-	// ServerTLS and ClientTLS switch TLS on; both nil means plain TCP.
-	ServerTLS, ClientTLS *tls.Config
+	// TLS switches mutual TLS on; nil means plain TCP.
+	TLS *TLSFiles
 	// MaxFrameBytes bounds one message; 0 means DefaultMaxFrameBytes.
 	MaxFrameBytes int
 	// WindowBytes bounds the unread bytes of one direction of a stream; 0 means
--- a/internal/mesh/pool.go
+++ b/internal/mesh/pool.go
@@ -110,8 +110,8 @@
 		entry.err = err
 		return
 	}
-	if p.cfg.ClientTLS != nil {
-		conn = tls.Client(conn, p.cfg.ClientTLS)
+	if p.cfg.TLS != nil {
+		conn = tls.Client(conn, p.cfg.TLS.client(addr))
 	}
 	_ = conn.SetDeadline(time.Now().Add(p.cfg.DialTimeout))
 	r := bufio.NewReaderSize(conn, readBufferBytes)
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -38,8 +38,8 @@
 
 // Serve accepts connections until the server is closed. It closes the listener.
 func (s *Server) Serve(l net.Listener) error {
-	if s.cfg.ServerTLS != nil {
-		l = tls.NewListener(l, s.cfg.ServerTLS)
+	if s.cfg.TLS != nil {
+		l = tls.NewListener(l, s.cfg.TLS.server())
 	}
 	s.mu.Lock()
 	if s.closed {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -188,6 +188,9 @@
 		{"fleet_secret_file", s.FleetSecretFile},
 		{"listen.callers_tls.certificate_file", s.Listen.CallersTLS.CertificateFile},
 		{"listen.callers_tls.key_file", s.Listen.CallersTLS.KeyFile},
+		{"listen.mesh_tls.certificate_file", s.Listen.MeshTLS.CertificateFile},
+		{"listen.mesh_tls.key_file", s.Listen.MeshTLS.KeyFile},
+		{"listen.mesh_tls.authority_file", s.Listen.MeshTLS.AuthorityFile},
 		{"listen.operators_tls.certificate_file", s.Listen.OperatorsTLS.CertificateFile},
 		{"listen.operators_tls.key_file", s.Listen.OperatorsTLS.KeyFile},
 	} {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -70,6 +70,20 @@
 	OperatorsTLS TLS `yaml:"operators_tls"`
 	// Mesh is the address that other instances reach this one at, IP:port. Required.
 	Mesh string `yaml:"mesh" validate:"required,peer_addr"`
+	// MeshTLS makes the mesh mutual TLS; every instance needs it or none.
+	MeshTLS MeshTLS `yaml:"mesh_tls"`
+}
+
+// MeshTLS names the files of mutual TLS between instances; all empty means plain
+// TCP. The files are read again when they change.
+type MeshTLS struct {
+	// CertificateFile is a PEM file with this instance's certificate, which holds
+	// the IP number of listen.mesh.
+	CertificateFile string `yaml:"certificate_file" validate:"required_with=KeyFile AuthorityFile"`
+	// KeyFile is a PEM file with the private key.
+	KeyFile string `yaml:"key_file" validate:"required_with=CertificateFile AuthorityFile"`
+	// AuthorityFile is a PEM file with the certificate that signs every instance's.
+	AuthorityFile string `yaml:"authority_file" validate:"required_with=CertificateFile KeyFile"`
 }
 
 // TLS names the files of a server certificate; both empty means plain HTTP.
