A planned stop waits for the ledger's record; a declining service is retried

Cause: an owner counted a booking as ended with its reply. A stop then could leave before finish was committed, and a repeat of the key got unknown in place of its answer. A repeatable call that a full service declined was answered with that 503 though another replica may have room. Change: a booking runs until its record ends; Declined is passed on for calls that may be repeated. Figures: TestPlannedStopWaitsForTheRecord finds 0 running without the change.

--- a/internal/owner/booking.go
+++ b/internal/owner/booking.go
@@ -49,6 +49,7 @@
 // run returns the reply for the entry as soon as there is one; the record of
 // the attempt's end goes on behind it.
 func (b *booking) run(ctx context.Context) *CallReply {
+	b.attempt.owner.running.Add(1) // until the record's end: a planned stop waits for it
 	go b.loop(ctx)
 	reply := <-b.reply
 	if reply.Outcome == fleet.OutcomeUnknown && b.attempt.req.LookupPath != "" && reply.Holder != "" {
@@ -60,6 +61,7 @@
 // loop steps the core until it has recorded the end or given up.
 func (b *booking) loop(ctx context.Context) {
 	defer b.cancel()
+	defer b.attempt.owner.running.Add(-1)
 	defer b.attempt.slot.cancel()
 	ended := b.step(ctx, ledger.Started{})
 	for !ended {
--- /dev/null
+++ b/internal/owner/booking_test.go
@@ -0,0 +1,118 @@
+package owner
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/answer"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/ledger"
+	"github.com/wigeonflow/wigeonflow/internal/upstream"
+)
+
+// fakeService gives one answer and counts its calls.
+type fakeService struct {
+	runs   int
+	facts  answer.Facts
+	answer upstream.CallAnswer
+}
+
+func (f *fakeService) Do(context.Context, upstream.CallRequest) (upstream.CallAnswer, answer.Facts, error) {
+	f.runs++
+	return f.answer, f.facts, nil
+}
+
+func (f *fakeService) Lookup(context.Context, string, string) (upstream.LookupAnswer, error) {
+	return upstream.LookupAnswer{State: upstream.LookupNever}, nil
+}
+
+// testOwner is a Server around a ledger of its own, without mesh and members.
+func testOwner(state *ledger.State, lease ledger.Lease, before func(ledger.Op)) *Server {
+	index := uint64(0)
+	clock := func() time.Duration { return 0 }
+	return &Server{log: hclog.NewNullLogger(), gate: newGate(clock), cfg: Config{
+		Instance: "r1", Boot: "1", Clock: clock, Lease: func() ledger.Lease { return lease },
+		Ledger: func(_ context.Context, c ledger.Command) (ledger.Result, error) {
+			before(c.Op)
+			encoded, err := c.Encode()
+			if err != nil {
+				return ledger.Result{}, err
+			}
+			index++
+			return ledger.DecodeResult(state.Apply(index, encoded))
+		},
+	}}
+}
+
+// book runs one booking to the end of its record.
+func book(t *testing.T, s *Server, service upstream.Service, attempt string) *CallReply {
+	t.Helper()
+	ended := make(chan struct{})
+	run := &callRun{owner: s, service: service, slot: &slot{gate: s.gate, id: fleet.RequestID(attempt)}, req: &CallRequest{
+		Header: Header{Attempt: attempt, Workspace: "w"}, Service: "counter", Method: http.MethodPost, Path: "/pickups", IdempotencyKey: "k",
+	}}
+	reply := newBooking(run, func() { close(ended) }).run(t.Context())
+	<-ended
+	return reply
+}
+
+func TestPlannedStopWaitsForTheRecord(t *testing.T) {
+	is := is.New(t)
+	finishing, release := make(chan struct{}), make(chan struct{})
+	s := testOwner(ledger.NewState(), ledger.Lease{Until: time.Hour}, func(op ledger.Op) {
+		if op == ledger.OpFinish {
+			close(finishing)
+			<-release
+		}
+	})
+	service := &fakeService{facts: answer.Facts{MayHaveLeft: true, Whole: true}, answer: upstream.CallAnswer{Status: 201}}
+	done := make(chan *CallReply)
+	go func() { done <- book(t, s, service, "a1") }()
+	<-finishing
+	is.Equal(s.Running(), int64(1))
+	close(release)
+	is.Equal((<-done).Status, 201)
+	is.Equal(s.Running(), int64(0))
+}
+
+func TestRepeatedKeyGetsTheSameAnswer(t *testing.T) {
+	is := is.New(t)
+	s := testOwner(ledger.NewState(), ledger.Lease{Until: time.Hour}, func(ledger.Op) {})
+	service := &fakeService{
+		facts:  answer.Facts{MayHaveLeft: true, Whole: true},
+		answer: upstream.CallAnswer{Status: 201, Header: http.Header{"Etag": {"7"}}, Body: []byte("booked")},
+	}
+	first, again := book(t, s, service, "a1"), book(t, s, service, "a2")
+	is.Equal(service.runs, 1)
+	is.True(!first.Replayed)
+	is.True(again.Replayed)
+	again.Replayed, again.Holder = false, first.Holder
+	is.Equal(again, first)
+}
+
+func TestBookingWithoutALeaseIsNotDispatched(t *testing.T) {
+	is := is.New(t)
+	s := testOwner(ledger.NewState(), ledger.Lease{}, func(ledger.Op) {})
+	service := &fakeService{}
+	reply := book(t, s, service, "a1")
+	is.Equal(reply.Outcome, fleet.OutcomeNotRun)
+	is.Equal(service.runs, 0)
+}
+
+func TestServiceThatDeclinesIsTriedElsewhereOnlyIfRepeatable(t *testing.T) {
+	for _, repeatable := range []bool{false, true} {
+		is := is.New(t)
+		s := testOwner(ledger.NewState(), ledger.Lease{}, nil)
+		service := &fakeService{
+			facts:  answer.Facts{MayHaveLeft: true, Whole: true, Declined: true},
+			answer: upstream.CallAnswer{Status: http.StatusServiceUnavailable},
+		}
+		run := &callRun{owner: s, service: service, slot: &slot{gate: s.gate}, req: &CallRequest{Repeatable: repeatable}}
+		is.Equal(run.direct(t.Context()).Facts().Declined, repeatable)
+	}
+}
--- a/internal/owner/call_endpoint.go
+++ b/internal/owner/call_endpoint.go
@@ -62,7 +62,8 @@
 	return newBooking(r, cancel).run(ctx)
 }
 
-// direct makes the attempt without a record.
+// direct makes the attempt without a record. Where it may be repeated, a service
+// that declines has not answered it; otherwise its word is the answer.
 func (r *callRun) direct(ctx context.Context) *CallReply {
 	whole, facts, err := r.dispatch(ctx, r.owner.beforeWrite(r.req.Header.Upstream))
 	if err != nil {
@@ -70,7 +71,8 @@
 	}
 	return &CallReply{
 		Outcome: fleet.OutcomeRan, End: uint8(answer.EndWhole), Whole: true, MayHaveLeft: true, Accepted: true,
-		Status: whole.Status, Fields: fieldsOf(whole.Header), Body: whole.Body,
+		Declined: facts.Declined && r.req.Repeatable,
+		Status:   whole.Status, Fields: fieldsOf(whole.Header), Body: whole.Body,
 	}
 }
 
