A stopping router drains first; control members stop at once

Cause: scripts/maintenance.sh restart found that a router under load never gave its lease back: as long as it owned upstreams, other entries sent it work, so it was never idle. A control member waited out its grace period for its peers' consensus streams, which never end. Ruled out: refusing work while leaving, which leaves the upstreams without an owner for as long as the longest answer. Change: members can be draining: they keep their lease and own nothing; the stop drains, waits for what runs and leaves. Operators' zone and instance out drain routers likewise.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -77,9 +77,9 @@
 		log: s.log, clock: cfg.Clock, group: group, settings: cfg.Session,
 		roster: s.roster, config: s.config, ledger: s.ledger, limits: cfg.Ledger, machine: s.machine, wake: wake, board: newBoard(),
 	}
-	server.Handle(MethodStep, receive(group))
+	server.HandleBackground(MethodStep, receive(group))
 	server.Handle(MethodRenew, mesh.Unary(s.renew))
-	server.Handle(MethodWatch, s.watch)
+	server.HandleBackground(MethodWatch, s.watch)
 	server.Handle(MethodFetch, mesh.Unary(s.fetch))
 	server.Handle(MethodOrder, mesh.Unary(s.applyOrder))
 	server.Handle(MethodOperators, mesh.Unary(s.operators))
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -50,6 +50,9 @@
 	Zone AvailabilityZone `msg:"zone"`
 	// Weight scales the share of upstreams and workspaces the member owns; 0 means 1.
 	Weight uint32 `msg:"weight"`
+	// Draining members keep their lease for what runs and own nothing, unless
+	// every member is draining.
+	Draining bool `msg:"draining,omitempty"`
 }
 
 // Membership is the set of routers under one epoch, ordered by ID.
--- a/internal/fleet/types_gen.go
+++ b/internal/fleet/types_gen.go
@@ -205,22 +205,40 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "id"
-	o = append(o, 0x85, 0xa2, 0x69, 0x64)
-	o = msgp.AppendString(o, string(z.ID))
-	// string "boot"
-	o = append(o, 0xa4, 0x62, 0x6f, 0x6f, 0x74)
-	o = msgp.AppendString(o, string(z.Boot))
-	// string "addr"
-	o = append(o, 0xa4, 0x61, 0x64, 0x64, 0x72)
-	o = msgp.AppendString(o, z.Addr)
-	// string "zone"
-	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
-	o = msgp.AppendString(o, string(z.Zone))
-	// string "weight"
-	o = append(o, 0xa6, 0x77, 0x65, 0x69, 0x67, 0x68, 0x74)
-	o = msgp.AppendUint32(o, z.Weight)
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Draining == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "id"
+		o = append(o, 0xa2, 0x69, 0x64)
+		o = msgp.AppendString(o, string(z.ID))
+		// string "boot"
+		o = append(o, 0xa4, 0x62, 0x6f, 0x6f, 0x74)
+		o = msgp.AppendString(o, string(z.Boot))
+		// string "addr"
+		o = append(o, 0xa4, 0x61, 0x64, 0x64, 0x72)
+		o = msgp.AppendString(o, z.Addr)
+		// string "zone"
+		o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+		o = msgp.AppendString(o, string(z.Zone))
+		// string "weight"
+		o = append(o, 0xa6, 0x77, 0x65, 0x69, 0x67, 0x68, 0x74)
+		o = msgp.AppendUint32(o, z.Weight)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "draining"
+			o = append(o, 0xa8, 0x64, 0x72, 0x61, 0x69, 0x6e, 0x69, 0x6e, 0x67)
+			o = msgp.AppendBool(o, z.Draining)
+		}
+	}
 	return
 }
 
@@ -284,6 +302,12 @@
 				err = msgp.WrapError(err, "Weight")
 				return
 			}
+		case "draining":
+			z.Draining, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Draining")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -298,7 +322,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Member) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(string(z.ID)) + 5 + msgp.StringPrefixSize + len(string(z.Boot)) + 5 + msgp.StringPrefixSize + len(z.Addr) + 5 + msgp.StringPrefixSize + len(string(z.Zone)) + 7 + msgp.Uint32Size
+	s = 1 + 3 + msgp.StringPrefixSize + len(string(z.ID)) + 5 + msgp.StringPrefixSize + len(string(z.Boot)) + 5 + msgp.StringPrefixSize + len(z.Addr) + 5 + msgp.StringPrefixSize + len(string(z.Zone)) + 7 + msgp.Uint32Size + 9 + msgp.BoolSize
 	return
 }
 
--- /dev/null
+++ b/internal/load/balance.go
@@ -0,0 +1,54 @@
+package load
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+)
+
+const (
+	// readyPoll spaces the balancer's looks at an address.
+	readyPoll = 250 * time.Millisecond
+	// readyTimeout bounds one look.
+	readyTimeout = time.Second
+)
+
+// balance keeps the target's addresses that answer /readyz, as the platform's
+// balancer does, until ctx ends.
+func (t *target) balance(ctx context.Context, client *http.Client) {
+	for {
+		var ready []string
+		for _, url := range t.URLs {
+			if isReady(ctx, client, url) {
+				ready = append(ready, url)
+			}
+		}
+		t.mu.Lock()
+		if len(ready) > 0 {
+			t.ready = ready // with none ready, the former ones stay
+		}
+		t.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+func isReady(ctx context.Context, client *http.Client, url string) bool {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode == http.StatusOK
+}
--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -64,6 +64,7 @@
 
 func loadFlags(fs *flag.FlagSet, cfg *Config) {
 	fs.BoolVar(&cfg.Sequence, "sequence", cfg.Sequence, "run one target after the other")
+	fs.BoolVar(&cfg.Balance, "balance", cfg.Balance, "ask only routers that answer /readyz")
 	fs.DurationVar(&cfg.Warmup, "warmup", cfg.Warmup, "time of requests that are checked but not measured, first")
 	fs.DurationVar(&cfg.Duration, "duration", cfg.Duration, "time that requests are started")
 	fs.IntVar(&cfg.Concurrency, "concurrency", cfg.Concurrency, "requests in flight of a closed loop")
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -16,6 +16,9 @@
 	// Sequence runs one target after the other, each for Duration; otherwise they
 	// share the load of one run.
 	Sequence bool
+	// Balance asks only the addresses that answer /readyz, as the platform's
+	// balancer does.
+	Balance bool
 	// Warmup is how long requests are started before those that are measured;
 	// their answers are checked alike. Default 0.
 	Warmup time.Duration
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -18,13 +18,14 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	ready  []string // the addresses that are asked
 }
 
 // url returns one of the target's addresses, as a balancer would.
 func (t *target) url() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.URLs[t.random.IntN(len(t.URLs))]
+	return t.ready[t.random.IntN(len(t.ready))]
 }
 
 // chatURL returns the address for a chat: a direct target has no router that
@@ -58,6 +59,8 @@
 // couldn't be made or checked; broken promises stand in the report.
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	cfg = cfg.withDefaults()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	if err := cfg.check(); err != nil {
 		return Report{}, err
 	}
@@ -67,8 +70,11 @@
 	for i, t := range cfg.Targets {
 		r.targets = append(r.targets, &target{
 			Target: t, rec: newRecorder(t.Label), chats: newChatPool(cfg, t.Label), booked: booked,
-			random: rand.New(rand.NewPCG(cfg.Seed, uint64(i))),
+			random: rand.New(rand.NewPCG(cfg.Seed, uint64(i))), ready: t.URLs,
 		})
+		if cfg.Balance && !t.Direct {
+			go r.targets[i].balance(ctx, r.client.http)
+		}
 	}
 	report := r.phases(ctx)
 	if cfg.Bookings > 0 {
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -20,6 +20,10 @@
 type Server struct {
 	cfg      *Config
 	handlers map[string]Handler
+	// background holds the methods whose streams a shutdown ends at once.
+	background map[string]bool
+	ctx        context.Context
+	cancel     context.CancelFunc
 
 	mu       sync.Mutex
 	conns    map[*connection]struct{}
@@ -30,12 +34,23 @@
 
 // NewServer returns a server without handlers.
 func NewServer(cfg Config) *Server {
-	return &Server{cfg: cfg.withDefaults(), handlers: make(map[string]Handler), conns: make(map[*connection]struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{
+		cfg: cfg.withDefaults(), handlers: make(map[string]Handler), background: make(map[string]bool),
+		conns: make(map[*connection]struct{}), ctx: ctx, cancel: cancel,
+	}
 }
 
 // Handle registers the handler of a method. It must not be called after Serve.
 func (s *Server) Handle(method string, h Handler) { s.handlers[method] = h }
 
+// HandleBackground registers the handler of a method whose streams last as long
+// as their peers: a shutdown cancels them at once and waits for none.
+func (s *Server) HandleBackground(method string, h Handler) {
+	s.handlers[method] = h
+	s.background[method] = true
+}
+
 // Serve accepts connections until the server is closed. It closes the listener.
 func (s *Server) Serve(l net.Listener) error {
 	if s.cfg.TLS != nil {
@@ -109,13 +124,21 @@
 		st.end(endBody{Code: CodeUnknownMethod, Step: "mesh.open", Message: body.Method})
 		return
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	background := s.background[body.Method]
+	parent := context.Background()
+	if background {
+		parent = s.ctx
+	} else {
+		s.streams.Add(1)
+	}
+	ctx, cancel := context.WithCancel(parent)
 	st.mu.Lock()
 	st.cancel = cancel
 	st.mu.Unlock()
-	s.streams.Add(1)
 	go func() {
-		defer s.streams.Done()
+		if !background {
+			defer s.streams.Done()
+		}
 		defer cancel()
 		st.end(endOf(h(ctx, st, body.Message)))
 	}()
@@ -140,6 +163,7 @@
 	s.closed = true
 	listener := s.listener
 	s.mu.Unlock()
+	s.cancel()
 	if listener != nil {
 		_ = listener.Close()
 	}
--- a/internal/placement/ring.go
+++ b/internal/placement/ring.go
@@ -18,19 +18,33 @@
 	uniform bool
 }
 
-// NewRing prepares the lookups for one membership.
+// NewRing prepares the lookups for one membership. Draining members own nothing,
+// unless all of them are.
 func NewRing(m fleet.Membership) *Ring {
 	r := &Ring{epoch: m.Epoch, uniform: true}
+	drained := allDraining(m)
 	for _, member := range m.Members {
+		if member.Draining && !drained {
+			continue
+		}
 		weight := max(member.Weight, 1)
 		r.ids = append(r.ids, member.ID)
 		r.hashes = append(r.hashes, xxhash.Sum64String(string(member.ID)))
 		r.weights = append(r.weights, float64(weight))
-		r.uniform = r.uniform && weight == max(m.Members[0].Weight, 1)
+		r.uniform = r.uniform && float64(weight) == r.weights[0]
 	}
 	return r
 }
 
+func allDraining(m fleet.Membership) bool {
+	for _, member := range m.Members {
+		if !member.Draining {
+			return false
+		}
+	}
+	return true
+}
+
 // Epoch returns the epoch of the membership.
 func (r *Ring) Epoch() fleet.Epoch { return r.epoch }
 
--- a/internal/router/reconcile.go
+++ b/internal/router/reconcile.go
@@ -93,6 +93,7 @@
 			r.table.Store(placement.NewTable(r.cfg.Clock(), view))
 		}
 	}
+	r.drain(r.stopping.Load() && r.entry.Running() == 0 || index.ZoneOut(r.self.Zone) || index.InstanceOut(r.self.ID))
 	ring := r.rings.ring(membership)
 	r.owner.Reconcile(ctx, owner.View{
 		Upstreams: upstreams, Out: out, Pools: poolSettings(index, upstreams),
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -26,12 +26,16 @@
 	r.pause(ctx, drainNotice)
 }
 
-// Stop gives the lease, and with it upstreams and plan homes, back once callers'
-// requests have ended, and finishes the work that other entries run here. Drain
-// and the end of the callers' server come before it. It returns an error where
-// ctx ends with work still running.
+// Stop ends the router once callers' requests have ended: it has the other
+// members take its upstreams and plan homes over, finishes the work that other
+// entries run here, and gives the lease back. Drain and the end of the callers'
+// server come before it. It returns an error where ctx ends with work running.
 func (r *Router) Stop(ctx context.Context) error {
 	err := r.await(ctx, func() bool { return r.entry.Running() == 0 })
+	r.drain(true)
+	if err == nil {
+		err = r.await(ctx, func() bool { return r.owner.Running() == 0 })
+	}
 	r.holderMu.Lock()
 	r.holder.Leave()
 	r.holderMu.Unlock()
@@ -43,6 +47,13 @@
 	return err
 }
 
+// drain has the other members own what this one does, or takes that back.
+func (r *Router) drain(draining bool) {
+	r.holderMu.Lock()
+	defer r.holderMu.Unlock()
+	r.holder.Drain(r.cfg.Clock(), draining)
+}
+
 // left tells whether the lease is back and nothing runs here.
 func (r *Router) left() bool {
 	r.holderMu.Lock()
--- a/internal/session/holder.go
+++ b/internal/session/holder.go
@@ -28,6 +28,7 @@
 	means    []PoolMean
 	status   Status
 	leaving  bool
+	draining bool
 	released bool
 }
 
@@ -61,7 +62,7 @@
 	h.nextAt = now + h.interval()
 	req := &RenewRequest{
 		Instance: h.self.ID, Boot: h.self.Boot, Addr: h.self.Addr, Zone: h.self.Zone, Weight: h.self.Weight,
-		Seq: h.seq, KnownEpoch: h.epoch, KnownVersion: version, Loads: loads, Leaving: h.leaving,
+		Seq: h.seq, KnownEpoch: h.epoch, KnownVersion: version, Loads: loads, Leaving: h.leaving, Draining: h.draining,
 	}
 	if req.gaveBack() {
 		h.released = true
@@ -157,6 +158,15 @@
 	return true
 }
 
+// Drain has other members own what this one does, or takes that back. What runs
+// goes on under the lease.
+func (h *Holder) Drain(now time.Duration, draining bool) {
+	if h.draining != draining {
+		h.draining = draining
+		h.nextAt = min(h.nextAt, now)
+	}
+}
+
 // Leave starts a planned stop: the next requests say so.
 func (h *Holder) Leave() {
 	h.leaving = true
--- a/internal/session/message.go
+++ b/internal/session/message.go
@@ -49,11 +49,13 @@
 	// Leaving announces a planned stop. Together with nothing in flight it
 	// gives the lease back.
 	Leaving bool `msg:"x,omitempty"`
+	// Draining asks that other members own what this one does.
+	Draining bool `msg:"g,omitempty"`
 }
 
 // member returns the membership record that the request asks for.
 func (r *RenewRequest) member() fleet.Member {
-	return fleet.Member{ID: r.Instance, Boot: r.Boot, Addr: r.Addr, Zone: r.Zone, Weight: r.Weight}
+	return fleet.Member{ID: r.Instance, Boot: r.Boot, Addr: r.Addr, Zone: r.Zone, Weight: r.Weight, Draining: r.Draining}
 }
 
 // gaveBack tells whether the request returns the lease.
--- a/internal/session/message_gen.go
+++ b/internal/session/message_gen.go
@@ -564,8 +564,8 @@
 func (z *RenewRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
 	if z.Weight == 0 {
 		zb0001Len--
@@ -579,6 +579,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.Draining == false {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -647,6 +651,11 @@
 			o = append(o, 0xa1, 0x78)
 			o = msgp.AppendBool(o, z.Leaving)
 		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "g"
+			o = append(o, 0xa1, 0x67)
+			o = msgp.AppendBool(o, z.Draining)
+		}
 	}
 	return
 }
@@ -742,6 +751,12 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
+		case "g":
+			z.Draining, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Draining")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -760,7 +775,7 @@
 	for za0001 := range z.Loads {
 		s += z.Loads[za0001].Msgsize()
 	}
-	s += 2 + msgp.BoolSize
+	s += 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
