Consensus: heartbeat 250 ms; removed members and disk loss while forming

Cause: a heartbeat each 100 ms cost the leader of seven members 4316 B/s of payload, over the 2 KB/s that a node may spend. Found by schedules that lose disks while the group forms: a founder that was emptied before anybody heard from it reused its first term. Mutation added: a founder that doesn't ask whether a peer has a log.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -30,7 +30,7 @@
 	// election, at the least.
 	DefaultElectionTimeout = time.Second
 	// DefaultHeartbeat is the time between two heartbeats of a leader.
-	DefaultHeartbeat = 100 * time.Millisecond
+	DefaultHeartbeat = 250 * time.Millisecond
 	// DefaultClockDrift is the most that a clock may run fast or slow, as a share
 	// of the time it measures.
 	DefaultClockDrift = 0.01
@@ -76,6 +76,7 @@
 	grantWithinLease bool // grant votes in spite of a live leader
 	ignoreStores     bool // accept messages from and for any data folder
 	skipSync         bool // acknowledge before the disk has synced
+	foundAnyway      bool // found a group though a peer has a log
 }
 
 // Core decides what one member does. It does no I/O and isn't safe for
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -70,6 +70,7 @@
 		return
 	}
 	if c.hard.Founder != m.FromStore {
+		c.setTerm(c.hard.Term + 1) // so that no two founders' terms are equal
 		c.hard.Founder = m.FromStore
 		c.hardChanged = true
 	}
@@ -80,7 +81,7 @@
 	if !c.blank() {
 		return
 	}
-	if m.Reject {
+	if m.Reject && !c.opts.faults.foundAnyway {
 		c.formation.refused = true
 		return
 	}
--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -100,20 +100,28 @@
 	dirs     map[MemberID]string
 	machines map[MemberID]*journal
 	peers    []Peer
+
+	threshold uint64
 }
 
 func newCluster(t testing.TB, ids ...MemberID) *cluster {
+	c := emptyCluster(t, ids...)
+	for _, id := range ids {
+		c.start(id, true)
+	}
+	return c
+}
+
+// emptyCluster returns a cluster that isn't started.
+func emptyCluster(t testing.TB, ids ...MemberID) *cluster {
 	c := &cluster{
-		t: t, board: &switchboard{groups: map[MemberID]*Group{}},
+		t: t, threshold: 100, board: &switchboard{groups: map[MemberID]*Group{}},
 		dirs: map[MemberID]string{}, machines: map[MemberID]*journal{},
 	}
 	for _, id := range ids {
 		c.peers = append(c.peers, Peer{ID: id, Addr: "127.0.0.1:" + string(id)})
 		c.dirs[id] = t.TempDir()
 	}
-	for _, id := range ids {
-		c.start(id, true)
-	}
 	t.Cleanup(func() {
 		for id := range c.dirs {
 			c.kill(id)
@@ -128,7 +136,7 @@
 	g, err := Start(Config{
 		Group: "test", ID: id, Addr: "127.0.0.1:" + string(id), Dir: c.dirs[id], Peers: c.peers,
 		Bootstrap: bootstrap, ElectionTimeout: 300 * time.Millisecond, Heartbeat: 30 * time.Millisecond,
-		SnapshotThreshold: 100, Machine: c.machines[id], Transport: c.board,
+		SnapshotThreshold: c.threshold, Machine: c.machines[id], Transport: c.board,
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/internal/consensus/schedules_test.go
+++ b/internal/consensus/schedules_test.go
@@ -37,7 +37,7 @@
 	}
 	w.after(0, w.operate)
 	w.after(time.Second, w.load)
-	w.after(3*time.Second, w.disturb)
+	w.after(w.random(0, 3*time.Second), w.disturb)
 	w.run(faultyTime)
 	w.heal()
 	w.run(faultyTime + healingTime)
@@ -97,7 +97,7 @@
 	if lead := w.leader(); lead != nil && w.rng.IntN(2) == 0 {
 		m = lead
 	}
-	switch w.rng.IntN(10) {
+	switch w.rng.IntN(11) {
 	case 0, 1: // cut one member off from every other
 		oneWay := w.rng.IntN(3)
 		for _, o := range w.members {
@@ -120,9 +120,18 @@
 		}
 	case 9:
 		m.when(func() { _ = m.replica.core.TransferLeadership(m.local(), other.id) })
+	case 10: // take a voter out; operate adds it again
+		if w.mayLose() {
+			m.when(func() { m.removes(other) })
+		}
 	}
 }
 
+func (m *simMember) removes(other *simMember) {
+	other.out = true
+	m.replica.change(m.local(), Change{Kind: ChangeRemove, ID: other.id}, func([]byte, error) {})
+}
+
 func (w *world) cut(a, b MemberID, oneWay int) {
 	if a == b {
 		return
@@ -135,15 +144,16 @@
 	}
 }
 
-// mayLose reports whether a majority keeps its disks when one more is lost.
+// mayLose reports whether a majority of all members would still vote, and keep
+// its disks, if one more member were out.
 func (w *world) mayLose() bool {
-	lost := 0
+	out := 0
 	for _, m := range w.members {
-		if m.lost {
-			lost++
+		if m.out {
+			out++
 		}
 	}
-	return lost+1 <= (len(w.members)-1)/2 && w.check.ackIndex > 0
+	return out+1 <= (len(w.members)-1)/2
 }
 
 func (w *world) heal() {
@@ -155,7 +165,8 @@
 	}
 }
 
-// operate repairs members whose disk was lost: as a learner first, then as a voter.
+// operate adds members that are out, because their disk was lost or because they
+// were removed: as a learner first, then as a voter.
 func (w *world) operate() {
 	w.after(200*time.Millisecond, w.operate)
 	lead := w.leader()
@@ -163,21 +174,22 @@
 		return
 	}
 	for _, m := range w.members {
-		if m.lost && m.replica != nil {
+		if m.out && m.replica != nil {
 			lead.when(func() { lead.repair(m) })
 		}
 	}
 }
 
 func (m *simMember) repair(broken *simMember) {
-	if broken.replica == nil || m.replica == nil {
+	if broken.replica == nil || m.replica == nil || m.replica.core.role != RoleLeader {
 		return
 	}
-	store := broken.replica.store.id
+	core, store := m.replica.core, broken.replica.store.id
 	change := Change{Kind: ChangeAddLearner, ID: broken.id, Addr: string(broken.id), Store: store}
-	if known := m.replica.core.current().Find(broken.id); known != nil && known.Store == store {
+	if known := core.current().Find(broken.id); known != nil && known.Store == store {
 		if !known.Learner {
-			broken.lost = m.replica.core.log.commit < m.replica.core.lastChange()
+			settled := max(core.lastChange(), core.leadership.termStart)
+			broken.out = core.log.commit < settled
 			return
 		}
 		change = Change{Kind: ChangePromote, ID: broken.id}
@@ -187,7 +199,8 @@
 
 // TestSchedules runs random schedules of message loss, repetition, delay and
 // reordering, one-way and two-way partitions, crashes with loss of unsynced
-// writes, lost disks and repair, freezes, leadership transfers and clock drift.
+// writes, lost disks and repair, removed members, freezes, leadership transfers and
+// clock drift.
 //
 //	go test ./internal/consensus -run TestSchedules -schedules 10000
 func TestSchedules(t *testing.T) {
@@ -247,9 +260,11 @@
 		seed   uint64
 		want   string
 	}{
-		{"votes granted within the lease of a live leader", faults{grantWithinLease: true}, 82, "lease overlap"},
-		{"acknowledged before the disk has synced", faults{skipSync: true}, 33, "leader completeness"},
-		{"messages taken from any data folder", faults{ignoreStores: true}, 127, "election safety"},
+		{"votes granted within the lease of a live leader", faults{grantWithinLease: true}, 55, "lease overlap"},
+		{"acknowledged before the disk has synced", faults{skipSync: true}, 159, "leader completeness"},
+		{"an emptied disk votes as the former member, and two lead", faults{ignoreStores: true}, 102, "election safety"},
+		{"an emptied disk votes as the former member, and a commit is lost", faults{ignoreStores: true}, 66, "leader completeness"},
+		{"an emptied founder forms the group once more", faults{foundAnyway: true}, 7, "leader completeness"},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/consensus/world_test.go
+++ b/internal/consensus/world_test.go
@@ -22,7 +22,9 @@
 	faults  faults
 	check   *checker
 	opts    Options
-	bytes   map[MemberID]int // sent
+	measure bool
+	bytes   int // of messages sent while measure is set
+	sent    int
 }
 
 type event struct {
@@ -59,7 +61,7 @@
 	held    []func()
 	timerAt time.Duration // true time of the newest armed tick
 	boots   int
-	lost    bool   // the disk was lost and isn't repaired yet
+	out     bool   // the disk was lost or the member removed; not yet a voter again
 	term    uint64 // as the checker saw it last
 	role    Role
 	checked uint64 // entries that the checker has compared for good
@@ -70,7 +72,7 @@
 
 func newWorld(seed uint64, size int, f faults) *world {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	w := &world{rng: rng, blocked: map[[2]MemberID]bool{}, delay: 2 * time.Millisecond, faults: f, check: newChecker(), bytes: map[MemberID]int{}}
+	w := &world{rng: rng, blocked: map[[2]MemberID]bool{}, delay: 2 * time.Millisecond, faults: f, check: newChecker()}
 	w.check.now = func() time.Duration { return w.now }
 	for i := range size {
 		id := MemberID(fmt.Sprint("m", i+1))
@@ -136,7 +138,11 @@
 // Send implements Transport: the network loses, repeats and delays.
 func (m *simMember) Send(to MemberID, msg Message) {
 	w := m.world
-	w.bytes[m.id] += msg.Msgsize()
+	if w.measure {
+		b, _ := msg.MarshalMsg(nil)
+		w.bytes += len(b)
+		w.sent++
+	}
 	copies := 1
 	if w.rng.Float64() < w.repeat {
 		copies = 2
@@ -268,7 +274,7 @@
 func (m *simMember) loseDisk(down time.Duration) {
 	m.crash()
 	m.disk = newMemDisk(m.world.rng)
-	m.lost = true
+	m.out = true
 	m.world.after(down, m.start)
 }
 
