--- /dev/null
+++ b/internal/placement/pool.go
@@ -0,0 +1,199 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// setMask has bit i set when an upstream was eligible in the i-th remembered
+// set; bit 0 stands for the current one.
+type setMask uint8
+
+const currentSet setMask = 1
+
+// poolTable holds the upstreams of one pool that are or were eligible, grouped
+// by the sets they were eligible in.
+type poolTable struct {
+	hashes  []uint64
+	entries []poolEntry
+	groups  []group
+	sets    int
+}
+
+// group is a run of entries with the same mask.
+type group struct {
+	start, end int
+	mask       setMask
+}
+
+type poolEntry struct {
+	upstream fleet.UpstreamID
+	owner    fleet.InstanceID
+	zone     fleet.AvailabilityZone
+	mask     setMask
+}
+
+// ranked is a position in the pool with its score for one key.
+type ranked struct {
+	score uint64
+	index int32
+}
+
+// ranking holds the best positions, highest score first.
+type ranking struct {
+	best  [MaxCandidates]ranked
+	len   int
+	limit int
+}
+
+func (p *poolTable) add(u fleet.Upstream, owner fleet.InstanceID, mask setMask) {
+	if mask == 0 {
+		return
+	}
+	p.entries = append(p.entries, poolEntry{u.ID, owner, u.Zone, mask})
+}
+
+// finish groups the entries by mask, the largest mask first.
+func (p *poolTable) finish(all setMask) {
+	slices.SortStableFunc(p.entries, func(a, b poolEntry) int { return int(b.mask) - int(a.mask) })
+	for i, e := range p.entries {
+		p.hashes = append(p.hashes, xxhash.Sum64String(string(e.upstream))^mixB)
+		if i == 0 || e.mask != p.entries[i-1].mask {
+			p.groups = append(p.groups, group{start: i, mask: e.mask})
+		}
+		p.groups[len(p.groups)-1].end = i + 1
+	}
+	for mask := all; mask != 0; mask >>= 1 {
+		p.sets++
+	}
+}
+
+// offer keeps the position if it ranks among the best.
+func (r *ranking) offer(score uint64, index int) {
+	if r.len == r.limit {
+		if score <= r.best[r.len-1].score {
+			return
+		}
+		r.len--
+	}
+	at := r.len
+	for at > 0 && r.best[at-1].score < score {
+		r.best[at] = r.best[at-1]
+		at--
+	}
+	r.best[at] = ranked{score, int32(index)}
+	r.len++
+}
+
+// rankCurrent ranks the eligible entries of a group and returns the best one, if
+// it is among the best of all so far.
+func (p *poolTable) rankCurrent(key uint64, g group, r *ranking) ranked {
+	first, least := ranked{index: -1}, uint64(0)
+	if r.len == r.limit {
+		least = r.best[r.len-1].score
+	}
+	for i, h := range p.hashes[g.start:g.end] {
+		score := fold(key, h)
+		if score <= least {
+			continue
+		}
+		r.offer(score, g.start+i)
+		if r.len == r.limit {
+			least = r.best[r.len-1].score
+		}
+		if score > first.score {
+			first = ranked{score, int32(g.start + i)}
+		}
+	}
+	return first
+}
+
+// bestOf returns the best entry of a group.
+func (p *poolTable) bestOf(key uint64, g group) ranked {
+	first := ranked{index: -1}
+	for i, h := range p.hashes[g.start:g.end] {
+		if score := fold(key, h); score > first.score {
+			first = ranked{score, int32(g.start + i)}
+		}
+	}
+	return first
+}
+
+func (p *poolTable) chatCandidates(key uint64, limit int, dst []Candidate) []Candidate {
+	r := ranking{limit: limit}
+	former := [formerSets]ranked{{index: -1}, {index: -1}, {index: -1}}
+	for _, g := range p.groups {
+		var first ranked
+		if g.mask&currentSet != 0 {
+			first = p.rankCurrent(key, g, &r)
+		} else {
+			first = p.bestOf(key, g)
+		}
+		for s := range former {
+			if g.mask&(2<<s) != 0 && first.score > former[s].score {
+				former[s] = first
+			}
+		}
+	}
+	start := len(dst)
+	for _, f := range former[:max(p.sets-1, 0)] {
+		if f.index >= 0 && f.index != r.top() && p.eligible(f.index) {
+			dst = p.appendOnce(dst, start, limit, f.index, Former)
+		}
+	}
+	for _, b := range r.best[:r.len] {
+		dst = p.appendOnce(dst, start, limit, b.index, Ranked)
+	}
+	return dst
+}
+
+// top returns the position ranked first, or -1.
+func (r *ranking) top() int32 {
+	if r.len == 0 {
+		return -1
+	}
+	return r.best[0].index
+}
+
+func (p *poolTable) eligible(index int32) bool {
+	return p.entries[index].mask&currentSet != 0
+}
+
+// appendOnce appends the candidate unless dst[start:] is full or has it.
+func (p *poolTable) appendOnce(dst []Candidate, start, limit int, index int32, basis Basis) []Candidate {
+	e := &p.entries[index]
+	if len(dst)-start >= limit {
+		return dst
+	}
+	for i := start; i < len(dst); i++ {
+		if dst[i].Upstream == e.upstream {
+			return dst
+		}
+	}
+	return append(dst, Candidate{Upstream: e.upstream, Owner: e.owner, Basis: basis})
+}
+
+// requestCandidates ranks the upstreams of localZone before all others. The
+// topmost bit of the score carries the preference.
+func (p *poolTable) requestCandidates(key uint64, limit int, localZone fleet.AvailabilityZone, dst []Candidate) []Candidate {
+	r := ranking{limit: limit}
+	for i, h := range p.hashes {
+		e := &p.entries[i]
+		if e.mask&currentSet == 0 {
+			continue
+		}
+		score := fold(key, h) >> 1
+		if e.zone == localZone {
+			score |= 1 << 63
+		}
+		r.offer(score, i)
+	}
+	start := len(dst)
+	for _, b := range r.best[:r.len] {
+		dst = p.appendOnce(dst, start, limit, b.index, Ranked)
+	}
+	return dst
+}
--- /dev/null
+++ b/internal/placement/weigh_test.go
@@ -0,0 +1,109 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// churn is one change that the reuse is measured through.
+type churn struct {
+	name string
+	run  func(r *reuseRun)
+}
+
+const (
+	settle = 40 * time.Minute // until the caches are full
+	after  = 40 * time.Minute
+)
+
+var changes = []churn{
+	{"steady", func(*reuseRun) {}},
+	{"one joins", func(r *reuseRun) {
+		r.add(fleet.Upstream{ID: "joined", Pool: "llm", Zone: "z0", Boot: "b1"})
+		r.rebuild()
+	}},
+	{"one leaves", func(r *reuseRun) {
+		r.engines[r.ids[3]].Leaving = true
+		r.rebuild()
+	}},
+	{"one restarts", func(r *reuseRun) { r.restart(r.ids[3]) }},
+	{"one flaps thrice", func(r *reuseRun) {
+		for i := range 6 {
+			r.after(time.Duration(i)*30*time.Second, func() {
+				r.engines[r.ids[3]].Leaving = i%2 == 0
+				r.rebuild()
+			})
+		}
+	}},
+	{"one drains 10 min", func(r *reuseRun) {
+		r.engines[r.ids[3]].Leaving = true
+		r.rebuild()
+		r.after(10*time.Minute, func() { r.engines[r.ids[3]].Leaving = false; r.rebuild() })
+	}},
+	{"owner stops", func(r *reuseRun) {
+		gone := r.table.Owner(r.ids[0])
+		var rest []fleet.Member
+		for _, m := range r.m.Members {
+			if m.ID != gone {
+				rest = append(rest, m)
+			}
+		}
+		delete(r.owners, gone)
+		r.m = fleet.Membership{Epoch: 2, Members: rest}
+		r.rebuild()
+	}},
+	{"zone cycle, warm", func(r *reuseRun) {
+		r.zone("z0", true, false)
+		r.after(10*time.Minute, func() { r.zone("z0", false, false) })
+	}},
+	{"zone cycle, cold", func(r *reuseRun) {
+		r.zone("z0", true, true)
+		r.after(10*time.Minute, func() { r.zone("z0", false, true) })
+	}},
+	{"two zones, cold", func(r *reuseRun) {
+		r.zone("z0", true, true)
+		r.after(5*time.Minute, func() { r.zone("z1", true, true) })
+		r.after(10*time.Minute, func() { r.zone("z0", false, true) })
+		r.after(15*time.Minute, func() { r.zone("z1", false, true) })
+	}},
+}
+
+// measure runs one policy through one change.
+func measure(c churn, p policy, off reuseOptions, routers, engines, zones int, rate float64) *reuseRun {
+	r := newReuse(1, p, off, routers, engines, zones, rate)
+	r.measured = settle
+	r.run(settle)
+	c.run(r)
+	r.run(settle + after)
+	return r
+}
+
+// BenchmarkReuse prints the part of the returning chats' histories that was
+// found in a cache, through each change.
+func BenchmarkReuse(b *testing.B) {
+	for _, size := range []struct {
+		name                    string
+		routers, engines, zones int
+		rate                    float64
+	}{{"dala press", 8, 20, 4, 85}, {"lamphun", 8, 10, 4, 42}} {
+		fmt.Printf("%s: reuse over 40 min, in the first 4 min, p99 of load over mean\n", size.name)
+		for _, c := range changes {
+			for _, tc := range []struct {
+				name   string
+				policy policy
+				off    reuseOptions
+			}{
+				{"plain", plain, reuseOptions{}}, {"recorded", recorded, reuseOptions{}}, {"oracle", oracle, reuseOptions{}},
+				{"no former", recorded, reuseOptions{noFormer: true}}, {"no notes", recorded, reuseOptions{noNotes: true}},
+				{"no events", recorded, reuseOptions{noEvents: true}}, {"no yield", recorded, reuseOptions{alike: true}},
+			} {
+				r := measure(c, tc.policy, tc.off, size.routers, size.engines, size.zones, size.rate)
+				fmt.Printf("%-20s %-10s %5.1f%% %5.1f%% %.2f  hops %.2f notes %.2f\n", c.name, tc.name, 100*r.reuse(), 100*r.soonReuse(),
+					r.p99(), float64(r.hops)/float64(r.served), float64(r.notes)/float64(r.served))
+			}
+		}
+	}
+}
