--- /dev/null
+++ b/internal/control/cost_test.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	// atRest is how long BenchmarkMemberAtRest measures.
+	atRest = 10 * time.Second
+	// ticksPerSecond is the unit of CPU time in /proc.
+	ticksPerSecond = 100
+)
+
+// BenchmarkMemberAtRest is what a control member, in a process of its own, costs
+// while routers hold their leases and nothing changes. Run it with -benchtime 1x.
+func BenchmarkMemberAtRest(b *testing.B) {
+	for _, routers := range []int{3, 9, 50, 200, 400} {
+		b.Run(fmt.Sprintf("routers=%d", routers), func(b *testing.B) {
+			f := newProcessFleet(b, 3, routers)
+			f.await(readConfig(f.client()).version)
+			time.Sleep(2 * time.Second) // until joins have settled
+			leader := f.leader()
+			for b.Loop() {
+				leaderCPU, followerCPU, routersCPU := f.cpu(leader), f.cpu((leader+1)%3), cpuTime()
+				time.Sleep(atRest)
+				percent := func(d time.Duration) float64 { return 100 * d.Seconds() / atRest.Seconds() }
+				b.ReportMetric(percent(f.cpu(leader)-leaderCPU), "leader-core-%")
+				b.ReportMetric(percent(f.cpu((leader+1)%3)-followerCPU), "follower-core-%")
+				b.ReportMetric(percent(cpuTime()-routersCPU)/float64(routers), "router-core-%")
+				b.ReportMetric(f.resident(leader), "leader-MB")
+				b.ReportMetric(f.resident((leader+1)%3), "follower-MB")
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// cpu returns the CPU time that a member's process has used.
+func (f *processFleet) cpu(i int) time.Duration {
+	stat := f.proc(i, "stat")
+	fields := bytes.Fields(stat[bytes.LastIndexByte(stat, ')')+1:])
+	var ticks int
+	for _, field := range fields[11:13] { // utime and stime
+		n, err := strconv.Atoi(string(field))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / ticksPerSecond
+}
+
+// resident returns the anonymous memory of a member's process in MB: the text
+// of the test binary is left out.
+func (f *processFleet) resident(i int) float64 {
+	for line := range strings.Lines(string(f.proc(i, "status"))) {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+			var kilobytes float64
+			if _, err := fmt.Sscan(rest, &kilobytes); err != nil {
+				f.t.Fatal(err)
+			}
+			return kilobytes / 1000
+		}
+	}
+	return 0
+}
+
+func (f *processFleet) proc(i int, name string) []byte {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", f.processes[i].Process.Pid, name))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return b
+}
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -34,7 +34,7 @@
 
 // testFleet is a control group and light routers on loopback.
 type testFleet struct {
-	t       *testing.T
+	t       testing.TB
 	clock   fleet.Clock
 	addrs   []string
 	servers []*Server
@@ -85,7 +85,7 @@
 	return n, err
 }
 
-func newTestFleet(t *testing.T, members, routers int) *testFleet {
+func newTestFleet(t testing.TB, members, routers int) *testFleet {
 	start := time.Now()
 	f := &testFleet{t: t, clock: func() time.Duration { return time.Since(start) }}
 	var listeners []net.Listener
--- a/internal/control/process_test.go
+++ b/internal/control/process_test.go
@@ -83,7 +83,7 @@
 	processes []*exec.Cmd
 }
 
-func newProcessFleet(t *testing.T, members, routers int) *processFleet {
+func newProcessFleet(t testing.TB, members, routers int) *processFleet {
 	f := &processFleet{testFleet: &testFleet{t: t, clock: fleet.MonotonicClock()}}
 	for i := range members {
 		f.addrs = append(f.addrs, unusedAddr(t))
@@ -105,7 +105,7 @@
 	return f
 }
 
-func unusedAddr(t *testing.T) string {
+func unusedAddr(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
