--- /dev/null
+++ b/internal/control/calls_test.go
@@ -0,0 +1,141 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/joomcode/errorx"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
+)
+
+// operations is the history of several operators' calls.
+type operations struct {
+	mu      sync.Mutex
+	history []porcupine.Operation
+	told    int
+}
+
+// longest returns the longest call since it was last asked.
+func (o *operations) longest() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var longest int64
+	for _, op := range o.history[o.told:] {
+		if !op.Output.(applyOutput).unknown {
+			longest = max(longest, op.Return-op.Call)
+		}
+	}
+	o.told = len(o.history)
+	return time.Duration(longest)
+}
+
+type applyInput struct {
+	read   bool
+	expect fleet.ConfigVersion
+	plan   string
+}
+
+type applyOutput struct {
+	unknown  bool
+	accepted bool
+	version  fleet.ConfigVersion // in force after the call
+	plan     string
+}
+
+type applied struct {
+	version fleet.ConfigVersion
+	plan    string
+}
+
+var configuration = porcupine.Model{
+	Init: func() any { return applied{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, in, out := state.(applied), input.(applyInput), output.(applyOutput)
+		switch {
+		case in.read:
+			return out.version == s.version && out.plan == s.plan, s
+		case in.expect != s.version:
+			return out.unknown || !out.accepted && out.version == s.version, s
+		default:
+			next := applied{s.version + 1, in.plan}
+			return out.unknown || out.accepted && out.version == next.version, next
+		}
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v -> %+v", input, output) },
+}
+
+// record runs one call. An unknown outcome may take effect at any later time.
+func (o *operations) record(client int, in applyInput, call func() applyOutput) applyOutput {
+	start := time.Now().UnixNano()
+	out := call()
+	end := time.Now().UnixNano()
+	if out.unknown {
+		end = 1 << 62
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.history = append(o.history, porcupine.Operation{ClientId: client, Input: in, Call: start, Output: out, Return: end})
+	return out
+}
+
+// callsAfter is how many calls each operator makes once a fault is over, and
+// callPause spaces them.
+const (
+	callsAfter = 6
+	callPause  = 10 * time.Millisecond
+)
+
+// operate lets one operator read and apply until done is closed, and some
+// calls longer.
+func (f *processFleet) operate(o *operations, id int, done <-chan struct{}) {
+	client := f.client()
+	var seen fleet.ConfigVersion
+	for i, left := 0, callsAfter; left > 0; i++ {
+		select {
+		case <-done:
+			left--
+		default:
+		}
+		in := applyInput{read: i%3 == 2, expect: seen, plan: fmt.Sprintf("plan-%d-%d-%d", id, i, time.Now().UnixNano())}
+		out := o.record(id, in, func() applyOutput {
+			if in.read {
+				return readConfig(client)
+			}
+			return applyConfig(client, in)
+		})
+		if !out.unknown {
+			seen = out.version
+		}
+		time.Sleep(callPause)
+	}
+}
+
+func readConfig(client *operator.Client) applyOutput {
+	for {
+		both, version, err := client.Config(context.Background())
+		if err != nil {
+			continue
+		}
+		out := applyOutput{version: version}
+		if len(both.Plans.Plans) > 0 {
+			out.plan = both.Plans.Plans[0].Name
+		}
+		return out
+	}
+}
+
+func applyConfig(client *operator.Client, in applyInput) applyOutput {
+	both := lists.Both{Plans: lists.Plans{Plans: []lists.Plan{{Name: in.plan}}}}
+	version, err := client.Apply(context.Background(), operator.Expect{Version: in.expect}, in.plan, both)
+	if err == nil {
+		return applyOutput{accepted: true, version: version}
+	}
+	inForce, told := operator.VersionInForce(err)
+	return applyOutput{unknown: !errorx.IsOfType(err, operator.ErrRefused) || !told, version: inForce}
+}
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"net"
@@ -225,7 +224,7 @@
 				continue
 			}
 			a, err := operator.DecodeAnswer(answer)
-			if err = errors.Join(err); err != nil || a.Code != operator.CodeAccepted {
+			if err != nil || a.Code != operator.CodeAccepted {
 				f.t.Fatal(a, err)
 			}
 			return a.Version
--- a/internal/session/grantor.go
+++ b/internal/session/grantor.go
@@ -10,8 +10,8 @@
 // at each election and thrown away when the leadership ends.
 //
 // Every call that grants, settles or removes takes the leader's Proof. A Grantor
-// may stall at any point after now was read: what it then
-// sends is derived from now, and a lease counts from a send time before now.
+// may stall at any point after now was read: what it then sends is derived from
+// now, and a lease counts from a send time before now.
 //
 // It is not safe for concurrent use.
 type Grantor struct {
--- a/internal/session/schedule_test.go
+++ b/internal/session/schedule_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"hash/fnv"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -11,41 +10,6 @@
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
 
-// testClock is a process's monotonic clock: it runs at rate of true time.
-type testClock struct {
-	rate   float64
-	offset time.Duration
-}
-
-func (c testClock) at(t time.Duration) time.Duration {
-	return c.offset + time.Duration(float64(t)*c.rate)
-}
-
-// trueTime is the inverse of at.
-func (c testClock) trueTime(local time.Duration) time.Duration {
-	return time.Duration(float64(local-c.offset) / c.rate)
-}
-
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // testLeader is a control leader with a leader lease that it renews until it
 // is cut off.
 type testLeader struct {
@@ -390,51 +354,3 @@
 		r.holder.Leave()
 	}
 }
-
-// owner is rendezvous hashing (Thaler and Ravishankar, 1998) without weights.
-func (w *world) owner(m fleet.Membership, key string) fleet.InstanceID {
-	cached := strconv.FormatUint(uint64(m.Epoch), 10) + key
-	if id, ok := w.owners[cached]; ok {
-		return id
-	}
-	var best fleet.InstanceID
-	var bestScore uint64
-	for _, member := range m.Members {
-		h := fnv.New64a()
-		fmt.Fprintf(h, "%s/%s", key, member.ID)
-		if s := h.Sum64() * 0x9e3779b97f4a7c15; best == "" || s > bestScore {
-			best, bestScore = member.ID, s
-		}
-	}
-	w.owners[cached] = best
-	return best
-}
-
-// check looks for two owners of a key at this instant. A frozen process counts:
-// it may wake and dispatch now.
-func (w *world) check() {
-	for k := range testKeys {
-		key := "upstream-" + strconv.Itoa(k)
-		owners := w.ownersOf(key)
-		if len(owners) > 1 {
-			w.violation = fmt.Sprintf("at %v %s is owned by %v", w.now, key, owners)
-			return
-		}
-		if len(owners) == 1 {
-			w.gaps = append(w.gaps, w.now-max(w.ownedAt[k], testWarmUp))
-			if gap := len(w.gaps) - 1; w.gaps[gap] <= testStep {
-				w.gaps = w.gaps[:gap] // between two checks
-			}
-			w.ownedAt[k] = w.now
-		}
-	}
-}
-
-func (w *world) ownersOf(key string) (owners []string) {
-	for _, r := range w.routers {
-		if !r.dead && r.holder.Owns(r.clock.at(w.now), key) {
-			owners = append(owners, fmt.Sprintf("%s/%s@%d", r.name, r.holder.self.Boot, r.holder.Epoch()))
-		}
-	}
-	return owners
-}
