router: a renewal acknowledges the configuration that is in force

Cause: found in reading: a router told the control leader the version that it had fetched. Owned upstreams come in line with it in another goroutine, which may wait up to half a second for a handover; until then a zone that was out by its word still got work, and status showed a version too early. Change: the acknowledged version is the one that upstreams and plans were last brought in line with.

--- a/internal/router/reconcile.go
+++ b/internal/router/reconcile.go
@@ -99,6 +99,7 @@
 		Membership: membership, Owner: ring.Owner,
 	})
 	r.plans.reconcile(ctx, membership, ring)
+	r.inForce.Store(uint64(index.Version()))
 }
 
 // seen is what the placement in force was made of.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -60,6 +60,7 @@
 	members   atomic.Pointer[map[fleet.InstanceID]fleet.Member]
 	upstreams atomic.Pointer[[]fleet.Upstream]
 	stopping  atomic.Bool
+	inForce   atomic.Uint64 // the version that owned upstreams and plans are in line with
 
 	changed chan struct{} // capacity 1: what the view is made of has changed
 	noticed chan struct{} // capacity 1: a renewal would bring something new
--- a/internal/router/session_loop.go
+++ b/internal/router/session_loop.go
@@ -7,6 +7,7 @@
 
 	"github.com/wigeonflow/wigeonflow/internal/admission"
 	"github.com/wigeonflow/wigeonflow/internal/control"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/ledger"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/session"
@@ -86,8 +87,8 @@
 	return r.holder.NextRenewal()
 }
 
-// renew makes one renewal and takes its reply. What the reply changes is in
-// force before the next renewal acknowledges it.
+// renew makes one renewal and takes its reply. An epoch or a version that the
+// reply brings is in force before a renewal acknowledges it.
 func (r *Router) renew(ctx context.Context) {
 	request := r.renewRequest()
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.Settings.Session.Lease/2)
@@ -107,7 +108,7 @@
 	loads := poolLoads(r.owner.Loads())
 	r.holderMu.Lock()
 	defer r.holderMu.Unlock()
-	request := r.holder.Request(r.cfg.Clock(), r.view.Version(), loads)
+	request := r.holder.Request(r.cfg.Clock(), fleet.ConfigVersion(r.inForce.Load()), loads)
 	r.publishAuthority()
 	return request
 }
