--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/ledger"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/session"
@@ -28,6 +29,7 @@
 
 var (
 	fleetSizes = flag.String("fleet", "5", "how many routers TestFleet runs, sizes by commas")
+	workspaces = flag.Int("workspaces", 10, "how many workspaces TestFleet has in force")
 	fleetRest  = flag.Duration("rest", 0, "how long TestFleet measures without changes")
 )
 
@@ -208,9 +210,23 @@
 	}
 }
 
-// change commits a change at whichever member leads.
+// putLists puts lists of n workspaces in force.
+func (f *testFleet) putLists(n int) fleet.ConfigVersion {
+	both := &lists.Both{Plans: lists.Plans{Plans: []lists.Plan{{Name: "basic"}}}}
+	for i := range n {
+		both.Plans.Workspaces = append(both.Plans.Workspaces, lists.Workspace{
+			ID: fleet.WorkspaceID(fmt.Sprintf("workspace-%05d", i)), Plan: "basic", KeyDigests: []string{fmt.Sprintf("%064x", i)},
+		})
+	}
+	return f.propose(operator.Command{Kind: operator.KindLists, Operation: "lists", AnyVersion: true, Lists: both})
+}
+
 func (f *testFleet) change(operation string) fleet.ConfigVersion {
-	cmd := operator.Command{Kind: operator.KindZone, Operation: operation, AnyVersion: true, Name: "medeu", Out: true}
+	return f.propose(operator.Command{Kind: operator.KindZone, Operation: operation, AnyVersion: true, Name: "medeu", Out: true})
+}
+
+// propose commits a change at whichever member leads.
+func (f *testFleet) propose(cmd operator.Command) fleet.ConfigVersion {
 	encoded, err := cmd.Encode()
 	if err != nil {
 		f.t.Fatal(err)
@@ -242,7 +258,9 @@
 			n, err := strconv.Atoi(size)
 			is.New(t).NoErr(err)
 			f := newTestFleet(t, 3, n)
-			f.await(f.change("first"))
+			start := time.Now()
+			f.await(f.putLists(*workspaces))
+			t.Logf("%d workspaces in force on %d routers that start: %v, %.1f MB", *workspaces, n, time.Since(start), float64(f.bytes.Load())/1e6)
 			f.measureRest(n)
 			f.measureChanges()
 			f.closeLeader()
