--- a/internal/operator/runner.go
+++ b/internal/operator/runner.go
@@ -138,6 +138,10 @@
 	return &Runner{settings: s}
 }
 
+// SetChecksFencing tells whether the engine refuses old fencing numbers, which
+// the lists may change. It holds from the next call on.
+func (r *Runner) SetChecksFencing(checks bool) { r.settings.ChecksFencing = checks }
+
 // Offer hands over the upstream's newest order. An order that is known already
 // changes nothing; one that supersedes another is taken up at once, but a call
 // under way is waited for.
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -42,7 +42,7 @@
 	for id, t := range o.server.directory.Load().targets {
 		order, ok := index.Order(id)
 		pool := index.Pool(t.upstream.Pool)
-		if !ok || pool == nil || order.State == operator.OrderSucceeded || order.State == operator.OrderFailed {
+		if !ok || pool == nil || order.Finished() {
 			continue
 		}
 		o.step(ctx, t, order, pool.ChecksFencing)
@@ -56,10 +56,11 @@
 	runner := o.runners[t.upstream.ID]
 	if runner == nil {
 		runner = operator.NewRunner(operator.RunnerSettings{
-			Upstream: t.upstream.ID, Instance: o.server.cfg.Instance, Boot: o.server.cfg.Boot, ChecksFencing: checksFencing,
+			Upstream: t.upstream.ID, Instance: o.server.cfg.Instance, Boot: o.server.cfg.Boot,
 		})
 		o.runners[t.upstream.ID] = runner
 	}
+	runner.SetChecksFencing(checksFencing)
 	runner.Offer(order)
 	now, authority := o.server.cfg.Clock(), o.server.cfg.Authority()
 	step := runner.Next(now, authority.Owns(now, string(t.upstream.ID)), authority.Until())
