--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -14,6 +16,8 @@
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+	coltrace "go.opentelemetry.io/proto/otlp/collector/trace/v1"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonflow/wigeonflow/internal/settings"
 )
@@ -110,6 +114,29 @@
 	is.Equal(spans["owner"].Status.Code, "Error")
 }
 
+func TestSpansGoToTheCollector(t *testing.T) {
+	is := is.New(t)
+	received := make(chan *coltrace.ExportTraceServiceRequest, 1)
+	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		var export coltrace.ExportTraceServiceRequest
+		if r.URL.Path == "/v1/traces" && proto.Unmarshal(body, &export) == nil {
+			received <- &export
+		}
+	}))
+	defer collector.Close()
+	s := settings.Settings{Instance: "r1", Tracing: settings.Tracing{
+		Exporter: settings.ExporterOTLP, Endpoint: collector.URL + "/v1/traces",
+	}}
+	tracer, err := NewTracer(t.Context(), s)
+	is.NoErr(err)
+	span, _ := tracer.Start("entry", "")
+	span.End(nil)
+	is.NoErr(tracer.Shutdown(context.Background()))
+	export := <-received
+	is.Equal(export.ResourceSpans[0].ScopeSpans[0].Spans[0].Name, "entry")
+}
+
 func TestTracingOffCostsNothing(t *testing.T) {
 	is := is.New(t)
 	tracer, err := NewTracer(t.Context(), settings.Settings{})
