--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,8 +33,11 @@
 		Subcommands: commands(stdout, stderr),
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
-	err := root.ParseAndRun(context.Background(), args)
-	return exitCode(err, stderr)
+	allowTrailingFlags(root.Subcommands)
+	if err := root.Parse(args); err != nil {
+		return exitCode(&exitError{exitUsage, err}, stderr)
+	}
+	return exitCode(root.Run(context.Background()), stderr)
 }
 
 // commands lists every subcommand, in the order that help prints them.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"context"
+	"flag"
 	"io"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
 func TestRunExitCodes(t *testing.T) {
@@ -16,6 +20,11 @@
 	}{
 		{"version prints and succeeds", []string{"version"}, exitDone},
 		{"no command is a usage error", nil, exitUsage},
+		{"unknown command is a usage error", []string{"fly"}, exitUsage},
+		{"unknown flag is a usage error", []string{"standin", "engine", "--colour", "red"}, exitUsage},
+		{"unknown flag behind the arguments is a usage error", []string{"get", "status", "--colour", "red"}, exitUsage},
+		{"help is a usage error", []string{"load", "-h"}, exitUsage},
+		{"too many arguments", []string{"get", "status", "config", "--control", "127.0.0.1"}, exitUsage},
 		{"an order without its kind is a usage error", []string{"order"}, exitUsage},
 		{"an order without an upstream is a usage error", []string{"order", "load", "--model", "m"}, exitUsage},
 	}
@@ -28,6 +37,39 @@
 	}
 }
 
+func TestFlagsMayStandBehindArguments(t *testing.T) {
+	cases := []struct {
+		name    string
+		args    string
+		control string
+		rest    string
+	}{
+		{"before", "--control a status", "a", "status"},
+		{"behind", "status --control a", "a", "status"},
+		{"between", "plans.yaml --control=a allowances.yaml", "a", "plans.yaml allowances.yaml"},
+		{"the last one counts", "--control a status --control b", "b", "status"},
+		{"after two dashes all are arguments", "status -- --control a", "", "status --control a"},
+		{"a dash alone is an argument", "- status", "", "- status"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			fs := flag.NewFlagSet("get", flag.ContinueOnError)
+			control := fs.String("control", "", "")
+			var rest []string
+			command := &ffcli.Command{Name: "get", FlagSet: fs, Exec: func(_ context.Context, args []string) error {
+				rest = args
+				return nil
+			}}
+			root := &ffcli.Command{Subcommands: []*ffcli.Command{command}}
+			allowTrailingFlags(root.Subcommands)
+			is.NoErr(root.ParseAndRun(t.Context(), append([]string{"get"}, strings.Fields(tc.args)...)))
+			is.Equal(*control, tc.control)
+			is.Equal(strings.Join(rest, " "), tc.rest)
+		})
+	}
+}
+
 func TestEachCommandIsListedOnce(t *testing.T) {
 	is := is.New(t)
 	seen := make(map[string]bool)
