admission: a cold upstream is measured against itself until it is as fast as its pool

Change: after a restart or collapse an upstream is cold until an answer is as fast as its pool's; until then its window grows as long as its answers don't get slower.

--- a/internal/admission/answers.go
+++ b/internal/admission/answers.go
@@ -67,28 +67,46 @@
 	if !e.seen && r.FirstToken > 0 {
 		g.judgeFirstToken(u, r.FirstToken)
 	}
-	if u.pool.usual.slowAnswer(r) {
+	if u.cold && !u.pool.usual.slowAnswer(r) {
+		u.cold = false
+		u.generation++ // answers that began cold say nothing about it from now on
+	}
+	slow := u.yardstick().slowAnswer(r)
+	u.pool.usual.addAnswer(r)
+	u.usual.addAnswer(r)
+	if slow {
 		g.countSlow(u, &u.window.slowAnswers)
 		return
 	}
-	u.pool.usual.addAnswer(r)
 	u.window.grow(u.inFlight())
 	u.recount()
 }
 
+// yardstick is the speed that answers are compared with: the pool's, but for a
+// cold upstream its own since the start. It is slow in any case, and its window
+// may grow as long as more work doesn't make it slower.
+func (u *upstream) yardstick() *speed {
+	if u.cold {
+		return &u.usual
+	}
+	return &u.pool.usual
+}
+
 func (g *Gate) judgeFirstToken(u *upstream, d time.Duration) {
-	if u.pool.usual.slowFirstToken(d) {
+	slow := u.yardstick().slowFirstToken(d)
+	u.pool.usual.addFirstToken(d)
+	u.usual.addFirstToken(d)
+	if slow {
 		g.countSlow(u, &u.window.slowFirst)
 		return
 	}
 	u.window.slowFirst = 0
-	u.pool.usual.addFirstToken(d)
 }
 
 // overdue counts first tokens that are missing past the time from which they
 // would be slow, so that an upstream which gives none is found as well.
 func (g *Gate) overdue(now time.Duration, u *upstream) {
-	for e := u.awaiting.first; e != nil && u.pool.usual.slowFirstToken(now-e.started); e = u.awaiting.first {
+	for e := u.awaiting.first; e != nil && u.yardstick().slowFirstToken(now-e.started); e = u.awaiting.first {
 		u.awaiting.remove(e)
 		if e.generation == u.generation {
 			g.countSlow(u, &u.window.slowFirst)
@@ -97,7 +115,7 @@
 }
 
 // countSlow restarts the window of an upstream that gave several slow answers
-// in a row. Slow answers don't enter the usual speed.
+// in a row.
 func (g *Gate) countSlow(u *upstream, inRow *int) {
 	*inRow++
 	if *inRow < collapseAnswers || g.off.noCollapse {
@@ -109,19 +127,24 @@
 // collapse treats the upstream as cold again.
 func (u *upstream) collapse() {
 	u.window.collapse()
-	u.generation++
-	u.starting = true
+	u.begin()
 	u.recount()
 }
 
 // restart treats the upstream as just started.
 func (u *upstream) restart() {
 	u.window.restart()
-	u.generation++
-	u.starting = true
+	u.begin()
 	u.recount()
 }
 
+// begin forgets what was seen of the upstream before.
+func (u *upstream) begin() {
+	u.generation++
+	u.starting, u.cold = true, true
+	u.usual = speed{}
+}
+
 // Tick settles queued requests whose deadline has passed or which a breaker's
 // probe lets in. Call it at least every 100 ms.
 func (g *Gate) Tick(now time.Duration, dst []Settled) []Settled {
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -62,6 +62,11 @@
 	generation int
 	// starting is set until the window has first reached the load bound.
 	starting bool
+	// cold is set by a restart or a collapse until an answer is as fast as its
+	// pool's.
+	cold bool
+	// usual is its own speed since the start.
+	usual speed
 	// lost is set when another instance owns the upstream and requests of this
 	// one still run on it.
 	lost bool
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -1,7 +1,5 @@
 package admission
 
-import "time"
-
 const (
 	// collapseFactor is how many times slower than usual an answer must be to
 	// count as slow.
@@ -9,12 +7,6 @@
 	// collapseAnswers is how many slow first tokens, or slow answers, in a row
 	// mean a cold upstream.
 	collapseAnswers = 2
-	// speedWeight is the weight of the newest answer in the moving means.
-	speedWeight = 0.1
-	// minFirstToken and minTokenTime are floors under the usual speed, so that
-	// noise on very fast answers isn't taken for a collapse.
-	minFirstToken = 50 * time.Millisecond
-	minTokenTime  = 2 * time.Millisecond
 )
 
 // window is the cold-start ramp of one upstream: slow start, then additive
@@ -65,42 +57,3 @@
 	}
 	w.size = min(w.size+step, w.max)
 }
-
-// speed holds the usual speed of answers as moving means.
-type speed struct {
-	firstToken float64 // ns
-	tokenTime  float64 // ns a token
-	duration   float64 // ns
-}
-
-func blend(mean *float64, sample float64) {
-	if *mean == 0 {
-		*mean = sample
-		return
-	}
-	*mean += speedWeight * (sample - *mean)
-}
-
-func (s *speed) addFirstToken(d time.Duration) { blend(&s.firstToken, float64(d)) }
-
-func (s *speed) addAnswer(r Result) {
-	blend(&s.duration, float64(r.Duration))
-	if r.Tokens > 1 && r.Duration > r.FirstToken {
-		blend(&s.tokenTime, float64(r.Duration-r.FirstToken)/float64(r.Tokens))
-	}
-}
-
-// slowFirstToken tells whether a first token came far later than usual.
-func (s *speed) slowFirstToken(d time.Duration) bool {
-	usual := max(s.firstToken, float64(minFirstToken))
-	return s.firstToken > 0 && float64(d) > collapseFactor*usual
-}
-
-// slowAnswer tells whether the tokens of an answer came far slower than usual.
-func (s *speed) slowAnswer(r Result) bool {
-	if s.tokenTime == 0 || r.Tokens <= 1 {
-		return false
-	}
-	usual := max(s.tokenTime, float64(minTokenTime))
-	return float64(r.Duration-r.FirstToken)/float64(r.Tokens) > collapseFactor*usual
-}
