admission: cold answers stay out of the pool's usual speed

Ruled out: a smaller weight for slow samples, for enough of them drift as far.

Change: only answers of upstreams that aren't cold enter the usual speed.

--- a/internal/admission/answers.go
+++ b/internal/admission/answers.go
@@ -72,7 +72,9 @@
 		u.generation++ // answers that began cold say nothing about it from now on
 	}
 	slow := u.yardstick().slowAnswer(r)
-	u.pool.usual.addAnswer(r)
+	if !u.cold {
+		u.pool.usual.addAnswer(r)
+	}
 	u.usual.addAnswer(r)
 	if slow {
 		g.countSlow(u, &u.window.slowAnswers)
@@ -94,7 +96,9 @@
 
 func (g *Gate) judgeFirstToken(u *upstream, d time.Duration) {
 	slow := u.yardstick().slowFirstToken(d)
-	u.pool.usual.addFirstToken(d)
+	if !u.cold {
+		u.pool.usual.addFirstToken(d)
+	}
 	u.usual.addFirstToken(d)
 	if slow {
 		g.countSlow(u, &u.window.slowFirst)
--- a/internal/admission/speed.go
+++ b/internal/admission/speed.go
@@ -19,8 +19,8 @@
 }
 
 // blend moves the mean towards the sample. A slow sample counts as the least
-// that is slow: one cold upstream hardly moves the mean of its pool, but a pool
-// that has become slower as a whole does.
+// that is slow, so that the few which are seen before an upstream is known to be
+// cold hardly move the mean.
 func blend(mean *float64, sample float64) {
 	if *mean == 0 {
 		*mean = sample
