placement: ask the other candidates where records are incomplete

Change: Presence.AskOthers; tests of reuse through single changes and zone cycles against the oracle, and with each mechanism off; a request that may wait yields nothing.

Conclusion: part of the loss is mended; upstreams of the same lost owner still don't know their chats.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -150,6 +150,9 @@
 	if d, refused := g.refusal(now, u, &r); refused {
 		return d
 	}
+	if !r.NoQueue {
+		r.Yield = 0
+	}
 	if u.lines.len() == 0 || g.overtakes(u, &r) {
 		if ok, _ := u.breaker.allow(now); ok && g.hasRoom(u, r.Yield) && !g.overShare(u, &r) {
 			g.start(now, u, g.newEntry(u, r))
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -86,6 +86,34 @@
 	}
 }
 
+func TestHeadroomIsForCachedPrompts(t *testing.T) {
+	cases := []struct {
+		name    string
+		cached  int
+		noQueue bool
+		kind    Kind
+	}{
+		{"nothing cached", 0, true, Refused},
+		{"a little cached", 500, true, Refused},
+		{"much cached", fullYield, true, Admitted},
+		{"nothing cached, but it may wait", 0, false, Admitted},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			g := NewGate()
+			g.SetPoolSettings("llm", PoolSettings{StartConcurrency: 2})
+			g.SetUpstream(0, UpstreamState{ID: "e1", Pool: "llm", Boot: "b1"}, nil)
+			g.Adopt(Handover{Upstream: "e1", Boot: "b1", InFlight: 18, Window: 60})
+			total := Sums{InFlight: 160, Upstreams: 10, All: 160, AllUpstreams: 10}
+			g.SetPool(0, "llm", PoolLoad{Total: total, Own: Sums{InFlight: 18, Upstreams: 1, All: 18, AllUpstreams: 1}}, nil)
+			r := ask("r")
+			r.NoQueue, r.Yield = tc.noQueue, YieldFor(tc.cached)
+			is.Equal(g.Admit(0, r).Kind, tc.kind) // the mean is 16, the bound 20
+		})
+	}
+}
+
 func TestQueueServesByPriorityAndDeadlineWithoutStarvingBatch(t *testing.T) {
 	is := is.New(t)
 	g := oneUpstream(1)
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -18,8 +18,9 @@
 	Workspace      fleet.WorkspaceID
 	WorkspaceLimit int
 	// Yield is the part of the headroom between the mean load and the bound that
-	// the request leaves to others, from 0 to 1: see YieldFor. A queued request
-	// yields nothing.
+	// the request leaves to others, from 0 to 1: see YieldFor. It counts with
+	// NoQueue only: a request that would rather wait here than go elsewhere yields
+	// nothing.
 	Yield float64
 	// NoQueue refuses the request where it would have to wait, so that the
 	// caller tries the next candidate.
--- a/internal/placement/resident.go
+++ b/internal/placement/resident.go
@@ -169,6 +169,11 @@
 	}
 }
 
+// AskOthers tells whether the other candidates should be asked before a chat is
+// served on the candidate: the records are incomplete, and another upstream may
+// hold the chat's cache.
+func (p Presence) AskOthers(c Candidate) bool { return c.Basis == Ranked && p.Trust == Unknown }
+
 func (r *Resident) source(id fleet.UpstreamID) *source {
 	if i, ok := r.index[id]; ok {
 		return &r.sources[i]
--- a/internal/placement/reuse_test.go
+++ b/internal/placement/reuse_test.go
@@ -25,7 +25,7 @@
 
 // reuseOptions switch single mechanisms off.
 type reuseOptions struct {
-	noFormer, noNotes, noEvents, alike bool
+	noFormer, noNotes, noEvents, noAsking, alike bool
 }
 
 // reuseRun measures the cache reuse of one policy with fake engines that keep
@@ -40,8 +40,10 @@
 	m         fleet.Membership
 	table     *Table
 	engines   map[fleet.UpstreamID]*cacheEngine
+	holders   map[ChatKey][]fleet.UpstreamID // for the oracle
 	ids       []fleet.UpstreamID
 	owners    map[fleet.InstanceID]*Resident
+	owns      map[fleet.UpstreamID]fleet.InstanceID
 	out       map[fleet.AvailabilityZone]bool
 	loadLimit float64
 	mean      float64
@@ -111,13 +113,15 @@
 	eventLoss     = 0.01
 	factor        = 1.25 // load factor
 	soon          = 4 * time.Minute
+	completeAfter = 5 * time.Minute
 	residentChats = 1 << 14
 )
 
 func newReuse(seed uint64, p policy, off reuseOptions, routers, engines, zones int, rate float64) *reuseRun {
 	r := &reuseRun{
 		rng: rand.New(rand.NewPCG(seed, 3)), policy: p, off: off, m: members(routers), rate: rate,
-		engines: map[fleet.UpstreamID]*cacheEngine{}, owners: map[fleet.InstanceID]*Resident{}, out: map[fleet.AvailabilityZone]bool{},
+		holders: map[ChatKey][]fleet.UpstreamID{},
+		engines: map[fleet.UpstreamID]*cacheEngine{}, owners: map[fleet.InstanceID]*Resident{}, owns: map[fleet.UpstreamID]fleet.InstanceID{}, out: map[fleet.AvailabilityZone]bool{},
 	}
 	for _, u := range upstreams(engines, zones) {
 		r.add(u)
@@ -146,13 +150,26 @@
 		r.table = r.table.Next(r.now, v)
 	}
 	for _, id := range r.ids {
-		if o := r.owner(id); o.index[id] == 0 && !r.known(o, id) {
-			o.Own(id, true)
-		}
+		r.own(id)
 	}
 }
 
-func (r *reuseRun) known(o *Resident, id fleet.UpstreamID) bool { _, ok := o.index[id]; return ok }
+// own begins the records of an upstream at its owner. Those of a stopped former
+// owner are lost, and the new one's are incomplete until most chats have come
+// back.
+func (r *reuseRun) own(id fleet.UpstreamID) {
+	instance := r.table.Owner(id)
+	if r.owns[id] == instance {
+		return
+	}
+	first := r.owns[id] == ""
+	r.owns[id] = instance
+	o := r.owner(id)
+	o.Own(id, first)
+	if !first {
+		r.after(completeAfter, func() { o.Own(id, true) })
+	}
+}
 
 func (r *reuseRun) owner(id fleet.UpstreamID) *Resident {
 	instance := r.table.Owner(id)
@@ -268,6 +285,7 @@
 		e.lru.MoveToFront(at)
 	} else {
 		e.chats[key] = e.lru.PushFront(&cachedChat{key, tokens})
+		r.hold(e.ID, key)
 		e.used += tokens
 	}
 	for e.used > e.room {
@@ -278,6 +296,13 @@
 	}
 }
 
+// hold notes for the oracle that the engine may have the chat.
+func (r *reuseRun) hold(id fleet.UpstreamID, key ChatKey) {
+	if r.policy == oracle && !slices.Contains(r.holders[key], id) {
+		r.holders[key] = append(r.holders[key], id)
+	}
+}
+
 // publish sends a cache event to the owner, late, and some not at all.
 func (r *reuseRun) publish(e *cacheEngine, event Event) {
 	e.sequence++
@@ -310,6 +335,7 @@
 		}
 	}
 	candidates := r.table.Candidates(c.key, "llm", "", make([]Candidate, 0, 6))
+	asking := false
 	for _, candidate := range candidates {
 		id := candidate.Upstream
 		if r.policy == recorded {
@@ -319,7 +345,14 @@
 			if p.Trust >= Doubtful && p.Upstream != id && r.open(p.Upstream, c) {
 				return r.engines[p.Upstream]
 			}
-			if !p.Serves(candidate) {
+			if asking {
+				candidate.Basis = Former // only where the chat is resident
+			}
+			if !r.off.noAsking && p.AskOthers(candidate) {
+				asking = true
+				continue
+			}
+			if !p.Serves(candidate) || asking && p.Trust == Unknown {
 				continue
 			}
 		}
@@ -327,6 +360,16 @@
 			return r.engines[id]
 		}
 	}
+	return r.anyOpen(c, candidates)
+}
+
+// anyOpen takes the first candidate with room for the chat, then with any room.
+func (r *reuseRun) anyOpen(c *returning, candidates []Candidate) *cacheEngine {
+	for _, candidate := range candidates {
+		if candidate.Basis == Ranked && r.open(candidate.Upstream, c) {
+			return r.engines[candidate.Upstream]
+		}
+	}
 	for _, candidate := range candidates {
 		if r.engines[candidate.Upstream].inFlight < r.limit(1<<30) {
 			return r.engines[candidate.Upstream]
@@ -339,7 +382,7 @@
 func (r *reuseRun) best(c *returning) *cacheEngine {
 	var found *cacheEngine
 	most := 0
-	for _, id := range r.ids {
+	for _, id := range r.holders[c.key] {
 		at := r.engines[id].chats[c.key]
 		if at != nil && at.Value.(*cachedChat).tokens > most && r.open(id, c) {
 			found, most = r.engines[id], at.Value.(*cachedChat).tokens
--- a/internal/placement/weigh_test.go
+++ b/internal/placement/weigh_test.go
@@ -14,10 +14,8 @@
 	run  func(r *reuseRun)
 }
 
-const (
-	settle = 40 * time.Minute // until the caches are full
-	after  = 40 * time.Minute
-)
+// span is how long the caches fill, and how long the reuse is measured.
+const span = 40 * time.Minute
 
 var changes = []churn{
 	{"steady", func(*reuseRun) {}},
@@ -71,24 +69,44 @@
 	}},
 }
 
-// measure runs one policy through one change.
-func measure(c churn, p policy, off reuseOptions, routers, engines, zones int, rate float64) *reuseRun {
-	r := newReuse(1, p, off, routers, engines, zones, rate)
-	r.measured = settle
-	r.run(settle)
+// fleetSize is the size of a fleet and its load in turns a second.
+type fleetSize struct {
+	name                    string
+	routers, engines, zones int
+	rate                    float64
+}
+
+// measure runs one policy through one change, for the same span before and after.
+func measure(c churn, p policy, off reuseOptions, size fleetSize, span time.Duration) *reuseRun {
+	r := newReuse(1, p, off, size.routers, size.engines, size.zones, size.rate)
+	r.measured = span
+	r.run(span)
 	c.run(r)
-	r.run(settle + after)
+	r.run(2 * span)
 	return r
 }
 
+// BenchmarkReuseAtScale prints the reuse at the size to design for.
+func BenchmarkReuseAtScale(b *testing.B) {
+	letter := fleetSize{"letter", 410, 600, 11, 2600}
+	fmt.Println("letter: reuse over 15 min, in the first 4 min, p99 of load over mean")
+	for _, c := range []churn{changes[0], changes[2], changes[8]} {
+		for p := range 3 {
+			r := measure(c, policy(p), reuseOptions{}, letter, 15*time.Minute)
+			r.print(c.name, policy(p).String())
+		}
+	}
+}
+
+func (r *reuseRun) print(change, name string) {
+	fmt.Printf("%-20s %-10s %5.1f%% %5.1f%% %.2f  hops %.2f notes %.2f\n", change, name, 100*r.reuse(), 100*r.soonReuse(),
+		r.p99(), float64(r.hops)/float64(r.served), float64(r.notes)/float64(r.served))
+}
+
 // BenchmarkReuse prints the part of the returning chats' histories that was
 // found in a cache, through each change.
 func BenchmarkReuse(b *testing.B) {
-	for _, size := range []struct {
-		name                    string
-		routers, engines, zones int
-		rate                    float64
-	}{{"dala press", 8, 20, 4, 85}, {"lamphun", 8, 10, 4, 42}} {
+	for _, size := range []fleetSize{{"dala press", 8, 20, 4, 85}, {"lamphun", 8, 10, 4, 42}} {
 		fmt.Printf("%s: reuse over 40 min, in the first 4 min, p99 of load over mean\n", size.name)
 		for _, c := range changes {
 			for _, tc := range []struct {
@@ -100,9 +118,7 @@
 				{"no former", recorded, reuseOptions{noFormer: true}}, {"no notes", recorded, reuseOptions{noNotes: true}},
 				{"no events", recorded, reuseOptions{noEvents: true}}, {"no yield", recorded, reuseOptions{alike: true}},
 			} {
-				r := measure(c, tc.policy, tc.off, size.routers, size.engines, size.zones, size.rate)
-				fmt.Printf("%-20s %-10s %5.1f%% %5.1f%% %.2f  hops %.2f notes %.2f\n", c.name, tc.name, 100*r.reuse(), 100*r.soonReuse(),
-					r.p99(), float64(r.hops)/float64(r.served), float64(r.notes)/float64(r.served))
+				measure(c, tc.policy, tc.off, size, span).print(c.name, tc.name)
 			}
 		}
 	}
