--- a/internal/admission/weigh_test.go
+++ b/internal/admission/weigh_test.go
@@ -32,9 +32,8 @@
 	events   eventHeap
 	order    int
 	routers  []*weighRouter
-	engines  []int // in flight
-	reported []int // in flight, a second ago
-	mean     float64
+	engines  []int   // in flight
+	reported []int   // in flight, a second ago
 	told     float64 // mean a second ago
 	offered  float64 // mean load if all is let in
 	total    int
