--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -62,6 +62,11 @@
 	generation int
 	// starting is set until the window has first reached the load bound.
 	starting bool
+	// cold is set by a restart or a collapse until an answer is as fast as its
+	// pool's.
+	cold bool
+	// usual is its own speed since the start.
+	usual speed
 	// lost is set when another instance owns the upstream and requests of this
 	// one still run on it.
 	lost bool
@@ -145,6 +150,9 @@
 	if d, refused := g.refusal(now, u, &r); refused {
 		return d
 	}
+	if !r.NoQueue {
+		r.Yield = 0
+	}
 	if u.lines.len() == 0 || g.overtakes(u, &r) {
 		if ok, _ := u.breaker.allow(now); ok && g.hasRoom(u, r.Yield) && !g.overShare(u, &r) {
 			g.start(now, u, g.newEntry(u, r))
