--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -214,6 +214,7 @@
 		refusal.Code, refusal.RetryAfter = "in_progress", time.Second
 	case owner.ConflictUnknown:
 		refusal.Code = "outcome_unknown"
+		refusal.RetryAfter = time.Duration(r.reply.RetryAfterMillis) * time.Millisecond
 	case owner.ConflictAnswerGone:
 		refusal.Code = "answer_not_kept"
 	case owner.ConflictBody:
--- a/internal/ledger/booking.go
+++ b/internal/ledger/booking.go
@@ -334,14 +334,23 @@
 	}
 }
 
-// markUnknown leaves the key to be settled. An upstream that declines has seen
-// the request: its answer goes to the caller, but is not kept as the key's.
+// markUnknown leaves the key to be settled, which needs the record: the reply
+// waits for it. An upstream that declines has seen the request: its answer goes
+// to the caller, but is not kept as the key's.
 func (b *Booking) markUnknown(now time.Duration, e Dispatched) []BookingAction {
 	reply := Reply{Code: ReplyUnknown, Holder: b.config.Attempt, Outcome: fleet.OutcomeUnknown}
 	if e.Facts.Declined {
 		reply.Answer, _ = e.Answer.Encode()
 	}
-	return append(b.send(now, phaseRecording, OpMarkUnknown, b.config.RecordFor), reply)
+	return b.sendThenReply(now, OpMarkUnknown, reply)
+}
+
+// sendThenReply has the command recorded before the reply, but lets the caller
+// wait no longer than for a begin.
+func (b *Booking) sendThenReply(now time.Duration, op Op, reply Reply) []BookingAction {
+	b.delayed = &reply
+	b.replyBy = now + b.config.BeginWithin
+	return b.send(now, phaseRecording, op, b.config.RecordFor)
 }
 
 func (b *Booking) finish(now time.Duration, whole Answer) []BookingAction {
@@ -358,13 +367,10 @@
 // waits for the record only if the caller would use the key again at once.
 func (b *Booking) abandon(now time.Duration, reply Reply, wait bool) []BookingAction {
 	reply.Outcome = fleet.OutcomeNotRun
-	actions := b.send(now, phaseRecording, OpAbandon, b.config.RecordFor)
-	if !wait {
-		return append(actions, reply)
+	if wait {
+		return b.sendThenReply(now, OpAbandon, reply)
 	}
-	b.delayed = &reply
-	b.replyBy = now + b.config.BeginWithin
-	return actions
+	return append(b.send(now, phaseRecording, OpAbandon, b.config.RecordFor), reply)
 }
 
 func (b *Booking) end(recorded bool) []BookingAction {
--- a/internal/ledger/booking_test.go
+++ b/internal/ledger/booking_test.go
@@ -74,8 +74,9 @@
 		{"session ended", []step{start, result(OpBegin, CodeSessionEnded, "", "propose 3; reply 7 not-run; ")}},
 		{"service unreachable", []step{start, granted, {2, goodLease, Dispatched{}, "propose 3; "}, result(OpAbandon, CodeDone, "a1", "reply 8 not-run; end true; ")}},
 		{"service and control unreachable", []step{start, granted, {2, goodLease, Dispatched{}, "propose 3; "}, tick(2+DefaultBeginWithin, "reply 8 not-run; propose 3; "), tick(3+DefaultBeginWithin, ""), tick(2+DefaultRecordFor, "end false; ")}},
-		{"answer lost", []step{start, granted, {2, goodLease, Dispatched{Facts: left}, "propose 4; reply 3 unknown; "}, result(OpMarkUnknown, CodeDone, "a1", "end true; ")}},
-		{"service declines", []step{start, granted, {2, goodLease, Dispatched{Facts: declined}, "propose 4; reply 3 unknown; "}}},
+		{"answer lost", []step{start, granted, {2, goodLease, Dispatched{Facts: left}, "propose 4; "}, result(OpMarkUnknown, CodeDone, "a1", "reply 3 unknown; end true; ")}},
+		{"answer and control lost", []step{start, granted, {2, goodLease, Dispatched{Facts: left}, "propose 4; "}, tick(2+DefaultBeginWithin, "reply 3 unknown; propose 4; "), tick(2+DefaultRecordFor, "end false; ")}},
+		{"service declines", []step{start, granted, {2, goodLease, Dispatched{Facts: declined}, "propose 4; "}, result(OpMarkUnknown, CodeDone, "a1", "reply 3 unknown; end true; ")}},
 		{"control lost before the finish", []step{start, granted, {2, goodLease, Dispatched{Facts: whole}, "propose 2; reply 0 ran; "}, tick(2+DefaultResend, "propose 2; "), tick(2+DefaultRecordFor, "end false; ")}},
 		{"dispatched told twice", []step{start, granted, {2, goodLease, Dispatched{Facts: whole}, "propose 2; reply 0 ran; "}, {2, goodLease, Dispatched{Facts: left}, ""}}},
 		{"started twice", []step{start, {1, goodLease, Started{}, ""}}},
@@ -130,12 +131,12 @@
 		Facts:  answer.Facts{MayHaveLeft: true, Whole: true, Declined: true},
 		Answer: Answer{Status: 503, Body: []byte("full")},
 	})
-	reply := actions[1].(Reply)
+	is.Equal(len(actions[0].(Propose).Command.Answer), 0) // not kept as the key's answer
+	reply := b.Step(0, goodLease, received(OpMarkUnknown, CodeDone, "a1"))[0].(Reply)
 	got, err := DecodeAnswer(reply.Answer)
 	is.NoErr(err)
 	is.Equal(got.Status, 503)
 	is.Equal(reply.Outcome, fleet.OutcomeUnknown)
-	is.Equal(len(actions[0].(Propose).Command.Answer), 0) // not kept as the key's answer
 }
 
 func TestLeaseTrackerNumbersTenures(t *testing.T) {
--- a/internal/ledger/simulation_booking_test.go
+++ b/internal/ledger/simulation_booking_test.go
@@ -42,8 +42,8 @@
 	case Propose:
 		b.sim.propose(b.owner, a.Command, func(r Result) { b.step(Received{Op: a.Command.Op, Result: r}) })
 	case Dispatch:
-		if b.sim.chance(2) {
-			b.owner.frozen = b.sim.now + b.sim.upTo(simMaxFreeze)
+		if b.sim.chance(4) { // between the begin and the write, beyond lease and hold
+			b.owner.frozen = b.sim.now + simMaxFreeze/4 + b.sim.upTo(simMaxFreeze*3/4)
 		}
 		b.sim.at(b.sim.upTo(50*time.Millisecond), b.owner, b.write)
 	case Reply:
--- a/internal/ledger/simulation_test.go
+++ b/internal/ledger/simulation_test.go
@@ -87,6 +87,7 @@
 		ends: map[Process]time.Duration{},
 	}
 	s.state.flaw = stateFlaw
+	s.apply(Command{Op: OpSetLimits, Limits: &Limits{UnknownHold: simMaxWire + time.Second}})
 	for i := range simOwners {
 		o := &simOwner{id: fleet.InstanceID(fmt.Sprintf("r%d", i)), boot: 1}
 		s.owners = append(s.owners, o)
--- a/internal/owner/booking.go
+++ b/internal/owner/booking.go
@@ -185,6 +185,9 @@
 func (r *callRun) settleNever(ctx context.Context, reply *CallReply) {
 	command := ledger.Command{Op: ledger.OpSettleNever, Key: r.key(), Attempt: answer.AttemptID(reply.Holder)}
 	result, err := r.owner.cfg.Ledger(ctx, command)
+	if err == nil && result.Code == ledger.CodeTooEarly {
+		reply.RetryAfterMillis = uint32(result.Wait.Milliseconds()) + 1
+	}
 	if err != nil || result.Code != ledger.CodeDone {
 		return
 	}
--- a/internal/owner/booking_test.go
+++ b/internal/owner/booking_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,7 +34,7 @@
 
 // testOwner is a Server around a ledger of its own, without mesh and members.
 func testOwner(state *ledger.State, lease ledger.Lease, before func(ledger.Op)) *Server {
-	index := uint64(0)
+	var mu sync.Mutex
 	clock := func() time.Duration { return 0 }
 	return &Server{log: hclog.NewNullLogger(), gate: newGate(clock), cfg: Config{
 		Instance: "r1", Boot: "1", Clock: clock, Lease: func() ledger.Lease { return lease },
@@ -43,18 +44,24 @@
 			if err != nil {
 				return ledger.Result{}, err
 			}
-			index++
-			return ledger.DecodeResult(state.Apply(index, encoded))
+			mu.Lock()
+			defer mu.Unlock()
+			return ledger.DecodeResult(state.Apply(0, encoded))
 		},
 	}}
 }
 
 // book runs one booking to the end of its record.
 func book(t *testing.T, s *Server, service upstream.Service, attempt string) *CallReply {
+	t.Helper()
+	return bookAt(t, s, service, attempt, "")
+}
+
+func bookAt(t *testing.T, s *Server, service upstream.Service, attempt, lookup string) *CallReply {
 	t.Helper()
 	ended := make(chan struct{})
 	run := &callRun{owner: s, service: service, slot: &slot{gate: s.gate, id: fleet.RequestID(attempt)}, req: &CallRequest{
-		Header: Header{Attempt: attempt, Workspace: "w"}, Service: "counter", Method: http.MethodPost, Path: "/pickups", IdempotencyKey: "k",
+		Header: Header{Attempt: attempt, Workspace: "w"}, Service: "counter", Method: http.MethodPost, Path: "/pickups", IdempotencyKey: "k", LookupPath: lookup,
 	}}
 	reply := newBooking(run, func() { close(ended) }).run(t.Context())
 	<-ended
@@ -116,3 +123,24 @@
 		is.Equal(run.direct(t.Context()).Facts().Declined, repeatable)
 	}
 }
+
+// TestUnknownBookingIsSettled loses an answer, asks the service at once, when
+// its word that it never ran is too early, and again after the hold.
+func TestUnknownBookingIsSettled(t *testing.T) {
+	is := is.New(t)
+	state := ledger.NewState()
+	s := testOwner(state, ledger.Lease{Until: time.Hour}, func(ledger.Op) {})
+	service := &fakeService{facts: answer.Facts{MayHaveLeft: true}}
+	s.directory.Store(&directory{targets: map[fleet.UpstreamID]target{"c1": {service: service}}})
+
+	first := bookAt(t, s, service, "a1"+AttemptSeparator+"c1", "/keys")
+	is.Equal(first.Outcome, fleet.OutcomeUnknown)
+	is.Equal(time.Duration(first.RetryAfterMillis)*time.Millisecond, ledger.DefaultUnknownHold+time.Millisecond)
+
+	later, err := (ledger.Command{Op: ledger.OpMarkUnknown, Now: ledger.DefaultUnknownHold}).Encode()
+	is.NoErr(err)
+	state.Apply(0, later)
+	again := bookAt(t, s, service, "a2"+AttemptSeparator+"c1", "/keys")
+	is.Equal(again.Outcome, fleet.OutcomeNotRun)
+	is.Equal(service.runs, 1)
+}
