--- a/scripts/maintenance.sh
+++ b/scripts/maintenance.sh
@@ -61,7 +61,7 @@
 model=$(awk '$1 == "models:" { on = 1 } on && $2 == "name:" { print $3; exit }' "$example/allowances.yaml")
 seconds=${SECONDS_OF_LOAD:-100}
 "$bin" load --target "fleet=$urls" --balance --keys "$keys" --model "$model" --service "$service" --runs "$runs" \
-  --bookings 0.1 --lookups 0.1 --rate "$rate" --warmup 10s --duration "${seconds}s" --chats 300 \
+  --bookings 0.1 --repeats "${REPEATS:--1}" --lookups 0.1 --rate "$rate" --warmup 10s --duration "${seconds}s" --chats 300 \
   --answer-tokens 100 >"$data/report" 2>&1 &
 load=$!
 sleep 12
