scripts: measure service while a zone leaves and returns

Cause: the users weigh service through zone changes; no run showed it. Ruled out: trusting the routers' own counts; the zone's upstreams are asked how many requests they got. Change: measure.sh zone loads the Lamphun example, takes lp-mueang out and in, and fails on new work from 4 s after it went out; the load tool tells each reason once.

--- a/Makefile
+++ b/Makefile
@@ -21,10 +21,12 @@
 dala-press lamphun: build
 	./scripts/fleet.sh $@
 
-# measure compares direct, one-router and two-router paths, then runs the peak trial.
+# measure compares direct, one-router and two-router paths, then runs the peak
+# trial and the one with a zone out.
 measure: build
 	./scripts/measure.sh path
 	./scripts/measure.sh peak
+	./scripts/measure.sh zone
 
 generate:
 	$(GO) generate ./...
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -107,6 +107,18 @@
 	is.Equal(report.Broken(), int64(1))
 }
 
+func TestSamplesShowEachReasonOnce(t *testing.T) {
+	is := is.New(t)
+	var s samples
+	for range 3 {
+		s.add(VerdictRefused, "chat: 503")
+		s.add(VerdictLost, "chat: a")
+	}
+	s.add(VerdictRefused, "chat: 429")
+	is.Equal(s.other, []string{"refused chat: 503", "refused chat: 429"})
+	is.Equal(s.broken, []string{"lost chat: a"})
+}
+
 func TestWarmUpRateGrowsEvenly(t *testing.T) {
 	is := is.New(t)
 	r := runner{cfg: Config{Rate: 100, Warmup: 10 * time.Second}}
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -43,8 +43,8 @@
 
 func (w window) holds(at time.Duration) bool { return at >= w.from && at < w.to }
 
-// samples describes some requests that didn't end whole, those that broke a
-// promise apart from those that were refused or failed.
+// samples describes some requests that didn't end whole, each description once,
+// those that broke a promise apart from those that were refused or failed.
 type samples struct{ broken, other []string }
 
 func (s *samples) add(v Verdict, detail string) {
@@ -52,8 +52,9 @@
 	if slices.Contains(broken, v) {
 		list = &s.broken
 	}
-	if len(*list) < maxSamples {
-		*list = append(*list, string(v)+" "+detail)
+	sample := string(v) + " " + detail
+	if len(*list) < maxSamples && !slices.Contains(*list, sample) {
+		*list = append(*list, sample)
 	}
 }
 
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -3,6 +3,7 @@
 #   scripts/measure.sh path [load flags]   one engine asked directly, through its owner, and through
 #                                          an entry router and its owner, in one run
 #   scripts/measure.sh peak [load flags]   the Dala Press example at a tenth of the design's peak
+#   scripts/measure.sh zone [load flags]   the Lamphun example while a zone is taken out and back in
 # DATA keeps the data folder; STEP is the engines' time of a decode step; NETWORK,
 # such as 127.41, names the loopback network, else each run takes one of its own.
 set -u
@@ -124,11 +125,61 @@
     --answer-tokens 220 "$@"
 }
 
+# requests_in ZONE PLATFORM_FILE prints how many requests the upstreams of a zone
+# have received.
+requests_in() {
+  local addr n=0
+  while read -r addr; do
+    n=$((n + $(curl -sS "http://$addr/standin/stats" | sed -n 's/.*"requests":\([0-9]*\).*/\1/p')))
+  done < <(sed -n "s/.*addr: \"\([^\"]*\)\", zone: $1}.*/\1/p" "$2")
+  echo "$n"
+}
+
+# zone_state out|in ZONE EXAMPLE_DIR changes a zone's state.
+zone_state() {
+  WIGEONFLOW_OPERATOR_KEY=$(operator_key "$3") "$bin" zone "$1" --control "$(operators "$3")" "$2" >/dev/null
+}
+
+# The zone goes out this long after the load has begun, is looked at from SETTLE
+# later on, and comes back OUT later.
+before=14
+settle=4
+out=12
+
+measure_zone() {
+  local dir zone=lp-mueang file urls= keys runs loading early late back
+  dir=$(localize "$root/examples/lamphun")
+  start_fleet "$dir" || return 1
+  for file in "$dir"/router-*.yaml; do
+    urls+=,http://$(setting "$file" callers)
+  done
+  keys=$(grep -oE '`lamphun-[a-z-]+-demo`' "$dir/README.md" | tr -d '`' | grep -v operator | head -3 | paste -sd,)
+  runs=$(upstreams "$dir/platform.yaml" | awk '$2 == "ledger" { printf "%shttp://%s", sep, $3; sep = "," }')
+  "$bin" load --keys "$keys" --model rite-plans --target "fleet=${urls#,}" --service dispatch --runs "$runs" \
+    --booking-path /dispatches --lookups 0.2 --bookings 0.1 --rate 30 --chats 200 --warmup 10s --duration 30s \
+    --answer-tokens 120 "$@" &
+  loading=$!
+  sleep $before
+  zone_state out $zone "$dir" || return 1
+  sleep $settle
+  early=$(requests_in $zone "$dir/platform.yaml")
+  sleep $((out - settle))
+  late=$(requests_in $zone "$dir/platform.yaml")
+  zone_state in $zone "$dir" || return 1
+  wait $loading
+  loading=$?
+  back=$(requests_in $zone "$dir/platform.yaml")
+  echo "zone $zone: $early requests until $settle s after it went out, $((late - early)) more until it came back, $((back - late)) since"
+  [ $((late - early)) -eq 0 ] && return $loading
+  return 1
+}
+
 case $what in
 path) measure_path "$@" ;;
 peak) measure_peak "$@" ;;
+zone) measure_zone "$@" ;;
 *)
-  sed -n '2,8s/^# \?//p' "$0"
+  sed -n '2,9s/^# \?//p' "$0"
   exit 2
   ;;
 esac
