Remove what the entry does by its own means

answer.StreamingBody and answer.UsageOf had no callers: the entry reads and rewrites requests with gjson and sjson and reads usage itself. Their test goes with the code it tested; nothing else depended on it.

--- a/internal/answer/chunk.go
+++ b/internal/answer/chunk.go
@@ -37,15 +37,6 @@
 	return *chunk.Usage, true
 }
 
-// UsageOf returns the usage that a chunk carries, and false if it has none. Plans
-// are charged by it.
-func UsageOf(data []byte) (Usage, bool) {
-	if !bytes.Contains(data, usageField) {
-		return Usage{}, false
-	}
-	return chunkUsage(data)
-}
-
 // chunkID reads the id of a chunk that is written with unusual spacing or order.
 func chunkID(data []byte) (string, bool) {
 	var chunk struct {
--- a/internal/answer/errors.go
+++ b/internal/answer/errors.go
@@ -9,8 +9,6 @@
 	ErrEventTooLarge = errs.NewType("event_too_large")
 	// ErrBadEvent means an event's data is not a chat.completion.chunk.
 	ErrBadEvent = errs.NewType("bad_event")
-	// ErrBadRequest means a caller's request body can't be read.
-	ErrBadRequest = errs.NewType("bad_request")
 	// ErrTooLarge means a whole answer exceeds its bound.
 	ErrTooLarge = errs.NewType("answer_too_large")
 	// ErrIncomplete means an answer has no end.
--- a/internal/answer/whole_test.go
+++ b/internal/answer/whole_test.go
@@ -1,7 +1,6 @@
 package answer
 
 import (
-	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -43,40 +42,6 @@
 	is.True(bounded.Add([]byte(`{"id":"chatcmpl-a"}`)) != nil)
 }
 
-func TestStreamingBody(t *testing.T) {
-	for _, c := range []struct {
-		name, body string
-		asked      Asked
-		ok         bool
-	}{
-		{"whole", `{"model":"m"}`, Asked{}, true},
-		{"stream", `{"model":"m","stream":true}`, Asked{Stream: true}, true},
-		{"stream with usage", `{"stream":true,"stream_options":{"include_usage":true}}`, Asked{Stream: true, Usage: true}, true},
-		{"other options stay", `{"stream_options":{"x":1}}`, Asked{}, true},
-		{"null options", `{"stream":null,"stream_options":null}`, Asked{}, true},
-		{"not an object", `[]`, Asked{}, false},
-		{"null", `null`, Asked{}, false},
-		{"wrong type", `{"stream":"yes"}`, Asked{}, false},
-		{"cut", `{"stream":`, Asked{}, false},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
-			body, asked, err := StreamingBody([]byte(c.body))
-			is.Equal(err == nil, c.ok)
-			if !c.ok {
-				return
-			}
-			is.Equal(asked, c.asked)
-			var got, before map[string]any
-			is.NoErr(json.Unmarshal(body, &got))
-			is.NoErr(json.Unmarshal([]byte(c.body), &before))
-			is.Equal(got["stream"], true)
-			is.Equal(got["stream_options"].(map[string]any)["include_usage"], true)
-			is.Equal(got["model"], before["model"])
-		})
-	}
-}
-
 func TestRefusalIsWritten(t *testing.T) {
 	is := is.New(t)
 	refusal := Refusal{
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -57,8 +57,7 @@
 // ChatRequest is one attempt at a chat completion.
 type ChatRequest struct {
 	Attempt answer.AttemptID
-	// Body is the caller's request with stream and include_usage set; see
-	// answer.StreamingBody.
+	// Body is the caller's request with stream and include_usage set.
 	Body []byte
 	// Resume continues the generation of Attempt after token event Offset.
 	Resume   bool
