plan: slots do not make a borrower share out what the plan has plenty of

The router's shell besides counted a waiting request anew at each look. Ruled out: the limits of the example (in flight 34 of 400 a workspace), message loss (none on loopback). Change: rate and quota are shared out, slots bound the asking borrower alone; the shell uses Start once, then Retry and Abandon, and waits up to 500 ms for credits that other routers give back.

--- a/internal/plan/book.go
+++ b/internal/plan/book.go
@@ -104,7 +104,10 @@
 	if want == (Amount{}) {
 		return want
 	}
-	n := portion(units, b.wanted(now), b.startable(now, who, each))
+	n := portion(units, b.wanted(now), b.lendable(now, each))
+	if b.plan.Concurrency > 0 {
+		n = min(n, int64(max(who.allotted-who.inFlight+who.inFlight/slotTurnover, 0)))
+	}
 	var got Amount
 	if b.plan.RequestsPerSecond > 0 {
 		got.Requests = b.rate.lend(now, min(n, want.Requests))
@@ -116,8 +119,9 @@
 	return got
 }
 
-// startable is how many requests of the given number of tokens could be lent.
-func (b *book) startable(now time.Duration, who *borrowerBook, each int64) int64 {
+// lendable is how many requests of the given number of tokens rate and quota
+// leave to lend, to all borrowers together.
+func (b *book) lendable(now time.Duration, each int64) int64 {
 	n := int64(math.MaxInt32)
 	if b.plan.RequestsPerSecond > 0 {
 		b.rate.refill(now)
@@ -126,9 +130,6 @@
 	if b.plan.TokensPerMinute > 0 && each > 0 {
 		n = min(n, b.tokens.free(now)/each)
 	}
-	if b.plan.Concurrency > 0 {
-		n = min(n, int64(who.allotted-who.inFlight+who.inFlight/slotTurnover))
-	}
 	return max(n, 0)
 }
 
--- a/internal/router/plans.go
+++ b/internal/router/plans.go
@@ -32,8 +32,10 @@
 	borrowTimeout = time.Second
 	// startTimeout bounds how long a caller waits for its plan's counts.
 	startTimeout = 5 * time.Second
-	// borrowRetry spaces a caller's looks at its plan.
-	borrowRetry = 10 * time.Millisecond
+	// borrowRetry spaces a caller's looks at its plan without news of credits.
+	borrowRetry = 100 * time.Millisecond
+	// lendWait is how long a caller waits while the home has nothing to lend.
+	lendWait = 500 * time.Millisecond
 )
 
 // plans runs the plan cores: the home of the workspaces that this router counts
@@ -85,47 +87,65 @@
 // errPlanHome means that the plan's counts could not be reached in time.
 var errPlanHome = fleet.Errors.NewType("plan_home_unreachable")
 
-// Start implements entry.Plans.
+// Start implements entry.Plans. A request that finds no credits waits while they
+// are fetched; one that the home has no room for waits lendWait at most, for
+// credits that other routers are about to give back.
 func (p *plans) Start(ctx context.Context, workspace fleet.WorkspaceID, tokens int64) (entry.Charge, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
+	first := p.router.cfg.Clock()
+	waits := false // the borrower counts this request among those that wait
 	for {
-		answer, changed, opening := p.start(workspace, tokens)
-		pause := borrowRetry
-		switch {
-		case answer.Step == plan.Started:
+		answer, changed, opening := p.try(workspace, tokens, waits)
+		if answer.Step == plan.Started {
 			return &charge{plans: p, ticket: answer.Ticket}, 0, nil
-		case answer.Step == plan.Wait:
-			p.ask(workspace)
-		case !opening:
+		}
+		waits = waits || answer.Step == plan.Wait
+		refused := answer.RetryAfter > 0 && !opening
+		if refused && (answer.Step == plan.Over || p.router.cfg.Clock()-first >= lendWait) {
+			p.abandon(workspace, tokens, waits)
 			return nil, answer.RetryAfter, nil
-		default:
-			pause = max(answer.RetryAfter, borrowRetry)
+		}
+		if answer.RetryAfter == 0 {
+			p.ask(workspace)
 		}
 		select {
 		case <-changed:
-		case <-time.After(pause):
+		case <-time.After(max(min(answer.RetryAfter, lendWait), borrowRetry)):
 		case <-ctx.Done():
+			p.abandon(workspace, tokens, waits)
 			return nil, 0, fleet.At(errPlanHome.Wrap(ctx.Err(), "borrow"), "plan.borrow", string(p.homeOf(workspace)))
 		}
 	}
 }
 
-// start looks at the credits in hand. It returns what tells of new ones, and
-// whether the home is still opening.
-func (p *plans) start(workspace fleet.WorkspaceID, tokens int64) (plan.Answer, <-chan struct{}, bool) {
+// try looks at the credits in hand, again where the request waits already. It
+// returns what tells of new ones, and whether the home is still opening.
+func (p *plans) try(workspace fleet.WorkspaceID, tokens int64, again bool) (plan.Answer, <-chan struct{}, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	answer := p.borrower.Start(p.router.cfg.Clock(), workspace, tokens)
-	if answer.Step != plan.Wait {
-		return answer, nil, p.opening[workspace]
+	now := p.router.cfg.Clock()
+	var answer plan.Answer
+	if again {
+		answer = p.borrower.Retry(now, workspace, tokens)
+	} else {
+		answer = p.borrower.Start(now, workspace, tokens)
 	}
 	wait := p.waiters[workspace]
-	if wait == nil {
+	if wait == nil && answer.Step == plan.Wait {
 		wait = make(chan struct{})
 		p.waiters[workspace] = wait
 	}
-	return answer, wait, false
+	return answer, wait, p.opening[workspace]
+}
+
+func (p *plans) abandon(workspace fleet.WorkspaceID, tokens int64, waits bool) {
+	if !waits {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.borrower.Abandon(workspace, tokens)
 }
 
 // ask sends a request for credits, unless one is on its way.
