--- a/internal/consensus/bench_test.go
+++ b/internal/consensus/bench_test.go
@@ -132,3 +132,36 @@
 		})
 	}
 }
+
+// blob is a state machine with a state of a given size.
+type blob []byte
+
+func (blob) Apply(uint64, []byte) []byte { return nil }
+func (b blob) Snapshot() ([]byte, error) { return b, nil }
+func (blob) Restore([]byte) error        { return nil }
+
+// BenchmarkSnapshot reports how long a member stands still for a snapshot on a
+// real folder.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, megabytes := range []int{1, 4, 16} {
+		b.Run(fmt.Sprint("megabytes-", megabytes), func(b *testing.B) {
+			disk, err := OpenFolder(b.TempDir())
+			if err != nil {
+				b.Fatal(err)
+			}
+			opts := Options{ID: "a", Bootstrap: true, Rand: testRand()}
+			r, err := openReplica(0, disk, "bench", opts, make(blob, megabytes<<20), &switchboard{})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer r.stop(errCrashed)
+			r.threshold = 1
+			for b.Loop() {
+				r.propose(0, []byte("x"), func([]byte, error) {})
+				if err := r.process(0); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -40,6 +40,8 @@
 
 	maxAppendBytes = 256 << 10 // of entries in one message
 	maxUncommitted = 8192      // entries that a leader holds before it refuses more
+	maxLogBytes    = 4 << 20   // of entries in memory before a snapshot is taken
+	maxHeldBytes   = 16 << 20  // of entries that a leader holds before it refuses more
 	maxInflight    = 4096      // entries sent to one member ahead of its acknowledgement
 	entryOverhead  = 16        // bytes of one entry beside its data
 	helloInterval  = 500 * time.Millisecond
@@ -137,7 +139,8 @@
 		opts.ClockDrift = DefaultClockDrift
 	}
 	c := &Core{opts: opts, hard: st.Hard, snapshot: st.Snapshot, waiting: map[MemberID]WaitingStore{}}
-	c.log = entryLog{base: st.Base, baseTerm: st.BaseTerm, entries: st.Entries}
+	c.log = entryLog{base: st.Base, baseTerm: st.BaseTerm}
+	c.log.append(st.Entries...)
 	c.log.stable = c.log.last()
 	c.log.commit, c.log.applied = st.Snapshot.Index, st.Snapshot.Index
 	if st.Snapshot.Index > 0 {
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"testing"
@@ -220,3 +221,54 @@
 	var notProposed *NotProposedError
 	is.True(errors.As(err, &notProposed))
 }
+
+// lowSource draws the shortest election timeouts, to a few nanoseconds.
+type lowSource struct{}
+
+func (lowSource) Uint64() uint64 { return 1 << 40 }
+
+// TestDriftMarginKeepsLeasesApart cuts a leader with the slowest clock off from
+// followers with the fastest ones, which then stand for election at once.
+func TestDriftMarginKeepsLeasesApart(t *testing.T) {
+	cases := []struct {
+		name    string
+		drift   float64 // that the margin allows for
+		overlap bool
+	}{
+		{"with the margin for the stated drift", DefaultClockDrift, false},
+		{"without a margin", 1e-9, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(3, 3, faults{})
+			w.opts.ClockDrift = tc.drift
+			w.delay = 0
+			rates := []float64{1 - DefaultClockDrift, 1 + DefaultClockDrift, 1 + 0.99*DefaultClockDrift}
+			for i, m := range w.members {
+				m.rate = rates[i]
+				m.start()
+			}
+			w.run(10 * time.Second)
+			for lead := w.leader(); lead != w.members[0]; lead = w.leader() {
+				lead.when(func() { _ = lead.replica.core.TransferLeadership(lead.local(), w.members[0].id) })
+				w.run(w.now + time.Second)
+			}
+			for _, m := range w.others(w.members[0]) {
+				m.replica.core.opts.Rand = rand.New(lowSource{})
+			}
+			sent := w.members[0].replica.core.leadership.round
+			for w.members[0].replica.core.leadership.round < sent+2 {
+				w.run(w.now + time.Millisecond)
+			}
+			for _, m := range w.others(w.members[0]) {
+				w.cut(w.members[0].id, m.id, 0)
+			}
+			w.run(w.now + 5*time.Second)
+			is.Equal(w.check.err != nil, tc.overlap)
+			if !tc.overlap {
+				is.True(w.leader() != nil && w.leader() != w.members[0])
+			}
+		})
+	}
+}
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -109,8 +109,8 @@
 	if t := c.leadership.transfer; t != nil {
 		return &NotLeaderError{Leader: t.target, Addr: c.addr(t.target)}
 	}
-	if c.log.last()-c.log.commit >= maxUncommitted {
-		return &NotProposedError{Cause: ErrRefused.New("%d entries wait for a quorum", maxUncommitted)}
+	if waiting := c.log.last() - c.log.commit; waiting >= maxUncommitted || c.log.bytes >= maxHeldBytes {
+		return &NotProposedError{Cause: ErrRefused.New("%d entries wait for a quorum", waiting)}
 	}
 	return nil
 }
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -6,6 +6,7 @@
 	base     uint64 // index of the entry before the first one held
 	baseTerm uint64
 	entries  []Entry
+	bytes    int    // of the entries held
 	stable   uint64 // last synced index
 	commit   uint64
 	applied  uint64
@@ -61,11 +62,37 @@
 
 // truncate drops the entries from index on.
 func (l *entryLog) truncate(index uint64) {
+	l.bytes -= sizeOf(l.slice(index, l.last()))
 	l.entries = l.entries[: index-l.base-1 : index-l.base-1]
 	l.stable = min(l.stable, index-1)
 }
 
-func (l *entryLog) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
+func (l *entryLog) append(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+	l.bytes += sizeOf(entries)
+}
+
+func sizeOf(entries []Entry) int {
+	size := 0
+	for _, e := range entries {
+		size += len(e.Data) + entryOverhead
+	}
+	return size
+}
+
+// tail returns the index after which at most maxEntries entries and about
+// maxBytes bytes follow, up to and including last.
+func (l *entryLog) tail(last, maxEntries uint64, maxBytes int) uint64 {
+	index, size := last, 0
+	for index > l.base && last-index < maxEntries {
+		size += len(l.entries[index-l.base-1].Data) + entryOverhead
+		if size > maxBytes {
+			break
+		}
+		index--
+	}
+	return index
+}
 
 // compact drops the entries up to and including index.
 func (l *entryLog) compact(index uint64) {
@@ -74,7 +101,7 @@
 		return
 	}
 	l.entries = append([]Entry(nil), l.slice(index+1, l.last())...)
-	l.base, l.baseTerm = index, term
+	l.base, l.baseTerm, l.bytes = index, term, sizeOf(l.entries)
 }
 
 // restore replaces the log by a snapshot's position, keeping the entries that
@@ -84,7 +111,7 @@
 		l.compact(index)
 	} else {
 		l.entries = nil
-		l.base, l.baseTerm = index, term
+		l.base, l.baseTerm, l.bytes = index, term, 0
 		l.stable = index
 	}
 	l.stable = max(l.stable, index)
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -33,6 +33,7 @@
 	machine   StateMachine
 	transport Transport
 	threshold uint64
+	logBytes  int                        // of entries in memory before a snapshot is taken
 	chunk     int                        // bytes of a snapshot in one message
 	pending   map[uint64]pendingProposal // by index
 	reads     []pendingRead
@@ -72,7 +73,7 @@
 	opts.Store = s.id
 	return &replica{
 		core: NewCore(now, opts, st), store: s, machine: machine, transport: t,
-		threshold: DefaultSnapshotThreshold, chunk: snapshotChunkBytes,
+		threshold: DefaultSnapshotThreshold, chunk: snapshotChunkBytes, logBytes: maxLogBytes,
 		pending: map[uint64]pendingProposal{}, decided: func() {},
 	}, nil
 }
@@ -192,11 +193,13 @@
 	p.done(result, nil)
 }
 
-// compact takes a snapshot when enough entries were applied since the last one.
-// Half as many stay in the log for members that are a little behind.
+// compact takes a snapshot when enough entries, or enough bytes, were applied since
+// the last one. A part of them stays in the log for members that are a little
+// behind.
 func (r *replica) compact() error {
 	applied := r.core.log.applied
-	if applied-r.core.snapshot.Index < r.threshold {
+	fresh := applied - r.core.snapshot.Index
+	if fresh < r.threshold && (fresh == 0 || r.core.log.bytes < r.logBytes) {
 		return nil
 	}
 	data, err := r.machine.Snapshot()
@@ -205,7 +208,7 @@
 	}
 	term, _ := r.core.log.term(applied)
 	snap := Snapshot{Index: applied, Term: term, Members: r.core.membersUpTo(applied), Data: data}
-	r.core.Compacted(snap, applied-r.threshold/2)
+	r.core.Compacted(snap, r.core.log.tail(applied, r.threshold/2, r.logBytes/4))
 	return r.store.SaveSnapshot(snap, r.core.state())
 }
 
--- a/internal/consensus/world_test.go
+++ b/internal/consensus/world_test.go
@@ -236,7 +236,7 @@
 		m.world.check.fail("%s doesn't start: %v", m.id, err)
 		return
 	}
-	r.threshold, r.chunk = 16, 3
+	r.threshold, r.chunk, r.logBytes = 16, 3, 600
 	m.replica = r
 	m.process()
 }
