control: a full copy of the configuration is read by pages

Cause: a full copy went in one reply; at 18,000 workspaces that is 2.3 MB, and a call may take 0.9 s. Where many routers start at once, calls time out with most of their reply sent, and the next ones send it again. Ruled out: a longer time for the call, since renewals wait behind it; a limit on copies under way, which leaves those that wait without an answer. Change: FetchReply carries 64 KB of a copy that the leader encodes once; a Fetcher keeps what it has read from one renewal to the next. Versions that change meanwhile, another leader and lost calls start or go on as they must (TestFetcher*).

--- a/internal/control/config_endpoint_gen.go
+++ b/internal/control/config_endpoint_gen.go
@@ -7,16 +7,164 @@
 )
 
 // MarshalMsg implements msgp.Marshaler
-func (z *FetchRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *FetchReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "a"
-	o = append(o, 0x81, 0xa1, 0x61)
-	o, err = z.After.MarshalMsg(o)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Size == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Offset == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Page == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o, err = z.Update.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Update")
+			return
+		}
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o, err = z.Copy.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Copy")
+			return
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			o = msgp.AppendUint32(o, z.Size)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "o"
+			o = append(o, 0xa1, 0x6f)
+			o = msgp.AppendUint32(o, z.Offset)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "p"
+			o = append(o, 0xa1, 0x70)
+			o = msgp.AppendBytes(o, z.Page)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FetchReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "After")
+		err = msgp.WrapError(err)
 		return
 	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "u":
+			bts, err = z.Update.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Update")
+				return
+			}
+		case "c":
+			bts, err = z.Copy.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Copy")
+				return
+			}
+		case "s":
+			z.Size, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Size")
+				return
+			}
+		case "o":
+			z.Offset, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Offset")
+				return
+			}
+		case "p":
+			z.Page, bts, err = msgp.ReadBytesBytes(bts, z.Page)
+			if err != nil {
+				err = msgp.WrapError(err, "Page")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *FetchReply) Msgsize() (s int) {
+	s = 1 + 2 + z.Update.Msgsize() + 2 + z.Copy.Msgsize() + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BytesPrefixSize + len(z.Page)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *FetchRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Offset == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o, err = z.After.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "After")
+			return
+		}
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o, err = z.Copy.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Copy")
+			return
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "o"
+			o = append(o, 0xa1, 0x6f)
+			o = msgp.AppendUint32(o, z.Offset)
+		}
+	}
 	return
 }
 
@@ -44,6 +192,18 @@
 				err = msgp.WrapError(err, "After")
 				return
 			}
+		case "c":
+			bts, err = z.Copy.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Copy")
+				return
+			}
+		case "o":
+			z.Offset, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Offset")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -58,6 +218,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FetchRequest) Msgsize() (s int) {
-	s = 1 + 2 + z.After.Msgsize()
+	s = 1 + 2 + z.After.Msgsize() + 2 + z.Copy.Msgsize() + 2 + msgp.Uint32Size
 	return
 }
--- /dev/null
+++ b/internal/control/fetcher.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"context"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
+)
+
+// caller is what a Fetcher needs of a Client.
+type caller interface {
+	Call(ctx context.Context, method string, request msgp.Marshaler, reply msgp.Unmarshaler) error
+}
+
+// Fetcher brings a router's view up to date. What it has read of a full copy it
+// keeps from one Fetch to the next, so that a slow link delays a copy but never
+// prevents it. It is not safe for concurrent use.
+type Fetcher struct {
+	client caller
+	copy   fleet.ConfigVersion // being read, 0 for none
+	read   []byte
+}
+
+// NewFetcher returns a Fetcher that has read nothing.
+func NewFetcher(client *Client) *Fetcher { return &Fetcher{client: client} }
+
+// Fetch fetches until the view is up to date, ctx ends or a call fails, and
+// tells whether the view changed.
+func (f *Fetcher) Fetch(ctx context.Context, view *operator.View) (changed bool, err error) {
+	for {
+		request := FetchRequest{After: view.Version(), Copy: f.copy, Offset: uint32(len(f.read))}
+		var reply FetchReply
+		if err := f.client.Call(ctx, MethodFetch, &request, &reply); err != nil {
+			return false, err
+		}
+		if reply.Copy == 0 {
+			f.forget()
+			return view.Apply(&reply.Update)
+		}
+		if f.take(&reply) {
+			return f.apply(view)
+		}
+	}
+}
+
+// take adds a page and tells whether the copy is whole.
+func (f *Fetcher) take(reply *FetchReply) bool {
+	if reply.Copy != f.copy || int(reply.Offset) != len(f.read) {
+		f.forget()
+		if reply.Offset != 0 {
+			return false
+		}
+		f.copy = reply.Copy
+	}
+	f.read = append(f.read, reply.Page...)
+	return len(f.read) == int(reply.Size)
+}
+
+func (f *Fetcher) apply(view *operator.View) (bool, error) {
+	defer f.forget()
+	var state operator.State
+	if _, err := state.UnmarshalMsg(f.read); err != nil {
+		return false, fleet.At(err, "control.fetch", "")
+	}
+	return view.Apply(&operator.Update{Full: &state})
+}
+
+func (f *Fetcher) forget() { f.copy, f.read = 0, nil }
--- /dev/null
+++ b/internal/control/fetcher_test.go
@@ -0,0 +1,126 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
+)
+
+// fetchSource answers a Fetcher from a Config, without a network.
+type fetchSource struct {
+	config *operator.Config
+	copies *copies
+	before func() error // of each call
+	bytes  int
+}
+
+func (s *fetchSource) Call(_ context.Context, _ string, request msgp.Marshaler, reply msgp.Unmarshaler) error {
+	if err := s.before(); err != nil {
+		return err
+	}
+	answer, err := s.copies.answer(s.config.Committed(), request.(*FetchRequest))
+	if err != nil {
+		return err
+	}
+	b, err := answer.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	s.bytes += len(b)
+	_, err = reply.UnmarshalMsg(b)
+	return err
+}
+
+// bulk puts lists in force whose difference is too large to be kept as a change.
+func (s *fetchSource) bulk(n int, plan string) {
+	both := &lists.Both{Plans: lists.Plans{Plans: []lists.Plan{{Name: plan}}}}
+	for i := range n {
+		both.Plans.Workspaces = append(both.Plans.Workspaces, lists.Workspace{
+			ID: fleet.WorkspaceID(fmt.Sprintf("workspace-%05d", i)), Plan: plan, KeyDigests: []string{fmt.Sprintf("%064x", i)},
+		})
+	}
+	s.apply(operator.Command{Kind: operator.KindLists, Operation: plan, AnyVersion: true, Lists: both})
+}
+
+func (s *fetchSource) apply(cmd operator.Command) {
+	encoded, err := cmd.Encode()
+	if err != nil {
+		panic(err)
+	}
+	s.config.Apply(0, encoded)
+}
+
+func TestFetcherGoesOnWithACopy(t *testing.T) {
+	is := is.New(t)
+	calls := 0
+	s := &fetchSource{config: operator.NewConfig(), copies: &copies{}}
+	s.bulk(18_000, "first")
+	s.before = func() error {
+		calls++
+		if calls%3 == 0 {
+			return errors.New("timeout")
+		}
+		return nil
+	}
+	f, view := &Fetcher{client: s}, operator.NewView()
+	for tries := 0; view.Version() == 0; tries++ {
+		_, err := f.Fetch(context.Background(), view)
+		is.True(err != nil || view.Version() == 1)
+		is.True(tries < 100)
+	}
+	state := s.config.Committed().State
+	encoded, err := state.MarshalMsg(nil)
+	is.NoErr(err)
+	is.True(s.bytes < len(encoded)*11/10) // no page twice
+}
+
+// Copies change, leaders change and calls fail while a copy is read; the view
+// gets the newest version all the same and never goes back.
+func TestFetcherUnderChanges(t *testing.T) {
+	for seed := range uint64(5) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		s := &fetchSource{config: operator.NewConfig(), copies: &copies{}}
+		s.bulk(9_000, "first")
+		changes, calls := 12, 0
+		s.before = func() error {
+			calls++
+			switch {
+			case changes > 0 && rng.IntN(8) == 0:
+				changes--
+				s.bulk(9_000, fmt.Sprint("plan-", changes))
+			case changes > 0 && rng.IntN(8) == 0:
+				changes--
+				s.apply(operator.Command{Kind: operator.KindZone, Operation: fmt.Sprint("zone-", changes), AnyVersion: true, Name: "medeu", Out: true})
+			case changes > 0 && rng.IntN(8) == 0:
+				s.copies = &copies{} // another member leads
+			case rng.IntN(6) == 0:
+				return errors.New("timeout")
+			}
+			return nil
+		}
+		f, view := &Fetcher{client: s}, operator.NewView()
+		var last fleet.ConfigVersion
+		for view.Version() < s.config.Committed().State.Version || changes > 0 {
+			_, _ = f.Fetch(context.Background(), view)
+			if view.Version() < last {
+				t.Fatalf("seed %d: version %d after %d", seed, view.Version(), last)
+			}
+			last = view.Version()
+		}
+		want := s.config.Committed().State
+		plan := want.Lists.Plans.Plans[0].Name
+		if w := view.Index().Workspace("workspace-08999"); w == nil || w.Plan != plan {
+			t.Fatalf("seed %d: %+v, want plan %s", seed, w, plan)
+		}
+		is.New(t).Equal(view.Index().ZoneOut("medeu"), len(want.ZonesOut) == 1)
+	}
+}
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -29,7 +29,7 @@
 
 var (
 	fleetSizes = flag.String("fleet", "5", "how many routers TestFleet runs, sizes by commas")
-	workspaces = flag.Int("workspaces", 10, "how many workspaces TestFleet has in force")
+	workspaces = flag.Int("workspaces", 2000, "how many workspaces TestFleet has in force")
 	fleetRest  = flag.Duration("rest", 0, "how long TestFleet measures without changes")
 )
 
@@ -45,11 +45,12 @@
 
 // lightRouter keeps a session and follows the configuration; it serves nothing.
 type lightRouter struct {
-	clock  fleet.Clock
-	client *Client
-	view   *operator.View
-	loads  []session.PoolLoad
-	woken  chan struct{}
+	clock   fleet.Clock
+	client  *Client
+	view    *operator.View
+	fetcher *Fetcher
+	loads   []session.PoolLoad
+	woken   chan struct{}
 
 	mu     sync.Mutex
 	holder *session.Holder
@@ -141,6 +142,7 @@
 			{Pool: fleet.PoolID(fmt.Sprint("pool-", (i+1)%10)), InFlight: 25, Upstreams: 1},
 		},
 	}
+	r.fetcher = NewFetcher(r.client)
 	f.routers = append(f.routers, r)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.t.Cleanup(func() { cancel(); pool.Close() })
@@ -187,9 +189,8 @@
 	r.mu.Lock()
 	r.holder.Take(r.clock(), &reply)
 	r.mu.Unlock()
-	var update operator.Update
-	if reply.Version > r.view.Version() && r.client.Call(ctx, MethodFetch, &FetchRequest{After: r.view.Version()}, &update) == nil {
-		_, _ = r.view.Apply(&update)
+	if reply.Version > r.view.Version() {
+		_, _ = r.fetcher.Fetch(ctx, r.view)
 	}
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -41,6 +41,7 @@
 	machine *machine
 	roster  *session.Roster
 	config  *operator.Config
+	copies  copies
 	ledger  *ledger.State
 	leader  *leader
 	cancel  context.CancelFunc
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -41,6 +41,7 @@
 	control  *control.Client
 	platform upstream.Platform
 	view     *operator.View
+	fetcher  *control.Fetcher // of renewLoop
 	rings    *rings
 	entry    *entry.Server
 	owner    *owner.Server
@@ -82,6 +83,7 @@
 		changed:  make(chan struct{}, 1),
 		noticed:  make(chan struct{}, 1),
 	}
+	r.fetcher = control.NewFetcher(r.control)
 	r.holder = session.NewHolder(sessionSettings(s), r.self, r.rings.owner)
 	r.authority.Store(new(session.Authority))
 	r.leases.Store(new(ledger.Lease))
--- a/internal/router/session_loop.go
+++ b/internal/router/session_loop.go
@@ -167,17 +167,11 @@
 
 // fetchConfig brings the newest committed configuration into force.
 func (r *Router) fetchConfig(ctx context.Context) {
-	var update operator.Update
-	err := r.control.Call(ctx, control.MethodFetch, &control.FetchRequest{After: r.view.Version()}, &update)
+	changed, err := r.fetcher.Fetch(ctx, r.view)
 	if err != nil {
 		r.log.Warn("configuration not fetched", "error", err)
 		return
 	}
-	changed, err := r.view.Apply(&update)
-	if err != nil {
-		r.log.Error("configuration not applied", "error", err)
-		return
-	}
 	if changed {
 		r.log.Info("configuration in force", "version", uint64(r.view.Version()))
 		r.plans.setPlans()
