--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/ledger"
@@ -30,6 +31,7 @@
 var (
 	fleetSizes = flag.String("fleet", "5", "how many routers TestFleet runs, sizes by commas")
 	workspaces = flag.Int("workspaces", 2000, "how many workspaces TestFleet has in force")
+	linkRate   = flag.Int("link", 0, "bytes a second that the control members may send in TestFleet, together; 0 means no limit")
 	fleetRest  = flag.Duration("rest", 0, "how long TestFleet measures without changes")
 )
 
@@ -41,6 +43,7 @@
 	servers []*Server
 	bytes   atomic.Int64 // over the control members' accepted connections
 	routers []*lightRouter
+	link    *rate.Limiter
 }
 
 // lightRouter keeps a session and follows the configuration; it serves nothing.
@@ -60,6 +63,7 @@
 type countingListener struct {
 	net.Listener
 	bytes *atomic.Int64
+	link  *rate.Limiter // nil for no limit
 }
 
 func (l countingListener) Accept() (net.Conn, error) {
@@ -67,12 +71,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return countingConn{conn, l.bytes}, nil
+	return countingConn{conn, l.bytes, l.link}, nil
 }
 
 type countingConn struct {
 	net.Conn
 	bytes *atomic.Int64
+	link  *rate.Limiter
 }
 
 func (c countingConn) Read(b []byte) (int, error) {
@@ -82,14 +87,30 @@
 }
 
 func (c countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
+	sent := 0
+	for sent < len(b) {
+		part := b[sent:min(sent+linkBurst, len(b))]
+		if c.link != nil {
+			_ = c.link.WaitN(context.Background(), len(part))
+		}
+		n, err := c.Conn.Write(part)
+		c.bytes.Add(int64(n))
+		if sent += n; err != nil {
+			return sent, err
+		}
+	}
+	return sent, nil
 }
 
+// linkBurst is how many bytes pass a limited link at once.
+const linkBurst = 16 << 10
+
 func newTestFleet(t testing.TB, members, routers int) *testFleet {
 	start := time.Now()
 	f := &testFleet{t: t, clock: func() time.Duration { return time.Since(start) }}
+	if *linkRate > 0 {
+		f.link = rate.NewLimiter(rate.Limit(*linkRate), linkBurst)
+	}
 	var listeners []net.Listener
 	for range members {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -120,7 +141,7 @@
 		f.t.Fatal(err)
 	}
 	f.servers = append(f.servers, member)
-	go func() { _ = server.Serve(countingListener{l, &f.bytes}) }()
+	go func() { _ = server.Serve(countingListener{l, &f.bytes, f.link}) }()
 	f.t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
