session: drains in the schedules; a late copy of a request changes nothing back

Cause: members can drain by now, and no schedule did. In reading: a late copy of a renewal from before the drain would have changed the member's record back, and each such copy cost two epochs. Change: only the newest request of a boot changes its record. Schedules drain routers and take that back.

--- a/internal/session/core_test.go
+++ b/internal/session/core_test.go
@@ -126,6 +126,18 @@
 	is.Equal(r.commit(0)[0].Kind, OpLeave) // after
 }
 
+func TestGrantorTakesNothingBackFromALateCopy(t *testing.T) {
+	is := is.New(t)
+	r := newRig(0, member("a", "a1"))
+	draining := request(member("a", "a1"), 2, 1)
+	draining.Draining = true
+	r.grantor.Renew(0, leads, draining)
+	is.Equal(len(r.commit(0)), 1)
+	is.True(r.roster.Membership().Members[0].Draining)
+	r.grantor.Renew(0, leads, request(member("a", "a1"), 1, 1)) // sent before
+	is.Equal(len(r.commit(0)), 0)
+}
+
 func TestGrantorProposesAgain(t *testing.T) {
 	is := is.New(t)
 	r := newRig(0, member("a", "a1"))
--- a/internal/session/grantor.go
+++ b/internal/session/grantor.go
@@ -233,7 +233,7 @@
 }
 
 func (g *Grantor) grant(now time.Duration, s *session, req *RenewRequest, reply *RenewReply) {
-	if m := req.member(); m != s.member {
+	if m := req.member(); m != s.member && req.Seq == s.seq { // a late copy changes nothing back
 		s.member, s.update = m, true
 		s.proposedAt = now - g.settings.ProposalTimeout
 	}
--- a/internal/session/lease_test.go
+++ b/internal/session/lease_test.go
@@ -118,6 +118,7 @@
 		bound  time.Duration
 	}{
 		{"planned leave and restart", faults{leave: 1, every: 5 * time.Second}, time.Second},
+		{"drain, and back", faults{drain: 1, every: 5 * time.Second}, time.Second},
 		// The next owner may crash as well before it takes over.
 		{"crash and restart", faults{crash: 1, every: 20 * time.Second}, 2*DefaultLease + time.Second},
 		{"leader changes only", faults{cutLeader: 8 * time.Second}, 0},
--- a/internal/session/ownership_test.go
+++ b/internal/session/ownership_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"strconv"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
 
 // owner is rendezvous hashing (Thaler and Ravishankar, 1998) without weights.
+// Draining members own nothing, unless all are draining.
 func (w *world) owner(m fleet.Membership, key string) fleet.InstanceID {
 	cached := strconv.FormatUint(uint64(m.Epoch), 10) + key
 	if id, ok := w.owners[cached]; ok {
@@ -16,7 +18,11 @@
 	}
 	var best fleet.InstanceID
 	var bestScore uint64
+	allDraining := !slices.ContainsFunc(m.Members, func(m fleet.Member) bool { return !m.Draining })
 	for _, member := range m.Members {
+		if member.Draining && !allDraining {
+			continue
+		}
 		h := fnv.New64a()
 		fmt.Fprintf(h, "%s/%s", key, member.ID)
 		if s := h.Sum64() * 0x9e3779b97f4a7c15; best == "" || s > bestScore {
