--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -159,8 +159,8 @@
 		clock: f.clock, client: NewClient(pool, f.addrs), view: operator.NewView(), woken: make(chan struct{}, 1),
 		holder: session.NewHolder(session.Settings{}, self, func(fleet.Membership, string) fleet.InstanceID { return id }),
 		loads: []session.PoolLoad{
-			{Pool: fleet.PoolID(fmt.Sprint("pool-", i%10)), InFlight: 25, Upstreams: 1},
-			{Pool: fleet.PoolID(fmt.Sprint("pool-", (i+1)%10)), InFlight: 25, Upstreams: 1},
+			{Pool: fleet.PoolID(fmt.Sprint("pool-", i%10)), InFlight: 25, Upstreams: 1, Warm: 25, WarmUpstreams: 1},
+			{Pool: fleet.PoolID(fmt.Sprint("pool-", (i+1)%10)), InFlight: 25, Upstreams: 1, Warm: 25, WarmUpstreams: 1},
 		},
 	}
 	r.fetcher = NewFetcher(r.client)
--- a/internal/session/bench_test.go
+++ b/internal/session/bench_test.go
@@ -28,7 +28,7 @@
 func benchLoads(i, pools int) []PoolLoad {
 	var loads []PoolLoad
 	for p := range pools {
-		loads = append(loads, PoolLoad{Pool: fleet.PoolID(fmt.Sprintf("pool-%02d", (i+p)%benchPools)), InFlight: 25, Upstreams: 1})
+		loads = append(loads, PoolLoad{Pool: fleet.PoolID(fmt.Sprintf("pool-%02d", (i+p)%benchPools)), InFlight: 25, Upstreams: 1, Warm: 25, WarmUpstreams: 1})
 	}
 	return loads
 }
