--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/ledger"
@@ -29,7 +30,8 @@
 
 var (
 	fleetSizes = flag.String("fleet", "5", "how many routers TestFleet runs, sizes by commas")
-	workspaces = flag.Int("workspaces", 10, "how many workspaces TestFleet has in force")
+	workspaces = flag.Int("workspaces", 2000, "how many workspaces TestFleet has in force")
+	linkRate   = flag.Int("link", 0, "bytes a second that the control members may send in TestFleet, together; 0 means no limit")
 	fleetRest  = flag.Duration("rest", 0, "how long TestFleet measures without changes")
 )
 
@@ -41,15 +43,17 @@
 	servers []*Server
 	bytes   atomic.Int64 // over the control members' accepted connections
 	routers []*lightRouter
+	link    *rate.Limiter
 }
 
 // lightRouter keeps a session and follows the configuration; it serves nothing.
 type lightRouter struct {
-	clock  fleet.Clock
-	client *Client
-	view   *operator.View
-	loads  []session.PoolLoad
-	woken  chan struct{}
+	clock   fleet.Clock
+	client  *Client
+	view    *operator.View
+	fetcher *Fetcher
+	loads   []session.PoolLoad
+	woken   chan struct{}
 
 	mu     sync.Mutex
 	holder *session.Holder
@@ -59,6 +63,7 @@
 type countingListener struct {
 	net.Listener
 	bytes *atomic.Int64
+	link  *rate.Limiter // nil for no limit
 }
 
 func (l countingListener) Accept() (net.Conn, error) {
@@ -66,12 +71,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return countingConn{conn, l.bytes}, nil
+	return countingConn{conn, l.bytes, l.link}, nil
 }
 
 type countingConn struct {
 	net.Conn
 	bytes *atomic.Int64
+	link  *rate.Limiter
 }
 
 func (c countingConn) Read(b []byte) (int, error) {
@@ -81,14 +87,30 @@
 }
 
 func (c countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
+	sent := 0
+	for sent < len(b) {
+		part := b[sent:min(sent+linkBurst, len(b))]
+		if c.link != nil {
+			_ = c.link.WaitN(context.Background(), len(part))
+		}
+		n, err := c.Conn.Write(part)
+		c.bytes.Add(int64(n))
+		if sent += n; err != nil {
+			return sent, err
+		}
+	}
+	return sent, nil
 }
 
+// linkBurst is how many bytes pass a limited link at once.
+const linkBurst = 16 << 10
+
 func newTestFleet(t testing.TB, members, routers int) *testFleet {
 	start := time.Now()
 	f := &testFleet{t: t, clock: func() time.Duration { return time.Since(start) }}
+	if *linkRate > 0 {
+		f.link = rate.NewLimiter(rate.Limit(*linkRate), linkBurst)
+	}
 	var listeners []net.Listener
 	for range members {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -119,7 +141,7 @@
 		f.t.Fatal(err)
 	}
 	f.servers = append(f.servers, member)
-	go func() { _ = server.Serve(countingListener{l, &f.bytes}) }()
+	go func() { _ = server.Serve(countingListener{l, &f.bytes, f.link}) }()
 	f.t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
@@ -137,10 +159,11 @@
 		clock: f.clock, client: NewClient(pool, f.addrs), view: operator.NewView(), woken: make(chan struct{}, 1),
 		holder: session.NewHolder(session.Settings{}, self, func(fleet.Membership, string) fleet.InstanceID { return id }),
 		loads: []session.PoolLoad{
-			{Pool: fleet.PoolID(fmt.Sprint("pool-", i%10)), InFlight: 25, Upstreams: 1},
-			{Pool: fleet.PoolID(fmt.Sprint("pool-", (i+1)%10)), InFlight: 25, Upstreams: 1},
+			{Pool: fleet.PoolID(fmt.Sprint("pool-", i%10)), InFlight: 25, Upstreams: 1, Warm: 25, WarmUpstreams: 1},
+			{Pool: fleet.PoolID(fmt.Sprint("pool-", (i+1)%10)), InFlight: 25, Upstreams: 1, Warm: 25, WarmUpstreams: 1},
 		},
 	}
+	r.fetcher = NewFetcher(r.client)
 	f.routers = append(f.routers, r)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.t.Cleanup(func() { cancel(); pool.Close() })
@@ -187,9 +210,8 @@
 	r.mu.Lock()
 	r.holder.Take(r.clock(), &reply)
 	r.mu.Unlock()
-	var update operator.Update
-	if reply.Version > r.view.Version() && r.client.Call(ctx, MethodFetch, &FetchRequest{After: r.view.Version()}, &update) == nil {
-		_, _ = r.view.Apply(&update)
+	if reply.Version > r.view.Version() {
+		_, _ = r.fetcher.Fetch(ctx, r.view)
 	}
 }
 
