plan: fewer messages a request; late messages of ended boots and former homes

Change: a smoother demand, credits that lapse soon for callers that wait, prompt reports only while little is left, idle slots are given back, ended boots are remembered, tenures are named in replies and requests.

--- a/internal/plan/account.go
+++ b/internal/plan/account.go
@@ -22,7 +22,6 @@
 // spend takes one request out of the oldest grants. covers must hold.
 func (a *account) spend(now time.Duration, tokens int64) {
 	a.inFlight++
-	a.changed = true
 	a.history.use(now, tokens)
 	need := Amount{1, tokens}
 	for i := range a.grants {
@@ -37,6 +36,9 @@
 	}
 }
 
+// looksAhead tells that enough requests are expected to borrow ahead of them.
+func (a *account) looksAhead() bool { return a.demand.requests*lookAhead.Seconds() >= 1 }
+
 // held sums up the rest of all grants that aren't given back.
 func (a *account) held() Amount {
 	var sum Amount
@@ -63,8 +65,8 @@
 // waiting ones alone: each request is charged on its own.
 func (a *account) want() Amount {
 	need, held := a.waiting, a.held()
-	if ahead := a.demand.requests * lookAhead.Seconds(); ahead >= 1 {
-		need.Requests += int64(math.Ceil(ahead))
+	if a.looksAhead() {
+		need.Requests += int64(math.Ceil(a.demand.requests * lookAhead.Seconds()))
 		need.Tokens += int64(math.Ceil(a.demand.tokens * lookAhead.Seconds()))
 	}
 	return Amount{max(need.Requests-held.Requests, 0), max(need.Tokens-held.Tokens, 0)}
@@ -72,8 +74,8 @@
 
 func (a *account) wantSlots() int {
 	slots := a.inFlight + int(a.waiting.Requests)
-	if ahead := a.demand.requests * lookAhead.Seconds(); ahead >= 1 {
-		slots += int(math.Ceil(ahead))
+	if a.looksAhead() {
+		slots += int(math.Ceil(a.demand.requests * lookAhead.Seconds()))
 	}
 	return slots
 }
@@ -85,7 +87,7 @@
 	surplus := a.surplus()
 	for i := range a.grants {
 		g := &a.grants[i]
-		g.closed = surplus || g.rest == (Amount{}) || g.expires-now < CreditLifetime/2
+		g.closed = surplus || g.rest == (Amount{}) || g.expires-now < CreditLifetime/2 && !g.brief
 	}
 }
 
@@ -104,15 +106,22 @@
 	switch {
 	case a.needed || a.waiting.Requests > 0 && now >= a.retryAt:
 		return true
-	case a.demand.requests*lookAhead.Seconds() >= 1:
+	case a.looksAhead():
 		held := a.held()
 		low := float64(held.Requests) < a.demand.requests*lookAhead.Seconds()/2
 		return since >= exchangeInterval || low && now >= a.retryAt && since >= exchangeInterval/5
+	case a.scarce:
+		return a.inFlight == 0 && (a.changed || a.idleSlots()) || since >= exchangeInterval && (a.changed || len(a.grants) > 0)
 	default:
-		return a.changed && a.inFlight == 0 || since >= exchangeInterval && (a.changed || len(a.grants) > 0)
+		return since >= reportDelay && (a.changed || a.idleSlots()) || since >= exchangeInterval && a.held() != (Amount{})
 	}
 }
 
+// idleSlots tells that slots are held here by the home's books and not in use.
+func (a *account) idleSlots() bool {
+	return a.waiting.Requests == 0 && a.slots > a.inFlight
+}
+
 func (a *account) idle(now time.Duration) bool {
 	return a.inFlight == 0 && !a.changed && !a.pending && len(a.grants) == 0 && now-a.usedAt > idleAge
 }
--- a/internal/plan/book.go
+++ b/internal/plan/book.go
@@ -9,14 +9,14 @@
 )
 
 // settle takes the borrower's reports into the books.
-func (b *book) settle(now time.Duration, home fleet.BootID, who *borrowerBook, r BorrowRequest) {
+func (b *book) settle(now time.Duration, who *borrowerBook, r BorrowRequest, off options) {
 	for _, report := range r.Reports {
 		at := slices.IndexFunc(who.grants, func(g grantBook) bool { return g.id == report.Grant })
 		if at >= 0 && b.report(now, &who.grants[at], report) {
 			who.grants = slices.Delete(who.grants, at, at+1)
 		}
 	}
-	if r.Home == home {
+	if r.Home == b.tenure {
 		for _, refund := range r.Refunds {
 			b.tokens.refund(now, refund.At, refund.Tokens)
 		}
@@ -25,7 +25,9 @@
 		b.tokens.use(now, r.Overrun-who.overrun)
 		who.overrun = r.Overrun
 	}
-	if b.silent[r.Instance] && r.History != nil {
+	// A late copy of a history that was meant for an earlier home tells nothing
+	// about the slots in use now.
+	if b.silent[r.Instance] && r.History != nil && (r.Home == b.tenure || off.noTenure) {
 		b.replacePresumed(now, r.History)
 		b.heard(now, r.Instance)
 	}
@@ -232,3 +234,14 @@
 	}
 	return out
 }
+
+// scarce tells that less than a part of one of the limits is left to lend.
+func (b *book) scarce(now time.Duration) bool {
+	slots := 0
+	for _, who := range b.borrowers {
+		slots += who.slots
+	}
+	return b.plan.RequestsPerSecond > 0 && b.rate.level < b.rate.capacity/scarcePart ||
+		b.plan.TokensPerMinute > 0 && b.tokens.free(now) < b.plan.TokensPerMinute/scarcePart ||
+		b.plan.Concurrency > 0 && b.plan.Concurrency-slots < b.plan.Concurrency/scarcePart+scarceSlots
+}
--- a/internal/plan/borrower.go
+++ b/internal/plan/borrower.go
@@ -14,11 +14,13 @@
 	// exchangeInterval is the longest time between exchanges while credits or
 	// slots are held or use is unreported.
 	exchangeInterval = 500 * time.Millisecond
+	// reportDelay is how long a report waits for others while nothing is scarce.
+	reportDelay = 2 * time.Second
 	// resendAfter is how long a request for credits waits for its reply before
 	// it is given up and a new one is made.
 	resendAfter = time.Second
 	// demandWeight is the weight of the newest interval in the expected demand.
-	demandWeight = 0.5
+	demandWeight = 0.2
 	// refundAge is the most that may pass between a reservation and its refund.
 	refundAge = 30 * time.Second
 	// surplusFactor is how many times the look-ahead's need is too much to hold.
@@ -86,12 +88,13 @@
 	known      bool // a reply has come within the credit lifetime
 	refusal    Refusal
 	refunds    []Refund // by the clock of home
-	home       fleet.BootID
+	home       string
 	homeAhead  time.Duration // home's clock less this one's, no more than true
 	overrun    int64
 	history    quota
 	needed     bool // the home wants the history
-	changed    bool // something to report
+	changed    bool // something to give back
+	scarce     bool // the home wants prompt reports
 	waiting    Amount
 	demand     demand
 	usedAt     time.Duration
@@ -104,6 +107,7 @@
 	spent   Amount
 	expires time.Duration
 	closed  bool
+	brief   bool
 }
 
 // demand is the expected need a second, from a moving mean over intervals.
@@ -228,10 +232,10 @@
 		return
 	}
 	a.setHome(now, r)
-	a.known, a.unlimited, a.needed = true, r.Unlimited, r.NeedHistory
+	a.known, a.unlimited, a.needed, a.scarce = true, r.Unlimited, r.NeedHistory, r.Scarce
 	a.slots, a.slotsUntil = r.Slots, a.sentAt+r.Lifetime
 	if r.Amount != (Amount{}) {
-		a.grants = append(a.grants, heldGrant{id: r.Grant, rest: r.Amount, expires: a.sentAt + r.Lifetime})
+		a.grants = append(a.grants, heldGrant{id: r.Grant, rest: r.Amount, expires: a.sentAt + r.Lifetime, brief: r.Lifetime < CreditLifetime})
 	}
 }
 
@@ -258,7 +262,11 @@
 	r := BorrowRequest{
 		Workspace: a.id, Instance: b.instance, Boot: b.boot,
 		InFlight: a.inFlight, Want: want, Slots: a.wantSlots(),
-		Refunds: a.refunds, Home: a.home, Overrun: a.overrun,
+		Refunds: a.refunds, Overrun: a.overrun,
+	}
+	r.Brief = !a.looksAhead()
+	if len(r.Refunds) > 0 || a.needed {
+		r.Home = a.home
 	}
 	r.Held = a.keepSlots(now, r.Slots)
 	for _, g := range a.grants {
--- a/internal/plan/home.go
+++ b/internal/plan/home.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -11,6 +12,9 @@
 const (
 	// CreditLifetime is how long a borrower may spend a grant.
 	CreditLifetime = 2 * time.Second
+	// BriefLifetime is that of credits for callers that wait for them. Spent or
+	// not, they are off the books soon and need no report.
+	BriefLifetime = 300 * time.Millisecond
 	// driftMargin lengthens a lifetime at the home, so that a clock which runs
 	// slower at the borrower by a part in 32 doesn't outlive it.
 	driftMargin = CreditLifetime / 32
@@ -19,6 +23,12 @@
 	// shareOf is the part of what is free that one grant may take while others
 	// may want some too.
 	shareOf = 2
+	// endedBoots is how many former boots of a borrower are remembered.
+	endedBoots = 8
+	// scarcePart is the part of a limit below which what is left is scarce.
+	scarcePart = 4
+	// scarceSlots are the slots that any plan should have left besides.
+	scarceSlots = 4
 	// slotTurnover is the part of the slots in use that is expected to come free
 	// and be used again while credits last.
 	slotTurnover = 4
@@ -26,20 +36,23 @@
 
 // options switch single mechanisms off, for tests that show what each prevents.
 type options struct {
-	lapseUnspent, noTakeoverWait, noSlotHold, noReplay bool
+	lapseUnspent, noTakeoverWait, noSlotHold, noReplay, noTenure bool
 }
 
 // Home counts the plans of the workspaces whose plan home this instance is. It
 // is not safe for concurrent use.
 type Home struct {
-	boot  fleet.BootID
-	plans map[fleet.WorkspaceID]lists.Plan
-	books map[fleet.WorkspaceID]*book
-	off   options
+	boot    fleet.BootID
+	tenures int
+	plans   map[fleet.WorkspaceID]lists.Plan
+	books   map[fleet.WorkspaceID]*book
+	off     options
 }
 
 // book is what a home knows about one workspace.
 type book struct {
+	// tenure differs each time that an instance becomes a workspace's home.
+	tenure    string
 	plan      lists.Plan
 	rate      bucket
 	tokens    quota
@@ -58,7 +71,9 @@
 }
 
 type borrowerBook struct {
-	boot     fleet.BootID
+	boot fleet.BootID
+	// ended are the boots before it, whose messages may still be on their way.
+	ended    []fleet.BootID
 	sequence uint64
 	reply    BorrowReply
 	slots    int // what the borrower may hold, at most, as far as is known
@@ -168,7 +183,7 @@
 	b := h.books[r.Workspace]
 	reply := BorrowReply{
 		Workspace: r.Workspace, Sequence: r.Sequence, Grant: r.Sequence,
-		Lifetime: CreditLifetime, Home: h.boot, Clock: now,
+		Lifetime: CreditLifetime, Clock: now,
 	}
 	if b == nil {
 		reply.Refusal = RefusalNotHome
@@ -178,16 +193,20 @@
 		reply.Refusal = RefusalUnknown
 		return reply
 	}
+	if r.Brief {
+		reply.Lifetime = BriefLifetime
+	}
+	reply.Home = b.tenure
 	b.lapse(now, h.off)
 	who := b.borrower(r)
 	switch {
-	case r.Sequence < who.sequence:
+	case r.Sequence < who.sequence, who.boot != r.Boot:
 		reply.Refusal = RefusalStale
 		return reply
 	case r.Sequence == who.sequence && r.Sequence > 0 && !h.off.noReplay:
 		return who.reply
 	}
-	b.settle(now, h.boot, who, r)
+	b.settle(now, who, r, h.off)
 	h.lend(now, b, who, r, &reply)
 	who.sequence, who.reply = r.Sequence, reply
 	return reply
@@ -200,14 +219,15 @@
 	reply.Slots = b.allot(who, r, h.off)
 	reply.NeedHistory = b.silent[r.Instance]
 	if now < b.openAt {
-		reply.RetryAfter = b.openAt - now
+		reply.RetryAfter, reply.Scarce = b.openAt-now, true
 		return
 	}
 	reply.Amount = b.take(now, who, r.Want)
-	expires := now + CreditLifetime + driftMargin
+	expires := now + reply.Lifetime + driftMargin
 	if reply.Amount != (Amount{}) {
 		who.grants = append(who.grants, grantBook{id: reply.Grant, rest: reply.Amount, expires: expires})
 	}
+	reply.Scarce = b.scarce(now)
 	if short(r.Want, reply.Amount) || reply.Slots < r.Slots {
 		reply.RetryAfter = b.retryAfter(now, r.Want)
 	}
@@ -223,6 +243,8 @@
 	b.setPlan(now, h.plans[id])
 	b.rate.level = b.rate.capacity
 	b.tokens.advance(now)
+	h.tenures++
+	b.tenure = fmt.Sprintf("%s/%d", h.boot, h.tenures)
 	h.books[id] = b
 	return b
 }
@@ -254,8 +276,9 @@
 	return u
 }
 
-// borrower returns the book of the request's sender; a new boot starts afresh,
-// for the work and the credits of the former one ended with it.
+// borrower returns the book of the request's sender. A new boot starts afresh,
+// for the work and the credits of the former one ended with it; a boot that has
+// ended doesn't come back.
 func (b *book) borrower(r BorrowRequest) *borrowerBook {
 	who := b.borrowers[r.Instance]
 	if who == nil {
@@ -264,7 +287,8 @@
 		at, _ := slices.BinarySearch(b.order, r.Instance)
 		b.order = slices.Insert(b.order, at, r.Instance)
 	}
-	if who.boot != r.Boot {
+	if who.boot != r.Boot && !slices.Contains(who.ended, r.Boot) {
+		who.ended = append(who.ended[max(len(who.ended)-endedBoots+1, 0):], who.boot)
 		who.boot, who.sequence, who.overrun = r.Boot, 0, r.Overrun
 		who.slots, who.allotted, who.inFlight = 0, 0, 0
 	}
--- a/internal/plan/messages.go
+++ b/internal/plan/messages.go
@@ -8,10 +8,12 @@
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
 
+//msgp:tuple Amount GrantReport Refund
+
 // Amount is a quantity of what a plan limits besides concurrency.
 type Amount struct {
-	Requests int64 `msg:"r,omitempty"`
-	Tokens   int64 `msg:"t,omitempty"`
+	Requests int64 `msg:"r"`
+	Tokens   int64 `msg:"t"`
 }
 
 // GrantReport tells how much of one grant the borrower has spent, all told.
@@ -20,7 +22,7 @@
 	Grant uint64 `msg:"g"`
 	Spent Amount `msg:"s"`
 	// Closed gives the unspent rest back; the borrower spends no more of it.
-	Closed bool `msg:"c,omitempty"`
+	Closed bool `msg:"c"`
 }
 
 // BorrowRequest asks the plan home for credits and reports on earlier ones.
@@ -40,11 +42,14 @@
 	Slots   int           `msg:"k,omitempty"`
 	Held    int           `msg:"j,omitempty"`
 	Reports []GrantReport `msg:"p,omitempty"`
+	// Brief asks for credits that lapse soon: the callers they are for wait.
+	Brief bool `msg:"v,omitempty"`
 	// Refunds is what recent answers used less than was reserved for them. They
 	// count once, with this sequence.
 	Refunds []Refund `msg:"d,omitempty"`
-	// Home is the boot of the home to whose clock the refunds refer.
-	Home fleet.BootID `msg:"m,omitempty"`
+	// Home names the tenure to whose clock the refunds refer and for which the
+	// history is.
+	Home string `msg:"m,omitempty"`
 	// Overrun is what answers used more than was reserved, all told.
 	Overrun int64 `msg:"o,omitempty"`
 	// History is the borrower's own token use of the last minute, newest step
@@ -69,11 +74,14 @@
 	// Slots is how many requests the borrower may have in flight.
 	Slots    int           `msg:"k,omitempty"`
 	Lifetime time.Duration `msg:"l"`
-	// Home is the boot of the home, and Clock its time at sending.
-	Home  fleet.BootID  `msg:"m"`
+	// Home names the home's tenure of the workspace, and Clock is its time at
+	// sending.
+	Home  string        `msg:"m"`
 	Clock time.Duration `msg:"o"`
 	// Unlimited tells what of the plan has no limit.
-	Unlimited Unlimited `msg:"u"`
+	Unlimited Unlimited `msg:"u,omitempty"`
+	// Scarce asks for prompt reports, for little of the plan is left to lend.
+	Scarce bool `msg:"y,omitempty"`
 	// RetryAfter is set when something wanted could not be lent.
 	RetryAfter time.Duration `msg:"x,omitempty"`
 	// NeedHistory asks for the History, for this home has taken over without books.
--- a/internal/plan/messages_gen.go
+++ b/internal/plan/messages_gen.go
@@ -9,74 +9,34 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Amount) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(2)
-	var zb0001Mask uint8 /* 2 bits */
-	_ = zb0001Mask
-	if z.Requests == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x1
-	}
-	if z.Tokens == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		if (zb0001Mask & 0x1) == 0 { // if not omitted
-			// string "r"
-			o = append(o, 0xa1, 0x72)
-			o = msgp.AppendInt64(o, z.Requests)
-		}
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// string "t"
-			o = append(o, 0xa1, 0x74)
-			o = msgp.AppendInt64(o, z.Tokens)
-		}
-	}
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendInt64(o, z.Requests)
+	o = msgp.AppendInt64(o, z.Tokens)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Amount) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "r":
-			z.Requests, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Requests")
-				return
-			}
-		case "t":
-			z.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Tokens")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Requests, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Requests")
+		return
+	}
+	z.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
 	}
 	o = bts
 	return
@@ -84,7 +44,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Amount) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	s = 1 + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
@@ -214,25 +174,33 @@
 func (z *BorrowReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(12)
-	var zb0001Mask uint16 /* 12 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.Slots == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.RetryAfter == 0 {
+	if z.Unlimited == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Scarce == false {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.NeedHistory == false {
+	if z.RetryAfter == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
-	if z.Refusal == 0 {
+	if z.NeedHistory == false {
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
+	if z.Refusal == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -253,34 +221,10 @@
 		o = msgp.AppendUint64(o, z.Grant)
 		// string "a"
 		o = append(o, 0xa1, 0x61)
-		// check for omitted fields
-		zb0002Len := uint32(2)
-		var zb0002Mask uint8 /* 2 bits */
-		_ = zb0002Mask
-		if z.Amount.Requests == 0 {
-			zb0002Len--
-			zb0002Mask |= 0x1
-		}
-		if z.Amount.Tokens == 0 {
-			zb0002Len--
-			zb0002Mask |= 0x2
-		}
-		// variable map header, size zb0002Len
-		o = append(o, 0x80|uint8(zb0002Len))
-
-		// skip if no fields are to be emitted
-		if zb0002Len != 0 {
-			if (zb0002Mask & 0x1) == 0 { // if not omitted
-				// string "r"
-				o = append(o, 0xa1, 0x72)
-				o = msgp.AppendInt64(o, z.Amount.Requests)
-			}
-			if (zb0002Mask & 0x2) == 0 { // if not omitted
-				// string "t"
-				o = append(o, 0xa1, 0x74)
-				o = msgp.AppendInt64(o, z.Amount.Tokens)
-			}
-		}
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendInt64(o, z.Amount.Requests)
+		o = msgp.AppendInt64(o, z.Amount.Tokens)
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "k"
 			o = append(o, 0xa1, 0x6b)
@@ -291,28 +235,31 @@
 		o = msgp.AppendDuration(o, z.Lifetime)
 		// string "m"
 		o = append(o, 0xa1, 0x6d)
-		o, err = z.Home.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Home")
-			return
-		}
+		o = msgp.AppendString(o, z.Home)
 		// string "o"
 		o = append(o, 0xa1, 0x6f)
 		o = msgp.AppendDuration(o, z.Clock)
-		// string "u"
-		o = append(o, 0xa1, 0x75)
-		o = msgp.AppendUint8(o, uint8(z.Unlimited))
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "u"
+			o = append(o, 0xa1, 0x75)
+			o = msgp.AppendUint8(o, uint8(z.Unlimited))
+		}
 		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "y"
+			o = append(o, 0xa1, 0x79)
+			o = msgp.AppendBool(o, z.Scarce)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "x"
 			o = append(o, 0xa1, 0x78)
 			o = msgp.AppendDuration(o, z.RetryAfter)
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "h"
 			o = append(o, 0xa1, 0x68)
 			o = msgp.AppendBool(o, z.NeedHistory)
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "e"
 			o = append(o, 0xa1, 0x65)
 			o = msgp.AppendUint8(o, uint8(z.Refusal))
@@ -359,38 +306,24 @@
 			}
 		case "a":
 			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Amount")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Amount")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.Amount.Requests, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Amount", "Requests")
-						return
-					}
-				case "t":
-					z.Amount.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Amount", "Tokens")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Amount")
-						return
-					}
-				}
+			if zb0002 != 2 {
+				err = msgp.ArrayError{Wanted: 2, Got: zb0002}
+				return
+			}
+			z.Amount.Requests, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Amount", "Requests")
+				return
+			}
+			z.Amount.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Amount", "Tokens")
+				return
 			}
 		case "k":
 			z.Slots, bts, err = msgp.ReadIntBytes(bts)
@@ -405,7 +338,7 @@
 				return
 			}
 		case "m":
-			bts, err = z.Home.UnmarshalMsg(bts)
+			z.Home, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Home")
 				return
@@ -426,6 +359,12 @@
 				}
 				z.Unlimited = Unlimited(zb0003)
 			}
+		case "y":
+			z.Scarce, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Scarce")
+				return
+			}
 		case "x":
 			z.RetryAfter, bts, err = msgp.ReadDurationBytes(bts)
 			if err != nil {
@@ -462,7 +401,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *BorrowReply) Msgsize() (s int) {
-	s = 1 + 2 + z.Workspace.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.DurationSize + 2 + z.Home.Msgsize() + 2 + msgp.DurationSize + 2 + msgp.Uint8Size + 2 + msgp.DurationSize + 2 + msgp.BoolSize + 2 + msgp.Uint8Size
+	s = 1 + 2 + z.Workspace.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + 1 + msgp.Int64Size + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.DurationSize + 2 + msgp.StringPrefixSize + len(z.Home) + 2 + msgp.DurationSize + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.DurationSize + 2 + msgp.BoolSize + 2 + msgp.Uint8Size
 	return
 }
 
@@ -470,8 +409,8 @@
 func (z *BorrowRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(13)
-	var zb0001Mask uint16 /* 13 bits */
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
 	_ = zb0001Mask
 	if z.InFlight == 0 {
 		zb0001Len--
@@ -489,18 +428,26 @@
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.Refunds == nil {
+	if z.Brief == false {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.Overrun == 0 {
+	if z.Refunds == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	if z.Home == "" {
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
-	if z.History == nil {
+	if z.Overrun == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
+	if z.History == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -537,34 +484,10 @@
 		}
 		// string "a"
 		o = append(o, 0xa1, 0x61)
-		// check for omitted fields
-		zb0002Len := uint32(2)
-		var zb0002Mask uint8 /* 2 bits */
-		_ = zb0002Mask
-		if z.Want.Requests == 0 {
-			zb0002Len--
-			zb0002Mask |= 0x1
-		}
-		if z.Want.Tokens == 0 {
-			zb0002Len--
-			zb0002Mask |= 0x2
-		}
-		// variable map header, size zb0002Len
-		o = append(o, 0x80|uint8(zb0002Len))
-
-		// skip if no fields are to be emitted
-		if zb0002Len != 0 {
-			if (zb0002Mask & 0x1) == 0 { // if not omitted
-				// string "r"
-				o = append(o, 0xa1, 0x72)
-				o = msgp.AppendInt64(o, z.Want.Requests)
-			}
-			if (zb0002Mask & 0x2) == 0 { // if not omitted
-				// string "t"
-				o = append(o, 0xa1, 0x74)
-				o = msgp.AppendInt64(o, z.Want.Tokens)
-			}
-		}
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendInt64(o, z.Want.Requests)
+		o = msgp.AppendInt64(o, z.Want.Tokens)
 		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "k"
 			o = append(o, 0xa1, 0x6b)
@@ -588,32 +511,32 @@
 			}
 		}
 		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "v"
+			o = append(o, 0xa1, 0x76)
+			o = msgp.AppendBool(o, z.Brief)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "d"
 			o = append(o, 0xa1, 0x64)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Refunds)))
 			for za0002 := range z.Refunds {
-				// map header, size 2
-				// string "a"
-				o = append(o, 0x82, 0xa1, 0x61)
+				// array header, size 2
+				o = append(o, 0x92)
 				o = msgp.AppendDuration(o, z.Refunds[za0002].At)
-				// string "t"
-				o = append(o, 0xa1, 0x74)
 				o = msgp.AppendInt64(o, z.Refunds[za0002].Tokens)
 			}
 		}
-		// string "m"
-		o = append(o, 0xa1, 0x6d)
-		o, err = z.Home.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Home")
-			return
-		}
 		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "m"
+			o = append(o, 0xa1, 0x6d)
+			o = msgp.AppendString(o, z.Home)
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "o"
 			o = append(o, 0xa1, 0x6f)
 			o = msgp.AppendInt64(o, z.Overrun)
 		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// string "h"
 			o = append(o, 0xa1, 0x68)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.History)))
@@ -675,38 +598,24 @@
 			}
 		case "a":
 			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Want")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Want")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.Want.Requests, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Want", "Requests")
-						return
-					}
-				case "t":
-					z.Want.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Want", "Tokens")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Want")
-						return
-					}
-				}
+			if zb0002 != 2 {
+				err = msgp.ArrayError{Wanted: 2, Got: zb0002}
+				return
+			}
+			z.Want.Requests, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Want", "Requests")
+				return
+			}
+			z.Want.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Want", "Tokens")
+				return
 			}
 		case "k":
 			z.Slots, bts, err = msgp.ReadIntBytes(bts)
@@ -739,6 +648,12 @@
 					return
 				}
 			}
+		case "v":
+			z.Brief, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Brief")
+				return
+			}
 		case "d":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -753,42 +668,28 @@
 			}
 			for za0002 := range z.Refunds {
 				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Refunds", za0002)
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Refunds", za0002)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "a":
-						z.Refunds[za0002].At, bts, err = msgp.ReadDurationBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Refunds", za0002, "At")
-							return
-						}
-					case "t":
-						z.Refunds[za0002].Tokens, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Refunds", za0002, "Tokens")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Refunds", za0002)
-							return
-						}
-					}
+				if zb0005 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0005}
+					return
+				}
+				z.Refunds[za0002].At, bts, err = msgp.ReadDurationBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Refunds", za0002, "At")
+					return
+				}
+				z.Refunds[za0002].Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Refunds", za0002, "Tokens")
+					return
 				}
 			}
 		case "m":
-			bts, err = z.Home.UnmarshalMsg(bts)
+			z.Home, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Home")
 				return
@@ -832,11 +733,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *BorrowRequest) Msgsize() (s int) {
-	s = 1 + 2 + z.Workspace.Msgsize() + 2 + z.Instance.Msgsize() + 2 + z.Boot.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + z.Workspace.Msgsize() + 2 + z.Instance.Msgsize() + 2 + z.Boot.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + 1 + msgp.Int64Size + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Reports {
 		s += z.Reports[za0001].Msgsize()
 	}
-	s += 2 + msgp.ArrayHeaderSize + (len(z.Refunds) * (5 + msgp.DurationSize + msgp.Int64Size)) + 2 + z.Home.Msgsize() + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.History) * (msgp.Int64Size))
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Refunds) * (5 + msgp.DurationSize + msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Home) + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.History) * (msgp.Int64Size))
 	return
 }
 
@@ -977,64 +878,16 @@
 	o = msgp.AppendUint64(o, z.Grant)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
-	// check for omitted fields
-	zb0002Len := uint32(2)
-	var zb0002Mask uint8 /* 2 bits */
-	_ = zb0002Mask
-	if z.Rest.Requests == 0 {
-		zb0002Len--
-		zb0002Mask |= 0x1
-	}
-	if z.Rest.Tokens == 0 {
-		zb0002Len--
-		zb0002Mask |= 0x2
-	}
-	// variable map header, size zb0002Len
-	o = append(o, 0x80|uint8(zb0002Len))
-
-	// skip if no fields are to be emitted
-	if zb0002Len != 0 {
-		if (zb0002Mask & 0x1) == 0 { // if not omitted
-			// string "r"
-			o = append(o, 0xa1, 0x72)
-			o = msgp.AppendInt64(o, z.Rest.Requests)
-		}
-		if (zb0002Mask & 0x2) == 0 { // if not omitted
-			// string "t"
-			o = append(o, 0xa1, 0x74)
-			o = msgp.AppendInt64(o, z.Rest.Tokens)
-		}
-	}
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendInt64(o, z.Rest.Requests)
+	o = msgp.AppendInt64(o, z.Rest.Tokens)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
-	// check for omitted fields
-	zb0003Len := uint32(2)
-	var zb0003Mask uint8 /* 2 bits */
-	_ = zb0003Mask
-	if z.Spent.Requests == 0 {
-		zb0003Len--
-		zb0003Mask |= 0x1
-	}
-	if z.Spent.Tokens == 0 {
-		zb0003Len--
-		zb0003Mask |= 0x2
-	}
-	// variable map header, size zb0003Len
-	o = append(o, 0x80|uint8(zb0003Len))
-
-	// skip if no fields are to be emitted
-	if zb0003Len != 0 {
-		if (zb0003Mask & 0x1) == 0 { // if not omitted
-			// string "r"
-			o = append(o, 0xa1, 0x72)
-			o = msgp.AppendInt64(o, z.Spent.Requests)
-		}
-		if (zb0003Mask & 0x2) == 0 { // if not omitted
-			// string "t"
-			o = append(o, 0xa1, 0x74)
-			o = msgp.AppendInt64(o, z.Spent.Tokens)
-		}
-	}
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendInt64(o, z.Spent.Requests)
+	o = msgp.AppendInt64(o, z.Spent.Tokens)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendDuration(o, z.Remain)
@@ -1067,73 +920,45 @@
 			}
 		case "r":
 			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Rest")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Rest")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.Rest.Requests, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Rest", "Requests")
-						return
-					}
-				case "t":
-					z.Rest.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Rest", "Tokens")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Rest")
-						return
-					}
-				}
+			if zb0002 != 2 {
+				err = msgp.ArrayError{Wanted: 2, Got: zb0002}
+				return
+			}
+			z.Rest.Requests, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rest", "Requests")
+				return
+			}
+			z.Rest.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rest", "Tokens")
+				return
 			}
 		case "s":
 			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Spent")
 				return
 			}
-			for zb0003 > 0 {
-				zb0003--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Spent")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.Spent.Requests, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Spent", "Requests")
-						return
-					}
-				case "t":
-					z.Spent.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Spent", "Tokens")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Spent")
-						return
-					}
-				}
+			if zb0003 != 2 {
+				err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+				return
+			}
+			z.Spent.Requests, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Spent", "Requests")
+				return
+			}
+			z.Spent.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Spent", "Tokens")
+				return
 			}
 		case "l":
 			z.Remain, bts, err = msgp.ReadDurationBytes(bts)
@@ -1155,140 +980,65 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GrantBook) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.DurationSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + 1 + msgp.Int64Size + msgp.Int64Size + 2 + 1 + msgp.Int64Size + msgp.Int64Size + 2 + msgp.DurationSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *GrantReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
-	_ = zb0001Mask
-	if z.Closed == false {
-		zb0001Len--
-		zb0001Mask |= 0x4
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "g"
-		o = append(o, 0xa1, 0x67)
-		o = msgp.AppendUint64(o, z.Grant)
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		// check for omitted fields
-		zb0002Len := uint32(2)
-		var zb0002Mask uint8 /* 2 bits */
-		_ = zb0002Mask
-		if z.Spent.Requests == 0 {
-			zb0002Len--
-			zb0002Mask |= 0x1
-		}
-		if z.Spent.Tokens == 0 {
-			zb0002Len--
-			zb0002Mask |= 0x2
-		}
-		// variable map header, size zb0002Len
-		o = append(o, 0x80|uint8(zb0002Len))
-
-		// skip if no fields are to be emitted
-		if zb0002Len != 0 {
-			if (zb0002Mask & 0x1) == 0 { // if not omitted
-				// string "r"
-				o = append(o, 0xa1, 0x72)
-				o = msgp.AppendInt64(o, z.Spent.Requests)
-			}
-			if (zb0002Mask & 0x2) == 0 { // if not omitted
-				// string "t"
-				o = append(o, 0xa1, 0x74)
-				o = msgp.AppendInt64(o, z.Spent.Tokens)
-			}
-		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// string "c"
-			o = append(o, 0xa1, 0x63)
-			o = msgp.AppendBool(o, z.Closed)
-		}
-	}
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Grant)
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendInt64(o, z.Spent.Requests)
+	o = msgp.AppendInt64(o, z.Spent.Tokens)
+	o = msgp.AppendBool(o, z.Closed)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *GrantReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "g":
-			z.Grant, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Grant")
-				return
-			}
-		case "s":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Spent")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Spent")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.Spent.Requests, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Spent", "Requests")
-						return
-					}
-				case "t":
-					z.Spent.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Spent", "Tokens")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Spent")
-						return
-					}
-				}
-			}
-		case "c":
-			z.Closed, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Closed")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Grant, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Grant")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Spent")
+		return
+	}
+	if zb0002 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
+		return
+	}
+	z.Spent.Requests, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Spent", "Requests")
+		return
+	}
+	z.Spent.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Spent", "Tokens")
+		return
+	}
+	z.Closed, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Closed")
+		return
 	}
 	o = bts
 	return
@@ -1296,60 +1046,41 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *GrantReport) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize
+	s = 1 + msgp.Uint64Size + 1 + msgp.Int64Size + msgp.Int64Size + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Refund) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "a"
-	o = append(o, 0x82, 0xa1, 0x61)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendDuration(o, z.At)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.Tokens)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Refund) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "a":
-			z.At, bts, err = msgp.ReadDurationBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "At")
-				return
-			}
-		case "t":
-			z.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Tokens")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.At, bts, err = msgp.ReadDurationBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "At")
+		return
+	}
+	z.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
 	}
 	o = bts
 	return
@@ -1357,7 +1088,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Refund) Msgsize() (s int) {
-	s = 1 + 2 + msgp.DurationSize + 2 + msgp.Int64Size
+	s = 1 + msgp.DurationSize + msgp.Int64Size
 	return
 }
 
--- a/internal/plan/weigh_test.go
+++ b/internal/plan/weigh_test.go
@@ -28,6 +28,8 @@
 			{"slots 1200", lists.Plan{Concurrency: 1200}, 800, 400},
 			{"tokens", lists.Plan{TokensPerMinute: 1_500_000}, 200, 100},
 			{"all", lists.Plan{RequestsPerSecond: 100, Concurrency: 360, TokensPerMinute: 1_800_000}, 200, 100},
+			{"half the plan", lists.Plan{RequestsPerSecond: 100, Concurrency: 360, TokensPerMinute: 1_800_000}, 50, 50},
+			{"small, half", lists.Plan{RequestsPerSecond: 2, Burst: 4, Concurrency: 20, TokensPerMinute: 120_000}, 1, 1},
 		} {
 			s := newSchedule(1, routers, tc.plan, options{})
 			s.rate = tc.load
