--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"net"
@@ -19,9 +18,11 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/ledger"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/session"
@@ -29,26 +30,30 @@
 
 var (
 	fleetSizes = flag.String("fleet", "5", "how many routers TestFleet runs, sizes by commas")
+	workspaces = flag.Int("workspaces", 2000, "how many workspaces TestFleet has in force")
+	linkRate   = flag.Int("link", 0, "bytes a second that the control members may send in TestFleet, together; 0 means no limit")
 	fleetRest  = flag.Duration("rest", 0, "how long TestFleet measures without changes")
 )
 
 // testFleet is a control group and light routers on loopback.
 type testFleet struct {
-	t       *testing.T
+	t       testing.TB
 	clock   fleet.Clock
 	addrs   []string
 	servers []*Server
 	bytes   atomic.Int64 // over the control members' accepted connections
 	routers []*lightRouter
+	link    *rate.Limiter
 }
 
 // lightRouter keeps a session and follows the configuration; it serves nothing.
 type lightRouter struct {
-	clock  fleet.Clock
-	client *Client
-	view   *operator.View
-	loads  []session.PoolLoad
-	woken  chan struct{}
+	clock   fleet.Clock
+	client  *Client
+	view    *operator.View
+	fetcher *Fetcher
+	loads   []session.PoolLoad
+	woken   chan struct{}
 
 	mu     sync.Mutex
 	holder *session.Holder
@@ -58,6 +63,7 @@
 type countingListener struct {
 	net.Listener
 	bytes *atomic.Int64
+	link  *rate.Limiter // nil for no limit
 }
 
 func (l countingListener) Accept() (net.Conn, error) {
@@ -65,12 +71,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return countingConn{conn, l.bytes}, nil
+	return countingConn{conn, l.bytes, l.link}, nil
 }
 
 type countingConn struct {
 	net.Conn
 	bytes *atomic.Int64
+	link  *rate.Limiter
 }
 
 func (c countingConn) Read(b []byte) (int, error) {
@@ -80,14 +87,30 @@
 }
 
 func (c countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
+	sent := 0
+	for sent < len(b) {
+		part := b[sent:min(sent+linkBurst, len(b))]
+		if c.link != nil {
+			_ = c.link.WaitN(context.Background(), len(part))
+		}
+		n, err := c.Conn.Write(part)
+		c.bytes.Add(int64(n))
+		if sent += n; err != nil {
+			return sent, err
+		}
+	}
+	return sent, nil
 }
 
-func newTestFleet(t *testing.T, members, routers int) *testFleet {
+// linkBurst is how many bytes pass a limited link at once.
+const linkBurst = 16 << 10
+
+func newTestFleet(t testing.TB, members, routers int) *testFleet {
 	start := time.Now()
 	f := &testFleet{t: t, clock: func() time.Duration { return time.Since(start) }}
+	if *linkRate > 0 {
+		f.link = rate.NewLimiter(rate.Limit(*linkRate), linkBurst)
+	}
 	var listeners []net.Listener
 	for range members {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -118,7 +141,7 @@
 		f.t.Fatal(err)
 	}
 	f.servers = append(f.servers, member)
-	go func() { _ = server.Serve(countingListener{l, &f.bytes}) }()
+	go func() { _ = server.Serve(countingListener{l, &f.bytes, f.link}) }()
 	f.t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
@@ -136,10 +159,11 @@
 		clock: f.clock, client: NewClient(pool, f.addrs), view: operator.NewView(), woken: make(chan struct{}, 1),
 		holder: session.NewHolder(session.Settings{}, self, func(fleet.Membership, string) fleet.InstanceID { return id }),
 		loads: []session.PoolLoad{
-			{Pool: fleet.PoolID(fmt.Sprint("pool-", i%10)), InFlight: 25, Upstreams: 1},
-			{Pool: fleet.PoolID(fmt.Sprint("pool-", (i+1)%10)), InFlight: 25, Upstreams: 1},
+			{Pool: fleet.PoolID(fmt.Sprint("pool-", i%10)), InFlight: 25, Upstreams: 1, Warm: 25, WarmUpstreams: 1},
+			{Pool: fleet.PoolID(fmt.Sprint("pool-", (i+1)%10)), InFlight: 25, Upstreams: 1, Warm: 25, WarmUpstreams: 1},
 		},
 	}
+	r.fetcher = NewFetcher(r.client)
 	f.routers = append(f.routers, r)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.t.Cleanup(func() { cancel(); pool.Close() })
@@ -186,9 +210,8 @@
 	r.mu.Lock()
 	r.holder.Take(r.clock(), &reply)
 	r.mu.Unlock()
-	var update operator.Update
-	if reply.Version > r.view.Version() && r.client.Call(ctx, MethodFetch, &FetchRequest{After: r.view.Version()}, &update) == nil {
-		_, _ = r.view.Apply(&update)
+	if reply.Version > r.view.Version() {
+		_, _ = r.fetcher.Fetch(ctx, r.view)
 	}
 }
 
@@ -209,9 +232,23 @@
 	}
 }
 
-// change commits a change at whichever member leads.
+// putLists puts lists of n workspaces in force.
+func (f *testFleet) putLists(n int) fleet.ConfigVersion {
+	both := &lists.Both{Plans: lists.Plans{Plans: []lists.Plan{{Name: "basic"}}}}
+	for i := range n {
+		both.Plans.Workspaces = append(both.Plans.Workspaces, lists.Workspace{
+			ID: fleet.WorkspaceID(fmt.Sprintf("workspace-%05d", i)), Plan: "basic", KeyDigests: []string{fmt.Sprintf("%064x", i)},
+		})
+	}
+	return f.propose(operator.Command{Kind: operator.KindLists, Operation: "lists", AnyVersion: true, Lists: both})
+}
+
 func (f *testFleet) change(operation string) fleet.ConfigVersion {
-	cmd := operator.Command{Kind: operator.KindZone, Operation: operation, AnyVersion: true, Name: "medeu", Out: true}
+	return f.propose(operator.Command{Kind: operator.KindZone, Operation: operation, AnyVersion: true, Name: "medeu", Out: true})
+}
+
+// propose commits a change at whichever member leads.
+func (f *testFleet) propose(cmd operator.Command) fleet.ConfigVersion {
 	encoded, err := cmd.Encode()
 	if err != nil {
 		f.t.Fatal(err)
@@ -225,7 +262,7 @@
 				continue
 			}
 			a, err := operator.DecodeAnswer(answer)
-			if err = errors.Join(err); err != nil || a.Code != operator.CodeAccepted {
+			if err != nil || a.Code != operator.CodeAccepted {
 				f.t.Fatal(a, err)
 			}
 			return a.Version
@@ -243,7 +280,9 @@
 			n, err := strconv.Atoi(size)
 			is.New(t).NoErr(err)
 			f := newTestFleet(t, 3, n)
-			f.await(f.change("first"))
+			start := time.Now()
+			f.await(f.putLists(*workspaces))
+			t.Logf("%d workspaces in force on %d routers that start: %v, %.1f MB", *workspaces, n, time.Since(start), float64(f.bytes.Load())/1e6)
 			f.measureRest(n)
 			f.measureChanges()
 			f.closeLeader()
--- a/internal/router/reconcile.go
+++ b/internal/router/reconcile.go
@@ -93,12 +93,14 @@
 			r.table.Store(placement.NewTable(r.cfg.Clock(), view))
 		}
 	}
+	r.drain(r.stopping.Load() && r.entry.Running() == 0 || index.ZoneOut(r.self.Zone) || index.InstanceOut(r.self.ID))
 	ring := r.rings.ring(membership)
 	r.owner.Reconcile(ctx, owner.View{
 		Upstreams: upstreams, Out: out, Pools: poolSettings(index, upstreams),
 		Membership: membership, Owner: ring.Owner,
 	})
 	r.plans.reconcile(ctx, membership, ring)
+	r.inForce.Store(uint64(index.Version()))
 }
 
 // seen is what the placement in force was made of.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -41,6 +41,7 @@
 	control  *control.Client
 	platform upstream.Platform
 	view     *operator.View
+	fetcher  *control.Fetcher // of renewLoop
 	rings    *rings
 	entry    *entry.Server
 	owner    *owner.Server
@@ -60,6 +61,7 @@
 	members   atomic.Pointer[map[fleet.InstanceID]fleet.Member]
 	upstreams atomic.Pointer[[]fleet.Upstream]
 	stopping  atomic.Bool
+	inForce   atomic.Uint64 // the version that owned upstreams and plans are in line with
 
 	changed chan struct{} // capacity 1: what the view is made of has changed
 	noticed chan struct{} // capacity 1: a renewal would bring something new
@@ -81,6 +83,7 @@
 		changed:  make(chan struct{}, 1),
 		noticed:  make(chan struct{}, 1),
 	}
+	r.fetcher = control.NewFetcher(r.control)
 	r.holder = session.NewHolder(sessionSettings(s), r.self, r.rings.owner)
 	r.authority.Store(new(session.Authority))
 	r.leases.Store(new(ledger.Lease))
