Consensus: waiting folders expire; a failed sync stops the member

Cause: a folder that had asked to be added stayed on the list of waiting ones for good, so a repair could take a store that was lost since in place of a member that was only silent for a moment. Change: a folder waits for as long as it says hello; formation keeps its own record of the peers' answers. TestFailedSyncStopsTheMember: after a failed sync the proposal is unknown, the lease is gone, and nothing is tried again.

--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -17,7 +17,7 @@
 	if ch.Kind == ChangeAddLearner && ch.ID == c.opts.ID {
 		return 0, 0, ErrRefused.New("%s leads; transfer the leadership first", ch.ID)
 	}
-	next, err := c.current().apply(c.complete(ch))
+	next, err := c.current().apply(c.complete(now, ch))
 	if err != nil {
 		return 0, 0, err
 	}
@@ -41,8 +41,8 @@
 }
 
 // complete fills in the store and address that a waiting member has told.
-func (c *Core) complete(ch Change) Change {
-	w, ok := c.waiting[ch.ID]
+func (c *Core) complete(now time.Duration, ch Change) Change {
+	w, ok := c.waitingStore(now, ch.ID)
 	if ch.Kind != ChangeAddLearner || !ok {
 		return ch
 	}
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -45,6 +45,7 @@
 	maxInflight    = 4096      // entries sent to one member ahead of its acknowledgement
 	entryOverhead  = 16        // bytes of one entry beside its data
 	helloInterval  = 500 * time.Millisecond
+	waitingTimeout = 4 * helloInterval
 )
 
 // Peer is a member that a new group is formed from.
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -172,6 +172,11 @@
 	is.Equal(len(s.Waiting), 1)
 	is.Equal(s.Waiting[0].Store, founder.replica.store.id)
 	is.Equal(s.LossesLeft, 0)
+
+	founder.crash() // its folder may be lost again, and isn't offered any more
+	w.run(w.now + 10*time.Second)
+	is.Equal(len(w.leader().replica.core.Status(w.leader().local()).Waiting), 0)
+	is.True(lead.ask(Change{Kind: ChangeAddLearner, ID: founder.id}).err != nil)
 }
 
 func TestStartRefusesACorruptFolder(t *testing.T) {
--- /dev/null
+++ b/internal/consensus/failure_test.go
@@ -0,0 +1,64 @@
+package consensus
+
+import (
+	"errors"
+	"sync/atomic"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+)
+
+// failingDisk is a folder whose syncs fail once fail is set.
+type failingDisk struct {
+	Disk
+	fail atomic.Bool
+}
+
+func (d *failingDisk) Create(name string) (File, error) {
+	f, err := d.Disk.Create(name)
+	return &failingFile{f, &d.fail}, err
+}
+
+type failingFile struct {
+	File
+	fail *atomic.Bool
+}
+
+func (f *failingFile) Sync() error {
+	if f.fail.Load() {
+		return errors.New("input/output error")
+	}
+	return f.File.Sync()
+}
+
+// TestFailedSyncStopsTheMember: what a failed sync left on disk is unknown, so the
+// member must not try again and go on.
+func TestFailedSyncStopsTheMember(t *testing.T) {
+	is := is.New(t)
+	folder, err := OpenFolder(t.TempDir())
+	is.NoErr(err)
+	disk := &failingDisk{Disk: folder}
+	g, err := Start(Config{Group: "test", ID: "a", Disk: disk, Bootstrap: true, Machine: &journal{}, Transport: &switchboard{}})
+	is.NoErr(err)
+	for leadership := range g.LeadershipChanges() {
+		if leadership.Leading {
+			break
+		}
+	}
+	_, err = g.Propose(t.Context(), []byte("one"))
+	is.NoErr(err)
+
+	disk.fail.Store(true)
+	_, err = g.Propose(t.Context(), []byte("two"))
+	var unknown *UnknownOutcomeError
+	is.True(errors.As(err, &unknown))
+	<-g.Done()
+	is.True(errorx.IsOfType(g.Err(), ErrStorage))
+	_, leased := g.LeaderLease()
+	is.True(!leased)
+	_, err = g.Propose(t.Context(), []byte("three"))
+	var notProposed *NotProposedError
+	is.True(errors.As(err, &notProposed))
+	is.NoErr(g.Close())
+}
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -18,8 +19,14 @@
 // for before its answer can't be committed with its help any more.
 type formation struct {
 	nextHello time.Duration
-	ready     map[MemberID]uint64 // peers without a log, and their terms
-	refused   bool                // a peer has a log: wait to be added instead
+	ready     map[MemberID]readyPeer
+	refused   bool // a peer has a log: wait to be added instead
+}
+
+// readyPeer is what a peer without a log answered last.
+type readyPeer struct {
+	store StoreID
+	term  uint64
 }
 
 // WaitingStore is a data folder that waits to be added to the group.
@@ -27,22 +34,24 @@
 	ID    MemberID
 	Addr  string
 	Store StoreID
+
+	heard time.Duration // when it said hello last
 }
 
-func (c *Core) founder() MemberID {
+// peers returns the members that the group is formed from, ordered by ID.
+func (c *Core) peers() []Peer {
 	if len(c.opts.Peers) == 0 {
-		return c.opts.ID
+		return []Peer{{ID: c.opts.ID, Addr: c.opts.Addr}}
 	}
-	return slices.MinFunc(c.opts.Peers, func(a, b Peer) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	}).ID
+	peers := slices.Clone(c.opts.Peers)
+	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	return peers
 }
 
+func (c *Core) founder() MemberID { return c.peers()[0].ID }
+
 func (c *Core) startFormation(now time.Duration) {
-	c.formation.ready = map[MemberID]uint64{}
+	c.formation.ready = map[MemberID]readyPeer{}
 	if c.blank() {
 		c.tryFound(now)
 	}
@@ -61,11 +70,18 @@
 	}
 }
 
+// waitingStore returns the folder that waits as the member with this ID. One that
+// fell silent doesn't count: its disk may be lost as well.
+func (c *Core) waitingStore(now time.Duration, id MemberID) (WaitingStore, bool) {
+	w, ok := c.waiting[id]
+	return w, ok && now-w.heard < waitingTimeout
+}
+
 // handleHello answers a member without a log, and remembers it as waiting.
 func (c *Core) handleHello(now time.Duration, m Message) {
 	if !c.blank() {
 		if known := c.current().Find(m.From); known == nil || known.Store != m.FromStore {
-			c.waiting[m.From] = WaitingStore{ID: m.From, Addr: m.Addr, Store: m.FromStore}
+			c.waiting[m.From] = WaitingStore{ID: m.From, Addr: m.Addr, Store: m.FromStore, heard: now}
 		}
 		c.reply(m, Message{Type: MessageHelloResponse, Reject: true})
 		return
@@ -89,9 +105,7 @@
 		c.formation.refused = true
 		return
 	}
-	// A repeated answer of another store replaces the former one.
-	c.formation.ready[m.From] = m.Term
-	c.waiting[m.From] = WaitingStore{ID: m.From, Store: m.FromStore}
+	c.formation.ready[m.From] = readyPeer{m.FromStore, m.Term}
 	c.tryFound(now)
 }
 
@@ -101,26 +115,16 @@
 		return
 	}
 	set, term := MemberSet{}, c.hard.Term
-	peers := slices.Clone(c.opts.Peers)
-	if len(peers) == 0 {
-		peers = []Peer{{ID: c.opts.ID, Addr: c.opts.Addr}}
-	}
-	slices.SortFunc(peers, func(a, b Peer) int {
-		if a.ID < b.ID {
-			return -1
+	for _, p := range c.peers() {
+		peer, ok := c.formation.ready[p.ID]
+		if p.ID == c.opts.ID {
+			peer, ok = readyPeer{c.opts.Store, c.hard.Term}, true
 		}
-		return 1
-	})
-	for _, p := range peers {
-		store := c.opts.Store
-		if p.ID != c.opts.ID {
-			peerTerm, ok := c.formation.ready[p.ID]
-			if !ok {
-				return
-			}
-			store, term = c.waiting[p.ID].Store, max(term, peerTerm)
+		if !ok {
+			return
 		}
-		set.Members = append(set.Members, Member{ID: p.ID, Addr: p.Addr, Store: store})
+		set.Members = append(set.Members, Member{ID: p.ID, Addr: p.Addr, Store: peer.store})
+		term = max(term, peer.term)
 	}
 	c.found(now, set, term+1)
 }
@@ -133,6 +137,5 @@
 	}
 	c.setTerm(term)
 	c.appendOwn(Entry{Kind: EntryMembers, Data: data})
-	c.waiting = map[MemberID]WaitingStore{}
 	c.campaign(now, false)
 }
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // ChangeKind tells how a Change alters the membership.
 type ChangeKind uint8
@@ -90,12 +93,7 @@
 	}
 	s.remove(ch.ID)
 	s.Members = append(s.Members, Member{ID: ch.ID, Addr: ch.Addr, Store: ch.Store, Learner: true})
-	slices.SortFunc(s.Members, func(a, b Member) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(s.Members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	if s.Voters() == 0 {
 		return s, ErrRefused.New("%s is the last voter", ch.ID)
 	}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -66,8 +66,10 @@
 	for _, m := range c.current().Members {
 		s.Members = append(s.Members, c.memberStatus(now, m))
 	}
-	for _, w := range c.waiting {
-		s.Waiting = append(s.Waiting, w)
+	for id := range c.waiting {
+		if w, ok := c.waitingStore(now, id); ok {
+			s.Waiting = append(s.Waiting, w)
+		}
 	}
 	slices.SortFunc(s.Waiting, func(a, b WaitingStore) int { return cmp.Compare(a.ID, b.ID) })
 	if c.role == RoleLeader {
