--- a/internal/consensus/schedules_test.go
+++ b/internal/consensus/schedules_test.go
@@ -27,7 +27,10 @@
 // schedule runs one seed and returns its world, with the violation if any.
 func schedule(seed uint64, f faults) *world {
 	size := 3
-	if seed%4 == 0 {
+	switch {
+	case seed%16 == 0:
+		size = 7
+	case seed%4 == 0:
 		size = 5
 	}
 	w := newWorld(seed, size, f)
