Consensus: a new leader counts only voters it has heard

Cause: for an election timeout a new leader took silent voters for live, so status promised a loss too many (1 instead of 0 right after a kill among three), and the guard against losing the majority let a change pass.

--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -59,7 +59,7 @@
 // (thesis §4.2.1): as a voter it would stand in the way of commits.
 func (c *Core) caughtUp(now time.Duration, id MemberID) error {
 	p := c.leadership.progress[id]
-	if p == nil || p.match < c.log.commit || !c.active(now, id) {
+	if p == nil || p.match < c.log.commit || !c.live(now, id) {
 		behind := c.log.commit
 		if p != nil {
 			behind -= min(p.match, behind)
@@ -81,7 +81,7 @@
 func (c *Core) liveVoters(now time.Duration, set MemberSet) int {
 	live := 0
 	for _, m := range set.Members {
-		if !m.Learner && (m.ID == c.opts.ID || c.active(now, m.ID)) {
+		if !m.Learner && (m.ID == c.opts.ID || c.live(now, m.ID)) {
 			live++
 		}
 	}
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -124,6 +124,17 @@
 	is.NoErr(w.check.err)
 }
 
+func TestNewLeaderCountsOnlyVotersItHeardInLossesLeft(t *testing.T) {
+	is := is.New(t)
+	w, lead := leadingWorld(t)
+	lead.crash()
+	for w.leader() == nil {
+		w.run(w.now + time.Millisecond)
+	}
+	is.Equal(w.leader().replica.core.Status(w.leader().local()).LossesLeft, 0)
+	is.NoErr(w.check.err)
+}
+
 func TestCutOffLeaderLosesItsLeaseBeforeAnotherHasOne(t *testing.T) {
 	is := is.New(t)
 	w, lead := leadingWorld(t)
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -33,7 +33,8 @@
 	probe        uint64 // the entry before the last message's
 	stalled      bool   // entries were on their way at the last heartbeat's answer
 	round        uint64
-	lastActive   time.Duration
+	heard        bool          // in this term
+	lastActive   time.Duration // heard last, or since when it could have been
 	snapshotSent time.Duration // 0 when none is on its way
 }
 
@@ -164,11 +165,18 @@
 	return false
 }
 
+// active reports whether the member was heard, or had no chance to be heard yet,
+// within an election timeout.
 func (c *Core) active(now time.Duration, id MemberID) bool {
 	p := c.leadership.progress[id]
 	return p != nil && now-p.lastActive < c.opts.ElectionTimeout
 }
 
+// live reports whether the member was heard within an election timeout.
+func (c *Core) live(now time.Duration, id MemberID) bool {
+	return c.active(now, id) && c.leadership.progress[id].heard
+}
+
 // heartbeat starts a round. The leader counts as having heard itself, so that it
 // grants no vote either while its lease may run.
 func (c *Core) heartbeat(now time.Duration) {
@@ -192,7 +200,7 @@
 	if c.role != RoleLeader || p == nil {
 		return
 	}
-	p.lastActive = now
+	p.lastActive, p.heard = now, true
 	p.round = max(p.round, m.Round)
 	c.resend(now, p, m.From)
 }
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -97,7 +97,7 @@
 	if c.role != RoleLeader || p == nil {
 		return
 	}
-	p.lastActive = now
+	p.lastActive, p.heard = now, true
 	if m.Reject {
 		if !p.stepBack(m) {
 			return
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -85,7 +85,7 @@
 	case m.ID == c.opts.ID:
 		s.Match, s.Active = c.log.stable, true
 	case p != nil:
-		s.Match, s.Active = p.match, c.active(now, m.ID)
+		s.Match, s.Active = p.match, c.live(now, m.ID)
 	}
 	return s
 }
