--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -17,7 +17,7 @@
 	if ch.Kind == ChangeAddLearner && ch.ID == c.opts.ID {
 		return 0, 0, ErrRefused.New("%s leads; transfer the leadership first", ch.ID)
 	}
-	next, err := c.current().apply(c.complete(ch))
+	next, err := c.current().apply(c.complete(now, ch))
 	if err != nil {
 		return 0, 0, err
 	}
@@ -41,8 +41,8 @@
 }
 
 // complete fills in the store and address that a waiting member has told.
-func (c *Core) complete(ch Change) Change {
-	w, ok := c.waiting[ch.ID]
+func (c *Core) complete(now time.Duration, ch Change) Change {
+	w, ok := c.waitingStore(now, ch.ID)
 	if ch.Kind != ChangeAddLearner || !ok {
 		return ch
 	}
@@ -59,7 +59,7 @@
 // (thesis §4.2.1): as a voter it would stand in the way of commits.
 func (c *Core) caughtUp(now time.Duration, id MemberID) error {
 	p := c.leadership.progress[id]
-	if p == nil || p.match < c.log.commit || !c.active(now, id) {
+	if p == nil || p.match < c.log.commit || !c.live(now, id) {
 		behind := c.log.commit
 		if p != nil {
 			behind -= min(p.match, behind)
@@ -81,7 +81,7 @@
 func (c *Core) liveVoters(now time.Duration, set MemberSet) int {
 	live := 0
 	for _, m := range set.Members {
-		if !m.Learner && (m.ID == c.opts.ID || c.active(now, m.ID)) {
+		if !m.Learner && (m.ID == c.opts.ID || c.live(now, m.ID)) {
 			live++
 		}
 	}
