--- a/internal/admission/schedule_test.go
+++ b/internal/admission/schedule_test.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -83,27 +82,6 @@
 	gate       *Gate // that admitted it
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 const (
 	renewInterval = time.Second
 	sampleEvery   = 50 * time.Millisecond
@@ -146,24 +124,6 @@
 	return s
 }
 
-func (s *schedule) at(after time.Duration, run func()) {
-	s.sequence++
-	heap.Push(&s.events, event{s.now + after, s.sequence, run})
-}
-
-func (s *schedule) every(interval time.Duration, run func()) {
-	s.at(interval, func() { run(); s.every(interval, run) })
-}
-
-func (s *schedule) run(until time.Duration) {
-	for len(s.events) > 0 && s.events[0].at <= until {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
-		e.run()
-	}
-	s.now = until
-}
-
 func (s *schedule) breach(format string, args ...any) {
 	s.breaches = append(s.breaches, fmt.Sprintf("%v: ", s.now)+fmt.Sprintf(format, args...))
 }
@@ -441,70 +401,3 @@
 		s.worst = max(s.worst, float64(most)/mean)
 	}
 }
-
-// turnCold makes an engine cold: at once known by a new boot id, or silently.
-func (s *schedule) turnCold(e *fakeEngine, silent bool) {
-	e.cold, e.since, e.silent = true, s.now, silent
-	e.limit, e.completed, e.answers = s.settings.StartConcurrency, 0, 0
-	if silent {
-		e.limit = max(e.running, e.limit)
-		return
-	}
-	cut := e.started
-	e.running, e.started = 0, nil
-	s.sequence++
-	e.Boot = fleet.BootID(fmt.Sprint("b", s.sequence))
-	s.tell(e)
-	for _, r := range cut {
-		s.finish(r, Result{Failed: true})
-	}
-}
-
-// zone takes a zone out or in; owners hear of it after a delay.
-func (s *schedule) zone(z fleet.AvailabilityZone, out bool) {
-	if out {
-		s.outZone[z] = s.now
-	} else {
-		delete(s.outZone, z)
-	}
-	s.at(zoneDelay, func() {
-		s.rebuild()
-		for _, e := range s.engines {
-			if e.Zone == z {
-				s.tell(e)
-			}
-		}
-	})
-}
-
-// member takes a router in or out of the membership.
-func (s *schedule) member(i int, in, planned bool) {
-	if s.members[i] == in {
-		return
-	}
-	r := s.routers[i]
-	s.members[i] = in
-	s.epoch++
-	if !in && !planned {
-		r.alive = false
-		s.loseWork(r)
-	}
-	if in && !r.alive {
-		r.alive, r.gate = true, NewGate()
-		r.gate.off = s.off
-		r.gate.SetPoolSettings("llm", s.settings)
-		s.renew(r)
-	}
-	s.rebuild()
-	s.own(planned)
-}
-
-// loseWork drops what waited at a dead router; what runs goes on.
-func (s *schedule) loseWork(r *fakeRouter) {
-	for id, q := range s.pending {
-		if q.router == r && q.started == 0 {
-			delete(s.pending, id)
-		}
-	}
-	r.reported, r.counted = Sums{}, Sums{}
-}
--- a/internal/placement/reuse_test.go
+++ b/internal/placement/reuse_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"container/list"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -59,21 +58,6 @@
 	measured time.Duration
 }
 
-type cacheEngine struct {
-	fleet.Upstream
-	inFlight int
-	room     int // tokens
-	used     int
-	chats    map[ChatKey]*list.Element
-	lru      list.List
-	sequence uint64
-}
-
-type cachedChat struct {
-	key    ChatKey
-	tokens int
-}
-
 // returning is one chat and its history.
 type returning struct {
 	key    ChatKey
@@ -130,12 +114,6 @@
 	return r
 }
 
-func (r *reuseRun) add(u fleet.Upstream) {
-	r.engines[u.ID] = &cacheEngine{Upstream: u, room: engineTokens, chats: map[ChatKey]*list.Element{}}
-	r.ids = append(r.ids, u.ID)
-	slices.Sort(r.ids)
-}
-
 // rebuild makes the table and moves records to new owners.
 func (r *reuseRun) rebuild() {
 	v := View{Membership: r.m, Out: func(u fleet.Upstream) bool { return r.out[u.Zone] }}
@@ -275,42 +253,6 @@
 	return ""
 }
 
-// store puts the chat into the engine's cache and evicts what was unused longest.
-func (r *reuseRun) store(e *cacheEngine, key ChatKey, tokens int) {
-	if at := e.chats[key]; at != nil {
-		e.used += tokens - at.Value.(*cachedChat).tokens
-		at.Value.(*cachedChat).tokens = tokens
-		e.lru.MoveToFront(at)
-	} else {
-		e.chats[key] = e.lru.PushFront(&cachedChat{key, tokens})
-		r.hold(e.ID, key)
-		e.used += tokens
-	}
-	for e.used > e.room {
-		last := e.lru.Remove(e.lru.Back()).(*cachedChat)
-		delete(e.chats, last.key)
-		e.used -= last.tokens
-		r.publish(e, Event{Kind: EventEvicted, Key: last.key})
-	}
-}
-
-// hold notes for the oracle that the engine may have the chat.
-func (r *reuseRun) hold(id fleet.UpstreamID, key ChatKey) {
-	if r.policy == oracle && !slices.Contains(r.holders[key], id) {
-		r.holders[key] = append(r.holders[key], id)
-	}
-}
-
-// publish sends a cache event to the owner, late, and some not at all.
-func (r *reuseRun) publish(e *cacheEngine, event Event) {
-	e.sequence++
-	event.Sequence, event.Age = e.sequence, eventLag
-	if r.policy != recorded || r.off.noEvents || r.rng.Float64() < eventLoss {
-		return
-	}
-	r.after(eventLag, func() { r.owner(e.ID).Apply(r.now, e.ID, event) })
-}
-
 // limit is that of admission.Gate for a chat with so many tokens cached.
 func (r *reuseRun) limit(tokens int) int {
 	yield := admission.YieldFor(tokens)
@@ -413,16 +355,6 @@
 	}
 }
 
-// restart empties the engine's cache.
-func (r *reuseRun) restart(id fleet.UpstreamID) {
-	e := r.engines[id]
-	e.chats, e.used = map[ChatKey]*list.Element{}, 0
-	e.lru.Init()
-	r.order++
-	e.Boot = fleet.BootID(fmt.Sprint(r.order))
-	r.owner(id).Restarted(id)
-}
-
 // zone takes a zone out or in.
 func (r *reuseRun) zone(z fleet.AvailabilityZone, out, cold bool) {
 	r.out[z] = out
--- a/internal/plan/borrower.go
+++ b/internal/plan/borrower.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
 
@@ -62,7 +64,7 @@
 // concurrent use.
 type Borrower struct {
 	instance fleet.InstanceID
-	boot     fleet.BootID
+	boot     uint64
 	accounts map[fleet.WorkspaceID]*account
 	off      borrowerOptions
 }
@@ -88,7 +90,7 @@
 	known      bool // a reply has come within the credit lifetime
 	refusal    Refusal
 	refunds    []Refund // by the clock of home
-	home       string
+	home       uint64
 	homeAhead  time.Duration // home's clock less this one's, no more than true
 	overrun    int64
 	history    quota
@@ -119,7 +121,7 @@
 
 // NewBorrower returns the borrower of one boot of an instance.
 func NewBorrower(instance fleet.InstanceID, boot fleet.BootID) *Borrower {
-	return &Borrower{instance: instance, boot: boot, accounts: map[fleet.WorkspaceID]*account{}}
+	return &Borrower{instance: instance, boot: xxhash.Sum64String(string(boot)), accounts: map[fleet.WorkspaceID]*account{}}
 }
 
 func (b *Borrower) account(id fleet.WorkspaceID) *account {
@@ -175,7 +177,7 @@
 	case tokens > t.Reserved:
 		a.overrun += tokens - t.Reserved
 		a.history.use(now, tokens-t.Reserved)
-	case a.home != "" && now-t.At < refundAge:
+	case a.home != 0 && now-t.At < refundAge:
 		a.addRefund(t.At+a.homeAhead, t.Reserved-tokens)
 	}
 }
--- a/internal/plan/home.go
+++ b/internal/plan/home.go
@@ -1,10 +1,11 @@
 package plan
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/lists"
 )
@@ -42,17 +43,16 @@
 // Home counts the plans of the workspaces whose plan home this instance is. It
 // is not safe for concurrent use.
 type Home struct {
-	boot    fleet.BootID
-	tenures int
-	plans   map[fleet.WorkspaceID]lists.Plan
-	books   map[fleet.WorkspaceID]*book
-	off     options
+	tenure uint64 // the last one; tenures of different boots differ
+	plans  map[fleet.WorkspaceID]lists.Plan
+	books  map[fleet.WorkspaceID]*book
+	off    options
 }
 
 // book is what a home knows about one workspace.
 type book struct {
 	// tenure differs each time that an instance becomes a workspace's home.
-	tenure    string
+	tenure    uint64
 	plan      lists.Plan
 	rate      bucket
 	tokens    quota
@@ -71,9 +71,9 @@
 }
 
 type borrowerBook struct {
-	boot fleet.BootID
+	boot uint64
 	// ended are the boots before it, whose messages may still be on their way.
-	ended    []fleet.BootID
+	ended    []uint64
 	sequence uint64
 	reply    BorrowReply
 	slots    int // what the borrower may hold, at most, as far as is known
@@ -95,7 +95,7 @@
 // NewHome returns the home of one boot of an instance. It counts for no
 // workspace yet.
 func NewHome(boot fleet.BootID) *Home {
-	return &Home{boot: boot, plans: map[fleet.WorkspaceID]lists.Plan{}, books: map[fleet.WorkspaceID]*book{}}
+	return &Home{tenure: xxhash.Sum64String(string(boot)), plans: map[fleet.WorkspaceID]lists.Plan{}, books: map[fleet.WorkspaceID]*book{}}
 }
 
 // SetPlans takes the first list. Changed limits hold for loans from now on.
@@ -243,8 +243,8 @@
 	b.setPlan(now, h.plans[id])
 	b.rate.level = b.rate.capacity
 	b.tokens.advance(now)
-	h.tenures++
-	b.tenure = fmt.Sprintf("%s/%d", h.boot, h.tenures)
+	h.tenure++
+	b.tenure = h.tenure
 	h.books[id] = b
 	return b
 }
--- a/internal/plan/messages.go
+++ b/internal/plan/messages.go
@@ -29,7 +29,8 @@
 type BorrowRequest struct {
 	Workspace fleet.WorkspaceID `msg:"w"`
 	Instance  fleet.InstanceID  `msg:"i"`
-	Boot      fleet.BootID      `msg:"b"`
+	// Boot is the hash of the instance's boot id.
+	Boot uint64 `msg:"b"`
 	// Sequence numbers the requests of one boot for one workspace. A request
 	// that had no answer is sent again under its number.
 	Sequence uint64 `msg:"q"`
@@ -49,7 +50,7 @@
 	Refunds []Refund `msg:"d,omitempty"`
 	// Home names the tenure to whose clock the refunds refer and for which the
 	// history is.
-	Home string `msg:"m,omitempty"`
+	Home uint64 `msg:"m,omitempty"`
 	// Overrun is what answers used more than was reserved, all told.
 	Overrun int64 `msg:"o,omitempty"`
 	// History is the borrower's own token use of the last minute, newest step
@@ -76,7 +77,7 @@
 	Lifetime time.Duration `msg:"l"`
 	// Home names the home's tenure of the workspace, and Clock is its time at
 	// sending.
-	Home  string        `msg:"m"`
+	Home  uint64        `msg:"m"`
 	Clock time.Duration `msg:"o"`
 	// Unlimited tells what of the plan has no limit.
 	Unlimited Unlimited `msg:"u,omitempty"`
@@ -128,7 +129,7 @@
 // BorrowerBook is what a home knows about one borrower of a workspace.
 type BorrowerBook struct {
 	Instance fleet.InstanceID `msg:"i"`
-	Boot     fleet.BootID     `msg:"b"`
+	Boot     uint64           `msg:"b"`
 	Sequence uint64           `msg:"q"`
 	Slots    int              `msg:"k"`
 	Overrun  int64            `msg:"o"`
--- a/internal/plan/messages_gen.go
+++ b/internal/plan/messages_gen.go
@@ -235,7 +235,7 @@
 		o = msgp.AppendDuration(o, z.Lifetime)
 		// string "m"
 		o = append(o, 0xa1, 0x6d)
-		o = msgp.AppendString(o, z.Home)
+		o = msgp.AppendUint64(o, z.Home)
 		// string "o"
 		o = append(o, 0xa1, 0x6f)
 		o = msgp.AppendDuration(o, z.Clock)
@@ -338,7 +338,7 @@
 				return
 			}
 		case "m":
-			z.Home, bts, err = msgp.ReadStringBytes(bts)
+			z.Home, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Home")
 				return
@@ -401,7 +401,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *BorrowReply) Msgsize() (s int) {
-	s = 1 + 2 + z.Workspace.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + 1 + msgp.Int64Size + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.DurationSize + 2 + msgp.StringPrefixSize + len(z.Home) + 2 + msgp.DurationSize + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.DurationSize + 2 + msgp.BoolSize + 2 + msgp.Uint8Size
+	s = 1 + 2 + z.Workspace.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + 1 + msgp.Int64Size + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.DurationSize + 2 + msgp.Uint64Size + 2 + msgp.DurationSize + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.DurationSize + 2 + msgp.BoolSize + 2 + msgp.Uint8Size
 	return
 }
 
@@ -436,7 +436,7 @@
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
-	if z.Home == "" {
+	if z.Home == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
@@ -469,11 +469,7 @@
 		}
 		// string "b"
 		o = append(o, 0xa1, 0x62)
-		o, err = z.Boot.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Boot")
-			return
-		}
+		o = msgp.AppendUint64(o, z.Boot)
 		// string "q"
 		o = append(o, 0xa1, 0x71)
 		o = msgp.AppendUint64(o, z.Sequence)
@@ -529,7 +525,7 @@
 		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "m"
 			o = append(o, 0xa1, 0x6d)
-			o = msgp.AppendString(o, z.Home)
+			o = msgp.AppendUint64(o, z.Home)
 		}
 		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "o"
@@ -579,7 +575,7 @@
 				return
 			}
 		case "b":
-			bts, err = z.Boot.UnmarshalMsg(bts)
+			z.Boot, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Boot")
 				return
@@ -689,7 +685,7 @@
 				}
 			}
 		case "m":
-			z.Home, bts, err = msgp.ReadStringBytes(bts)
+			z.Home, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Home")
 				return
@@ -733,11 +729,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *BorrowRequest) Msgsize() (s int) {
-	s = 1 + 2 + z.Workspace.Msgsize() + 2 + z.Instance.Msgsize() + 2 + z.Boot.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + 1 + msgp.Int64Size + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + z.Workspace.Msgsize() + 2 + z.Instance.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + 1 + msgp.Int64Size + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Reports {
 		s += z.Reports[za0001].Msgsize()
 	}
-	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Refunds) * (5 + msgp.DurationSize + msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Home) + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.History) * (msgp.Int64Size))
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Refunds) * (5 + msgp.DurationSize + msgp.Int64Size)) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.History) * (msgp.Int64Size))
 	return
 }
 
@@ -754,11 +750,7 @@
 	}
 	// string "b"
 	o = append(o, 0xa1, 0x62)
-	o, err = z.Boot.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Boot")
-		return
-	}
+	o = msgp.AppendUint64(o, z.Boot)
 	// string "q"
 	o = append(o, 0xa1, 0x71)
 	o = msgp.AppendUint64(o, z.Sequence)
@@ -806,7 +798,7 @@
 				return
 			}
 		case "b":
-			bts, err = z.Boot.UnmarshalMsg(bts)
+			z.Boot, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Boot")
 				return
@@ -862,7 +854,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *BorrowerBook) Msgsize() (s int) {
-	s = 1 + 2 + z.Instance.Msgsize() + 2 + z.Boot.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + z.Instance.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Grants {
 		s += z.Grants[za0001].Msgsize()
 	}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -119,7 +119,7 @@
 		h.TakeFirst(0, workspace)
 		h.books[workspace].tokens.use(0, 900)
 		r := BorrowRequest{
-			Workspace: workspace, Instance: "r", Boot: "1", Sequence: 1, Want: Amount{2, 100},
+			Workspace: workspace, Instance: "r", Boot: 1, Sequence: 1, Want: Amount{2, 100},
 			Home: h.books[workspace].tenure, Refunds: []Refund{{0, 50}},
 		}
 		first, second := h.Borrow(time.Second, r), h.Borrow(2*time.Second, r)
@@ -138,17 +138,17 @@
 		Workspaces: []lists.Workspace{{ID: workspace, Plan: "p"}},
 	})
 	h.TakeFirst(0, workspace)
-	ask := func(instance fleet.InstanceID, boot fleet.BootID, sequence uint64, inFlight int) BorrowReply {
+	ask := func(instance fleet.InstanceID, boot, sequence uint64, inFlight int) BorrowReply {
 		return h.Borrow(time.Second, BorrowRequest{
 			Workspace: workspace, Instance: instance, Boot: boot, Sequence: sequence,
 			Want: Amount{1, 0}, Slots: inFlight + 1, InFlight: inFlight, Held: inFlight,
 		})
 	}
-	ask("r1", "old", 7, 0)
-	ask("r1", "new", 1, 0)
-	is.Equal(ask("r1", "new", 2, 1).Slots, 2)
-	is.Equal(ask("r1", "old", 8, 0).Refusal, RefusalStale)
-	is.Equal(ask("r2", "b", 1, 0).Slots, 0) // both slots are r1's
+	ask("r1", 1, 7, 0)
+	ask("r1", 2, 1, 0)
+	is.Equal(ask("r1", 2, 2, 1).Slots, 2)
+	is.Equal(ask("r1", 1, 8, 0).Refusal, RefusalStale)
+	is.Equal(ask("r2", 3, 1, 0).Slots, 0) // both slots are r1's
 }
 
 func TestPermissions(t *testing.T) {
