plan: a home forgets borrowers that hold nothing and are silent

Change: books without grants and slots go after 2 minutes of silence. A late message can only add to what its sender is taken to hold.

--- a/internal/plan/book.go
+++ b/internal/plan/book.go
@@ -245,3 +245,17 @@
 		b.plan.TokensPerMinute > 0 && b.tokens.free(now) < b.plan.TokensPerMinute/scarcePart ||
 		b.plan.Concurrency > 0 && b.plan.Concurrency-slots < b.plan.Concurrency/scarcePart+scarceSlots
 }
+
+// forget drops the books of borrowers that hold nothing and have been silent for
+// long. A message of theirs that is still on its way could only add to what
+// they are taken to hold.
+func (b *book) forget(now time.Duration) {
+	b.order = slices.DeleteFunc(b.order, func(id fleet.InstanceID) bool {
+		who := b.borrowers[id]
+		if len(who.grants) > 0 || who.slots > 0 || now-who.wantAt < forgetAfter {
+			return false
+		}
+		delete(b.borrowers, id)
+		return true
+	})
+}
--- a/internal/plan/home.go
+++ b/internal/plan/home.go
@@ -26,6 +26,9 @@
 	shareOf = 2
 	// endedBoots is how many former boots of a borrower are remembered.
 	endedBoots = 8
+	// forgetAfter is how long a home keeps the book of a borrower that holds
+	// nothing and is silent.
+	forgetAfter = 2 * time.Minute
 	// scarcePart is the part of a limit below which what is left is scarce.
 	scarcePart = 4
 	// scarceSlots are the slots that any plan should have left besides.
@@ -198,6 +201,7 @@
 	}
 	reply.Home = b.tenure
 	b.lapse(now, h.off)
+	b.forget(now)
 	who := b.borrower(r)
 	switch {
 	case r.Sequence < who.sequence, who.boot != r.Boot:
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -151,6 +151,25 @@
 	is.Equal(ask("r2", 3, 1, 0).Slots, 0) // both slots are r1's
 }
 
+func TestSilentBorrowersAreForgottenOnceTheyHoldNothing(t *testing.T) {
+	is := is.New(t)
+	h := NewHome("h1")
+	h.SetPlans(0, lists.Plans{
+		Plans:      []lists.Plan{{Name: "p", Concurrency: 9}},
+		Workspaces: []lists.Workspace{{ID: workspace, Plan: "p"}},
+	})
+	h.TakeFirst(0, workspace)
+	ask := func(now time.Duration, instance fleet.InstanceID, slots int) int {
+		h.Borrow(now, BorrowRequest{Workspace: workspace, Instance: instance, Boot: 1, Sequence: uint64(now), Slots: slots})
+		return len(h.books[workspace].borrowers)
+	}
+	is.Equal(ask(1, "idle", 0), 1)
+	is.Equal(ask(1, "busy", 1), 2)
+	is.Equal(ask(forgetAfter, "third", 0), 3)
+	is.Equal(ask(forgetAfter+1, "third", 0), 2)
+	is.True(h.books[workspace].borrowers["busy"] != nil)
+}
+
 func TestPermissions(t *testing.T) {
 	p := NewPermissions(lists.Both{
 		Plans: lists.Plans{Workspaces: []lists.Workspace{{ID: "choir", Plan: "gold"}, {ID: "court", Plan: "none"}}},
