--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -40,6 +40,8 @@
 
 	maxAppendBytes = 256 << 10 // of entries in one message
 	maxUncommitted = 8192      // entries that a leader holds before it refuses more
+	maxLogBytes    = 4 << 20   // of entries in memory before a snapshot is taken
+	maxHeldBytes   = 16 << 20  // of entries that a leader holds before it refuses more
 	maxInflight    = 4096      // entries sent to one member ahead of its acknowledgement
 	entryOverhead  = 16        // bytes of one entry beside its data
 	helloInterval  = 500 * time.Millisecond
@@ -79,6 +81,7 @@
 	ignoreStores     bool // accept messages from and for any data folder
 	skipSync         bool // acknowledge before the disk has synced
 	foundAnyway      bool // found a group though a peer has a log
+	reuseTerm        bool // answer a founder without raising the term
 }
 
 // Core decides what one member does. It does no I/O and isn't safe for
@@ -137,7 +140,8 @@
 		opts.ClockDrift = DefaultClockDrift
 	}
 	c := &Core{opts: opts, hard: st.Hard, snapshot: st.Snapshot, waiting: map[MemberID]WaitingStore{}}
-	c.log = entryLog{base: st.Base, baseTerm: st.BaseTerm, entries: st.Entries}
+	c.log = entryLog{base: st.Base, baseTerm: st.BaseTerm}
+	c.log.append(st.Entries...)
 	c.log.stable = c.log.last()
 	c.log.commit, c.log.applied = st.Snapshot.Index, st.Snapshot.Index
 	if st.Snapshot.Index > 0 {
@@ -273,9 +277,6 @@
 	if m.ToStore != c.opts.Store {
 		return false
 	}
-	if c.blank() {
-		return c.admitBlank(m)
-	}
 	return !m.Type.answer() || m.From != ""
 }
 
