--- a/internal/plan/lending_test.go
+++ b/internal/plan/lending_test.go
@@ -20,7 +20,7 @@
 	for round := range uint64(2) { // the second one knows what the others want
 		for _, instance := range []fleet.InstanceID{"a", "b", "c", "d", "e", "f"} {
 			reply := h.Borrow(0, BorrowRequest{
-				Workspace: "w", Instance: instance, Boot: "b", Sequence: round + 1,
+				Workspace: "w", Instance: instance, Boot: 1, Sequence: round + 1,
 				Want: Amount{Requests: 3, Tokens: 1800}, Slots: int(3 * (round + 1)), InFlight: int(3 * round),
 			})
 			is.Equal(reply.Amount, Amount{Requests: 3, Tokens: 1800})
