Promises of the joined fleet under faults; a broken attempt is resumed, not begun again

Cause: TestAnswersAreWholeUnderEngineFaults found that an answer cut before its first token failed with 400: the owner began the same attempt anew, which an engine refuses, and so did the entry's resumption from offset 0. Ruled out: the stand-in (a direct resume from 0 works). It had a fault of its own: a crossed answer's text began one token before its id. Change: a request says whether it resumes; once the engine has taken an attempt the owner resumes it at any offset. drain_notice is a setting.

--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -187,6 +187,8 @@
 			Control:  settings.Control{Members: members},
 			Platform: settings.Platform{URL: "http://" + f.platformA, PollInterval: 200 * time.Millisecond},
 			Log:      settings.Log{Level: f.opts.LogLevel},
+			// The demonstration has no balancer that would have to notice.
+			DrainNotice: time.Millisecond,
 		}
 		if i < f.opts.Control {
 			s.Instance = fleet.InstanceID(fmt.Sprintf("control-%d", i+1))
--- a/internal/entry/chat_run.go
+++ b/internal/entry/chat_run.go
@@ -83,7 +83,7 @@
 		case answer.ActionNextCandidate:
 			r.next()
 		case answer.ActionResume:
-			r.req.ResumeAfter = decision.Offset
+			r.req.Resume, r.req.ResumeAfter = true, decision.Offset
 			r.pause(ctx)
 		case answer.ActionFailStream:
 			r.sink.fail(*r.refusal(decision))
@@ -114,7 +114,7 @@
 	r.attempts++
 	attempt := string(r.req.Header.Request) + "-" + strconv.Itoa(r.attempts)
 	r.req.Header.Attempt = attempt
-	r.req.ResumeAfter = 0
+	r.req.Resume, r.req.ResumeAfter = false, 0
 	if r.assembler == nil {
 		r.assembler = answer.NewAssembler(answer.AttemptID(attempt))
 		return
--- a/internal/owner/chat_endpoint.go
+++ b/internal/owner/chat_endpoint.go
@@ -28,7 +28,7 @@
 	span, trace := s.cfg.Tracer.Start("owner.chat", req.Header.Trace)
 	req.Header.Trace = trace
 	defer func() { span.End(st.Err()) }()
-	if req.ResumeAfter > 0 {
+	if req.Resume {
 		s.orphans.resume(req.Header.Attempt)
 	}
 	s.running.Add(1)
@@ -45,13 +45,13 @@
 		slot.cancel()
 		return send(ctx, st, &Event{Closing: &Closing{End: uint8(answer.EndNotConnected), Message: "upstream left the list"}})
 	}
-	run := &chatRun{owner: s, stream: st, req: &req, slot: slot, engine: t.engine, offset: req.ResumeAfter}
+	run := &chatRun{owner: s, stream: st, req: &req, slot: slot, engine: t.engine, taken: req.Resume, offset: req.ResumeAfter}
 	return run.run(ctx)
 }
 
 // admitChat sends a chat on where its cache is elsewhere, and admits it else.
 func (s *Server) admitChat(ctx context.Context, req *ChatRequest) (*slot, Verdict) {
-	ask := admission.Request{WorkspaceLimit: req.Share, Resume: req.ResumeAfter > 0}
+	ask := admission.Request{WorkspaceLimit: req.Share, Resume: req.Resume}
 	if !ask.Resume {
 		reason, elsewhere, cached := s.cache.check(req)
 		if reason != RefusedNone {
@@ -69,6 +69,7 @@
 	req    *ChatRequest
 	slot   *slot
 	engine upstream.Engine
+	taken  bool   // the engine holds the attempt: it can be resumed, not begun again
 	offset uint64 // last token event that went to the entry
 	tokens int
 	buf    []byte
@@ -105,12 +106,13 @@
 	h := &r.req.Header
 	chat, err := r.engine.Chat(ctx, upstream.ChatRequest{
 		Attempt: answer.AttemptID(h.Attempt), Body: r.req.Body,
-		Resume: r.offset > 0, Offset: r.offset, Priority: h.Priority,
+		Resume: r.taken, Offset: r.offset, Priority: h.Priority,
 		MaxStall: r.owner.cfg.MaxStall, BeforeWrite: r.owner.beforeWrite(h.Upstream),
 	})
 	if err != nil {
 		return err
 	}
+	r.taken = true
 	r.owner.noteBoot(h.Upstream, chat.BootID())
 	for {
 		event, err := chat.Next(ctx)
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -40,7 +40,9 @@
 	Redirected bool `msg:"x"`
 	// CacheKey is the prompt_cache_key that the engine sees.
 	CacheKey string `msg:"k"`
-	// ResumeAfter is the last offset the entry has; 0 starts the answer.
+	// Resume continues an attempt that the engine has taken, after the last offset
+	// that the entry has.
+	Resume      bool   `msg:"z"`
 	ResumeAfter uint64 `msg:"o"`
 	// Share bounds how many of the engine's slots the workspace holds; 0 means
 	// no bound.
--- a/internal/owner/messages_gen.go
+++ b/internal/owner/messages_gen.go
@@ -442,9 +442,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ChatRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "h"
-	o = append(o, 0x88, 0xa1, 0x68)
+	o = append(o, 0x89, 0xa1, 0x68)
 	o, err = z.Header.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Header")
@@ -462,6 +462,9 @@
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
 	o = msgp.AppendString(o, z.CacheKey)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendBool(o, z.Resume)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
 	o = msgp.AppendUint64(o, z.ResumeAfter)
@@ -522,6 +525,12 @@
 				err = msgp.WrapError(err, "CacheKey")
 				return
 			}
+		case "z":
+			z.Resume, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Resume")
+				return
+			}
 		case "o":
 			z.ResumeAfter, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -554,7 +563,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ChatRequest) Msgsize() (s int) {
-	s = 1 + 2 + z.Header.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.CacheKey) + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 2 + z.Header.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.CacheKey) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
 	return
 }
 
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -7,13 +7,8 @@
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
 
-const (
-	// drainNotice is how long a stopping router answers as not ready before it
-	// gives up ownership, so that the balancer has seen it.
-	drainNotice = 2 * time.Second
-	// stopPoll spaces looks at what still runs.
-	stopPoll = 50 * time.Millisecond
-)
+// stopPoll spaces looks at what still runs.
+const stopPoll = 50 * time.Millisecond
 
 // errGracePeriod means that work was still running when a stop had to end.
 var errGracePeriod = fleet.Errors.NewType("grace_period_over")
@@ -23,7 +18,7 @@
 func (r *Router) Drain(ctx context.Context) {
 	r.log.Info("draining", "running", r.entry.Running())
 	r.stopping.Store(true)
-	r.pause(ctx, drainNotice)
+	r.pause(ctx, r.cfg.Settings.DrainNotice)
 }
 
 // Stop ends the router once callers' requests have ended: it has the other
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,9 @@
 	Session Session `yaml:"session"`
 	// GracePeriod is how long a planned stop waits for running requests.
 	GracePeriod time.Duration `yaml:"grace_period" default:"30s" validate:"gt=0"`
+	// DrainNotice is how long a stopping router still serves after it has told the
+	// balancer that it is not ready; longer than the balancer's interval.
+	DrainNotice time.Duration `yaml:"drain_notice" default:"2s" validate:"gt=0"`
 	// Limits bound what one peer may use.
 	Limits Limits `yaml:"limits"`
 	// Queue bounds the requests that wait for an upstream.
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -23,29 +23,30 @@
 // crossedID is the id that a crossed answer carries.
 const crossedID = "crossed"
 
-// seed and id return those of another request once a cross fault has set in.
-func (s *stream) seed() uint64 {
-	if s.crossed() {
+// seed and id return those that token n carries: another request's once a cross
+// fault has set in.
+func (s *stream) seed(n int) uint64 {
+	if s.crossed(n) {
 		return ^s.g.seed
 	}
 	return s.g.seed
 }
 
-func (s *stream) id() string {
-	if s.crossed() {
+func (s *stream) id(n int) string {
+	if s.crossed(n) {
 		return crossedID
 	}
 	return s.g.id
 }
 
-func (s *stream) crossed() bool { return s.fault.Kind == FaultCross && s.sent >= s.fault.After }
+func (s *stream) crossed(n int) bool { return s.fault.Kind == FaultCross && n > s.fault.After }
 
 // serve writes the answer as server-sent events, one for each token.
 func (s *stream) serve(usage bool) {
 	h := s.w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-cache")
-	h.Set(HeaderRequestID, s.id())
+	h.Set(HeaderRequestID, s.id(s.sent+1))
 	s.w.WriteHeader(http.StatusOK)
 	s.flush()
 	for {
@@ -110,7 +111,7 @@
 // appendEvent appends the event of token n.
 func (s *stream) appendEvent(n int) {
 	if s.prefix == nil {
-		s.prefix = chunkPrefix(s.id(), s.g)
+		s.prefix = chunkPrefix(s.id(n), s.g)
 	}
 	b := append(s.buf, "id: "...)
 	b = strconv.AppendInt(b, int64(n), 10)
@@ -119,7 +120,7 @@
 		b = append(b, `"role":"assistant",`...)
 	}
 	b = append(b, `"content":"`...)
-	b = appendToken(b, s.seed(), n)
+	b = appendToken(b, s.seed(n), n)
 	b = append(b, `"},"finish_reason":`...)
 	if n == s.g.maxTokens {
 		b = append(b, '"')
@@ -148,7 +149,7 @@
 func (s *stream) end(usage bool) {
 	if usage {
 		chunk, _ := json.Marshal(usageChunk{
-			ID: idPrefix + s.id(), Object: objectChunk, Created: s.g.created,
+			ID: idPrefix + s.id(s.sent+1), Object: objectChunk, Created: s.g.created,
 			Model: s.g.model, Choices: []struct{}{}, Usage: s.g.usage(),
 		})
 		s.buf = append(s.buf, "data: "...)
@@ -187,11 +188,11 @@
 		}
 		s.await()
 	}
-	s.w.Header().Set(HeaderRequestID, s.id())
+	s.w.Header().Set(HeaderRequestID, s.id(s.g.maxTokens))
 	writeJSON(s.w, http.StatusOK, chatCompletion{
-		ID: idPrefix + s.id(), Object: objectWhole, Created: time.Now().Unix(), Model: s.g.model,
+		ID: idPrefix + s.id(s.sent+1), Object: objectWhole, Created: time.Now().Unix(), Model: s.g.model,
 		Choices: []chatChoice{{
-			Message:      Message{Role: roleAssistant, Content: expectedText(s.seed(), s.g.maxTokens)},
+			Message:      Message{Role: roleAssistant, Content: expectedText(s.seed(s.g.maxTokens), s.g.maxTokens)},
 			FinishReason: s.g.finish,
 		}},
 		Usage: s.g.usage(),
