placement: records without a handover become complete in time

Cause: an upstream's records stayed incomplete for good after a change of owner without a handover, so that chats without a record went to former candidates.

Change: they count as complete 5 minutes after the first chat served there; the harness leaves it to the store.

--- a/internal/placement/resident.go
+++ b/internal/placement/resident.go
@@ -17,6 +17,9 @@
 	tokenSteps = 8
 	// doubtShare is the worth of a doubtful record against a certain one.
 	doubtShare = 0.5
+	// completeAfter is how long the records of an upstream without a handover
+	// count as incomplete.
+	completeAfter = 5 * time.Minute
 	// worthHalfLife is the time in which an unused record loses half its worth.
 	worthHalfLife = 30 * time.Minute
 )
@@ -71,6 +74,9 @@
 	sequenced   bool
 	// complete is set when every chat resident there has a record.
 	complete bool
+	// since is when the first chat was served on an upstream whose records are
+	// incomplete; 0 means none yet.
+	since time.Duration
 }
 
 // Resident records where the chats of an owner's upstreams have their cache. Its
@@ -101,9 +107,23 @@
 func (r *Resident) Capacity() int { return len(r.records) }
 
 // Own begins the records of an upstream. Complete tells that nothing is resident
-// there yet, or that the former owner's records are being imported.
+// there yet, or that the former owner's records are being imported; else the
+// records count as complete completeAfter the first chat was served there.
 func (r *Resident) Own(id fleet.UpstreamID, complete bool) {
-	r.source(id).complete = complete
+	s := r.source(id)
+	s.complete, s.since = complete, 0
+}
+
+// settled counts incomplete records as complete once chats have been recorded
+// for long enough that most of those resident have returned.
+func (s *source) settled(now time.Duration) {
+	switch {
+	case s.complete:
+	case s.since == 0:
+		s.since = max(now, 1)
+	case now-s.since >= completeAfter:
+		s.complete = true
+	}
 }
 
 // Restarted forgets all that was resident on the upstream.
@@ -130,6 +150,7 @@
 		return
 	}
 	s := r.source(id)
+	s.settled(now)
 	at := r.place(now, uint64(key))
 	*at = record{uint64(key), r.index[id], s.generation, stamp(now), packTokens(tokens), true}
 }
--- a/internal/placement/resident_test.go
+++ b/internal/placement/resident_test.go
@@ -119,6 +119,17 @@
 	is.Equal(next.Lookup(chat(4), "e1").Trust, Absent)
 }
 
+func TestRecordsBecomeCompleteInTime(t *testing.T) {
+	is := is.New(t)
+	r := NewResident(1000)
+	r.Own("e1", false)
+	r.Served(time.Hour, chat(1), "e1", 100)
+	r.Served(time.Hour+completeAfter-1, chat(2), "e1", 100)
+	is.Equal(r.Lookup(chat(9), "e1").Trust, Unknown)
+	r.Served(time.Hour+completeAfter, chat(3), "e1", 100)
+	is.Equal(r.Lookup(chat(9), "e1").Trust, Absent)
+}
+
 func TestWhoServesAFormerCandidate(t *testing.T) {
 	cases := []struct {
 		presence Presence
--- a/internal/placement/reuse_test.go
+++ b/internal/placement/reuse_test.go
@@ -95,7 +95,6 @@
 	eventLoss     = 0.01
 	factor        = 1.25 // load factor
 	soon          = 4 * time.Minute
-	completeAfter = 5 * time.Minute
 	residentChats = 1 << 14
 )
 
@@ -140,11 +139,7 @@
 	}
 	first := r.owns[id] == ""
 	r.owns[id] = instance
-	o := r.owner(id)
-	o.Own(id, first)
-	if !first {
-		r.after(completeAfter, func() { o.Own(id, true) })
-	}
+	r.owner(id).Own(id, first)
 }
 
 func (r *reuseRun) owner(id fleet.UpstreamID) *Resident {
