placement: FirstRanked, the candidate to note at and to wait at

Former candidates come before the current ranking, but serve a chat only where it is resident: notes and queued requests belong to the first ranked one.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -119,6 +119,7 @@
 		if got[0].Basis == Former {
 			moved++
 			is.Equal(got[1].Upstream, fleet.UpstreamID("engine-019"))
+			is.Equal(FirstRanked(got), 1)
 		}
 	}
 	is.True(moved > 50 && moved < 160) // 1 in 20
--- a/internal/placement/reuse_test.go
+++ b/internal/placement/reuse_test.go
@@ -237,10 +237,8 @@
 // first returns the upstream ranked first at present.
 func (r *reuseRun) first(key ChatKey, dst []Candidate) fleet.UpstreamID {
 	list := r.table.Candidates(key, "llm", "", make([]Candidate, 0, MaxCandidates))
-	for _, c := range list {
-		if c.Basis == Ranked {
-			return c.Upstream
-		}
+	if at := FirstRanked(list); at >= 0 {
+		return list[at].Upstream
 	}
 	if len(list) > 0 {
 		return list[len(list)-1].Upstream
