--- a/internal/placement/reuse_test.go
+++ b/internal/placement/reuse_test.go
@@ -95,7 +95,6 @@
 	eventLoss     = 0.01
 	factor        = 1.25 // load factor
 	soon          = 4 * time.Minute
-	completeAfter = 5 * time.Minute
 	residentChats = 1 << 14
 )
 
@@ -140,11 +139,7 @@
 	}
 	first := r.owns[id] == ""
 	r.owns[id] = instance
-	o := r.owner(id)
-	o.Own(id, first)
-	if !first {
-		r.after(completeAfter, func() { o.Own(id, true) })
-	}
+	r.owner(id).Own(id, first)
 }
 
 func (r *reuseRun) owner(id fleet.UpstreamID) *Resident {
@@ -242,10 +237,8 @@
 // first returns the upstream ranked first at present.
 func (r *reuseRun) first(key ChatKey, dst []Candidate) fleet.UpstreamID {
 	list := r.table.Candidates(key, "llm", "", make([]Candidate, 0, MaxCandidates))
-	for _, c := range list {
-		if c.Basis == Ranked {
-			return c.Upstream
-		}
+	if at := FirstRanked(list); at >= 0 {
+		return list[at].Upstream
 	}
 	if len(list) > 0 {
 		return list[len(list)-1].Upstream
