--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -52,10 +52,15 @@
 	Engine standin.EngineConfig
 	// Plan is the demonstration's plan; default unlimited.
 	Plan lists.Plan
+	// Concurrency is how many requests an engine bears at once, from its start;
+	// default that of the lists.
+	Concurrency int
 	// Log receives the processes' logs; default none.
 	Log io.Writer
 	// LogLevel is the level of the logs; default warn.
 	LogLevel string
+
+	remoteRouters bool // the routers are planned here and started by the caller
 }
 
 func (o Options) withDefaults() Options {
@@ -117,6 +122,9 @@
 	}
 	f.plan()
 	for i := range f.opts.Control + f.opts.Routers {
+		if i >= f.opts.Control && f.opts.remoteRouters {
+			break
+		}
 		a, err := agent.Start(ctx, f.settings[i], f.opts.Log)
 		if err != nil {
 			return nil, errors.Join(err, f.Stop(ctx))
@@ -229,7 +237,10 @@
 		},
 		Allowances: lists.Allowances{
 			Pools: []lists.Pool{
-				{Name: enginePool, Kind: "engine", LoadFactor: 1.5, ChecksFencing: true},
+				{
+					Name: enginePool, Kind: "engine", LoadFactor: 1.5, ChecksFencing: true,
+					MaxConcurrency: f.opts.Concurrency, StartConcurrency: f.opts.Concurrency,
+				},
 				{Name: servicePool, Kind: "service", StartConcurrency: 8},
 			},
 			Models: []lists.Model{{Name: Model, Pool: enginePool}},
