mesh, entry, upstream: less work for each streamed token

Cause: every token armed a context.AfterFunc at the engine's stream, moved two write deadlines, allocated its event and a slot of the stream's queue, and woke reader and writer even where they were awake. Change: the context that opened a stream is watched once; write deadlines are renewed once in a part of their length, and are never shorter than before; the queue's array and the entry's event are used again; only the first message of an empty queue wakes; the mesh writer yields once, so that frames gather.

--- a/internal/entry/chat_run.go
+++ b/internal/entry/chat_run.go
@@ -198,13 +198,13 @@
 func (r *chatRun) relay(ctx context.Context, stream *mesh.Stream, id fleet.UpstreamID) (answer.End, answer.Facts) {
 	attempt := answer.AttemptID(r.req.Header.Attempt)
 	facts := answer.Facts{MayHaveLeft: true}
+	var event owner.Event // its Data is used again for the next event
 	for {
 		message, err := stream.Recv(ctx)
 		if err != nil {
 			r.last = fleet.At(err, "owner.chat", stream.Peer())
 			return answer.EndOwnerLost, facts
 		}
-		var event owner.Event
 		if _, err := event.UnmarshalMsg(message); err != nil {
 			r.last = fleet.At(err, "entry.decode", stream.Peer())
 			return answer.EndCut, facts
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -21,6 +21,7 @@
 	started    bool              // a byte of the body went to the caller
 	usage      int64             // tokens that the engine counted
 	buf        []byte
+	renewed    time.Time // when the write deadline was last moved
 }
 
 func newSink(w http.ResponseWriter, stream, wantsUsage bool, writeTimeout time.Duration) *sink {
@@ -71,7 +72,7 @@
 	if len(s.buf) == 0 {
 		return nil
 	}
-	_ = s.control.SetWriteDeadline(time.Now().Add(s.writeTimeout))
+	s.renewDeadline(time.Now())
 	_, err := s.w.Write(s.buf)
 	s.buf = s.buf[:0]
 	if err != nil {
@@ -80,6 +81,21 @@
 	return s.control.Flush()
 }
 
+// renewFraction is the part of the write timeout by which a caller that reads
+// nothing may be found out later.
+const renewFraction = 8
+
+// renewDeadline moves the write deadline to at least writeTimeout from now, once
+// in a part of it rather than with every write.
+func (s *sink) renewDeadline(now time.Time) {
+	slack := s.writeTimeout / renewFraction
+	if now.Sub(s.renewed) < slack {
+		return
+	}
+	s.renewed = now
+	_ = s.control.SetWriteDeadline(now.Add(s.writeTimeout + slack))
+}
+
 // finish ends the answer once its explicit end was received.
 func (s *sink) finish(upstream fleet.UpstreamID) error {
 	if s.stream {
--- a/internal/mesh/stream.go
+++ b/internal/mesh/stream.go
@@ -16,7 +16,8 @@
 	opener bool
 
 	mu       sync.Mutex
-	in       [][]byte      // received and unread messages
+	in       [][]byte      // in[head:] are received and unread messages
+	head     int           // in[:head] were read
 	inBytes  int           // bytes in in
 	inErr    error         // set once no more messages will be received
 	credit   int           // bytes that may be sent before the peer reads
@@ -50,7 +51,7 @@
 func (s *Stream) Pending() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.in) > 0
+	return s.head < len(s.in)
 }
 
 // Send queues one message. It waits while the peer has a full window unread,
@@ -101,11 +102,8 @@
 func (s *Stream) Recv(ctx context.Context) ([]byte, error) {
 	for {
 		s.mu.Lock()
-		if len(s.in) > 0 {
-			message := s.in[0]
-			s.in[0] = nil
-			s.in = s.in[1:]
-			s.inBytes -= len(message)
+		if s.head < len(s.in) {
+			message := s.take()
 			s.mu.Unlock()
 			s.returnWindow(len(message))
 			return message, nil
@@ -123,6 +121,29 @@
 	}
 }
 
+// take removes the oldest unread message. The queue's array is used again from
+// its start once all of it was read. The caller holds mu.
+func (s *Stream) take() []byte {
+	message := s.in[s.head]
+	s.in[s.head] = nil
+	s.head++
+	if s.head == len(s.in) {
+		s.in, s.head = s.in[:0], 0
+	}
+	s.inBytes -= len(message)
+	return message
+}
+
+// compact keeps a queue that never empties from growing with what was read.
+func (s *Stream) compact() {
+	if s.head == 0 || len(s.in) < cap(s.in) || s.head < len(s.in)/2 {
+		return
+	}
+	n := copy(s.in, s.in[s.head:])
+	clear(s.in[n:])
+	s.in, s.head = s.in[:n], 0
+}
+
 // returnWindow tells the peer what was read, half a window at a time.
 func (s *Stream) returnWindow(n int) {
 	s.mu.Lock()
@@ -187,9 +208,12 @@
 	if s.inBytes > s.conn.cfg.WindowBytes+s.conn.cfg.MaxFrameBytes {
 		return false
 	}
+	if s.head == len(s.in) {
+		signal(s.readable) // a reader waits only after it has seen an empty queue
+	}
+	s.compact()
 	s.in = append(s.in, message)
 	s.inBytes += len(message)
-	signal(s.readable)
 	return true
 }
 
--- a/internal/mesh/writer.go
+++ b/internal/mesh/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"runtime"
 	"sync"
 	"time"
 )
@@ -10,10 +11,14 @@
 // connection is lost after it.
 const writeTimeout = 10 * time.Second
 
+// renewEvery is how much later than that a loss may be found.
+const renewEvery = time.Second
+
 // frameWriter gathers frames of all streams of a connection and writes them in
 // as few calls as possible. Its buffer is bounded by the streams' windows.
 type frameWriter struct {
-	conn net.Conn
+	conn    net.Conn
+	renewed time.Time // when run last moved the write deadline
 
 	mu     sync.Mutex
 	buf    []byte
@@ -32,11 +37,11 @@
 		w.mu.Unlock()
 		return false
 	}
+	first := len(w.buf) == 0
 	w.buf = appendFrame(w.buf, kind, stream, body)
 	w.mu.Unlock()
-	select {
-	case w.wake <- struct{}{}:
-	default:
+	if first {
+		signal(w.wake) // later frames go with the first: run takes the whole buffer
 	}
 	return true
 }
@@ -45,12 +50,13 @@
 func (w *frameWriter) run() error {
 	var spare []byte
 	for range w.wake {
+		runtime.Gosched() // streams that are ready to run add their frames first
 		w.mu.Lock()
 		out, closed := w.buf, w.closed
 		w.buf = spare[:0]
 		w.mu.Unlock()
 		if len(out) > 0 {
-			_ = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			w.renewDeadline(time.Now())
 			if _, err := w.conn.Write(out); err != nil {
 				return err
 			}
@@ -63,6 +69,16 @@
 	return nil
 }
 
+// renewDeadline moves the write deadline to at least writeTimeout from now, once
+// in renewEvery rather than with every write.
+func (w *frameWriter) renewDeadline(now time.Time) {
+	if now.Sub(w.renewed) < renewEvery {
+		return
+	}
+	w.renewed = now
+	_ = w.conn.SetWriteDeadline(now.Add(writeTimeout + renewEvery))
+}
+
 // maxSpareBytes bounds the buffer that an idle connection keeps.
 const maxSpareBytes = 64 << 10
 
@@ -77,8 +93,5 @@
 	w.mu.Lock()
 	w.closed = true
 	w.mu.Unlock()
-	select {
-	case w.wake <- struct{}{}:
-	default:
-	}
+	signal(w.wake)
 }
--- a/internal/upstream/chat_stream.go
+++ b/internal/upstream/chat_stream.go
@@ -24,6 +24,7 @@
 	facts   answer.Facts
 	failed  error
 
+	opened context.Context // what the stream was opened with; its end ends ctx
 	ctx    context.Context
 	cancel context.CancelFunc
 	stall  *stallTimer
@@ -36,9 +37,9 @@
 
 // startChat sends one attempt and reads the answer's headers.
 func (e *HTTPEngine) startChat(ctx context.Context, req ChatRequest) (*chatStream, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	s := &chatStream{engine: e, attempt: req.Attempt, ctx: ctx, cancel: cancel}
-	s.stall = newStallTimer(req.MaxStall, cancel)
+	s := &chatStream{engine: e, attempt: req.Attempt, opened: ctx}
+	s.ctx, s.cancel = context.WithCancel(ctx)
+	s.stall = newStallTimer(req.MaxStall, s.cancel)
 	if err := s.open(req); err != nil {
 		s.release(false)
 		return nil, err
@@ -120,7 +121,7 @@
 	if s.failed != nil {
 		return answer.Event{}, s.failed
 	}
-	if ctx.Done() != nil && ctx != s.ctx {
+	if ctx.Done() != nil && ctx != s.opened {
 		stop := context.AfterFunc(ctx, s.cancel)
 		defer stop()
 	}
