owner: send what one read brought as one message; limits.gather_interval

Cause: profiles name the write to the caller and the read from the engine as the largest costs, a system call and a wake-up each for every stream and token. At one token each 25 ms nothing is ready at once, so only time gathers more. Ruled out: a linger of a few ms at the entry: the next token of a stream comes after it has passed. Change: events that one read from the engine brought go as one mesh message and one write to the caller. limits.gather_interval, off by default, lets that long pass between two reads of a stream: the first token is never held back, later ones and the end by at most the interval. An owner of this version sends several events a message, which an older entry would not read past the first.

--- a/internal/demo/stream_bench_test.go
+++ b/internal/demo/stream_bench_test.go
@@ -135,10 +135,17 @@
 	}
 }
 
-// BenchmarkStreamedTokens measures what a streamed token costs the routers over
+// BenchmarkStreamedTokens measures the cost by how long tokens may be held back.
+func BenchmarkStreamedTokens(b *testing.B) {
+	for _, interval := range []time.Duration{0, 50 * time.Millisecond, 100 * time.Millisecond} {
+		b.Run("gather="+interval.String(), func(b *testing.B) { benchmarkStreamedTokens(b, interval) })
+	}
+}
+
+// benchmarkStreamedTokens measures what a streamed token costs the routers over
 // both hops. The routers have a process of their own, so that neither engines nor
 // callers are counted; an operation is one token.
-func BenchmarkStreamedTokens(b *testing.B) {
+func benchmarkStreamedTokens(b *testing.B, interval time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), benchTimeout)
 	defer cancel()
 	f, err := Start(ctx, Options{
@@ -147,7 +154,11 @@
 	})
 	check(b, err)
 	defer func() { check(b, f.Stop(ctx)) }()
-	r := startRouters(b, f.settings[f.opts.Control:])
+	planned := f.settings[f.opts.Control:]
+	for i := range planned {
+		planned[i].Limits.GatherInterval = interval
+	}
+	r := startRouters(b, planned)
 	defer r.stop(b)
 	check(b, f.Ready(ctx))
 	load := &streamLoad{fleet: f, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchStreams}}}
--- a/internal/entry/chat_run.go
+++ b/internal/entry/chat_run.go
@@ -194,9 +194,9 @@
 	return receiveVerdict(ctx, stream, r.req.Header.MayQueue, r.server.cfg.MaxWait)
 }
 
-// relay takes the owner's events and writes those that are next to the caller.
+// relay takes the owner's messages and writes the events that are next to the
+// caller.
 func (r *chatRun) relay(ctx context.Context, stream *mesh.Stream, id fleet.UpstreamID) (answer.End, answer.Facts) {
-	attempt := answer.AttemptID(r.req.Header.Attempt)
 	facts := answer.Facts{MayHaveLeft: true}
 	var event owner.Event // its Data is used again for the next event
 	for {
@@ -205,16 +205,20 @@
 			r.last = fleet.At(err, "owner.chat", stream.Peer())
 			return answer.EndOwnerLost, facts
 		}
-		if _, err := event.UnmarshalMsg(message); err != nil {
-			r.last = fleet.At(err, "entry.decode", stream.Peer())
-			return answer.EndCut, facts
-		}
-		if event.Closing != nil {
-			return r.close(event.Closing, attempt, id)
-		}
-		facts.Accepted = true
-		if end, ok := r.accept(attempt, event, id, stream.Pending()); !ok {
-			return end, facts
+		for len(message) > 0 {
+			if message, err = event.UnmarshalMsg(message); err != nil {
+				r.last = fleet.At(err, "entry.decode", stream.Peer())
+				return answer.EndCut, facts
+			}
+			attempt := answer.AttemptID(r.req.Header.Attempt)
+			if event.Closing != nil {
+				return r.close(event.Closing, attempt, id)
+			}
+			facts.Accepted = true
+			more := len(message) > 0 || stream.Pending()
+			if end, ok := r.accept(attempt, event, id, more); !ok {
+				return end, facts
+			}
 		}
 	}
 }
--- a/internal/owner/chat_endpoint.go
+++ b/internal/owner/chat_endpoint.go
@@ -71,7 +71,6 @@
 	engine upstream.Engine
 	offset uint64 // last token event that went to the entry
 	tokens int
-	buf    []byte
 }
 
 // errEntryLost is the loss of the entry, which ends the relaying and says
@@ -112,6 +111,8 @@
 		return err
 	}
 	r.owner.noteBoot(h.Upstream, chat.BootID())
+	batch := newBatch(r.owner.cfg.GatherInterval)
+	defer batch.stop()
 	for {
 		event, err := chat.Next(ctx)
 		if err != nil {
@@ -121,30 +122,32 @@
 			_ = chat.Detach()
 			return err
 		}
-		if event.Done {
+		if err := batch.fill(chat, event); err != nil {
 			_ = chat.Close()
-			return nil
+			return err
 		}
-		if err := r.send(ctx, event); err != nil {
+		if err := r.send(ctx, batch); err != nil {
 			return r.loseEntry(chat)
 		}
+		if batch.done {
+			_ = chat.Close()
+			return nil
+		}
+		batch.wait(ctx)
 	}
 }
 
-func (r *chatRun) send(ctx context.Context, event answer.Event) error {
-	r.slot.firstToken()
-	out := Event{Offset: event.Offset, Data: event.Data}
-	var err error
-	if r.buf, err = out.MarshalMsg(r.buf[:0]); err != nil {
-		return err
+// send sends a batch as one message. Its events count as sent only then.
+func (r *chatRun) send(ctx context.Context, b *batch) error {
+	if len(b.buf) == 0 {
+		return nil
 	}
-	if err := r.stream.Send(ctx, r.buf); err != nil {
+	r.slot.firstToken()
+	if err := r.stream.Send(ctx, b.buf); err != nil {
 		return err
 	}
-	if event.Offset > 0 {
-		r.offset = event.Offset
-		r.tokens++
-	}
+	r.offset = max(r.offset, b.offset)
+	r.tokens += b.tokens
 	return nil
 }
 
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -7,7 +7,7 @@
 // Methods that an owner serves on the mesh.
 const (
 	// MethodChat runs a chat at an engine: a ChatRequest opens the stream, a
-	// Verdict and then Events answer it.
+	// Verdict and then messages of one or more Events answer it.
 	MethodChat = "owner.chat"
 	// MethodCall runs a request at a plain service: a CallRequest opens the
 	// stream, a Verdict and then one CallReply answer it.
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -45,9 +45,13 @@
 	Pool *mesh.Pool
 	// MaxStall is the longest pause inside an answer; 0 means DefaultMaxStall.
 	MaxStall time.Duration
-	Logger   hclog.Logger
-	Metrics  metrics.Registry
-	Tracer   *telemetry.Tracer
+	// GatherInterval is the time between two reads of one engine's stream; 0
+	// means that each token goes on at once. Tokens behind the first, and the end,
+	// come later by at most this.
+	GatherInterval time.Duration
+	Logger         hclog.Logger
+	Metrics        metrics.Registry
+	Tracer         *telemetry.Tracer
 }
 
 // Server is the owner's side of a router.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -92,7 +92,7 @@
 		Authority: func() session.Authority { return *r.authority.Load() },
 		Index:     r.view.Index, Orders: r.order,
 		Lease:  func() ledger.Lease { return *r.leases.Load() },
-		Ledger: r.ledger, Pool: pool,
+		Ledger: r.ledger, Pool: pool, GatherInterval: s.Limits.GatherInterval,
 		Logger: cfg.Logger, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	}, server)
 	r.plans = newPlans(r, server)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -136,6 +136,10 @@
 	MaxStreams int `yaml:"max_streams" default:"16384" validate:"gt=0"`
 	// MaxConnections bounds the callers' connections.
 	MaxConnections int `yaml:"max_connections" default:"16384" validate:"gt=0"`
+	// GatherInterval is the time between two reads of one engine's stream, at most
+	// 250ms: later tokens and the end are held back by up to this, the first token
+	// never. Zero passes each token on at once.
+	GatherInterval time.Duration `yaml:"gather_interval" validate:"gte=0,lte=250ms"`
 }
 
 // Queue bounds the requests that wait for an upstream.
--- a/internal/upstream/chat_stream.go
+++ b/internal/upstream/chat_stream.go
@@ -140,6 +140,22 @@
 	}
 }
 
+// Buffered implements ChatStream.
+func (s *chatStream) Buffered() (answer.Event, bool) {
+	if s.failed != nil {
+		return answer.Event{}, false
+	}
+	ev, ok, err := s.parser.Next()
+	if err != nil {
+		s.failed = s.fail(answer.EndCut, err)
+		return answer.Event{}, false
+	}
+	if !ok {
+		return answer.Event{}, false
+	}
+	return s.event(ev), true
+}
+
 func (s *chatStream) event(ev answer.Event) answer.Event {
 	if ev.Done {
 		s.facts.Whole = true
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -39,6 +39,9 @@
 	// Next returns the next event; after one with Done set it returns io.EOF. The
 	// event's Data is valid until the next call. Errors are *AttemptError.
 	Next(ctx context.Context) (answer.Event, error)
+	// Buffered returns the next event, as Next does, if it was read already, and
+	// false otherwise. It never waits; an error is left to Next.
+	Buffered() (answer.Event, bool)
 	// BootID returns the engine's boot ID as of this answer.
 	BootID() fleet.BootID
 	// Facts returns what is certain about the attempt so far.
--- a/internal/upstream/engine_test.go
+++ b/internal/upstream/engine_test.go
@@ -334,6 +334,25 @@
 	}
 }
 
+// TestBufferedNeverReads takes what Next read in one go and nothing else.
+func TestBufferedNeverReads(t *testing.T) {
+	is := is.New(t)
+	stream := &chatStream{engine: &HTTPEngine{}}
+	space, err := stream.parser.Space()
+	is.NoErr(err)
+	stream.parser.Advance(copy(space, "id: 1\ndata: a\n\n: pause\n\nid: 2\ndata: b\n\nid: 3\ndata: part"))
+	for _, want := range []uint64{1, 2} {
+		ev, ok := stream.Buffered()
+		is.True(ok)
+		is.Equal(ev.Offset, want)
+	}
+	_, ok := stream.Buffered()
+	is.True(!ok) // the third event is not whole: there is no connection to read it from
+	stream.failed = io.EOF
+	_, ok = stream.Buffered()
+	is.True(!ok)
+}
+
 // TestNextEndsWithItsContext ends a read that would wait for ever.
 func TestNextEndsWithItsContext(t *testing.T) {
 	is := is.New(t)
