--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bufio"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -56,12 +57,11 @@
 
 // readFrame reads one frame. The body is newly allocated and belongs to the
 // caller.
-func readFrame(r io.Reader, maxBytes int) (frame, error) {
-	var head [frameLengthBytes]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
+func readFrame(r *bufio.Reader, maxBytes int) (frame, error) {
+	size, err := readLength(r)
+	if err != nil {
 		return frame{}, err
 	}
-	size := binary.BigEndian.Uint32(head[:])
 	if uint64(size) > uint64(maxBytes) {
 		return frame{}, fmt.Errorf("%w: %d bytes, at most %d", errFrameTooLong, size, maxBytes)
 	}
@@ -72,6 +72,20 @@
 	return decodeFrame(buf)
 }
 
+// readLength reads a frame's length. The error is io.EOF only between frames.
+func readLength(r *bufio.Reader) (uint32, error) {
+	head, err := r.Peek(frameLengthBytes)
+	if err != nil {
+		if errors.Is(err, io.EOF) && len(head) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		return 0, err
+	}
+	size := binary.BigEndian.Uint32(head)
+	_, err = r.Discard(frameLengthBytes) // cannot fail: the bytes are buffered
+	return size, err
+}
+
 func decodeFrame(buf []byte) (frame, error) {
 	fields, buf, err := msgp.ReadArrayHeaderBytes(buf)
 	if err != nil {
