entry: the route of a request, with a firm round and a place to wait at

Cause: a request queued at a former candidate, whose owner refuses it; the headroom above the mean was left unused before queueing; nobody asked the other owners while an owner's records were incomplete. Change: entry.route as a plain value with a table of its orders; the owner answers ask-others; notes and queueing go to the first ranked candidate.

--- a/internal/entry/chat_run.go
+++ b/internal/entry/chat_run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -25,8 +24,6 @@
 	maxResumes     = 10
 	minResumePause = 100 * time.Millisecond
 	maxResumePause = time.Second
-	// extraCandidates are the queue at the first candidate and a redirection.
-	extraCandidates = 3
 	// maxHops bounds the owners that are asked before the request queues.
 	maxHops = 4
 )
@@ -43,9 +40,7 @@
 	sink       *sink
 	assembler  *answer.Assembler
 	progress   *answer.Progress
-	candidates []placement.Candidate
-	first      fleet.UpstreamID // the first candidate before any redirection
-	current    int              // index of the candidate in use
+	route      *route
 	attempts   int
 	resumes    int
 	retryAfter time.Duration
@@ -58,7 +53,7 @@
 		return refusal
 	}
 	r.progress = answer.NewProgress(answer.KindChat, answer.Budget{
-		Candidates: len(r.candidates) + extraCandidates, Resumes: maxResumes,
+		Candidates: maxStops, Resumes: maxResumes,
 	})
 	r.newAttempt()
 	for {
@@ -79,9 +74,13 @@
 			if !r.server.retries.allow(r.server.cfg.Clock(), r.req.Header.Workspace, r.pool) {
 				return retriesSpent(decision)
 			}
-			r.next()
+			if !r.next() {
+				return r.exhausted(decision)
+			}
 		case answer.ActionNextCandidate:
-			r.next()
+			if !r.next() {
+				return r.exhausted(decision)
+			}
 		case answer.ActionResume:
 			r.req.Resume, r.req.ResumeAfter = true, decision.Offset
 			r.pause(ctx)
@@ -94,18 +93,17 @@
 	}
 }
 
-// place orders the candidates: where the chat was last served, then the
-// placement's order.
+// place orders the candidates.
 func (r *chatRun) place() *answer.Refusal {
 	table := r.server.cfg.Table()
 	if err := r.server.cfg.Serving(); err != nil || table == nil {
 		return unavailable("this router cannot serve yet", 0)
 	}
-	r.candidates = table.Candidates(r.key, r.pool, r.server.cfg.Zone, make([]placement.Candidate, 0, maxHops))
-	if len(r.candidates) == 0 {
+	candidates := table.Candidates(r.key, r.pool, r.server.cfg.Zone, make([]placement.Candidate, 0, maxHops))
+	if len(candidates) == 0 {
 		return unavailable("no upstream of the model's pool takes new work", 0)
 	}
-	r.first = r.candidates[0].Upstream
+	r.route = newRoute(candidates)
 	return nil
 }
 
@@ -124,15 +122,19 @@
 	r.assembler.Restart(answer.AttemptID(attempt))
 }
 
-// next moves to the next candidate; after the last one the request queues at
-// the first, where its cache is.
-func (r *chatRun) next() {
-	r.current++
-	if r.current >= len(r.candidates) {
-		r.current = 0
-		r.req.Header.MayQueue = true
+// next moves to the next stop of the route; false means that none is left.
+func (r *chatRun) next() bool {
+	if !r.route.advance() {
+		return false
 	}
 	r.newAttempt()
+	return true
+}
+
+// exhausted is the refusal of a request that every owner has refused.
+func (r *chatRun) exhausted(d answer.Decision) *answer.Refusal {
+	d.Status = http.StatusServiceUnavailable
+	return r.refusal(d)
 }
 
 // pause waits before a stream is resumed, longer each time.
@@ -151,13 +153,15 @@
 
 // attempt forwards the request to the candidate's owner and relays the answer.
 func (r *chatRun) attempt(ctx context.Context) (answer.End, answer.Facts) {
-	id := r.candidates[r.current].Upstream
+	stop := r.route.current()
+	id := stop.Upstream
 	member, ok := r.ownerOf(id)
 	if !ok {
 		return answer.EndNotConnected, answer.Facts{}
 	}
 	r.req.Header.Upstream = id
-	r.req.Basis = uint8(r.candidates[r.current].Basis)
+	r.req.Basis, r.req.Firm, r.req.Header.MayQueue = uint8(stop.Basis), stop.firm, stop.queue
+	r.req.Redirected = r.route.redirected
 	r.req.Header.BudgetMillis = budgetMillis(r.server.cfg.Clock(), r.deadline)
 	message, err := r.req.MarshalMsg(nil)
 	if err != nil {
@@ -178,7 +182,7 @@
 	if !verdict.Admitted {
 		r.last = fleet.At(errors.New(verdict.Reason.String()), "owner.admit", member.Addr)
 		r.retryAfter = max(r.retryAfter, time.Duration(verdict.RetryAfterMillis)*time.Millisecond)
-		r.redirect(verdict.Elsewhere)
+		r.reroute(verdict)
 		return answer.EndRefused, answer.Facts{}
 	}
 	return r.relay(ctx, stream, id)
@@ -264,20 +268,14 @@
 	return answer.EndWhole, c.Facts()
 }
 
-// redirect puts the upstream that holds the chat's cache next in order. It is
-// done once a request: the owners' records may disagree.
-func (r *chatRun) redirect(id fleet.UpstreamID) {
-	if id == "" || r.req.Redirected {
-		return
-	}
-	r.req.Redirected = true
-	if !r.server.cfg.Table().Eligible(id) {
-		return
+// reroute follows an owner's word about the chat's cache.
+func (r *chatRun) reroute(v owner.Verdict) {
+	switch {
+	case v.Reason == owner.RefusedAskOthers:
+		r.route.askOthers()
+	case v.Elsewhere != "":
+		r.route.redirect(v.Elsewhere, r.server.cfg.Table().Eligible(v.Elsewhere))
 	}
-	rest := slices.DeleteFunc(slices.Clone(r.candidates[r.current+1:]), func(c placement.Candidate) bool { return c.Upstream == id })
-	named := placement.Candidate{Upstream: id, Basis: placement.Recorded}
-	back := r.candidates[r.current] // serves the chat where the named one cannot
-	r.candidates = append(append(r.candidates[:r.current+1:r.current+1], named, back), rest...)
 }
 
 // note tells the owner of the chat's first candidate where it was served
@@ -286,9 +284,9 @@
 	if !r.key.Chat() {
 		return
 	}
-	served := r.candidates[r.current].Upstream
-	member, ok := r.ownerOf(r.first)
-	if !ok || r.first == served {
+	served := r.route.current().Upstream
+	member, ok := r.ownerOf(r.route.first)
+	if !ok || r.route.first == served {
 		return
 	}
 	note := owner.Note{Chat: uint64(r.key), Upstream: served, Tokens: int(r.tokens())}
--- a/internal/owner/cache.go
+++ b/internal/owner/cache.go
@@ -68,6 +68,8 @@
 		return RefusedNotResident, presence.Upstream, 0
 	case !presence.Serves(candidate):
 		return RefusedNotResident, "", 0
+	case presence.AskOthers(candidate) && !req.Redirected:
+		return RefusedAskOthers, "", 0
 	case presence.Upstream == candidate.Upstream:
 		return RefusedNone, "", presence.Tokens
 	default:
--- a/internal/owner/chat_endpoint.go
+++ b/internal/owner/chat_endpoint.go
@@ -57,7 +57,9 @@
 		if reason != RefusedNone {
 			return nil, s.count(Verdict{Reason: reason, Elsewhere: elsewhere, Epoch: s.cfg.Authority().Membership().Epoch})
 		}
-		ask.Yield = admission.YieldFor(cached)
+		if !req.Firm {
+			ask.Yield = admission.YieldFor(cached)
+		}
 	}
 	return s.admit(ctx, &req.Header, ask)
 }
--- a/internal/owner/messages.go
+++ b/internal/owner/messages.go
@@ -36,7 +36,9 @@
 	Chat uint64 `msg:"c"`
 	// Basis is the placement.Basis of the candidate.
 	Basis uint8 `msg:"b"`
-	// Redirected is set once an owner has named another upstream for the chat.
+	// Firm requests may use the headroom that is kept for chats with more cached.
+	Firm bool `msg:"f"`
+	// Redirected is set once an owner has sent the chat elsewhere.
 	Redirected bool `msg:"x"`
 	// CacheKey is the prompt_cache_key that the engine sees.
 	CacheKey string `msg:"k"`
@@ -86,9 +88,12 @@
 	// RefusedNotResident means that the chat's cache is not here, so that its
 	// ranked upstream serves it as well.
 	RefusedNotResident
+	// RefusedAskOthers means that the owner does not know yet where the chat's
+	// cache is: the other candidates' owners may.
+	RefusedAskOthers
 )
 
-var refusalNames = [...]string{"none", "not-owner", "no-lease", "full", "out", "unknown-upstream", "deadline", "not-resident"}
+var refusalNames = [...]string{"none", "not-owner", "no-lease", "full", "out", "unknown-upstream", "deadline", "not-resident", "ask-others"}
 
 // String returns the refusal's name in logs and metrics.
 func (r Refusal) String() string {
--- a/internal/owner/messages_gen.go
+++ b/internal/owner/messages_gen.go
@@ -442,9 +442,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ChatRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "h"
-	o = append(o, 0x89, 0xa1, 0x68)
+	o = append(o, 0x8a, 0xa1, 0x68)
 	o, err = z.Header.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Header")
@@ -456,6 +456,9 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendUint8(o, z.Basis)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Firm)
 	// string "x"
 	o = append(o, 0xa1, 0x78)
 	o = msgp.AppendBool(o, z.Redirected)
@@ -513,6 +516,12 @@
 				err = msgp.WrapError(err, "Basis")
 				return
 			}
+		case "f":
+			z.Firm, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Firm")
+				return
+			}
 		case "x":
 			z.Redirected, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -563,7 +572,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ChatRequest) Msgsize() (s int) {
-	s = 1 + 2 + z.Header.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.CacheKey) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 2 + z.Header.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.CacheKey) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
 	return
 }
 
