demo: every process has a loopback IP number of its own

Cause: TestRequestsOverThePlanAreRefused failed once with 'address already in use': a port of 127.0.0.1 was given up before it was used, and a client took it. Change: addresses from a loopback network that outgoing connections do not use.

--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -10,9 +10,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -120,7 +122,11 @@
 	if err := f.startStandins(); err != nil {
 		return nil, errors.Join(err, f.Stop(ctx))
 	}
-	f.plan()
+	network, err := newNetwork()
+	if err != nil {
+		return nil, errors.Join(err, f.Stop(ctx))
+	}
+	f.plan(network)
 	for i := range f.opts.Control + f.opts.Routers {
 		if i >= f.opts.Control && f.opts.remoteRouters {
 			break
@@ -184,10 +190,13 @@
 }
 
 // plan chooses every process' addresses and settings.
-func (f *Fleet) plan() {
-	var members []string
-	for range f.opts.Control {
-		members = append(members, freeAddr())
+func (f *Fleet) plan(n *network) {
+	var ips, members []string
+	for i := range f.opts.Control + f.opts.Routers {
+		ips = append(ips, n.next())
+		if i < f.opts.Control {
+			members = append(members, at(ips[i], meshPort))
+		}
 	}
 	for i := range f.opts.Control + f.opts.Routers {
 		s := settings.Settings{
@@ -201,30 +210,55 @@
 		if i < f.opts.Control {
 			s.Instance = fleet.InstanceID(fmt.Sprintf("control-%d", i+1))
 			s.Roles = []settings.Role{settings.RoleControl}
-			s.Listen = settings.Listen{Mesh: members[i], Operators: freeAddr()}
+			s.Listen = settings.Listen{Mesh: members[i], Operators: at(ips[i], operatorsPort)}
 			s.DataDir = filepath.Join(f.opts.Dir, string(s.Instance))
 			s.Operators = []settings.Operator{{Name: "demo", KeyDigests: []string{digest(OperatorKey)}}}
 			f.OperatorAddrs = append(f.OperatorAddrs, s.Listen.Operators)
 		} else {
 			s.Instance = fleet.InstanceID(fmt.Sprintf("router-%d", i-f.opts.Control+1))
 			s.Roles = []settings.Role{settings.RoleRouter}
-			s.Listen = settings.Listen{Mesh: freeAddr(), Callers: freeAddr()}
+			s.Listen = settings.Listen{Mesh: at(ips[i], meshPort), Callers: at(ips[i], callersPort)}
 			f.RouterURLs = append(f.RouterURLs, "http://"+s.Listen.Callers)
 		}
 		f.settings = append(f.settings, s.WithDefaults())
 	}
 }
 
-// freeAddr returns a loopback address that nothing listens at just now.
-func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:0"
+// network hands out loopback addresses that no outgoing connection takes: those
+// of 127.0.0.1 are shared with every client on the machine.
+type network struct {
+	prefix string // first three numbers
+	last   int
+}
+
+// Ports of every process; each has an IP number of its own.
+const (
+	meshPort      = 7400
+	callersPort   = 8080
+	operatorsPort = 8090
+)
+
+// newNetwork finds a loopback network that nothing listens in.
+func newNetwork() (*network, error) {
+	var err error
+	for range 100 {
+		n := &network{prefix: fmt.Sprintf("127.%d.%d", 64+rand.IntN(128), rand.IntN(256))}
+		var l net.Listener
+		if l, err = net.Listen("tcp", n.next()+":"+strconv.Itoa(meshPort)); err == nil {
+			return n, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return nil, err
+}
+
+// next returns the next IP number.
+func (n *network) next() string {
+	n.last++
+	return n.prefix + "." + strconv.Itoa(n.last)
 }
 
+func at(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
+
 func digest(key string) string {
 	sum := sha256.Sum256([]byte(key))
 	return hex.EncodeToString(sum[:])
