--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin/wigeonflow
 
-.PHONY: build check demo dala-press lamphun measure generate fmt
+.PHONY: build check demo dala-press lamphun measure capacity generate fmt
 
 build:
 	$(GO) build -o $(BIN) ./cmd/wigeonflow
@@ -28,6 +28,10 @@
 	./scripts/measure.sh peak
 	./scripts/measure.sh zone
 
+# capacity measures the slopes behind docs/CAPACITY.md and prints them as tables.
+capacity:
+	./scripts/capacity.sh
+
 generate:
 	$(GO) generate ./...
 
--- /dev/null
+++ b/internal/plan/home_bench_test.go
@@ -0,0 +1,97 @@
+package plan
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/lists"
+)
+
+var benchPlan = lists.Plan{RequestsPerSecond: 100, Concurrency: 360, TokensPerMinute: 1_800_000}
+
+// benchHome returns a home that counts for so many workspaces.
+func benchHome(workspaces int) *Home {
+	p := lists.Plans{Plans: []lists.Plan{benchPlan}}
+	p.Plans[0].Name = "p"
+	for i := range workspaces {
+		p.Workspaces = append(p.Workspaces, lists.Workspace{ID: benchWorkspace(i), Plan: "p"})
+	}
+	h := NewHome("boot")
+	h.SetPlans(0, p)
+	for i := range workspaces {
+		h.TakeFirst(0, benchWorkspace(i))
+	}
+	return h
+}
+
+func benchWorkspace(i int) fleet.WorkspaceID {
+	return fleet.WorkspaceID(fmt.Sprintf("workspace-%05d", i))
+}
+
+func benchBorrow(workspace, borrower int, sequence uint64) BorrowRequest {
+	return BorrowRequest{
+		Workspace: benchWorkspace(workspace), Instance: fleet.InstanceID(fmt.Sprintf("router-%03d", borrower)),
+		Boot: "0190a1b2-7c3d-7000-8000-00000000000b", Sequence: sequence,
+		Want: Amount{Requests: 1, Tokens: 600}, Slots: 1, Held: 1,
+	}
+}
+
+// BenchmarkBookMemory measures a home's book of a workspace with so many borrowers,
+// in memory and as it is handed over.
+func BenchmarkBookMemory(b *testing.B) {
+	const workspaces = 200
+	for _, borrowers := range []int{0, 1, 3, 10, 50} {
+		b.Run(fmt.Sprintf("borrowers=%d", borrowers), func(b *testing.B) {
+			for range b.N {
+				before := heapInUse()
+				h := benchHome(workspaces)
+				for w := range workspaces {
+					for i := range borrowers {
+						h.Borrow(time.Millisecond, benchBorrow(w, i, 1))
+					}
+				}
+				b.ReportMetric(float64(heapInUse()-before)/workspaces, "B/book")
+				books, _ := h.Release(time.Millisecond, benchWorkspace(0))
+				encoded, err := books.MarshalMsg(nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(encoded)), "encoded-B/book")
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkBorrow lends to so many borrowers in turn, and reports the bytes of
+// a request with its reply.
+func BenchmarkBorrow(b *testing.B) {
+	for _, borrowers := range []int{1, 10, 50, 200, 410} {
+		b.Run(fmt.Sprintf("borrowers=%d", borrowers), func(b *testing.B) {
+			h := benchHome(1)
+			requests := make([]BorrowRequest, borrowers)
+			for i := range requests {
+				requests[i] = benchBorrow(0, i, 0)
+			}
+			var reply BorrowReply
+			for i := range b.N {
+				r := &requests[i%borrowers]
+				r.Sequence++
+				reply = h.Borrow(time.Duration(i)*time.Millisecond, *r)
+			}
+			up, _ := requests[0].MarshalMsg(nil)
+			down, _ := reply.MarshalMsg(nil)
+			b.ReportMetric(float64(len(up)+len(down)), "B/exchange")
+		})
+	}
+}
--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,77 @@
+#!/usr/bin/env bash
+# Measures the slopes behind docs/CAPACITY.md, one benchmark at a time, and
+# prints them as Markdown tables. It takes about three minutes once the tests
+# are built.
+#   scripts/capacity.sh
+# SECONDS_MAX bounds each step. Exit status: 1 if a step fails or gives nothing.
+set -u
+cd "$(dirname "$0")/.." || exit 2
+go=${GO:-go}
+limit=${SECONDS_MAX:-120}
+status=0
+
+# step TITLE PACKAGE FLAGS... runs tests or benchmarks of a package and prints
+# what they report: benchmark lines as rows, log lines as they are.
+step() {
+  local title=$1 package=$2 out rows
+  shift 2
+  printf '\n### %s\n\n`go test ./internal/%s%s`\n\n' "$title" "$package" "$(printf " '%s'" "$@")"
+  if ! out=$(timeout "$limit" "$go" test "./internal/$package" -count 1 "$@" 2>&1); then
+    echo "FAILED:"
+    tail -n 20 <<<"$out"
+    status=1
+    return
+  fi
+  rows=$(rows_of "$out")
+  if [ -z "$rows" ]; then
+    echo "FAILED: nothing was measured"
+    status=1
+    return
+  fi
+  echo "$rows"
+}
+
+# rows_of OUTPUT keeps the figures of a test's output.
+rows_of() {
+  awk '
+    /^Benchmark[^ \t]*[ \t]+[0-9]+[ \t]/ {
+      name = $1
+      sub(/^Benchmark/, "", name)
+      sub(/-[0-9]+$/, "", name)
+      line = ""
+      for (i = 3; i < NF; i += 2) line = line (line == "" ? "" : ", ") $i " " $(i + 1)
+      if (!head++) print "| benchmark | measured |\n|---|---|"
+      printf "| %s | %s |\n", name, line
+      next
+    }
+    /% +[0-9]+ B +[0-9]+ breaches$/ { print "- " $0; next }
+    /^[ \t]+[a-z_]+_test\.go:[0-9]+:/ {
+      sub(/^[ \t]+[a-z_]+_test\.go:[0-9]+:[ \t]*/, "")
+      print "- " $0
+    }' <<<"$1"
+}
+
+bench() {
+  step "$1" "$2" -run XXX -bench "$3" -benchmem "${@:4}"
+}
+
+printf 'Measured %s on %s cores, load %s before.\n' "$(date -u +%FT%TZ)" "$(nproc)" "$(cut -d' ' -f1-3 /proc/loadavg)"
+step "Leases: encoded sizes" session -run EncodedSizes -v
+bench "Leases: processor time" session 'Renew|Tick|Owns' -benchtime 100ms
+step "Lists: encoded sizes and memory" operator -run 'EncodedSizes|Memory' -v
+bench "Lists: processor time" operator . -benchtime 10x
+bench "Control members at rest, as processes" control MemberAtRest -benchtime 1x
+step "Control group with a fleet of routers" control -run TestFleet -v -fleet 3,50,200,400 -rest 5s
+bench "Log: heartbeats between members" consensus Idle -benchtime 1x
+bench "Owner: candidates, owners, epochs" placement 'Candidates|Owner|NextTable' -benchtime 100ms
+bench "Owner: chats remembered" placement Resident -benchtime 20000x
+bench "Owner: admission" admission AdmitDone -benchtime 100ms
+bench "Plan home: a book" plan BookMemory -benchtime 1x
+bench "Plan home: a loan" plan Borrow -benchtime 2000x
+bench "Answers: a token and a stream" answer . -benchtime 20x
+bench "Mesh: a message" mesh StreamMessage -benchtime 10000x
+bench "Mesh: idle connections" mesh ConnectionMemory -benchtime 1x
+bench "Platform's list" upstream InstanceList -benchtime 20x
+bench "Ledger: a booking, a record, a snapshot" ledger . -benchtime 20x
+bench "Plan home: bytes of loans a request" plan UsableShare -benchtime 1x
+exit $status
