scripts/capacity.sh: enough iterations a step; leader gaps and the kept plans

Cause: 20 iterations gave the setup of BenchmarkTokenEvent (299 us) rather than a token (0.69 us at 10,000). Change: iterations by step; the log's leader gaps and what a router keeps of the plans are measured too. Not run yet: this version in one go.

--- a/internal/plan/home_bench_test.go
+++ b/internal/plan/home_bench_test.go
@@ -12,15 +12,20 @@
 
 var benchPlan = lists.Plan{RequestsPerSecond: 100, Concurrency: 360, TokensPerMinute: 1_800_000}
 
-// benchHome returns a home that counts for so many workspaces.
-func benchHome(workspaces int) *Home {
+// benchPlans returns a list of so many workspaces.
+func benchPlans(workspaces int) lists.Plans {
 	p := lists.Plans{Plans: []lists.Plan{benchPlan}}
 	p.Plans[0].Name = "p"
 	for i := range workspaces {
 		p.Workspaces = append(p.Workspaces, lists.Workspace{ID: benchWorkspace(i), Plan: "p"})
 	}
+	return p
+}
+
+// benchHome returns a home that counts for so many workspaces.
+func benchHome(workspaces int) *Home {
 	h := NewHome("boot")
-	h.SetPlans(0, p)
+	h.SetPlans(0, benchPlans(workspaces))
 	for i := range workspaces {
 		h.TakeFirst(0, benchWorkspace(i))
 	}
@@ -95,3 +100,21 @@
 		})
 	}
 }
+
+// BenchmarkPlansMemory measures what every router keeps of the first list for
+// the workspaces that it may become the home of.
+func BenchmarkPlansMemory(b *testing.B) {
+	for _, workspaces := range []int{1000, 4500, 18_000} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			p := benchPlans(workspaces)
+			for range b.N {
+				before := heapInUse()
+				h := NewHome("boot")
+				h.SetPlans(0, p)
+				b.ReportMetric(float64(heapInUse()-before)/1e6, "MB/router")
+				runtime.KeepAlive(h)
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -63,15 +63,18 @@
 bench "Control members at rest, as processes" control MemberAtRest -benchtime 1x
 step "Control group with a fleet of routers" control -run TestFleet -v -fleet 3,50,200,400 -rest 5s
 bench "Log: heartbeats between members" consensus Idle -benchtime 1x
+bench "Log: time without a leader" consensus LeaderGap/heartbeat-250ms -benchtime 500x
 bench "Owner: candidates, owners, epochs" placement 'Candidates|Owner|NextTable' -benchtime 100ms
 bench "Owner: chats remembered" placement Resident -benchtime 20000x
 bench "Owner: admission" admission AdmitDone -benchtime 100ms
 bench "Plan home: a book" plan BookMemory -benchtime 1x
+bench "Plan home: the plans a router keeps" plan PlansMemory -benchtime 1x
 bench "Plan home: a loan" plan Borrow -benchtime 2000x
-bench "Answers: a token and a stream" answer . -benchtime 20x
+bench "Answers: a token" answer TokenEvent -benchtime 10000x
+bench "Answers: an open stream" answer StreamMemory -benchtime 1x
 bench "Mesh: a message" mesh StreamMessage -benchtime 10000x
 bench "Mesh: idle connections" mesh ConnectionMemory -benchtime 1x
 bench "Platform's list" upstream InstanceList -benchtime 20x
-bench "Ledger: a booking, a record, a snapshot" ledger . -benchtime 20x
+bench "Ledger: a booking, a record, a snapshot" ledger . -benchtime 100x
 bench "Plan home: bytes of loans a request" plan UsableShare -benchtime 1x
 exit $status
