--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin/wigeonflow
 
-.PHONY: build check demo dala-press lamphun measure capacity generate fmt
+.PHONY: build check demo dala-press lamphun measure capacity report generate fmt
 
 build:
 	$(GO) build -o $(BIN) ./cmd/wigeonflow
@@ -32,6 +32,11 @@
 capacity:
 	./scripts/capacity.sh
 
+# report measures reuse, skew, control traffic and a zone's absence for both sites,
+# and writes docs/report.
+report: build
+	./scripts/report.sh
+
 generate:
 	$(GO) generate ./...
 
--- /dev/null
+++ b/internal/report/reportgen/main.go
@@ -0,0 +1,86 @@
+// Command reportgen writes the page and the plots of package report from the
+// outputs in a folder: head.md, reuse.txt, ways.txt and zone-SITE.txt.
+// Usage: reportgen INPUT_FOLDER OUTPUT_FOLDER
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/wigeonflow/wigeonflow/internal/report"
+)
+
+func main() {
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: reportgen INPUT_FOLDER OUTPUT_FOLDER")
+		os.Exit(2)
+	}
+	if err := run(os.Args[1], os.Args[2]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(in, out string) error {
+	page, err := read(in)
+	if err != nil {
+		return err
+	}
+	if err := page.Plot(out); err != nil {
+		return err
+	}
+	file, err := os.Create(filepath.Join(out, "README.md"))
+	if err != nil {
+		return err
+	}
+	if err := page.WriteMarkdown(file); err != nil {
+		return err
+	}
+	return file.Close()
+}
+
+func read(folder string) (page report.Page, err error) {
+	head, err := os.ReadFile(filepath.Join(folder, "head.md"))
+	if err != nil {
+		return page, err
+	}
+	page.Head = string(head)
+	if page.Reuse, err = parse(filepath.Join(folder, "reuse.txt"), report.ParseReuse); err != nil {
+		return page, err
+	}
+	if page.Ways, err = parse(filepath.Join(folder, "ways.txt"), report.ParseWays); err != nil {
+		return page, err
+	}
+	page.Zones, err = zones(folder)
+	return page, err
+}
+
+func zones(folder string) ([]report.Zone, error) {
+	files, err := filepath.Glob(filepath.Join(folder, "zone-*.txt"))
+	if err != nil {
+		return nil, err
+	}
+	var trials []report.Zone
+	for _, name := range files {
+		output, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		site := strings.TrimSuffix(strings.TrimPrefix(filepath.Base(name), "zone-"), ".txt")
+		trials = append(trials, report.Zone{Site: site, Output: string(output)})
+	}
+	return trials, nil
+}
+
+// parse opens a file for a parser.
+func parse[T any](name string, parser func(io.Reader) ([]T, error)) ([]T, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return parser(file)
+}
--- /dev/null
+++ b/scripts/report.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Measures what the deployments weigh and writes docs/report: cache reuse through
+# churn, skew, control traffic, and service while a zone leaves and returns, at
+# both sizes. Usage: scripts/report.sh [INPUT_FOLDER]
+# The raw outputs stay in INPUT_FOLDER if it is named. Exit status: 1 if a
+# measurement fails or an answer breaks a promise; the page then still shows it.
+set -u
+cd "$(dirname "$0")/.." || exit 2
+go=${GO:-go}
+in=${1:-$(mktemp -d)}
+mkdir -p "$in" docs/report
+status=0
+
+bench() {
+  timeout 300 "$go" test "./internal/$2" -run XXX -bench "$3" -benchtime 1x >"$in/$1.txt" 2>&1 || status=1
+}
+
+{
+  printf 'Measured %s on %s cores, load %s, by `make report`.\n' "$(date -u +%FT%TZ)" "$(nproc)" "$(cut -d' ' -f1 /proc/loadavg)"
+  printf 'Stand-in engines on loopback for the zones; seeded schedules on virtual time for the rest.\n'
+} >"$in/head.md"
+bench reuse placement 'Reuse$'
+bench ways admission 'Ways$'
+for site in dala-press lamphun; do
+  SECONDS_OF_LOAD=${SECONDS_OF_LOAD:-70} scripts/maintenance.sh zone "$site" >"$in/zone-$site.txt" 2>&1 || status=1
+done
+"$go" run ./internal/report/reportgen "$in" docs/report || status=1
+exit $status
