--- a/scripts/report.sh
+++ b/scripts/report.sh
@@ -22,7 +22,7 @@
 bench reuse placement 'Reuse$'
 bench ways admission 'Ways$'
 for site in dala-press lamphun; do
-  SECONDS_OF_LOAD=${SECONDS_OF_LOAD:-70} scripts/maintenance.sh zone "$site" >"$in/zone-$site.txt" 2>&1 || status=1
+  SECONDS_OF_LOAD=${SECONDS_OF_LOAD:-60} scripts/maintenance.sh zone "$site" >"$in/zone-$site.txt" 2>&1 || status=1
 done
 "$go" run ./internal/report/reportgen "$in" docs/report || status=1
 exit $status
