--- a/internal/report/plot.go
+++ b/internal/report/plot.go
@@ -7,13 +7,16 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/text"
 	"gonum.org/v1/plot/vg"
 )
 
 const (
 	plotWidth  = 28 * vg.Centimeter
-	plotHeight = 11 * vg.Centimeter
+	plotHeight = 13 * vg.Centimeter
 	barWidth   = 0.5 * vg.Centimeter
+	// labelTilt keeps long names of changes apart, in radians.
+	labelTilt = 0.35
 )
 
 // Plot draws the reuse of each deployment into a folder, a bar for each policy
@@ -45,6 +48,8 @@
 		chart.Legend.Add(policy, bars)
 	}
 	chart.NominalX(changes...)
+	chart.X.Tick.Label.Rotation = labelTilt
+	chart.X.Tick.Label.XAlign = text.XRight
 	chart.Y.Max = 100
 	return chart.Save(plotWidth, plotHeight, file)
 }
