--- a/internal/report/parse.go
+++ b/internal/report/parse.go
@@ -32,6 +32,9 @@
 	// Skew and WorstSkew are the 99.9th percentile and the maximum of load over
 	// mean at admission.
 	Skew, WorstSkew float64
+	// BeyondPercent is the part of the admissions above the bound of the mean at
+	// that moment, which no instance knows.
+	BeyondPercent float64
 	// RefusedPercent is the part of the requests that were refused.
 	RefusedPercent float64
 	// ControlBytes is the control traffic of a router in bytes a second.
@@ -75,7 +78,7 @@
 		if !ok || len(values) != 7 {
 			continue
 		}
-		runs = append(runs, Way{names[0], names[1], values[0], values[1], values[4], values[6]})
+		runs = append(runs, Way{names[0], names[1], values[0], values[1], values[2], values[4], values[6]})
 	}
 	return runs, found(len(runs), lines.Err(), "ways")
 }
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -37,7 +37,7 @@
 	is := is.New(t)
 	runs, err := ParseWays(strings.NewReader(waysOutput))
 	is.NoErr(err)
-	is.Equal(runs, []Way{{"dala press", "reports", 1.40, 1.53, 0.05, 626}})
+	is.Equal(runs, []Way{{"dala press", "reports", 1.40, 1.53, 0.10, 0.05, 626}})
 }
 
 func TestOutputWithoutFiguresIsRefused(t *testing.T) {
