report: say what the control column counts

Cause: BenchmarkWays counts the load part of control traffic for one pool, and the page did not say so.

--- a/internal/report/page.go
+++ b/internal/report/page.go
@@ -51,6 +51,7 @@
 
 func (p Page) writeWays(b *strings.Builder) {
 	b.WriteString("\n## Skew across engines and control traffic\n\n")
+	b.WriteString("Control counts what tells of load alone, for one pool; leases, lists and loans are in CAPACITY.md.\n\n")
 	b.WriteString("| size | way | load over mean at admission, p99.9 | worst | above the bound of the mean at that moment | refused | control, B/s a router |\n|---|---|---|---|---|---|---|\n")
 	for _, w := range p.Ways {
 		fmt.Fprintf(b, "| %s | %s | %.2f | %.2f | %.2f%% | %.2f%% | %.0f |\n", w.Site, w.Name, w.Skew, w.WorstSkew, w.BeyondPercent, w.RefusedPercent, w.ControlBytes)
