--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin/wigeonflow
 
-.PHONY: build check demo dala-press lamphun measure generate fmt
+.PHONY: build check demo dala-press lamphun measure capacity report generate fmt
 
 build:
 	$(GO) build -o $(BIN) ./cmd/wigeonflow
@@ -28,6 +28,15 @@
 	./scripts/measure.sh peak
 	./scripts/measure.sh zone
 
+# capacity measures the slopes behind docs/CAPACITY.md and prints them as tables.
+capacity:
+	./scripts/capacity.sh
+
+# report measures reuse, skew, control traffic and a zone's absence for both sites,
+# and writes docs/report.
+report: build
+	./scripts/report.sh
+
 generate:
 	$(GO) generate ./...
 
