A router without lists blames no caller; unchanged platform lists and small mesh buffers

Cause: scripts/chaos.sh 2 60 1 40 showed 401 from a router that had just started: without lists it knows no key. docs/CAPACITY.md shows the platform's list (84.9 KB/s a node at 600 upstreams) and the mesh (82 KB a peer) over their limits. Change: 503 not-run until the lists are there; the platform is asked with If-None-Match; read buffers of 8 KiB, spare write buffers of 8 KiB. Conclusion: kept; a list that does change is still sent whole.

--- /dev/null
+++ b/internal/demo/notready_test.go
@@ -0,0 +1,33 @@
+package demo
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/agent"
+)
+
+func TestRouterWithoutConfigurationBlamesNoCaller(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
+	defer cancel()
+	opts := Options{Dir: t.TempDir(), Routers: 1}
+	f := &Fleet{opts: opts.withDefaults()}
+	is.NoErr(f.startStandins())
+	network, err := newNetwork()
+	is.NoErr(err)
+	f.plan(network)
+	router, err := agent.Start(ctx, f.settings[1], f.opts.Log) // without control
+	is.NoErr(err)
+	resp, _, err := f.Do(ctx, 0, http.MethodPost, "/v1/chat/completions", "", goodChat)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable) // not 401: the key may be good
+	is.Equal(resp.Header.Get("Wigeonflow-Outcome"), "not-run")
+	stopped, stop := context.WithCancel(ctx)
+	stop() // it has no lease to give back
+	_ = router.Stop(stopped)
+	is.NoErr(f.Stop(ctx))
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -166,6 +166,10 @@
 // authenticated finds the workspace by the digest of its key: an index of
 // digests tells nothing of a key by the time that a lookup takes.
 func (s *Server) authenticated(w http.ResponseWriter, r *http.Request, id fleet.RequestID, h handler) *answer.Refusal {
+	if err := s.cfg.Serving(); err != nil {
+		// Without the lists no key is known here: that is no fault of the caller's.
+		return unavailable("this router cannot serve yet: "+err.Error(), 0)
+	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
 	if !ok {
 		return refuse(http.StatusUnauthorized, "missing_key", "the request carries no API key")
--- a/internal/mesh/connection.go
+++ b/internal/mesh/connection.go
@@ -10,7 +10,7 @@
 	"sync"
 )
 
-const readBufferBytes = 32 << 10
+const readBufferBytes = 8 << 10
 
 // connection is one TCP connection with its streams.
 type connection struct {
--- a/internal/mesh/writer.go
+++ b/internal/mesh/writer.go
@@ -80,7 +80,7 @@
 }
 
 // maxSpareBytes bounds the buffer that an idle connection keeps.
-const maxSpareBytes = 64 << 10
+const maxSpareBytes = 8 << 10
 
 func keepSmall(buf []byte) []byte {
 	if cap(buf) > maxSpareBytes {
--- a/internal/plan/home_bench_test.go
+++ b/internal/plan/home_bench_test.go
@@ -39,7 +39,7 @@
 func benchBorrow(workspace, borrower int, sequence uint64) BorrowRequest {
 	return BorrowRequest{
 		Workspace: benchWorkspace(workspace), Instance: fleet.InstanceID(fmt.Sprintf("router-%03d", borrower)),
-		Boot: "0190a1b2-7c3d-7000-8000-00000000000b", Sequence: sequence,
+		Boot: 0x0190a1b27c3d7000, Sequence: sequence,
 		Want: Amount{Requests: 1, Tokens: 600}, Slots: 1, Held: 1,
 	}
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/goccy/go-yaml"
 	"github.com/gorilla/mux"
 
@@ -132,8 +134,21 @@
 	return p.versions[0]
 }
 
-func (p *Platform) serveGet(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, p.visible(time.Now()))
+func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
+	list := p.visible(time.Now())
+	tag := entityTag(list.Instances)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+// entityTag is the same for equal lists, whatever their age.
+func entityTag(list []fleet.Upstream) string {
+	data, _ := json.Marshal(list)
+	return fmt.Sprintf("%q", fmt.Sprintf("%016x", xxhash.Sum64(data)))
 }
 
 func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -80,6 +80,17 @@
 	return c.do(ctx, step, http.MethodPost, path, bytes.NewReader(data))
 }
 
+// get sends a GET with header fields.
+func (c client) get(ctx context.Context, step, path string, header http.Header) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(path), nil)
+	if err != nil {
+		return nil, fleet.At(err, step, c.addr)
+	}
+	req.Header = header
+	resp, err := c.transport.RoundTrip(req)
+	return resp, fleet.At(err, step, c.addr)
+}
+
 func (c client) getJSON(ctx context.Context, step, path string, into any) error {
 	resp, err := c.do(ctx, step, http.MethodGet, path, nil)
 	if err != nil {
--- a/internal/upstream/platform.go
+++ b/internal/upstream/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
@@ -21,9 +22,15 @@
 	Instances  []fleet.Upstream `json:"instances"`
 }
 
-// HTTPPlatform is a Platform over HTTP.
+// HTTPPlatform is a Platform over HTTP. It asks for the list under the former
+// answer's ETag (RFC 9110, section 13), so that an unchanged list is not sent
+// again.
 type HTTPPlatform struct {
 	base client
+
+	mu   sync.Mutex
+	tag  string // ETag of last; empty if the platform gives none
+	last InstanceList
 }
 
 // NewPlatform returns the platform at addr, an IP:port.
@@ -35,10 +42,28 @@
 
 // Instances implements Platform.
 func (p *HTTPPlatform) Instances(ctx context.Context) (InstanceList, error) {
-	var list InstanceList
-	err := p.base.getJSON(ctx, "platform.instances", "/instances", &list)
+	const step = "platform.instances"
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	header := make(http.Header)
+	if p.tag != "" {
+		header.Set("If-None-Match", p.tag)
+	}
+	resp, err := p.base.get(ctx, step, "/instances", header)
 	if err != nil {
 		return InstanceList{}, err
 	}
+	defer drain(resp.Body)
+	switch {
+	case resp.StatusCode == http.StatusNotModified && p.tag != "":
+		return p.last, nil
+	case resp.StatusCode != http.StatusOK:
+		return InstanceList{}, p.base.unexpected(step, resp)
+	}
+	var list InstanceList
+	if err := p.base.readJSON(step, resp.Body, &list); err != nil {
+		return InstanceList{}, err
+	}
+	p.tag, p.last = resp.Header.Get("ETag"), list
 	return list, nil
 }
