load: how far engines are above the mean; a debug listener with profiles

Cause: the load bound had not been looked at on running processes, and routers could not be profiled.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -147,6 +147,11 @@
 		}
 		a.router.Start()
 	}
+	if s.Listen.Debug != "" {
+		if err := a.serve(&http.Server{Handler: profiles(), ReadHeaderTimeout: headerTimeout}, s.Listen.Debug, settings.TLS{}); err != nil {
+			return err
+		}
+	}
 	a.log.Info("started", "roles", s.Roles, "mesh", s.Listen.Mesh)
 	return nil
 }
--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -59,6 +59,7 @@
 	fs.Func("direct", "engines without a router, [LABEL=]URL[,URL...]; may be given again", add(true))
 	fs.Func("keys", "comma-separated keys of the callers' workspaces", list(&cfg.Keys))
 	fs.Func("runs", "comma-separated base URLs of the stand-in services", list(&cfg.Runs))
+	fs.Func("engines", "comma-separated base URLs of the stand-in engines whose load is compared", list(&cfg.Engines))
 	fs.Func("metrics", "comma-separated base URLs whose processor time is read (default: the targets)", list(&cfg.Metrics))
 }
 
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -64,6 +64,8 @@
 	BookingPath string
 	// Runs are the base URLs of the services that counted the bookings.
 	Runs []string
+	// Engines are the base URLs of stand-in engines whose load is compared.
+	Engines []string
 	// Metrics are the base URLs of the routers whose processor time is read;
 	// default those of the targets that are not direct.
 	Metrics []string
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -15,6 +15,8 @@
 // Report is what a run came to.
 type Report struct {
 	Targets []TargetReport `json:"targets"`
+	// Skew is that of the watched engines.
+	Skew Skew `json:"skew"`
 }
 
 // TargetReport is what one target of a run came to.
@@ -157,6 +159,10 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
+	if s := r.Skew; s.Samples > 0 {
+		fmt.Fprintf(w, "most loaded engine over the mean, %d looks: p50 %.2f, p99 %.2f, max %.2f; most in flight %d\n",
+			s.Samples, s.P50, s.P99, s.Max, s.PeakInFlight)
+	}
 	return r.writeSamples(w)
 }
 
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -87,6 +87,7 @@
 	for i, t := range r.targets {
 		report.Targets[i].fill(t.rec)
 	}
+	report.Skew = r.skew
 	return report, ctx.Err()
 }
 
@@ -95,6 +96,7 @@
 	client  *client
 	targets []*target
 	started atomic.Int64
+	skew    Skew // of the newest phase
 }
 
 // phases runs the targets together or one after the other.
@@ -129,9 +131,18 @@
 	loaded, cancel := context.WithCancel(ctx)
 	measured := make(chan time.Duration, 1)
 	go func() { measured <- r.processorIn(ctx, loaded, w) }()
+	skew := make(chan Skew, 1)
+	go func() {
+		_ = sleepUntil(loaded, r.client.start.Add(w.from))
+		// Not while the load ends: the mean falls below what has been admitted.
+		full, cancel := context.WithDeadline(loaded, r.client.start.Add(w.to))
+		defer cancel()
+		skew <- r.client.watchSkew(full, r.cfg.Engines)
+	}()
 	r.load(ctx, targets, w)
 	elapsed = min(r.client.now()-w.from, r.cfg.Duration)
 	cancel()
+	r.skew = <-skew
 	return elapsed, <-measured
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,6 +73,9 @@
 	OperatorsTLS TLS `yaml:"operators_tls"`
 	// Mesh is the address that other instances reach this one at, IP:port. Required.
 	Mesh string `yaml:"mesh" validate:"required,peer_addr"`
+	// Debug is the address of an HTTP server with the Go runtime's profiles; empty
+	// means none. It asks for no credential: use a loopback address.
+	Debug string `yaml:"debug" validate:"omitempty,listen_addr"`
 	// MeshTLS makes the mesh mutual TLS; every instance needs it or none.
 	MeshTLS MeshTLS `yaml:"mesh_tls"`
 }
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -112,7 +112,7 @@
 }
 
 measure_peak() {
-  local dir file urls= keys runs
+  local dir file urls= keys runs engines
   dir=$(localize "$root/examples/dala-press")
   start_fleet "$dir" || return 1
   for file in "$dir"/router-*.yaml; do
@@ -120,7 +120,8 @@
   done
   keys=$(grep -oE '`dala-[a-z-]+-demo`' "$dir/README.md" | tr -d '`' | grep -v operator | head -3 | paste -sd,)
   runs=$(upstreams "$dir/platform.yaml" | awk '$2 == "counter" { printf "%shttp://%s", sep, $3; sep = "," }')
-  "$bin" load --keys "$keys" --model care-notes --target "fleet=${urls#,}" --service counter --runs "$runs" \
+  engines=$(upstreams "$dir/platform.yaml" | awk '$2 == "language" { printf "%shttp://%s", sep, $3; sep = "," }')
+  "$bin" load --keys "$keys" --model care-notes --target "fleet=${urls#,}" --service counter --runs "$runs" --engines "$engines" \
     --lookups 0.05 --bookings 0.05 --rate 305 --max-in-flight 900 --chats 2000 --warmup 10s --duration 20s \
     --answer-tokens 220 "$@"
 }
