entry: a request goes over its candidates again while upstreams change owners

Cause: TestTwoPlannedStopsAtOnceCutNoRequest: of 12 streams through a router that stays, the 6 that were queued at the two stopping owners were refused with 503 when the queue was handed back. The same happens between two owners after a crash. Ruled out: handing queued requests to the next owner, which would move the caller's stream between connections for no gain. Change: rounds over the candidates, only where an owner was missing or refused for that, within the request's deadline; the service path uses the same route. Router gauges; names in attempt_failures.

--- a/internal/answer/decision.go
+++ b/internal/answer/decision.go
@@ -53,6 +53,19 @@
 	ends
 )
 
+var endNames = [ends]string{
+	"whole", "refused", "not-connected", "declined", "resume-declined", "cut", "crossed", "owner-lost",
+	"bad-request", "caller-left", "deadline",
+}
+
+// String returns the end's name for metrics and logs.
+func (e End) String() string {
+	if e >= ends {
+		return "invalid"
+	}
+	return endNames[e]
+}
+
 // Action is what the entry router does next.
 type Action uint8
 
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -312,13 +312,35 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// StopRouters stops some routers as planned, all at once. The numbers count from
+// 0 and are those of RouterURLs, which keep their places.
+func (f *Fleet) StopRouters(ctx context.Context, numbers ...int) error {
+	results := make(chan error, len(numbers))
+	for _, i := range numbers {
+		a := f.Routers[i]
+		f.Routers[i] = nil
+		go func() { results <- a.Stop(ctx) }()
+	}
+	var errs []error
+	for range numbers {
+		errs = append(errs, <-results)
+	}
+	return errors.Join(errs...)
+}
+
 // Stop ends routers, control members and stand-ins, in this order.
 func (f *Fleet) Stop(ctx context.Context) error {
 	var errs []error
 	for _, group := range [][]*agent.Agent{f.Routers, f.Control} {
 		results := make(chan error, len(group))
 		for _, a := range group {
-			go func() { results <- a.Stop(ctx) }()
+			go func() {
+				if a == nil { // stopped before
+					results <- nil
+					return
+				}
+				results <- a.Stop(ctx)
+			}()
 		}
 		for range group {
 			errs = append(errs, <-results)
--- /dev/null
+++ b/internal/demo/stop_test.go
@@ -0,0 +1,57 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/tidwall/gjson"
+)
+
+func TestTwoPlannedStopsAtOnceCutNoRequest(t *testing.T) {
+	is := is.New(t)
+	const streams, tokens, bookings = 12, 300, 12
+	f := startFleet(t, Options{Routers: 3})
+	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	begun := make(chan struct{}, streams)
+	for i := range streams { // callers at the router that stays, owners at all of them
+		wg.Go(func() {
+			body, want := chatBody(true, tokens, fmt.Sprintf("stream %d", i))
+			begun <- struct{}{}
+			resp, answer, err := f.Do(ctx, 2, http.MethodPost, "/v1/chat/completions", "", body)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("stream %d: %v", i, err)
+				return
+			}
+			if text, done := streamed(answer); text != want || !done {
+				t.Errorf("stream %d is not whole", i)
+			}
+		})
+	}
+	for range streams {
+		<-begun
+	}
+	for i := range bookings { // callers at the routers that stop
+		resp, _, err := f.Do(ctx, i%2, http.MethodPost, "/services/counter/pickups", fmt.Sprintf("before-%d", i), "{}")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusCreated)
+	}
+	is.NoErr(f.StopRouters(ctx, 0, 1))
+	wg.Wait()
+	body, want := chatBody(false, 3, "after")
+	resp, answer, err := f.Do(ctx, 2, http.MethodPost, "/v1/chat/completions", "", body)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(gjson.GetBytes(answer, "choices.0.message.content").String(), want)
+	for i := range bookings { // a repeat finds its record
+		resp, _, err := f.Do(ctx, 2, http.MethodPost, "/services/counter/pickups", fmt.Sprintf("before-%d", i), "{}")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusCreated)
+		is.Equal(resp.Header.Get("Idempotent-Replayed"), "true")
+	}
+}
--- a/internal/entry/chat_run.go
+++ b/internal/entry/chat_run.go
@@ -41,6 +41,7 @@
 	assembler  *answer.Assembler
 	progress   *answer.Progress
 	route      *route
+	rounds     rounds
 	attempts   int
 	resumes    int
 	retryAfter time.Duration
@@ -53,7 +54,7 @@
 		return refusal
 	}
 	r.progress = answer.NewProgress(answer.KindChat, answer.Budget{
-		Candidates: maxStops, Resumes: maxResumes,
+		Candidates: maxStops * (maxRounds + 1), Resumes: maxResumes,
 	})
 	r.newAttempt()
 	for {
@@ -74,11 +75,11 @@
 			if !r.server.retries.allow(r.server.cfg.Clock(), r.req.Header.Workspace, r.pool) {
 				return retriesSpent(decision)
 			}
-			if !r.next() {
+			if !r.next(ctx) {
 				return r.exhausted(decision)
 			}
 		case answer.ActionNextCandidate:
-			if !r.next() {
+			if !r.next(ctx) {
 				return r.exhausted(decision)
 			}
 		case answer.ActionResume:
@@ -122,10 +123,14 @@
 	r.assembler.Restart(answer.AttemptID(attempt))
 }
 
-// next moves to the next stop of the route; false means that none is left.
-func (r *chatRun) next() bool {
+// next moves to the next stop of the route, or to the first one of another
+// round; false means that none is left.
+func (r *chatRun) next(ctx context.Context) bool {
 	if !r.route.advance() {
-		return false
+		left := r.deadline - r.server.cfg.Clock()
+		if !r.rounds.another(ctx, left) || r.place() != nil {
+			return false
+		}
 	}
 	r.newAttempt()
 	return true
@@ -157,6 +162,7 @@
 	id := stop.Upstream
 	member, ok := r.ownerOf(id)
 	if !ok {
+		r.rounds.moved = true
 		return answer.EndNotConnected, answer.Facts{}
 	}
 	r.req.Header.Upstream = id
@@ -170,7 +176,7 @@
 	}
 	stream, err := r.server.cfg.Pool.Open(ctx, member.Addr, owner.MethodChat, message)
 	if err != nil {
-		r.last = err
+		r.last, r.rounds.moved = err, true
 		return answer.EndNotConnected, answer.Facts{}
 	}
 	defer stream.Close()
@@ -182,6 +188,7 @@
 	if !verdict.Admitted {
 		r.last = fleet.At(errors.New(verdict.Reason.String()), "owner.admit", member.Addr)
 		r.retryAfter = max(r.retryAfter, time.Duration(verdict.RetryAfterMillis)*time.Millisecond)
+		r.rounds.refused(verdict.Reason)
 		r.reroute(verdict)
 		return answer.EndRefused, answer.Facts{}
 	}
@@ -333,7 +340,7 @@
 
 func (r *chatRun) countEnd(end answer.End) {
 	if end != answer.EndWhole {
-		name := telemetry.MetricName("attempt_failures", "end", strconv.Itoa(int(end)))
+		name := telemetry.MetricName("attempt_failures", "end", end.String())
 		metrics.GetOrRegisterCounter(name, r.server.cfg.Metrics).Inc(1)
 	}
 }
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -35,6 +35,15 @@
 	for _, c := range candidates {
 		r.stops = append(r.stops, stop{Candidate: c})
 	}
+	return r.firmStops(candidates)
+}
+
+// newCallRoute is the route of a request that has no cache anywhere.
+func newCallRoute(candidates []placement.Candidate) *route {
+	return new(route).firmStops(candidates)
+}
+
+func (r *route) firmStops(candidates []placement.Candidate) *route {
 	for _, c := range candidates {
 		if c.Basis == placement.Ranked {
 			r.stops = append(r.stops, stop{Candidate: c, firm: true})
@@ -48,7 +57,7 @@
 	return r
 }
 
-// maxStops bounds the owners that one request is sent to.
+// maxStops bounds the stops of one route.
 const maxStops = 3*maxHops + 3
 
 func (r *route) current() stop { return r.stops[r.at] }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -84,8 +84,8 @@
 	req      owner.CallRequest
 
 	progress   *answer.Progress
-	candidates []placement.Candidate
-	current    int
+	route      *route
+	rounds     rounds
 	attempts   int
 	retryAfter time.Duration
 	last       error
@@ -94,15 +94,10 @@
 
 // run makes attempts until one is answered or nothing may be tried any more.
 func (r *callRun) run(ctx context.Context, w http.ResponseWriter) *answer.Refusal {
-	table := r.server.cfg.Table()
-	if err := r.server.cfg.Serving(); err != nil || table == nil {
-		return unavailable("this router cannot serve yet", 0)
-	}
-	r.candidates = table.Candidates(r.placementKey(), r.pool, r.server.cfg.Zone, make([]placement.Candidate, 0, maxHops))
-	if len(r.candidates) == 0 {
-		return unavailable("no upstream of the service takes new work", 0)
+	if refusal := r.place(); refusal != nil {
+		return refusal
 	}
-	r.progress = answer.NewProgress(r.kind, answer.Budget{Candidates: len(r.candidates) + 1, Deadline: r.deadline})
+	r.progress = answer.NewProgress(r.kind, answer.Budget{Candidates: maxStops * (maxRounds + 1), Deadline: r.deadline})
 	for {
 		end, facts := r.attempt(ctx)
 		if refusal := r.conflict(); refusal != nil {
@@ -119,9 +114,13 @@
 			if !r.server.retries.allow(r.server.cfg.Clock(), r.req.Header.Workspace, r.pool) {
 				return retriesSpent(decision)
 			}
-			r.next()
+			if !r.next(ctx) {
+				return r.exhausted(decision)
+			}
 		case answer.ActionNextCandidate:
-			r.next()
+			if !r.next(ctx) {
+				return r.exhausted(decision)
+			}
 		default:
 			return r.refusal(decision)
 		}
@@ -136,24 +135,47 @@
 	return placement.RequestKey(r.req.Header.Request)
 }
 
-func (r *callRun) next() {
-	r.current++
-	if r.current >= len(r.candidates) {
-		r.current = 0
-		r.req.Header.MayQueue = true
+// place orders the candidates.
+func (r *callRun) place() *answer.Refusal {
+	table := r.server.cfg.Table()
+	if err := r.server.cfg.Serving(); err != nil || table == nil {
+		return unavailable("this router cannot serve yet", 0)
+	}
+	candidates := table.Candidates(r.placementKey(), r.pool, r.server.cfg.Zone, make([]placement.Candidate, 0, maxHops))
+	if len(candidates) == 0 {
+		return unavailable("no upstream of the service takes new work", 0)
+	}
+	r.route = newCallRoute(candidates)
+	return nil
+}
+
+// next moves to the next stop of the route, or to the first one of another
+// round; false means that none is left.
+func (r *callRun) next(ctx context.Context) bool {
+	if r.route.advance() {
+		return true
 	}
+	return r.rounds.another(ctx, r.deadline-r.server.cfg.Clock()) && r.place() == nil
+}
+
+// exhausted is the refusal of a request that every owner has refused.
+func (r *callRun) exhausted(d answer.Decision) *answer.Refusal {
+	d.Status = http.StatusServiceUnavailable
+	return r.refusal(d)
 }
 
 // attempt forwards the request to the candidate's owner and waits for its reply.
 func (r *callRun) attempt(ctx context.Context) (answer.End, answer.Facts) {
 	r.reply = nil
-	id := r.candidates[r.current].Upstream
+	stop := r.route.current()
+	id := stop.Upstream
 	member, ok := r.server.cfg.Member(r.server.cfg.Table().Owner(id))
 	if !ok {
+		r.rounds.moved = true
 		return answer.EndNotConnected, answer.Facts{}
 	}
 	r.attempts++
-	r.req.Header.Upstream = id
+	r.req.Header.Upstream, r.req.Header.MayQueue = id, stop.queue
 	r.req.Header.Attempt = string(r.req.Header.Request) + "-" + strconv.Itoa(r.attempts) + owner.AttemptSeparator + string(id)
 	r.req.Header.BudgetMillis = budgetMillis(r.server.cfg.Clock(), r.deadline)
 	message, err := r.req.MarshalMsg(nil)
@@ -167,7 +189,7 @@
 func (r *callRun) exchange(ctx context.Context, member fleet.Member, message []byte) (answer.End, answer.Facts) {
 	stream, err := r.server.cfg.Pool.Open(ctx, member.Addr, owner.MethodCall, message)
 	if err != nil {
-		r.last = err
+		r.last, r.rounds.moved = err, true
 		return answer.EndNotConnected, answer.Facts{}
 	}
 	defer stream.Close()
@@ -179,6 +201,7 @@
 	if !verdict.Admitted {
 		r.last = fleet.At(errors.New(verdict.Reason.String()), "owner.admit", member.Addr)
 		r.retryAfter = max(r.retryAfter, time.Duration(verdict.RetryAfterMillis)*time.Millisecond)
+		r.rounds.refused(verdict.Reason)
 		return answer.EndRefused, answer.Facts{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.deadline-r.server.cfg.Clock())
@@ -232,7 +255,7 @@
 		h.Add(f.Name, f.Value)
 	}
 	h.Set(answer.HeaderOutcome, fleet.OutcomeRan.String())
-	h.Set(HeaderUpstream, string(r.candidates[r.current].Upstream))
+	h.Set(HeaderUpstream, string(r.route.current().Upstream))
 	if r.reply.Replayed {
 		h.Del(HeaderUpstream)
 		h.Set(HeaderReplayed, "true")
--- a/internal/router/reconcile.go
+++ b/internal/router/reconcile.go
@@ -72,6 +72,7 @@
 		case <-ticker.C:
 		}
 		r.reconcile(ctx)
+		r.measure()
 	}
 }
 
