--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeonflow/wigeonflow/internal/lists"
 	"github.com/wigeonflow/wigeonflow/internal/settings"
+	"github.com/wigeonflow/wigeonflow/internal/standin"
 )
 
 func checkCommand(stdout, stderr io.Writer) *ffcli.Command {
@@ -27,10 +28,11 @@
 	}
 }
 
-// Names that tell a list from an instance's settings.
+// Names that tell a list, or a stand-in platform's, from an instance's settings.
 const (
 	plansPrefix      = "plans"
 	allowancesPrefix = "allowances"
+	platformPrefix   = "platform"
 )
 
 func check(files []string, stdout, stderr io.Writer) error {
@@ -47,6 +49,11 @@
 			pair[0] = file
 		case strings.HasPrefix(base, allowancesPrefix):
 			pair[1] = file
+		case strings.HasPrefix(base, platformPrefix):
+			if _, err := standin.ReadInstances(file); err != nil {
+				faults = append(faults, listFault{file, err})
+			}
+			continue
 		default:
 			_, found := settings.Load(file)
 			faults = append(faults, stringers(found)...)
@@ -68,6 +75,14 @@
 	return err
 }
 
+// listFault is a fault of a stand-in platform's list.
+type listFault struct {
+	file string
+	err  error
+}
+
+func (f listFault) String() string { return f.file + ": " + f.err.Error() }
+
 func stringers[F fmt.Stringer](faults []F) []fmt.Stringer {
 	out := make([]fmt.Stringer, len(faults))
 	for i, f := range faults {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"path/filepath"
 	"context"
 	"flag"
 	"io"
@@ -78,3 +79,17 @@
 		seen[c.Name] = true
 	}
 }
+
+func TestCheckTakesAWholeExample(t *testing.T) {
+	for _, example := range []string{"dala-press", "lamphun", "demo"} {
+		t.Run(example, func(t *testing.T) {
+			is := is.New(t)
+			files, err := filepath.Glob(filepath.Join("..", "..", "examples", example, "*.yaml"))
+			is.NoErr(err)
+			is.True(len(files) > 3)
+			var out, errs bytes.Buffer
+			is.Equal(Run(append([]string{"check"}, files...), &out, &errs), exitDone)
+			is.Equal(errs.String(), "")
+		})
+	}
+}
