--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"bytes"
-	"path/filepath"
 	"context"
 	"flag"
 	"io"
+	"path/filepath"
 	"strings"
 	"testing"
 
