plan: use that nobody knows of is no 429

Cause: after a home's crash with a second loss, callers were told that their plan had no room, which is not so. Ruled out: counting less than the whole minute: nothing bounds what a lost router has used. Change: a home tells that it presumes use; the entry answers 503 not-run with Retry-After then. Conclusion: the refusals stay, their reason is true.

--- a/internal/router/plans.go
+++ b/internal/router/plans.go
@@ -23,6 +23,9 @@
 	// Opening means that the home has taken over without books and lends less
 	// than the plan until it knows what is in use.
 	Opening bool `msg:"o"`
+	// Presuming means that tokens count as used that nobody knows of, since a
+	// router was lost before it had reported them.
+	Presuming bool `msg:"p,omitempty"`
 }
 
 const (
@@ -51,16 +54,18 @@
 	handed   map[fleet.WorkspaceID]plan.Books    // from former homes, not yet taken over
 	taken    map[fleet.WorkspaceID]time.Duration // when homes without books were taken
 	opening  map[fleet.WorkspaceID]bool          // as their homes last told
+	presumed map[fleet.WorkspaceID]bool          // likewise: Presuming
 	seen     homesSeen
 }
 
 func newPlans(r *Router, server *mesh.Server) *plans {
 	p := &plans{
 		router: r, home: plan.NewHome(r.self.Boot), borrower: plan.NewBorrower(r.self.ID, r.self.Boot),
-		waiters: make(map[fleet.WorkspaceID]chan struct{}),
-		handed:  make(map[fleet.WorkspaceID]plan.Books),
-		taken:   make(map[fleet.WorkspaceID]time.Duration),
-		opening: make(map[fleet.WorkspaceID]bool),
+		waiters:  make(map[fleet.WorkspaceID]chan struct{}),
+		handed:   make(map[fleet.WorkspaceID]plan.Books),
+		taken:    make(map[fleet.WorkspaceID]time.Duration),
+		opening:  make(map[fleet.WorkspaceID]bool),
+		presumed: make(map[fleet.WorkspaceID]bool),
 	}
 	server.Handle(MethodBorrow, mesh.Unary(p.borrow))
 	server.Handle(MethodBooks, mesh.Unary(p.takeBooks))
@@ -104,7 +109,7 @@
 		refused := answer.RetryAfter > 0 && !opening
 		if refused && (answer.Step == plan.Over || p.router.cfg.Clock()-first >= lendWait) {
 			p.abandon(workspace, tokens, waits)
-			return nil, answer.RetryAfter, nil
+			return nil, answer.RetryAfter, p.unknownUse(workspace)
 		}
 		if answer.RetryAfter == 0 {
 			p.ask(workspace)
@@ -139,6 +144,29 @@
 	return answer, wait, p.opening[workspace]
 }
 
+// errUnknownUse means that the plan may have room, which its home cannot know.
+var errUnknownUse = fleet.Errors.NewType("plan_use_unknown")
+
+// unknownUse is the error of a refusal for presumed use, nil where the plan has
+// no room for all that is known.
+func (p *plans) unknownUse(workspace fleet.WorkspaceID) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.presumed[workspace] {
+		return nil
+	}
+	return fleet.At(errUnknownUse.New("a router was lost before it reported its use"), "plan.borrow", string(workspace))
+}
+
+// mark keeps a set of workspaces without empty entries.
+func mark(set map[fleet.WorkspaceID]bool, workspace fleet.WorkspaceID, in bool) {
+	if in {
+		set[workspace] = true
+		return
+	}
+	delete(set, workspace)
+}
+
 func (p *plans) abandon(workspace fleet.WorkspaceID, tokens int64, waits bool) {
 	if !waits {
 		return
@@ -173,11 +201,8 @@
 		return
 	}
 	p.borrower.Take(now, reply)
-	if answer.Opening {
-		p.opening[request.Workspace] = true
-	} else {
-		delete(p.opening, request.Workspace)
-	}
+	mark(p.opening, request.Workspace, answer.Opening)
+	mark(p.presumed, request.Workspace, answer.Presuming)
 	if reply.NeedHistory {
 		if again, ok := p.borrower.Ask(now, request.Workspace); ok {
 			go p.send(again)
@@ -227,7 +252,10 @@
 	defer p.mu.Unlock()
 	reply := p.home.Borrow(p.router.cfg.Clock(), *request)
 	_, opening := p.taken[request.Workspace]
-	return &BorrowAnswer{Reply: reply, Opening: opening || reply.Refusal == plan.RefusalNotHome}, nil
+	return &BorrowAnswer{
+		Reply: reply, Opening: opening || reply.Refusal == plan.RefusalNotHome,
+		Presuming: p.home.Presuming(p.router.cfg.Clock(), request.Workspace),
+	}, nil
 }
 
 // run sends what is due without a caller waiting until ctx ends.
--- a/internal/router/plans_gen.go
+++ b/internal/router/plans_gen.go
@@ -9,17 +9,35 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *BorrowAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "r"
-	o = append(o, 0x82, 0xa1, 0x72)
-	o, err = z.Reply.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Reply")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Presuming == false {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o, err = z.Reply.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Reply")
+			return
+		}
+		// string "o"
+		o = append(o, 0xa1, 0x6f)
+		o = msgp.AppendBool(o, z.Opening)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "p"
+			o = append(o, 0xa1, 0x70)
+			o = msgp.AppendBool(o, z.Presuming)
+		}
 	}
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendBool(o, z.Opening)
 	return
 }
 
@@ -53,6 +71,12 @@
 				err = msgp.WrapError(err, "Opening")
 				return
 			}
+		case "p":
+			z.Presuming, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Presuming")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -67,6 +91,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *BorrowAnswer) Msgsize() (s int) {
-	s = 1 + 2 + z.Reply.Msgsize() + 2 + msgp.BoolSize
+	s = 1 + 2 + z.Reply.Msgsize() + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
