plan: books with presumed use are not handed over

A home that had taken over after a crash presumed the whole last minute as used; when the dead router came back within seconds, the home handed these books over, and the next one took them for known use for a minute. Change: Home.Release gives no books while use is presumed; the next home asks the routers itself. TestHomePresumesUseOfARouterLostBeforeItReported fails without it.

--- a/internal/plan/home.go
+++ b/internal/plan/home.go
@@ -153,13 +153,19 @@
 	}
 }
 
-// Release stops counting for a workspace and returns its books.
+// Release stops counting for a workspace and returns its books. It returns false
+// where there are none, or where they hold presumed use: the next home would
+// presume it for another minute, and does better to ask the routers itself.
 func (h *Home) Release(now time.Duration, id fleet.WorkspaceID) (Books, bool) {
 	b := h.books[id]
 	if b == nil {
 		return Books{}, false
 	}
+	presuming := len(b.silent) > 0 || h.Presuming(now, id)
 	delete(h.books, id)
+	if presuming {
+		return Books{}, false
+	}
 	b.lapse(now, h.off)
 	return b.export(now, id), true
 }
--- a/internal/plan/silent_test.go
+++ b/internal/plan/silent_test.go
@@ -43,6 +43,8 @@
 			is.Equal(len(h.Silent("w")), 0)
 			is.Equal(h.Presuming(0, "w"), tc.want)
 			is.Equal(h.Presuming(2*time.Minute, "w"), false) // the minute has passed
+			_, ok := h.Release(0, "w")
+			is.Equal(ok, !tc.want) // no books with use that nobody knows of
 		})
 	}
 }
