--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -205,8 +205,9 @@
 	c.resend(now, p, m.From)
 }
 
-// resend starts again from the last acknowledged entry, or the last probe, once two heartbeats were
-// answered without any acknowledgement of the entries on their way.
+// resend starts again from the last acknowledged entry, or the last probe, once
+// two heartbeats were answered without any acknowledgement of the entries on their
+// way.
 func (c *Core) resend(now time.Duration, p *progress, id MemberID) {
 	if p.match >= c.log.last() {
 		p.stalled = false
