entry: chats and calls share one course over owners; retry budgets are trimmed

Cause: chatRun and callRun placed, asked, advanced and counted by copies of the same code, both of which the rounds over candidates had to be added to; the owner's two endpoints answered their verdict alike; Retries.Trim was never called, so that budgets of workspaces were kept for ever; Stream.CloseSend had no caller. Ruled out: removing plan.Permissions, which the entry's use of operator.Index left without a caller: its tests would go with it.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -99,7 +99,7 @@
 	}
 	deadline := s.cfg.Clock() + s.cfg.MaxWait
 	return &chatRun{
-		server: s, key: key, pool: pool.Name, deadline: deadline,
+		course: course{server: s, pool: pool.Name, deadline: deadline}, key: key,
 		req: owner.ChatRequest{
 			Header: owner.Header{Request: id, Workspace: workspace.ID, Priority: req.Priority, Trace: trace},
 			Chat:   uint64(key), CacheKey: cacheKey, Body: body,
--- a/internal/entry/chat_run.go
+++ b/internal/entry/chat_run.go
@@ -30,22 +30,14 @@
 
 // chatRun is one chat request on its way to a whole answer.
 type chatRun struct {
-	server   *Server
+	course
 	key      placement.ChatKey
-	pool     fleet.PoolID
 	req      owner.ChatRequest
-	deadline time.Duration
 	estimate int64
 
-	sink       *sink
-	assembler  *answer.Assembler
-	progress   *answer.Progress
-	route      *route
-	rounds     rounds
-	attempts   int
-	resumes    int
-	retryAfter time.Duration
-	last       error // the newest failure
+	sink      *sink
+	assembler *answer.Assembler
+	resumes   int
 }
 
 // run tries upstreams until the answer is whole or nothing is left to try.
@@ -66,21 +58,21 @@
 		r.countEnd(end)
 		switch decision.Action {
 		case answer.ActionDone:
-			r.server.retries.succeeded(r.server.cfg.Clock(), r.req.Header.Workspace, r.pool)
+			r.succeeded(r.req.Header.Workspace)
 			r.note()
 			return nil
 		case answer.ActionCancel:
 			return nil
 		case answer.ActionRestart:
-			if !r.server.retries.allow(r.server.cfg.Clock(), r.req.Header.Workspace, r.pool) {
+			if !r.retry(r.req.Header.Workspace) {
 				return retriesSpent(decision)
 			}
 			if !r.next(ctx) {
-				return r.exhausted(decision)
+				return r.refusal(exhausted(decision))
 			}
 		case answer.ActionNextCandidate:
 			if !r.next(ctx) {
-				return r.exhausted(decision)
+				return r.refusal(exhausted(decision))
 			}
 		case answer.ActionResume:
 			r.req.Resume, r.req.ResumeAfter = true, decision.Offset
@@ -96,16 +88,11 @@
 
 // place orders the candidates.
 func (r *chatRun) place() *answer.Refusal {
-	table := r.server.cfg.Table()
-	if err := r.server.cfg.Serving(); err != nil || table == nil {
-		return unavailable("this router cannot serve yet", 0)
+	candidates, refusal := r.candidates(r.key, "no upstream of the model's pool takes new work")
+	if refusal == nil {
+		r.route = newRoute(candidates)
 	}
-	candidates := table.Candidates(r.key, r.pool, r.server.cfg.Zone, make([]placement.Candidate, 0, maxHops))
-	if len(candidates) == 0 {
-		return unavailable("no upstream of the model's pool takes new work", 0)
-	}
-	r.route = newRoute(candidates)
-	return nil
+	return refusal
 }
 
 // newAttempt names the next attempt; its events are the only ones accepted.
@@ -123,25 +110,15 @@
 	r.assembler.Restart(answer.AttemptID(attempt))
 }
 
-// next moves to the next stop of the route, or to the first one of another
-// round; false means that none is left.
+// next moves on under a new attempt; false means that no stop is left.
 func (r *chatRun) next(ctx context.Context) bool {
-	if !r.route.advance() {
-		left := r.deadline - r.server.cfg.Clock()
-		if !r.rounds.another(ctx, left) || r.place() != nil {
-			return false
-		}
+	if !r.advance(ctx, r.place) {
+		return false
 	}
 	r.newAttempt()
 	return true
 }
 
-// exhausted is the refusal of a request that every owner has refused.
-func (r *chatRun) exhausted(d answer.Decision) *answer.Refusal {
-	d.Status = http.StatusServiceUnavailable
-	return r.refusal(d)
-}
-
 // pause waits before a stream is resumed, longer each time.
 func (r *chatRun) pause(ctx context.Context) {
 	wait := min(minResumePause<<r.resumes, maxResumePause)
@@ -159,50 +136,23 @@
 // attempt forwards the request to the candidate's owner and relays the answer.
 func (r *chatRun) attempt(ctx context.Context) (answer.End, answer.Facts) {
 	stop := r.route.current()
-	id := stop.Upstream
-	member, ok := r.ownerOf(id)
+	member, ok := r.head(&r.req.Header)
 	if !ok {
-		r.rounds.moved = true
 		return answer.EndNotConnected, answer.Facts{}
 	}
-	r.req.Header.Upstream = id
-	r.req.Basis, r.req.Firm, r.req.Header.MayQueue = uint8(stop.Basis), stop.firm, stop.queue
-	r.req.Redirected = r.route.redirected
-	r.req.Header.BudgetMillis = budgetMillis(r.server.cfg.Clock(), r.deadline)
+	r.req.Basis, r.req.Firm, r.req.Redirected = uint8(stop.Basis), stop.firm, r.route.redirected
 	message, err := r.req.MarshalMsg(nil)
 	if err != nil {
 		r.last = err
 		return answer.EndBadRequest, answer.Facts{}
 	}
-	stream, err := r.server.cfg.Pool.Open(ctx, member.Addr, owner.MethodChat, message)
-	if err != nil {
-		r.last, r.rounds.moved = err, true
-		return answer.EndNotConnected, answer.Facts{}
-	}
-	defer stream.Close()
-	verdict, err := r.verdict(ctx, stream)
-	if err != nil {
-		r.last = err
-		return answer.EndOwnerLost, answer.Facts{MayHaveLeft: true}
-	}
-	if !verdict.Admitted {
-		r.last = fleet.At(errors.New(verdict.Reason.String()), "owner.admit", member.Addr)
-		r.retryAfter = max(r.retryAfter, time.Duration(verdict.RetryAfterMillis)*time.Millisecond)
-		r.rounds.refused(verdict.Reason)
+	stream, verdict, end, facts := r.ask(ctx, member, owner.MethodChat, message, stop.queue)
+	if stream == nil {
 		r.reroute(verdict)
-		return answer.EndRefused, answer.Facts{}
+		return end, facts
 	}
-	return r.relay(ctx, stream, id)
-}
-
-// ownerOf returns the present owner of an upstream: it may have changed since
-// the candidates were ordered.
-func (r *chatRun) ownerOf(id fleet.UpstreamID) (fleet.Member, bool) {
-	return r.server.cfg.Member(r.server.cfg.Table().Owner(id))
-}
-
-func (r *chatRun) verdict(ctx context.Context, stream *mesh.Stream) (owner.Verdict, error) {
-	return receiveVerdict(ctx, stream, r.req.Header.MayQueue, r.server.cfg.MaxWait)
+	defer stream.Close()
+	return r.relay(ctx, stream, stop.Upstream)
 }
 
 // relay takes the owner's messages and writes the events that are next to the
@@ -260,7 +210,7 @@
 // close takes the owner's account of how the attempt ended.
 func (r *chatRun) close(c *owner.Closing, attempt answer.AttemptID, id fleet.UpstreamID) (answer.End, answer.Facts) {
 	end := answer.End(c.End)
-	r.retryAfter = max(r.retryAfter, time.Duration(c.RetryAfterMillis)*time.Millisecond)
+	r.askAgainAfter(c.RetryAfterMillis)
 	if end != answer.EndWhole {
 		r.last = errors.New(c.Message)
 		return end, c.Facts()
--- a/internal/entry/retries.go
+++ b/internal/entry/retries.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"time"
@@ -32,6 +33,20 @@
 	return b.core.Allow(now, w, p)
 }
 
+// trimInterval spaces the forgetting of budgets that are not used.
+const trimInterval = time.Minute
+
+// Run forgets what is not used any more until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	fleet.Every(ctx, trimInterval, func(context.Context) { s.retries.trim(s.cfg.Clock()) })
+}
+
+func (b *retryBudget) trim(now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.core.Trim(now)
+}
+
 // retriesSpent is the refusal of a request that would have to run again beyond
 // the budget.
 func retriesSpent(d answer.Decision) *answer.Refusal {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -13,6 +13,7 @@
 	"github.com/wigeonflow/wigeonflow/internal/answer"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/lists"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
 	"github.com/wigeonflow/wigeonflow/internal/owner"
 	"github.com/wigeonflow/wigeonflow/internal/placement"
 	"github.com/wigeonflow/wigeonflow/internal/telemetry"
@@ -65,8 +66,7 @@
 		kind = answer.KindKeyed
 	}
 	return &callRun{
-		server: s, kind: kind, pool: service.Pool,
-		deadline: s.cfg.Clock() + s.cfg.CallTimeout,
+		course: course{server: s, pool: service.Pool, deadline: s.cfg.Clock() + s.cfg.CallTimeout}, kind: kind,
 		req: owner.CallRequest{
 			Header:  owner.Header{Request: id, Workspace: workspace.ID, Priority: fleet.PriorityInteractive},
 			Service: service.Name, Method: r.Method, Path: target, Fields: owner.FieldsOf(r.Header), Body: body,
@@ -77,19 +77,10 @@
 
 // callRun is one request to a plain service.
 type callRun struct {
-	server   *Server
-	kind     answer.Kind
-	pool     fleet.PoolID
-	deadline time.Duration
-	req      owner.CallRequest
-
-	progress   *answer.Progress
-	route      *route
-	rounds     rounds
-	attempts   int
-	retryAfter time.Duration
-	last       error
-	reply      *owner.CallReply // the newest reply of an owner
+	course
+	kind  answer.Kind
+	req   owner.CallRequest
+	reply *owner.CallReply // the newest reply of an owner
 }
 
 // run makes attempts until one is answered or nothing may be tried any more.
@@ -106,20 +97,20 @@
 		decision := r.progress.Next(r.server.cfg.Clock(), end, facts, answer.Relay{})
 		switch decision.Action {
 		case answer.ActionDone:
-			r.server.retries.succeeded(r.server.cfg.Clock(), r.req.Header.Workspace, r.pool)
+			r.succeeded(r.req.Header.Workspace)
 			return r.answer(w)
 		case answer.ActionCancel:
 			return nil
 		case answer.ActionRestart:
-			if !r.server.retries.allow(r.server.cfg.Clock(), r.req.Header.Workspace, r.pool) {
+			if !r.retry(r.req.Header.Workspace) {
 				return retriesSpent(decision)
 			}
-			if !r.next(ctx) {
-				return r.exhausted(decision)
+			if !r.advance(ctx, r.place) {
+				return r.refusal(exhausted(decision))
 			}
 		case answer.ActionNextCandidate:
-			if !r.next(ctx) {
-				return r.exhausted(decision)
+			if !r.advance(ctx, r.place) {
+				return r.refusal(exhausted(decision))
 			}
 		default:
 			return r.refusal(decision)
@@ -137,73 +128,38 @@
 
 // place orders the candidates.
 func (r *callRun) place() *answer.Refusal {
-	table := r.server.cfg.Table()
-	if err := r.server.cfg.Serving(); err != nil || table == nil {
-		return unavailable("this router cannot serve yet", 0)
-	}
-	candidates := table.Candidates(r.placementKey(), r.pool, r.server.cfg.Zone, make([]placement.Candidate, 0, maxHops))
-	if len(candidates) == 0 {
-		return unavailable("no upstream of the service takes new work", 0)
-	}
-	r.route = newCallRoute(candidates)
-	return nil
-}
-
-// next moves to the next stop of the route, or to the first one of another
-// round; false means that none is left.
-func (r *callRun) next(ctx context.Context) bool {
-	if r.route.advance() {
-		return true
+	candidates, refusal := r.candidates(r.placementKey(), "no upstream of the service takes new work")
+	if refusal == nil {
+		r.route = newCallRoute(candidates)
 	}
-	return r.rounds.another(ctx, r.deadline-r.server.cfg.Clock()) && r.place() == nil
-}
-
-// exhausted is the refusal of a request that every owner has refused.
-func (r *callRun) exhausted(d answer.Decision) *answer.Refusal {
-	d.Status = http.StatusServiceUnavailable
-	return r.refusal(d)
+	return refusal
 }
 
 // attempt forwards the request to the candidate's owner and waits for its reply.
 func (r *callRun) attempt(ctx context.Context) (answer.End, answer.Facts) {
 	r.reply = nil
-	stop := r.route.current()
-	id := stop.Upstream
-	member, ok := r.server.cfg.Member(r.server.cfg.Table().Owner(id))
+	member, ok := r.head(&r.req.Header)
 	if !ok {
-		r.rounds.moved = true
 		return answer.EndNotConnected, answer.Facts{}
 	}
+	h := &r.req.Header
 	r.attempts++
-	r.req.Header.Upstream, r.req.Header.MayQueue = id, stop.queue
-	r.req.Header.Attempt = string(r.req.Header.Request) + "-" + strconv.Itoa(r.attempts) + owner.AttemptSeparator + string(id)
-	r.req.Header.BudgetMillis = budgetMillis(r.server.cfg.Clock(), r.deadline)
+	h.Attempt = string(h.Request) + "-" + strconv.Itoa(r.attempts) + owner.AttemptSeparator + string(h.Upstream)
 	message, err := r.req.MarshalMsg(nil)
 	if err != nil {
 		r.last = err
 		return answer.EndBadRequest, answer.Facts{}
 	}
-	return r.exchange(ctx, member, message)
-}
-
-func (r *callRun) exchange(ctx context.Context, member fleet.Member, message []byte) (answer.End, answer.Facts) {
-	stream, err := r.server.cfg.Pool.Open(ctx, member.Addr, owner.MethodCall, message)
-	if err != nil {
-		r.last, r.rounds.moved = err, true
-		return answer.EndNotConnected, answer.Facts{}
+	stream, _, end, facts := r.ask(ctx, member, owner.MethodCall, message, h.MayQueue)
+	if stream == nil {
+		return end, facts
 	}
 	defer stream.Close()
-	verdict, err := receiveVerdict(ctx, stream, r.req.Header.MayQueue, r.server.cfg.MaxWait)
-	if err != nil {
-		r.last = err
-		return answer.EndOwnerLost, answer.Facts{MayHaveLeft: true}
-	}
-	if !verdict.Admitted {
-		r.last = fleet.At(errors.New(verdict.Reason.String()), "owner.admit", member.Addr)
-		r.retryAfter = max(r.retryAfter, time.Duration(verdict.RetryAfterMillis)*time.Millisecond)
-		r.rounds.refused(verdict.Reason)
-		return answer.EndRefused, answer.Facts{}
-	}
+	return r.receive(ctx, stream, member)
+}
+
+// receive waits for the reply of an owner that has admitted the request.
+func (r *callRun) receive(ctx context.Context, stream *mesh.Stream, member fleet.Member) (answer.End, answer.Facts) {
 	ctx, cancel := context.WithTimeout(ctx, r.deadline-r.server.cfg.Clock())
 	defer cancel()
 	var reply owner.CallReply
@@ -219,7 +175,7 @@
 	if reply.Message != "" {
 		r.last = fleet.At(errors.New(reply.Message), reply.Step, member.Addr)
 	}
-	r.retryAfter = max(r.retryAfter, time.Duration(reply.RetryAfterMillis)*time.Millisecond)
+	r.askAgainAfter(reply.RetryAfterMillis)
 	return answer.End(reply.End), reply.Facts()
 }
 
--- a/internal/mesh/stream.go
+++ b/internal/mesh/stream.go
@@ -160,9 +160,6 @@
 	s.conn.out.write(frameWindow, s.id, body[:])
 }
 
-// CloseSend ends this side's messages with success.
-func (s *Stream) CloseSend() { s.end(endBody{}) }
-
 func (s *Stream) end(body endBody) {
 	if !s.markSent() {
 		return
--- a/internal/owner/call_endpoint.go
+++ b/internal/owner/call_endpoint.go
@@ -25,10 +25,7 @@
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	slot, verdict := s.admit(ctx, &req.Header, admission.Request{})
-	if err := send(ctx, st, &verdict); err != nil || slot == nil {
-		if slot != nil {
-			slot.cancel()
-		}
+	if admitted, err := answerVerdict(ctx, st, slot, verdict); !admitted {
 		return err
 	}
 	t, ok := s.target(req.Header.Upstream)
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -158,6 +158,16 @@
 	return slot, s.count(verdict)
 }
 
+// answerVerdict tells the entry whether its request was admitted and returns
+// whether the request goes on. One whose entry does not hear of it does not.
+func answerVerdict(ctx context.Context, st *mesh.Stream, slot *slot, verdict Verdict) (bool, error) {
+	err := send(ctx, st, &verdict)
+	if err != nil && slot != nil {
+		slot.cancel()
+	}
+	return err == nil && slot != nil, err
+}
+
 func refusalOf(reason admission.Reason) Refusal {
 	switch reason {
 	case admission.ReasonNotOwned:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -116,7 +116,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	for _, loop := range []func(context.Context){
-		r.owner.Run, r.renewLoop, r.watchLoop, r.platformLoop, r.reconcileLoop, r.plans.run,
+		r.owner.Run, r.entry.Run, r.renewLoop, r.watchLoop, r.platformLoop, r.reconcileLoop, r.plans.run,
 	} {
 		r.wg.Go(func() { loop(ctx) })
 	}
