control: members join and repair themselves; the routing table is part of the configuration

Cause: the platform names three seeds and no count; machines go for good and come back at other addresses. Members were listed in settings and only a replaced disk was repaired. Change: hello answers name the members known; the leader adopts unknown folders, promotes them and removes members silent for 10 s; a removed member clears its folder and joins anew. Leases count on CLOCK_BOOTTIME, which goes on while a machine is suspended. KindRoutes commits a routing table, highest version wins. Ruled out: removal at once (a freeze or restart lasts seconds).

--- a/internal/consensus/disk.go
+++ b/internal/consensus/disk.go
@@ -1,9 +1,11 @@
 package consensus
 
 import (
+	"cmp"
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 )
 
@@ -110,6 +112,40 @@
 	return st.Ino, nil
 }
 
+// ClearFolder removes everything that a stopped member left in its data folder.
+// The identity goes last: a folder that holds a log without it is refused.
+func ClearFolder(path string) error {
+	disk, err := OpenFolder(path)
+	if err != nil {
+		return storageError(err, "open", path)
+	}
+	defer disk.Close()
+	names, err := disk.List()
+	if err != nil {
+		return storageError(err, "list", path)
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(identityRank(a), identityRank(b)) })
+	for _, name := range names {
+		if err := disk.Remove(name); err != nil {
+			return storageError(err, "remove", name)
+		}
+	}
+	return storageError(disk.SyncFolder(), "sync", path)
+}
+
+func identityRank(name string) int {
+	if name == identityFile {
+		return 1
+	}
+	return 0
+}
+
+// renumbered is a Disk whose files have no lasting numbers.
+type renumbered struct{ Disk }
+
+// FileID implements Disk.
+func (renumbered) FileID(string) (uint64, error) { return 0, nil }
+
 func syncFolder(path string) error {
 	d, err := os.Open(path)
 	if err != nil {
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -21,6 +21,9 @@
 	nextHello time.Duration
 	ready     map[MemberID]readyPeer
 	refused   bool // a peer has a log: wait to be added instead
+	// known are members beside Peers that answers have named: the Peers of a
+	// member that joins late may all be gone or cut off from the leader.
+	known []MemberID
 }
 
 // readyPeer is what a peer without a log answered last.
@@ -63,13 +66,30 @@
 	}
 	c.formation.nextHello = now + helloInterval
 	for _, p := range c.opts.Peers {
-		if p.ID != c.opts.ID {
-			m := c.stamp(Message{Type: MessageHello, To: p.ID, Addr: c.opts.Addr})
-			c.messages = append(c.messages, m)
+		c.sayHello(p.ID)
+	}
+	for _, id := range c.formation.known {
+		if !slices.ContainsFunc(c.opts.Peers, func(p Peer) bool { return p.ID == id }) {
+			c.sayHello(id)
 		}
 	}
 }
 
+func (c *Core) sayHello(to MemberID) {
+	if to != c.opts.ID {
+		c.messages = append(c.messages, c.stamp(Message{Type: MessageHello, To: to, Addr: c.opts.Addr}))
+	}
+}
+
+// memberIDs returns the members of the set in its order.
+func (s MemberSet) memberIDs() []MemberID {
+	ids := make([]MemberID, 0, len(s.Members))
+	for _, m := range s.Members {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
 // waitingStore returns the folder that waits as the member with this ID. One that
 // fell silent doesn't count: its disk may be lost as well.
 func (c *Core) waitingStore(now time.Duration, id MemberID) (WaitingStore, bool) {
@@ -83,7 +103,7 @@
 		if known := c.current().Find(m.From); known == nil || known.Store != m.FromStore {
 			c.waiting[m.From] = WaitingStore{ID: m.From, Addr: m.Addr, Store: m.FromStore, heard: now}
 		}
-		c.reply(m, Message{Type: MessageHelloResponse, Reject: true})
+		c.reply(m, Message{Type: MessageHelloResponse, Reject: true, Known: c.current().memberIDs()})
 		return
 	}
 	if !c.opts.Bootstrap || m.From != c.founder() {
@@ -103,6 +123,9 @@
 	}
 	if m.Reject && !c.opts.faults.foundAnyway {
 		c.formation.refused = true
+		if len(m.Known) > 0 {
+			c.formation.known = m.Known
+		}
 		return
 	}
 	c.formation.ready[m.From] = readyPeer{m.FromStore, m.Term}
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -9,9 +9,11 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
 
-// Clock tells the time. Its times must carry a monotonic reading or never step.
+// Clock tells the time. Its times never step and go on while the machine is
+// suspended.
 type Clock interface {
 	Now() time.Time
 	After(d time.Duration) <-chan time.Time
@@ -29,6 +31,9 @@
 	// Peers are the members that the group is formed from, this one included;
 	// none means a group of one. A member that joins names members to ask.
 	Peers []Peer
+	// RenumberedFiles accepts a data folder whose files have other inode numbers
+	// than when it was formatted.
+	RenumberedFiles bool
 	// Bootstrap lets members without a log form the group. Without it, an empty
 	// data folder waits to be added as a learner.
 	Bootstrap         bool
@@ -89,6 +94,9 @@
 			return nil, storageError(err, "open", cfg.Dir)
 		}
 	}
+	if cfg.RenumberedFiles {
+		disk = renumbered{disk}
+	}
 	g := &Group{
 		cfg: cfg, log: cfg.Logger, origin: cfg.Clock.Now(), meters: newMeters(cfg.Metrics),
 		inbox: make(chan Message, inboxSize), requests: make(chan func(time.Duration), requestQueue),
@@ -137,9 +145,11 @@
 	}
 }
 
+// systemClock counts the time in which the machine is suspended: a lease must
+// end for its holder when it ends for everybody else.
 type systemClock struct{}
 
-func (systemClock) Now() time.Time                         { return time.Now() }
+func (systemClock) Now() time.Time                         { return time.Unix(0, int64(fleet.SinceBoot())) }
 func (systemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
 
 func (g *Group) now() time.Duration { return g.cfg.Clock.Now().Sub(g.origin) }
@@ -257,6 +267,8 @@
 	// count from before the lease was looked at, as a session does whose holder
 	// counts from the sending of its renewal.
 	Until time.Time
+	// Left is the time to Until at the moment of the look.
+	Left time.Duration
 }
 
 // LeaderLease returns until when this member can prove to lead, and in which
@@ -267,7 +279,9 @@
 	if l == nil {
 		return Lease{}, false
 	}
-	return *l, g.now() < l.Until.Sub(g.origin)
+	lease = *l
+	lease.Left = l.Until.Sub(g.origin) - g.now()
+	return lease, lease.Left > 0
 }
 
 // LeadershipChanges returns the channel that tells of changes. It holds the
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -120,6 +120,8 @@
 	Entries []Entry
 	Chunk   *SnapshotChunk
 	Addr    string
+	// Known are the members that the sender of MessageHelloResponse knows of.
+	Known []MemberID
 }
 
 // HardState must be synced before any message that follows from it is sent.
--- a/internal/consensus/types_gen.go
+++ b/internal/consensus/types_gen.go
@@ -316,8 +316,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 15
-	o = append(o, 0x9f)
+	// array header, size 16
+	o = append(o, 0xdc, 0x0, 0x10)
 	o = msgp.AppendUint8(o, uint8(z.Type))
 	o = msgp.AppendString(o, string(z.From))
 	o = msgp.AppendUint64(o, uint64(z.FromStore))
@@ -348,6 +348,10 @@
 		}
 	}
 	o = msgp.AppendString(o, z.Addr)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Known)))
+	for za0002 := range z.Known {
+		o = msgp.AppendString(o, string(z.Known[za0002]))
+	}
 	return
 }
 
@@ -359,8 +363,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 15 {
-		err = msgp.ArrayError{Wanted: 15, Got: zb0001}
+	if zb0001 != 16 {
+		err = msgp.ArrayError{Wanted: 16, Got: zb0001}
 		return
 	}
 	{
@@ -478,13 +482,35 @@
 		err = msgp.WrapError(err, "Addr")
 		return
 	}
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	if cap(z.Known) >= int(zb0007) {
+		z.Known = (z.Known)[:zb0007]
+	} else {
+		z.Known = make([]MemberID, zb0007)
+	}
+	for za0002 := range z.Known {
+		{
+			var zb0008 string
+			zb0008, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Known", za0002)
+				return
+			}
+			z.Known[za0002] = MemberID(zb0008)
+		}
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Message) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(string(z.From)) + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size + msgp.BoolSize + msgp.ArrayHeaderSize
+	s = 3 + msgp.Uint8Size + msgp.StringPrefixSize + len(string(z.From)) + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size + msgp.BoolSize + msgp.ArrayHeaderSize
 	for za0001 := range z.Entries {
 		s += z.Entries[za0001].Msgsize()
 	}
@@ -493,7 +519,10 @@
 	} else {
 		s += z.Chunk.Msgsize()
 	}
-	s += msgp.StringPrefixSize + len(z.Addr)
+	s += msgp.StringPrefixSize + len(z.Addr) + msgp.ArrayHeaderSize
+	for za0002 := range z.Known {
+		s += msgp.StringPrefixSize + len(string(z.Known[za0002]))
+	}
 	return
 }
 
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,15 @@
 	return &Client{pool: pool, addrs: addrs}
 }
 
+// Learn replaces the addresses of the group by those that it has now.
+func (c *Client) Learn(addrs []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(addrs) > 0 && !slices.Equal(c.addrs, addrs) {
+		c.addrs = addrs
+	}
+}
+
 // Call makes one call at the leader. It tries members until one answers as
 // leader or ctx ends; the error is then that of the last try.
 func (c *Client) Call(ctx context.Context, method string, request msgp.Marshaler, reply msgp.Unmarshaler) error {
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -41,14 +41,14 @@
 }
 
 // proof returns the leader lease on the fleet clock. The clock is read first: a
-// pause before time.Until makes its end earlier than true.
+// pause before the look at the lease makes its end earlier than true.
 func (l *leader) proof() (now time.Duration, proof session.Proof) {
 	now = l.clock()
 	lease, ok := l.group.LeaderLease()
 	if !ok {
 		return now, session.Proof{}
 	}
-	return now, session.Proof{Term: lease.Term, Until: now + time.Until(lease.Until)}
+	return now, session.Proof{Term: lease.Term, Until: now + lease.Left}
 }
 
 // run follows the leadership until ctx ends.
@@ -190,6 +190,9 @@
 		return nil
 	}
 	now, proof := l.proof()
+	// An operator may have been answered before refresh has run: the reply must
+	// name that version all the same.
+	l.grantor.SetVersion(now, l.version())
 	defer l.announce() // the router may be the last to acknowledge an epoch
 	return l.grantor.Renew(now, proof, req)
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -20,6 +21,15 @@
 	Addr string
 	// Members are the mesh addresses of the group, this one included.
 	Members []string
+	// Join is set on a member that isn't one of Members, or whose empty folder must
+	// not form a group: it waits to be added.
+	Join bool
+	// Adopt has the leader add members that the group doesn't list and remove those
+	// that are gone for good.
+	Adopt bool
+	// RenumberedFiles says that the data folder's files may change their inode
+	// numbers, as after a restore; a copy of a folder is then not recognized.
+	RenumberedFiles bool
 	// Dir is the data folder.
 	Dir     string
 	Session session.Settings
@@ -45,6 +55,11 @@
 	ledger  *ledger.State
 	leader  *leader
 	cancel  context.CancelFunc
+
+	leaving atomic.Bool              // the member stops itself
+	done    chan struct{}            // closed once the member has stopped
+	failure error                    // set before done is closed
+	members atomic.Pointer[[]string] // mesh addresses of the group, on a leader
 }
 
 // groupName marks the data folders of the fleet's control group.
@@ -54,7 +69,7 @@
 // methods at the mesh server, which must not serve yet.
 func Start(cfg Config, server *mesh.Server, pool *mesh.Pool) (*Server, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{cfg: cfg, log: cfg.Logger.Named("control"), pool: pool, cancel: cancel}
+	s := &Server{cfg: cfg, log: cfg.Logger.Named("control"), pool: pool, cancel: cancel, done: make(chan struct{})}
 	wake := make(chan struct{}, 1)
 	s.machine = newMachine(func(partTag) {
 		select {
@@ -85,8 +100,11 @@
 	server.Handle(MethodOrder, mesh.Unary(s.applyOrder))
 	server.Handle(MethodOperators, mesh.Unary(s.operators))
 	server.Handle(MethodLedger, mesh.Unary(s.applyLedger))
+	go s.awaitEnd()
 	go s.leader.run(ctx)
+	server.Handle(MethodStanding, mesh.Unary(s.standing))
 	go s.repairLoop(ctx)
+	go s.standingLoop(ctx)
 	return s, nil
 }
 
@@ -97,7 +115,7 @@
 	}
 	return consensus.Config{
 		Group: groupName, ID: consensus.MemberID(s.cfg.Addr), Addr: s.cfg.Addr, Dir: s.cfg.Dir,
-		Peers: peers, Bootstrap: true,
+		Peers: peers, Bootstrap: !s.cfg.Join, RenumberedFiles: s.cfg.RenumberedFiles,
 		Machine: s.machine, Transport: t,
 		Logger: s.log.Named("consensus"), Metrics: s.cfg.Metrics,
 	}
@@ -121,10 +139,22 @@
 func (s *Server) Backend() operator.Backend { return backend{s} }
 
 // Done is closed when the member has stopped, by Close or by a failure.
-func (s *Server) Done() <-chan struct{} { return s.group.Done() }
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// Err returns why the member stopped by itself, once Done is closed.
+func (s *Server) Err() error {
+	<-s.done
+	return s.failure
+}
 
-// Err returns why the member stopped by itself.
-func (s *Server) Err() error { return s.group.Err() }
+// awaitEnd closes done when the group has stopped, unless leave does so.
+func (s *Server) awaitEnd() {
+	err := s.group.Err()
+	if !s.leaving.Load() {
+		s.failure = err
+		close(s.done)
+	}
+}
 
 // Close hands the leadership over where it can, stops the member and releases
 // its data folder.
--- a/internal/control/session_endpoint.go
+++ b/internal/control/session_endpoint.go
@@ -15,5 +15,8 @@
 	if reply == nil || reply.Status == session.StatusNotLeader {
 		return nil, s.notLeader(ctx, MethodRenew)
 	}
+	if members := s.members.Load(); members != nil {
+		reply.Control = *members
+	}
 	return reply, nil
 }
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -5,13 +5,13 @@
 import (
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/lists"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
 )
 
 // Kind says what a Command does.
 type Kind uint8
 
-// Kinds of a Command. Those up to KindOrder are operators' and make a version;
-// KindClaim and KindFinish come from the owner of an upstream and make none.
+// Kinds of a Command. KindClaim and KindFinish come from the owner of an upstream and make none.
 const (
 	KindLists Kind = iota + 1
 	KindZone
@@ -20,6 +20,9 @@
 	KindOrder
 	KindClaim
 	KindFinish
+	// KindRoutes brings a routing table into force. It makes a version of the
+	// configuration only where the table's version is the highest so far.
+	KindRoutes
 )
 
 // Command is an entry of the control log.
@@ -45,6 +48,8 @@
 	Order  *OrderSpec `msg:"or,omitempty"`
 	Claim  *Claim     `msg:"c,omitempty"`
 	Finish *Finish    `msg:"f,omitempty"`
+	// Routes belongs to KindRoutes.
+	Routes *routes.Document `msg:"t,omitempty"`
 }
 
 // Encode returns the command's entry for the control log.
--- a/internal/operator/command_gen.go
+++ b/internal/operator/command_gen.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/tinylib/msgp/msgp"
 	"github.com/wigeonflow/wigeonflow/internal/lists"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
 )
 
 // MarshalMsg implements msgp.Marshaler
@@ -145,8 +146,8 @@
 func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(12)
-	var zb0001Mask uint16 /* 12 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.Operation == "" {
 		zb0001Len--
@@ -188,6 +189,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
+	if z.Routes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -293,6 +298,19 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			if z.Routes == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Routes.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Routes")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -446,6 +464,23 @@
 					return
 				}
 			}
+		case "t":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Routes = nil
+			} else {
+				if z.Routes == nil {
+					z.Routes = new(routes.Document)
+				}
+				bts, err = z.Routes.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Routes")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -490,6 +525,12 @@
 	} else {
 		s += z.Finish.Msgsize()
 	}
+	s += 2
+	if z.Routes == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Routes.Msgsize()
+	}
 	return
 }
 
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -53,6 +53,8 @@
 	switch cmd.Kind {
 	case KindClaim, KindFinish:
 		return c.applyOwner(cmd).encode()
+	case KindRoutes:
+		return c.applyRoutes(cmd).encode()
 	default:
 		return c.applyOperator(cmd).encode()
 	}
@@ -144,6 +146,24 @@
 	return a
 }
 
+// applyRoutes brings a routing table into force. A table whose version is not
+// above the one in force is accepted and changes nothing, so that a resend is
+// answered like the first.
+func (c *Config) applyRoutes(cmd Command) Answer {
+	if cmd.Routes == nil || cmd.Routes.Version == 0 {
+		return c.answer(CodeMalformed, "the command has no routing table")
+	}
+	before := c.Committed()
+	if held := before.State.Routes; held != nil && cmd.Routes.Version <= held.Version {
+		return c.answer(CodeAccepted, "")
+	}
+	state := before.State
+	state.Version++
+	state.Routes = cmd.Routes
+	c.committed.Store(before.withoutRoutes().next(state, Delta{Version: state.Version, Routes: cmd.Routes}))
+	return c.answer(CodeAccepted, "")
+}
+
 // Snapshot returns the encoded whole, operations included.
 func (c *Config) Snapshot() ([]byte, error) {
 	committed := c.Committed()
@@ -194,6 +214,20 @@
 	return &Committed{State: state, deltas: deltas, deltaBytes: size}
 }
 
+// withoutRoutes drops the routing tables of the kept deltas, which a newer one
+// is about to replace. A router applies all deltas that it fetches at once.
+func (c *Committed) withoutRoutes() *Committed {
+	kept := &Committed{State: c.State, deltas: slices.Clone(c.deltas), deltaBytes: c.deltaBytes}
+	for i := range kept.deltas {
+		if d := &kept.deltas[i]; d.Routes != nil {
+			kept.deltaBytes -= deltaSize(d)
+			d.Routes = nil
+			kept.deltaBytes += deltaSize(d)
+		}
+	}
+	return kept
+}
+
 // deltaSize returns the encoded size in bytes.
 func deltaSize(d *Delta) int {
 	b, _ := d.MarshalMsg(nil)
--- a/internal/operator/index.go
+++ b/internal/operator/index.go
@@ -6,6 +6,7 @@
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/lists"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
 )
 
 // KeyDigest is the SHA-256 of an API key.
@@ -23,6 +24,7 @@
 	instancesOut map[string]bool
 	upstreamsOut map[string]bool
 	orders       map[fleet.UpstreamID]Order
+	routes       *routes.Document
 }
 
 // usage indexes the second list.
@@ -53,6 +55,7 @@
 		instancesOut: set(s.InstancesOut),
 		upstreamsOut: set(s.UpstreamsOut),
 		orders:       make(map[fleet.UpstreamID]Order, len(s.Orders)),
+		routes:       s.Routes,
 	}
 	for i := range s.Lists.Plans.Workspaces {
 		x.putWorkspace(&s.Lists.Plans.Workspaces[i])
@@ -84,6 +87,9 @@
 		n.orders = maps.Clone(n.orders)
 		n.orders[d.Order.Spec.Upstream] = *d.Order
 	}
+	if d.Routes != nil {
+		n.routes = d.Routes
+	}
 	return &n
 }
 
--- a/internal/operator/lookup.go
+++ b/internal/operator/lookup.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/lists"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
 )
 
 // Version returns the version that the index was made from.
@@ -104,3 +105,6 @@
 	}
 	return out
 }
+
+// Routes returns the document of the routing table, or nil before the first.
+func (x *Index) Routes() *routes.Document { return x.routes }
--- a/internal/operator/state.go
+++ b/internal/operator/state.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/lists"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
 )
 
 // State is the configuration of one version. It is never changed once it is
@@ -20,6 +21,8 @@
 	Orders []Order `msg:"o,omitempty" json:"orders"`
 	// Fencing is the largest fencing number handed out.
 	Fencing fleet.FencingNumber `msg:"f" json:"fencing"`
+	// Routes is the routing table in force; nil before the first.
+	Routes *routes.Document `msg:"t,omitempty" json:"-"`
 }
 
 // Delta is what one version changed.
@@ -33,6 +36,8 @@
 	Allowances *lists.Allowances `msg:"a,omitempty"`
 	Switch     *Switch           `msg:"s,omitempty"`
 	Order      *Order            `msg:"o,omitempty"`
+	// Routes replaces the routing table where set.
+	Routes *routes.Document `msg:"t,omitempty"`
 }
 
 // planList is a list of plans that may be set and empty.
--- a/internal/operator/state_gen.go
+++ b/internal/operator/state_gen.go
@@ -6,14 +6,15 @@
 	"github.com/tinylib/msgp/msgp"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/lists"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
 )
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Delta) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.Workspaces == nil {
 		zb0001Len--
@@ -39,6 +40,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.Routes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -142,6 +147,19 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			if z.Routes == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Routes.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Routes")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -347,6 +365,23 @@
 					return
 				}
 			}
+		case "t":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Routes = nil
+			} else {
+				if z.Routes == nil {
+					z.Routes = new(routes.Document)
+				}
+				bts, err = z.Routes.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Routes")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -396,6 +431,12 @@
 	} else {
 		s += z.Order.Msgsize()
 	}
+	s += 2
+	if z.Routes == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Routes.Msgsize()
+	}
 	return
 }
 
@@ -403,8 +444,8 @@
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.ZonesOut == nil {
 		zb0001Len--
@@ -422,6 +463,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.Routes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -484,6 +529,19 @@
 			err = msgp.WrapError(err, "Fencing")
 			return
 		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			if z.Routes == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Routes.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Routes")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -600,6 +658,23 @@
 				err = msgp.WrapError(err, "Fencing")
 				return
 			}
+		case "t":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Routes = nil
+			} else {
+				if z.Routes == nil {
+					z.Routes = new(routes.Document)
+				}
+				bts, err = z.Routes.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Routes")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -630,7 +705,12 @@
 	for za0004 := range z.Orders {
 		s += z.Orders[za0004].Msgsize()
 	}
-	s += 2 + z.Fencing.Msgsize()
+	s += 2 + z.Fencing.Msgsize() + 2
+	if z.Routes == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Routes.Msgsize()
+	}
 	return
 }
 
--- /dev/null
+++ b/internal/routes/index.go
@@ -0,0 +1,83 @@
+package routes
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// Index answers lookups in one table. It is immutable.
+type Index struct {
+	table      *Table
+	byHost     map[string][]*Route // longest prefix first
+	pools      map[fleet.PoolID]*Pool
+	workspaces map[string]*Workspace // by key
+}
+
+// NewIndex prepares the lookups of a table that Check accepts.
+func NewIndex(t *Table) *Index {
+	x := &Index{
+		table:      t,
+		byHost:     make(map[string][]*Route),
+		pools:      make(map[fleet.PoolID]*Pool, len(t.Pools)),
+		workspaces: make(map[string]*Workspace),
+	}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		x.byHost[r.Host] = append(x.byHost[r.Host], r)
+	}
+	for _, list := range x.byHost {
+		slices.SortFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range t.Pools {
+		x.pools[t.Pools[i].Name] = &t.Pools[i]
+	}
+	for i := range t.Workspaces {
+		for _, key := range t.Workspaces[i].Keys {
+			x.workspaces[key] = &t.Workspaces[i]
+		}
+	}
+	return x
+}
+
+// Version returns the table's version.
+func (x *Index) Version() uint64 { return x.table.Version }
+
+// Limits returns what callers may send.
+func (x *Index) Limits() CallerLimits { return x.table.Limits }
+
+// Route returns the route of a host with the longest prefix of the path, or nil.
+func (x *Index) Route(host, path string) *Route {
+	for _, r := range x.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Pool returns a pool, or nil.
+func (x *Index) Pool(name fleet.PoolID) *Pool { return x.pools[name] }
+
+// Keyed tells whether routes that are not public ask for a key.
+func (x *Index) Keyed() bool { return len(x.table.Workspaces) > 0 }
+
+// Workspace returns the holder of a key, or nil.
+func (x *Index) Workspace(key string) *Workspace { return x.workspaces[key] }
+
+// Pick returns the pool of a route for a draw in [0, 1).
+func (r *Route) Pick(draw float64) fleet.PoolID {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	left := draw * float64(total)
+	for _, s := range r.Split {
+		if left -= float64(s.Weight); left < 0 {
+			return s.Pool
+		}
+	}
+	return r.Split[len(r.Split)-1].Pool
+}
--- a/internal/session/message_gen.go
+++ b/internal/session/message_gen.go
@@ -319,8 +319,8 @@
 func (z *RenewReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(9)
-	var zb0001Mask uint16 /* 9 bits */
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
 	_ = zb0001Mask
 	if z.Lease == 0 {
 		zb0001Len--
@@ -338,6 +338,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
+	if z.Control == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -412,6 +416,14 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "g"
+			o = append(o, 0xa1, 0x67)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Control)))
+			for za0003 := range z.Control {
+				o = msgp.AppendString(o, z.Control[za0003])
+			}
+		}
 	}
 	return
 }
@@ -529,6 +541,25 @@
 					return
 				}
 			}
+		case "g":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Control")
+				return
+			}
+			if cap(z.Control) >= int(zb0005) {
+				z.Control = (z.Control)[:zb0005]
+			} else {
+				z.Control = make([]string, zb0005)
+			}
+			for za0003 := range z.Control {
+				z.Control[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Control", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -557,6 +588,10 @@
 	for za0002 := range z.Means {
 		s += z.Means[za0002].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Control {
+		s += msgp.StringPrefixSize + len(z.Control[za0003])
+	}
 	return
 }
 
