member: the session and configuration loop of a router is a package of its own

Cause: the platform's routers keep the same session without owner, entry and plans. Measured: router, demo and control tests pass.

--- a/internal/router/gauges.go
+++ b/internal/router/gauges.go
@@ -8,7 +8,7 @@
 
 // measure puts the router's state into its metrics.
 func (r *Router) measure() {
-	authority := r.authority.Load()
+	authority := r.keeper.Authority()
 	gauge := func(name string, value int64, labels ...string) {
 		metrics.GetOrRegisterGauge(telemetry.MetricName(name, labels...), r.cfg.Metrics).Update(value)
 	}
--- a/internal/router/homes.go
+++ b/internal/router/homes.go
@@ -53,7 +53,7 @@
 // reconcile takes up the workspaces that this router is the home of now, gives
 // up the others with their books, and frees the slots of members that are gone.
 func (p *plans) reconcile(ctx context.Context, m fleet.Membership, ring *placement.Ring) {
-	authority := p.router.authority.Load()
+	authority := p.router.keeper.Authority()
 	now := p.router.cfg.Clock()
 	seen := homesSeen{epoch: m.Epoch, settled: authority.Settled(), version: p.router.view.Version(), valid: authority.Valid(now)}
 	p.mu.Lock()
--- a/internal/router/plans.go
+++ b/internal/router/plans.go
@@ -243,7 +243,7 @@
 // borrow serves MethodBorrow. A router whose lease has run out counts for
 // nobody: another may be the home by now.
 func (p *plans) borrow(_ context.Context, _ string, request *plan.BorrowRequest) (*BorrowAnswer, error) {
-	if !p.router.authority.Load().Owns(p.router.cfg.Clock(), homeKey(request.Workspace)) {
+	if !p.router.keeper.Authority().Owns(p.router.cfg.Clock(), homeKey(request.Workspace)) {
 		return &BorrowAnswer{Opening: true, Reply: plan.BorrowReply{
 			Workspace: request.Workspace, Sequence: request.Sequence, Refusal: plan.RefusalNotHome,
 		}}, nil
--- a/internal/router/reconcile.go
+++ b/internal/router/reconcile.go
@@ -81,7 +81,7 @@
 func (r *Router) reconcile(ctx context.Context) {
 	r.reconcileMu.Lock()
 	defer r.reconcileMu.Unlock()
-	membership := r.authority.Load().Membership()
+	membership := r.keeper.Authority().Membership()
 	upstreams := *r.upstreams.Load()
 	index := r.view.Index()
 	out := outOfService(index)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,12 +12,11 @@
 	"github.com/wigeonflow/wigeonflow/internal/control"
 	"github.com/wigeonflow/wigeonflow/internal/entry"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
-	"github.com/wigeonflow/wigeonflow/internal/ledger"
+	"github.com/wigeonflow/wigeonflow/internal/member"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/owner"
 	"github.com/wigeonflow/wigeonflow/internal/placement"
-	"github.com/wigeonflow/wigeonflow/internal/session"
 	"github.com/wigeonflow/wigeonflow/internal/settings"
 	"github.com/wigeonflow/wigeonflow/internal/telemetry"
 	"github.com/wigeonflow/wigeonflow/internal/upstream"
@@ -41,22 +40,15 @@
 	control  *control.Client
 	platform upstream.Platform
 	view     *operator.View
-	fetcher  *control.Fetcher // of renewLoop
+	keeper   *member.Keeper
 	rings    *rings
 	entry    *entry.Server
 	owner    *owner.Server
 	plans    *plans
 
-	holderMu sync.Mutex
-	holder   *session.Holder
-	tenure   ledger.LeaseTracker
-
-	leases atomic.Pointer[ledger.Lease]
-
 	reconcileMu sync.Mutex
 	seen        seen
 
-	authority atomic.Pointer[session.Authority]
 	table     atomic.Pointer[placement.Table]
 	members   atomic.Pointer[map[fleet.InstanceID]fleet.Member]
 	upstreams atomic.Pointer[[]fleet.Upstream]
@@ -64,7 +56,6 @@
 	inForce   atomic.Uint64 // the version that owned upstreams and plans are in line with
 
 	changed chan struct{} // capacity 1: what the view is made of has changed
-	noticed chan struct{} // capacity 1: a renewal would bring something new
 	wg      sync.WaitGroup
 	cancel  context.CancelFunc
 }
@@ -78,22 +69,18 @@
 		self:     fleet.Member{ID: s.Instance, Boot: fleet.BootID(uuid.NewString()), Addr: s.Listen.Mesh, Zone: s.Zone},
 		control:  control.NewClient(pool, s.Control.Members),
 		platform: upstream.NewPlatform(hostOf(s.Platform.URL), upstream.NewHTTPClient()),
-		view:     operator.NewView(),
 		rings:    newRings(),
 		changed:  make(chan struct{}, 1),
-		noticed:  make(chan struct{}, 1),
 	}
-	r.fetcher = control.NewFetcher(r.control)
-	r.holder = session.NewHolder(sessionSettings(s), r.self, r.rings.owner)
-	r.authority.Store(new(session.Authority))
-	r.leases.Store(new(ledger.Lease))
+	r.keeper = r.newKeeper()
+	r.view = r.keeper.View()
 	r.members.Store(&map[fleet.InstanceID]fleet.Member{})
 	r.upstreams.Store(&[]fleet.Upstream{})
 	r.owner = owner.NewServer(owner.Config{
 		Instance: r.self.ID, Boot: r.self.Boot, Clock: cfg.Clock,
-		Authority: func() session.Authority { return *r.authority.Load() },
+		Authority: r.keeper.Authority,
 		Index:     r.view.Index, Orders: r.order,
-		Lease:  func() ledger.Lease { return *r.leases.Load() },
+		Lease:  r.keeper.Lease,
 		Ledger: r.ledger, Pool: pool, GatherInterval: s.Limits.GatherInterval,
 		Logger: cfg.Logger, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	}, server)
@@ -116,7 +103,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	for _, loop := range []func(context.Context){
-		r.owner.Run, r.entry.Run, r.renewLoop, r.watchLoop, r.platformLoop, r.reconcileLoop, r.plans.run,
+		r.owner.Run, r.entry.Run, r.keeper.Run, r.platformLoop, r.reconcileLoop, r.plans.run,
 	} {
 		r.wg.Go(func() { loop(ctx) })
 	}
@@ -137,7 +124,7 @@
 // serving returns why new requests cannot be served.
 func (r *Router) serving() error {
 	switch {
-	case !r.authority.Load().Valid(r.cfg.Clock()):
+	case !r.keeper.Authority().Valid(r.cfg.Clock()):
 		return errNoLease
 	case r.view.Version() == 0:
 		return errNoLists
--- a/internal/router/session_loop_test.go
+++ b/internal/router/session_loop_test.go
@@ -26,7 +26,7 @@
 	}, mesh.NewServer(mesh.Config{Instance: "router-1"}), pool)
 	_, err := r.view.Apply(&operator.Update{Full: &operator.State{Version: 7}})
 	is.NoErr(err)
-	is.Equal(r.renewRequest().KnownVersion, fleet.ConfigVersion(0)) // fetched, not in force
+	is.Equal(r.keeper.Request().KnownVersion, fleet.ConfigVersion(0)) // fetched, not in force
 	r.reconcile(context.Background())
-	is.Equal(r.renewRequest().KnownVersion, fleet.ConfigVersion(7))
+	is.Equal(r.keeper.Request().KnownVersion, fleet.ConfigVersion(7))
 }
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -31,9 +31,7 @@
 	if err == nil {
 		err = r.await(ctx, func() bool { return r.owner.Running() == 0 })
 	}
-	r.holderMu.Lock()
-	r.holder.Leave()
-	r.holderMu.Unlock()
+	r.keeper.Leave()
 	if err == nil {
 		err = r.await(ctx, r.left)
 	}
@@ -43,19 +41,10 @@
 }
 
 // drain has the other members own what this one does, or takes that back.
-func (r *Router) drain(draining bool) {
-	r.holderMu.Lock()
-	defer r.holderMu.Unlock()
-	r.holder.Drain(r.cfg.Clock(), draining)
-}
+func (r *Router) drain(draining bool) { r.keeper.Drain(draining) }
 
 // left tells whether the lease is back and nothing runs here.
-func (r *Router) left() bool {
-	r.holderMu.Lock()
-	left := r.holder.Left()
-	r.holderMu.Unlock()
-	return left && r.owner.Running() == 0
-}
+func (r *Router) left() bool { return r.keeper.Left() && r.owner.Running() == 0 }
 
 func (r *Router) await(ctx context.Context, done func() bool) error {
 	for !done() {
