The whole path on the users' platform: gateway, balance, exchange, platform

Cause: the product had no way onto the platform. Change: routes by host and prefix (routes), a router that decides alone on what it took and sends to upstreams itself (gateway), choice of upstreams, cold starts and retry budgets (balance), exchanges on kept connections that are never repeated (exchange), and the platform's names in platform/ alone. Ruled out: two hops through owners; a lost owner breaks others' streams, and what must be exact over the fleet (cold upstreams) rests on the session lease instead.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,7 +19,6 @@
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/ledger"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
-	"github.com/wigeonflow/wigeonflow/internal/router"
 	"github.com/wigeonflow/wigeonflow/internal/session"
 	"github.com/wigeonflow/wigeonflow/internal/settings"
 	"github.com/wigeonflow/wigeonflow/internal/telemetry"
@@ -30,15 +29,16 @@
 
 // Agent is one running process of the fleet.
 type Agent struct {
-	settings settings.Settings
-	log      hclog.Logger
-	metrics  metrics.Registry
-	tracer   *telemetry.Tracer
+	settings  settings.Settings
+	extension Extension
+	log       hclog.Logger
+	metrics   metrics.Registry
+	tracer    *telemetry.Tracer
 
 	mesh      *mesh.Server
 	pool      *mesh.Pool
 	control   *control.Server
-	router    *router.Router
+	router    Router
 	callers   *http.Server
 	operators *http.Server
 	failed    chan error
@@ -46,7 +46,12 @@
 
 // Start starts what the settings' roles ask for. Logs go to w.
 func Start(ctx context.Context, s settings.Settings, w io.Writer) (*Agent, error) {
-	a := &Agent{settings: s, log: telemetry.NewLogger(s, w), metrics: metrics.NewRegistry(), failed: make(chan error, 4)}
+	return StartWith(ctx, s, w, Extension{})
+}
+
+// StartWith starts what the settings' roles ask for, with parts of a platform's.
+func StartWith(ctx context.Context, s settings.Settings, w io.Writer, e Extension) (*Agent, error) {
+	a := &Agent{settings: s, extension: e, log: telemetry.NewLogger(s, w), metrics: metrics.NewRegistry(), failed: make(chan error, 4)}
 	secret, err := readSecret(s.FleetSecretFile)
 	if err != nil {
 		return nil, err
@@ -72,7 +77,7 @@
 		}
 	}
 	if s.Has(settings.RoleRouter) {
-		a.router = router.New(router.Config{Settings: s, Clock: clock, Logger: a.log, Metrics: a.metrics, Tracer: a.tracer}, a.mesh, a.pool)
+		a.router = a.newRouter(clock)
 	}
 	return a, a.listen()
 }
@@ -103,7 +108,9 @@
 			MaxAge: s.Ledger.MaxAge, MaxRecords: s.Ledger.MaxRecords, MaxAnswer: int(s.Ledger.MaxAnswerBytes),
 		},
 		OperatorAddr: reachable(s.Listen.Operators, s.Listen.Mesh),
-		Clock:        clock, Logger: a.log, Metrics: a.metrics,
+		Join:         a.extension.Control.Join, Adopt: a.extension.Control.Adopt,
+		RenumberedFiles: a.extension.Control.RenumberedFiles,
+		Clock:           clock, Logger: a.log, Metrics: a.metrics,
 	}, a.mesh, a.pool)
 	return err
 }
@@ -131,7 +138,7 @@
 	}
 	go func() { a.fail(a.mesh.Serve(meshListener)) }()
 	if a.control != nil {
-		a.operators = a.httpServer(operatorsHandler(a))
+		a.operators = a.httpServer(a.operatorsHandler())
 		if err := a.serve(a.operators, s.Listen.Operators, s.Listen.OperatorsTLS); err != nil {
 			return err
 		}
@@ -147,6 +154,9 @@
 		}
 		a.router.Start()
 	}
+	if err := a.listenExtension(); err != nil {
+		return err
+	}
 	if s.Listen.Debug != "" {
 		if err := a.serve(&http.Server{Handler: profiles(), ReadHeaderTimeout: headerTimeout}, s.Listen.Debug, settings.TLS{}); err != nil {
 			return err
--- /dev/null
+++ b/internal/balance/balancer.go
@@ -0,0 +1,157 @@
+package balance
+
+import (
+	"math/bits"
+	"sync"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
+)
+
+// Part is one part of a prompt, as engines cache it.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Work is a request that needs an upstream.
+type Work struct {
+	Pool  *routes.Pool
+	Parts []Part
+	// PromptTokens is the length of the whole prompt.
+	PromptTokens int
+	// Draw makes equal choices differ between requests.
+	Draw uint64
+	// Trial allows an upstream that failed lately: the request may be repeated.
+	Trial bool
+	// Tried are upstreams that the request was sent to before.
+	Tried []fleet.UpstreamID
+}
+
+// Standing is what the router's session says at the moment of a choice.
+type Standing struct {
+	// Owns tells whether this router alone may send to a cold upstream now.
+	Owns func(fleet.UpstreamID) bool
+	// Routers is the number of routers in the membership; 0 while unknown.
+	Routers int
+	// Out tells whether operators have taken an upstream out of service.
+	Out func(fleet.Upstream) bool
+}
+
+// Config holds what a Balancer is set up with.
+type Config struct {
+	Zone    fleet.AvailabilityZone
+	Retries RetryLimits
+}
+
+// Balancer chooses upstreams for one router. It is safe for concurrent use.
+type Balancer struct {
+	cfg Config
+
+	mu      sync.Mutex
+	states  map[fleet.UpstreamID]*state
+	pools   map[fleet.PoolID][]*state
+	budgets map[fleet.PoolID]*budget
+	memory  *memory
+}
+
+// New returns a Balancer without upstreams.
+func New(cfg Config) *Balancer {
+	return &Balancer{
+		cfg: cfg, states: make(map[fleet.UpstreamID]*state), pools: make(map[fleet.PoolID][]*state),
+		budgets: make(map[fleet.PoolID]*budget), memory: newMemory(),
+	}
+}
+
+// SetUpstreams replaces the list; asOf is when it was asked for. An upstream that
+// is no longer listed gets no new work. It returns the addresses that another
+// upstream has taken over.
+func (b *Balancer) SetUpstreams(asOf time.Duration, list []Listed) (moved []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.states {
+		s.listed = false
+	}
+	for _, l := range list {
+		s := b.states[l.ID]
+		if s == nil || s.Addr != l.Addr || s.Boot != l.Boot {
+			if s != nil {
+				moved = append(moved, s.Addr)
+			}
+			s = newState(l)
+			b.states[l.ID] = s
+		}
+		s.Listed, s.listed = l, true
+		s.coldUntil = max(s.coldUntil, asOf+l.ColdFor)
+	}
+	for id, s := range b.states {
+		if !s.listed && s.running == 0 {
+			delete(b.states, id)
+			moved = append(moved, s.Addr)
+		}
+	}
+	b.index()
+	return moved
+}
+
+// index groups the listed upstreams by pool.
+func (b *Balancer) index() {
+	b.pools = make(map[fleet.PoolID][]*state, len(b.pools))
+	for _, s := range b.states {
+		if s.listed {
+			b.pools[s.Pool] = append(b.pools[s.Pool], s)
+		}
+	}
+}
+
+// Request counts a request for a pool, whether it will be sent or not.
+func (b *Balancer) Request(now time.Duration, pool fleet.PoolID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget(pool).request(now, b.cfg.Retries)
+}
+
+// Retry takes one second try out of a pool's budget, or tells that it is spent.
+func (b *Balancer) Retry(now time.Duration, pool fleet.PoolID, routers int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget(pool).retry(now, b.cfg.Retries, routers)
+}
+
+func (b *Balancer) budget(pool fleet.PoolID) *budget {
+	found := b.budgets[pool]
+	if found == nil {
+		found = new(budget)
+		b.budgets[pool] = found
+	}
+	return found
+}
+
+// Cold notes that an upstream said how long it will be cold.
+func (b *Balancer) Cold(now time.Duration, id fleet.UpstreamID, left time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.states[id]; s != nil {
+		s.coldUntil = max(s.coldUntil, now+left)
+	}
+}
+
+// mix combines two hashes.
+func mix(a, b uint64) uint64 {
+	hi, lo := bits.Mul64(a^0xa0761d6478bd642f, b^0xe7037ed1a0b428db)
+	return hi ^ lo
+}
+
+// key returns what decides where a prompt's cache is looked for first: its last
+// part but one, since the last belongs to the request or its session alone.
+func (w *Work) key() uint64 {
+	switch n := len(w.Parts); {
+	case n >= 2:
+		return w.Parts[n-2].ID
+	case n == 1:
+		return w.Parts[0].ID
+	default:
+		return w.Draw
+	}
+}
--- /dev/null
+++ b/internal/balance/choose.go
@@ -0,0 +1,242 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+const (
+	// prefillRate is how many prompt tokens an engine reads in a millisecond.
+	prefillRate = 64.0
+	// requestCost is what one more request at an upstream costs a new one there, in
+	// milliseconds: tokens of all come later, and its prompt waits behind theirs.
+	requestCost = 5.0
+	// rereadFactor weighs a part that is read again above the time that it takes:
+	// other requests there wait meanwhile.
+	rereadFactor = 1.5
+	// zoneCost is what the way to another availability zone costs, in milliseconds
+	// there and back and in traffic between zones.
+	zoneCost = 2.5
+	// boundFactor and boundSlack keep the load of an upstream within a multiple of
+	// the pool's mean; operators allow twice the mean and 3.
+	boundFactor = 1.5
+	boundSlack  = 2.0
+	// beyondBound is the cost of exceeding the bound, in milliseconds.
+	beyondBound = 2000.0
+	// fullCost is the cost of an upstream whose slots are all taken.
+	fullCost = 1000.0
+	// firstPlaceShare and secondPlaceShare are how likely a prompt's key part is
+	// cached at the first and second upstream of its ranking though this router
+	// hasn't sent it there.
+	firstPlaceShare  = 0.7
+	secondPlaceShare = 0.2
+	// connectionShare is the part of an upstream's connections that routers use.
+	connectionShare = 0.8
+)
+
+// Pick is a chosen upstream with one place taken at it. End it exactly once.
+type Pick struct {
+	Upstream fleet.Upstream
+	// Trial is set where the pick tries an upstream that failed.
+	Trial bool
+
+	balancer *Balancer
+	state    *state
+	prefill  int
+	ended    bool
+}
+
+// Choose takes a place at the best upstream of the work's pool, or returns nil
+// when none may get it now.
+func (b *Balancer) Choose(now time.Duration, w *Work, standing Standing) *Pick {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	usable := b.usable(now, w, standing, false)
+	if len(usable) == 0 {
+		// Rather an upstream that failed lately than none.
+		usable = b.usable(now, w, standing, true)
+	}
+	for len(usable) > 0 {
+		i := b.best(now, w, usable)
+		s := usable[i]
+		if !s.isCold(now) || s.cold.take(now, w.Pool.ColdRate, coldBurst) {
+			return b.pick(now, w, s)
+		}
+		usable = slices.Delete(usable, i, i+1)
+	}
+	return nil
+}
+
+// usable returns the upstreams that may get the work.
+func (b *Balancer) usable(now time.Duration, w *Work, standing Standing, failed bool) []*state {
+	var out []*state
+	for _, s := range b.pools[w.Pool.Name] {
+		if s.Leaving || slices.Contains(w.Tried, s.ID) || standing.Out(s.Upstream) || s.silent(now) && !failed {
+			continue
+		}
+		if s.isCold(now) && w.Pool.ColdRate > 0 && !standing.Owns(s.ID) {
+			continue
+		}
+		if limit := connectionLimit(w.Pool.MaxConnections, standing.Routers); limit > 0 && s.running >= limit {
+			continue
+		}
+		if ok, trial := s.health.usable(now); !failed && (!ok || trial && !w.Trial) {
+			continue
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// connectionLimit is this router's share of an upstream's connections.
+func connectionLimit(all, routers int) int {
+	if all <= 0 || routers <= 0 {
+		return 0
+	}
+	return max(int(connectionShare*float64(all)/float64(routers)), 2)
+}
+
+// best returns the index of the cheapest upstream.
+func (b *Balancer) best(now time.Duration, w *Work, usable []*state) int {
+	mean := meanLoad(now, usable)
+	first, second := rank(w.key(), usable)
+	best, bestCost := 0, math.Inf(1)
+	for i, s := range usable {
+		share := 0.0
+		switch i {
+		case first:
+			share = firstPlaceShare
+		case second:
+			share = secondPlaceShare
+		}
+		if cost := b.cost(now, w, s, mean, share); cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+func meanLoad(now time.Duration, usable []*state) float64 {
+	total := 0
+	for _, s := range usable {
+		total += s.load(now)
+	}
+	return float64(total) / float64(len(usable))
+}
+
+// rank returns the first two upstreams of a key's ranking, by rendezvous hashing.
+func rank(key uint64, usable []*state) (first, second int) {
+	first, second = -1, -1
+	var firstScore, secondScore uint64
+	for i, s := range usable {
+		switch score := mix(key, s.hash); {
+		case first < 0 || score > firstScore:
+			second, secondScore = first, firstScore
+			first, firstScore = i, score
+		case second < 0 || score > secondScore:
+			second, secondScore = i, score
+		}
+	}
+	return first, second
+}
+
+// cost is what the work costs at an upstream, in milliseconds. share is how much
+// of the key part counts as cached though this router hasn't sent it there.
+func (b *Balancer) cost(now time.Duration, w *Work, s *state, mean, share float64) float64 {
+	load := float64(s.load(now))
+	cost := requestCost * load
+	if s.Zone != b.cfg.Zone {
+		cost += zoneCost
+	}
+	if load > boundFactor*mean+boundSlack {
+		cost += beyondBound
+	}
+	if w.Pool.Engine == nil {
+		// Break ties differently for each request.
+		return cost + requestCost*float64(mix(w.Draw, s.hash)>>40)/float64(1<<24)
+	}
+	if slots := w.Pool.Engine.Slots; slots > 0 && load >= float64(slots) {
+		cost += fullCost
+	}
+	cost += float64(s.prefill) / prefillRate
+	return cost + rereadFactor*b.unread(now, w, s, share)/prefillRate
+}
+
+// unread estimates the prompt tokens that an upstream would have to read.
+func (b *Balancer) unread(now time.Duration, w *Work, s *state, share float64) float64 {
+	left := float64(w.PromptTokens)
+	known := true
+	for i, p := range w.Parts {
+		switch known = known && b.memory.holds(now, p.ID, s.ID); {
+		case known:
+			left -= float64(p.Tokens)
+		case i < len(w.Parts)-1:
+			left -= share * float64(p.Tokens)
+		}
+	}
+	return max(left, 0)
+}
+
+func (b *Balancer) pick(now time.Duration, w *Work, s *state) *Pick {
+	_, trial := s.health.usable(now)
+	s.health.trial = s.health.trial || trial
+	if s.running == 0 {
+		s.lastByte = now
+	}
+	s.running++
+	p := &Pick{Upstream: s.Upstream, Trial: trial, balancer: b, state: s}
+	if w.Pool.Engine != nil {
+		p.prefill = int(b.unread(now, w, s, 0))
+		s.prefill += p.prefill
+		for _, part := range w.Parts {
+			b.memory.used(now, part.ID, s.ID)
+		}
+	}
+	return p
+}
+
+// Heard notes that bytes of an answer arrived.
+func (p *Pick) Heard(now time.Duration) {
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	p.state.lastByte = max(p.state.lastByte, now)
+}
+
+// Answered notes the head of an answer, or a stream's first event.
+func (p *Pick) Answered(now time.Duration, load *Load) {
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	s := p.state
+	s.lastByte = max(s.lastByte, now)
+	s.prefill -= p.prefill
+	p.prefill = 0
+	if load != nil {
+		s.reported, s.reportedAt = true, now
+		s.others = max(load.Running+load.Waiting-s.running, 0)
+		s.waiting, s.slots = load.Waiting, load.Slots
+	}
+}
+
+// Silent tells whether the upstream sends nothing on any connection though it
+// owes answers.
+func (p *Pick) Silent(now time.Duration) bool {
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	return p.state.silent(now)
+}
+
+// End gives the place back.
+func (p *Pick) End(now time.Duration, o Outcome) {
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	if p.ended {
+		return
+	}
+	p.ended = true
+	p.state.running--
+	p.state.prefill -= p.prefill
+	p.state.health.observe(now, o)
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeonflow/wigeonflow/internal/load"
 	"github.com/wigeonflow/wigeonflow/internal/standin"
+	"github.com/wigeonflow/wigeonflow/platform"
 )
 
 // Exit codes of every command.
@@ -44,6 +45,7 @@
 func commands(stdout, stderr io.Writer) []*ffcli.Command {
 	return []*ffcli.Command{
 		serveCommand(stderr),
+		platform.Command(stdout),
 		demoCommand(stdout),
 		checkCommand(stdout, stderr),
 		applyCommand(stdout, stderr),
--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -131,6 +131,12 @@
 	return b.server.operatorsOf(ctx, status.LeaderAddr)
 }
 
+// Leads implements operator.Backend.
+func (b backend) Leads() bool {
+	_, leads := b.server.group.LeaderLease()
+	return leads
+}
+
 // leases returns what the grantor knows; nothing where this member does not lead.
 func (l *leader) leases() (leases []session.LeaseStatus, epoch, settled fleet.Epoch) {
 	l.machine.read(func() { epoch = l.roster.Membership().Epoch })
--- /dev/null
+++ b/internal/exchange/conn.go
@@ -0,0 +1,54 @@
+package exchange
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// readBuffer is the size of a connection's read buffer in bytes: a header and a
+// few events of a stream.
+const readBuffer = 4 << 10
+
+// conn is one connection to an upstream. One exchange uses it at a time.
+type conn struct {
+	net.Conn
+	addr      string
+	in        *bufio.Reader
+	reused    bool
+	idleUntil time.Time
+}
+
+func newConn(raw net.Conn, addr string) *conn {
+	return &conn{Conn: raw, addr: addr, in: bufio.NewReaderSize(raw, readBuffer)}
+}
+
+// close closes the connection. Nothing can be done about an error here.
+func (c *conn) close() { _ = c.Conn.Close() }
+
+// quiet tells whether the peer has neither closed the connection nor sent
+// anything on it since the last exchange.
+func (c *conn) quiet() bool {
+	if c.in.Buffered() > 0 {
+		return false
+	}
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/exchange/errors.go
@@ -0,0 +1,44 @@
+package exchange
+
+import (
+	"fmt"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// Phase is how far an exchange came.
+type Phase uint8
+
+// The phases of a failed exchange.
+const (
+	// PhaseConnect failed before any byte of the request was written.
+	PhaseConnect Phase = iota
+	// PhaseAnswer failed after bytes of the request may have arrived.
+	PhaseAnswer
+)
+
+// Error is a failed exchange.
+type Error struct {
+	Phase Phase
+	Addr  string
+	// Reused is set where the connection had carried an exchange before.
+	Reused bool
+	Cause  error
+}
+
+func (e *Error) Error() string {
+	step := "connect"
+	if e.Phase == PhaseAnswer {
+		step = "await answer"
+	}
+	return fmt.Sprintf("exchange with %s: %s: %v", e.Addr, step, e.Cause)
+}
+
+func (e *Error) Unwrap() error { return e.Cause }
+
+var (
+	// ErrUnmatched means that an answer belongs to another exchange.
+	ErrUnmatched = fleet.Errors.NewType("exchange_unmatched")
+	// ErrClosed means that the pool was closed.
+	ErrClosed = fleet.Errors.NewType("exchange_closed")
+)
--- /dev/null
+++ b/internal/gateway/log.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"time"
+)
+
+// note writes a line about a decision on the request.
+func (c *course) note(what string, args ...any) {
+	if !c.server.log.IsInfo() {
+		return
+	}
+	fields := []any{"request", string(c.call.ID), "age", (c.server.cfg.Clock() - c.start).Round(time.Millisecond).String()}
+	c.server.log.Info(what, append(fields, args...)...)
+}
+
+// finish counts the request and, where it wasn't served, writes why. status is 0
+// where the caller got no whole answer.
+func (c *course) finish(status int, reason string) {
+	kind := "none"
+	if c.route != nil {
+		kind = kindNames[c.route.Kind]
+	}
+	outcome := "served"
+	if reason != "" {
+		outcome = "failed"
+	}
+	c.server.count(kind, outcome)
+	if reason == "" && !c.server.log.IsDebug() {
+		return
+	}
+	args := []any{"status", status, "kind", kind, "sends", c.sends, "runs", c.runs}
+	if len(c.tried) > 0 {
+		args = append(args, "upstream", string(c.tried[len(c.tried)-1]))
+	}
+	if c.route != nil {
+		args = append(args, "route", c.route.Name)
+	}
+	if c.table != nil {
+		args = append(args, "table", c.table.Version())
+	}
+	if reason != "" {
+		args = append(args, "reason", reason)
+	}
+	c.note("request ended", args...)
+}
+
+var kindNames = [...]string{"once", "idempotent", "stream"}
--- a/internal/operator/handler_test.go
+++ b/internal/operator/handler_test.go
@@ -62,6 +62,7 @@
 }
 
 func (b *fakeBackend) Leader() string { return b.leader }
+func (b *fakeBackend) Leads() bool    { return b.leader == "" }
 
 func newBackend() *fakeBackend { return &fakeBackend{mu: &sync.Mutex{}, config: NewConfig()} }
 
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -25,6 +25,8 @@
 	Upstreams(ctx context.Context) ([]UpstreamStatus, error)
 	// Leader returns the IP:port at which operators reach the leader, or "".
 	Leader() string
+	// Leads tells whether this member leads, as far as it knows.
+	Leads() bool
 }
 
 // Status is the state of the fleet as the control leader knows it.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"sync/atomic"
 
@@ -88,7 +89,7 @@
 	server.Handle(control.MethodUpstreams, mesh.Unary(r.listUpstreams))
 	r.entry = entry.NewServer(entry.Config{
 		Clock: cfg.Clock, Zone: s.Zone, Index: r.view.Index, Table: r.table.Load, Member: r.member,
-		Ready: r.ready, Serving: r.serving, Stopping: r.stopping.Load, Plans: r.plans, Pool: pool,
+		Ready: r.Ready, Serving: r.serving, Stopping: r.stopping.Load, Plans: r.plans, Pool: pool,
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxWait: s.Queue.MaxWait,
 		Logger: cfg.Logger, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	})
@@ -96,7 +97,7 @@
 }
 
 // Handler returns the callers' HTTP handler.
-func (r *Router) Handler() *entry.Server { return r.entry }
+func (r *Router) Handler() http.Handler { return r.entry }
 
 // Start begins to keep the session and to follow the configuration.
 func (r *Router) Start() {
@@ -133,8 +134,8 @@
 	}
 }
 
-// ready returns why the balancer should send nothing here.
-func (r *Router) ready() error {
+// Ready returns why the balancer should send nothing here, or nil.
+func (r *Router) Ready() error {
 	index := r.view.Index()
 	switch {
 	case r.stopping.Load():
