mesh: connections that nobody acknowledges are lost after 1.5 s

A router cut off for 8 s kept its mesh connections; the kernel's retransmissions had backed off, and it read the configuration 5.5 s after the cut had healed. Ruled out: a slow control leader (others were in force within 0.2 s).

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -17,8 +17,8 @@
 
 const (
 	// callTimeout bounds one call at one member, so that a frozen member costs
-	// a router no more than a third of its lease.
-	callTimeout = 900 * time.Millisecond
+	// a router no more than a fifth of its lease.
+	callTimeout = 600 * time.Millisecond
 	// retryPause spaces calls while the group has no leader.
 	retryPause = 50 * time.Millisecond
 )
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -4,24 +4,15 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/wigeonflow/wigeonflow/internal/socket"
 )
 
 const (
 	// DefaultDialTimeout bounds connecting: an upstream is a few milliseconds away,
 	// and a dropped opening packet is sent again only after a second.
 	DefaultDialTimeout = 400 * time.Millisecond
-	// unackedTimeout ends a connection whose bytes are not acknowledged
-	// (TCP_USER_TIMEOUT): the peer is gone, or the path to it is.
-	unackedTimeout = 2 * time.Second
-	// keepAliveIdle, keepAliveInterval and keepAliveCount find a silent connection
-	// that waits for an answer.
-	keepAliveIdle     = 2 * time.Second
-	keepAliveInterval = 1 * time.Second
-	keepAliveCount    = 2
 	// defaultIdle is how long a connection is kept whose peer names no timeout.
 	defaultIdle = 4 * time.Second
 	// idleMargin is how much sooner than the peer's idle timeout a connection is
@@ -29,6 +20,14 @@
 	idleMargin = 500 * time.Millisecond
 )
 
+// limits tell when a connection to an upstream counts as lost. A silent connection
+// that owes an answer is found by probes, one that takes no bytes by their
+// acknowledgement.
+var limits = socket.Limits{
+	Dial: DefaultDialTimeout, Unacked: 2 * time.Second,
+	Idle: 2 * time.Second, Interval: time.Second, Probes: 2,
+}
+
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
@@ -41,27 +40,7 @@
 
 // NewPool returns a pool without connections.
 func NewPool() *Pool {
-	return &Pool{
-		idle: make(map[string][]*conn),
-		dialer: net.Dialer{
-			Timeout: DefaultDialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-			},
-			Control: limitUnacked,
-		},
-	}
-}
-
-func limitUnacked(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
+	return &Pool{idle: make(map[string][]*conn), dialer: limits.Dialer()}
 }
 
 // take returns an idle connection that the peer has not closed, or a new one.
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -5,16 +5,34 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/socket"
 )
 
 // Defaults of a Config's fields.
 const (
 	DefaultWindowBytes    = 256 << 10
 	DefaultMaxStreams     = 20_000
-	DefaultDialTimeout    = time.Second
+	DefaultDialTimeout    = 700 * time.Millisecond
 	DefaultMaxConnections = 4096
 )
 
+// A peer whose connection is silent counts as lost after a second and a half: a
+// router that was cut off must have caught up within contact times of 3 s.
+const (
+	unackedTimeout    = 1500 * time.Millisecond
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveProbes   = 2
+)
+
+// limits returns when a connection counts as lost.
+func (c *Config) limits() socket.Limits {
+	return socket.Limits{
+		Dial: c.DialTimeout, Unacked: unackedTimeout,
+		Idle: keepAliveIdle, Interval: keepAliveInterval, Probes: keepAliveProbes,
+	}
+}
+
 // Config holds what both ends of the mesh need.
 type Config struct {
 	// Instance is this process, as peers see it.
--- a/internal/mesh/pool.go
+++ b/internal/mesh/pool.go
@@ -6,7 +6,6 @@
 	"crypto/tls"
 	"errors"
 	"io"
-	"net"
 	"sync"
 	"time"
 
@@ -105,7 +104,8 @@
 
 func (p *Pool) dial(addr string, entry *pooled) {
 	defer close(entry.ready)
-	conn, err := net.DialTimeout("tcp", addr, p.cfg.DialTimeout)
+	dialer := p.cfg.limits().Dialer()
+	conn, err := dialer.Dial("tcp", addr)
 	if err != nil {
 		entry.err = err
 		return
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -53,6 +53,7 @@
 
 // Serve accepts connections until the server is closed. It closes the listener.
 func (s *Server) Serve(l net.Listener) error {
+	l = s.cfg.limits().Listener(l)
 	if s.cfg.TLS != nil {
 		l = tls.NewListener(l, s.cfg.TLS.server())
 	}
