--- a/internal/member/keeper.go
+++ b/internal/member/keeper.go
@@ -202,7 +202,9 @@
 	if reply.Version > k.view.Version() {
 		k.fetch(ctx)
 	}
-	if reply.Status == session.StatusGranted && k.view.Version() >= reply.Version {
+	// Every reply comes from a proven leader. That it grants no lease, as to a router
+	// that has just been restarted, says nothing against the version.
+	if k.view.Version() >= reply.Version {
 		k.confirmed.Store(int64(sent))
 	}
 }
