--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -30,6 +30,8 @@
 	// RenumberedFiles says that the data folder's files may change their inode
 	// numbers, as after a restore; a copy of a folder is then not recognized.
 	RenumberedFiles bool
+	// ElectionTimeout is that of the group; 0 means consensus.DefaultElectionTimeout.
+	ElectionTimeout time.Duration
 	// Dir is the data folder.
 	Dir     string
 	Session session.Settings
@@ -62,6 +64,9 @@
 	members atomic.Pointer[[]string] // mesh addresses of the group, on a leader
 }
 
+// heartbeatShare is how many heartbeats fit into an election timeout.
+const heartbeatShare = 4
+
 // groupName marks the data folders of the fleet's control group.
 const groupName = "control"
 
@@ -116,6 +121,7 @@
 	return consensus.Config{
 		Group: groupName, ID: consensus.MemberID(s.cfg.Addr), Addr: s.cfg.Addr, Dir: s.cfg.Dir,
 		Peers: peers, Bootstrap: !s.cfg.Join, RenumberedFiles: s.cfg.RenumberedFiles,
+		ElectionTimeout: s.cfg.ElectionTimeout, Heartbeat: s.cfg.ElectionTimeout / heartbeatShare,
 		Machine: s.machine, Transport: t,
 		Logger: s.log.Named("consensus"), Metrics: s.cfg.Metrics,
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,6 +104,9 @@
 type Control struct {
 	// Members are the control members' mesh addresses, IP:port. Required.
 	Members []string `yaml:"members" validate:"required,dive,peer_addr"`
+	// ElectionTimeout is how long members wait for a silent leader before they elect
+	// another one. Heartbeats come four times as often.
+	ElectionTimeout time.Duration `yaml:"election_timeout" default:"1s" validate:"gte=200ms"`
 }
 
 // Platform tells where the platform lists instances.
