gateway: one router reads the platform's list, the others follow it

Ways weighed: a reader a zone (more reads, one hop less between zones) against one reader for the fleet; the list changes seldom, so that beats of 20 bytes are all that crosses zones. Whoever hears nothing for a second reads the list itself, so that a lost reader never costs the time in which a leaving upstream must be left alone.

--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -63,6 +63,7 @@
 	balancer *balance.Balancer
 	pool     *exchange.Pool
 	server   *Server
+	lists    *lists
 
 	table    atomic.Pointer[routes.Index]
 	inForce  atomic.Uint64 // the configuration that table is made of
@@ -73,7 +74,7 @@
 }
 
 // New returns a router that is not running.
-func New(cfg Config, pool *mesh.Pool) *Router {
+func New(cfg Config, server *mesh.Server, pool *mesh.Pool) *Router {
 	s := cfg.Settings
 	r := &Router{
 		cfg: cfg, log: cfg.Logger.Named("router"),
@@ -94,6 +95,11 @@
 		Clock: cfg.Clock, Dialect: cfg.Dialect, Table: r.table.Load, Standing: r.standing, KeysUntil: r.keysUntil,
 		Stopping: r.stopping.Load, Balancer: r.balancer, Pool: r.pool, Logger: cfg.Logger, Metrics: cfg.Metrics,
 	})
+	r.lists = newLists(listsConfig{
+		log: r.log.Named("list"), clock: cfg.Clock, self: r.self.ID, lister: cfg.Lister, interval: cfg.ListInterval,
+		pool: pool, members: func() fleet.Membership { return r.keeper.Authority().Membership() }, take: r.takeList,
+	})
+	server.HandleBackground(MethodList, r.lists.serve)
 	return r
 }
 
@@ -109,7 +115,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	r.wg.Go(func() { r.keeper.Run(ctx) })
-	r.wg.Go(func() { r.listLoop(ctx) })
+	r.wg.Go(func() { r.lists.run(ctx) })
 	r.wg.Go(func() { fleet.Every(ctx, trimInterval, func(context.Context) { r.pool.Trim() }) })
 }
 
@@ -189,22 +195,9 @@
 	errUnconfirmed = fleet.Errors.NewType("gateway_unconfirmed").New("the control group hasn't confirmed the keys lately")
 )
 
-// listLoop follows the platform's list.
-func (r *Router) listLoop(ctx context.Context) {
-	r.readList(ctx)
-	fleet.Every(ctx, r.cfg.ListInterval, r.readList)
-}
-
-func (r *Router) readList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, r.cfg.ListInterval)
-	defer cancel()
-	asOf := r.cfg.Clock()
-	list, err := r.cfg.Lister.List(ctx)
-	if err != nil {
-		r.log.Warn("platform's list not read; the former one stays", "error", err)
-		return
-	}
-	for _, addr := range r.balancer.SetUpstreams(asOf, list) {
+// takeList hands a newer list to the balancer.
+func (r *Router) takeList(asOf time.Duration, s *snapshot) {
+	for _, addr := range r.balancer.SetUpstreams(asOf, s.list()) {
 		r.pool.Forget(addr)
 	}
 }
