routes: tables travel as patches, and routers read them from any control member

Ruled out: the log (acknowledged in 1 s), the routers' decoding (40 ms). Ways weighed: routers that pass tables on to each other (one more hop and an order among them), patches, any member answering. The last two, since a storm of small changes would repeat the whole table as well. Change: commands and deltas carry a patch of the table in force; a member that has applied the version that a router heard of answers its fetch.

--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,372 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
+)
+
+var (
+	services = &routes.Pool{Name: "counter"}
+	engines  = &routes.Pool{Name: "language", ColdRate: 10, Engine: &routes.Engine{Slots: 64, Transfers: true}}
+)
+
+// fleetOf lists count upstreams of a pool in three zones.
+func fleetOf(pool *routes.Pool, count int) []Listed {
+	var out []Listed
+	for i := range count {
+		out = append(out, Listed{Upstream: fleet.Upstream{
+			ID: fleet.UpstreamID(fmt.Sprintf("%s-%d", pool.Name, i)), Pool: pool.Name,
+			Addr: fmt.Sprintf("10.0.0.%d:80", i), Zone: fleet.AvailabilityZone(fmt.Sprintf("zone-%d", i%3)),
+		}})
+	}
+	return out
+}
+
+// alone is the standing of a fleet's only router.
+func alone() Standing {
+	return Standing{
+		Owns: func(fleet.UpstreamID) bool { return true }, Routers: 1,
+		Out: func(fleet.Upstream) bool { return false },
+	}
+}
+
+func newBalancer(list []Listed) *Balancer {
+	b := New(Config{Zone: "zone-0", Retries: RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}})
+	b.SetUpstreams(0, list)
+	return b
+}
+
+// chat returns work whose session has a cached history.
+func chat(session, request uint64) *Work {
+	return &Work{
+		Pool: engines, Draw: request * 0x9e3779b97f4a7c15, PromptTokens: 10_700,
+		Parts: []Part{{ID: 1, Tokens: 500}, {ID: 1000 + session, Tokens: 10_000}, {ID: 1 << 40 * (request + 1), Tokens: 200}},
+	}
+}
+
+func TestWhoGetsNoWork(t *testing.T) {
+	const now = time.Minute
+	cases := []struct {
+		name   string
+		list   func([]Listed)
+		spoil  func(*Balancer, *Standing, *Work)
+		chosen bool
+	}{
+		{"an upstream in good health", nil, nil, true},
+		{"one that is leaving", func(l []Listed) { l[0].Leaving = true }, nil, false},
+		{"one that operators took out", nil, func(_ *Balancer, s *Standing, _ *Work) {
+			s.Out = func(fleet.Upstream) bool { return true }
+		}, false},
+		{"one that was tried before", nil, func(_ *Balancer, _ *Standing, w *Work) {
+			w.Tried = []fleet.UpstreamID{"language-0"}
+		}, false},
+		{"a cold one that another router owns", func(l []Listed) { l[0].ColdFor = 2 * time.Minute },
+			func(_ *Balancer, s *Standing, _ *Work) { s.Owns = func(fleet.UpstreamID) bool { return false } }, false},
+		{"a cold one that this router owns", func(l []Listed) { l[0].ColdFor = 2 * time.Minute }, nil, true},
+		{"one that said itself that it is cold", nil, func(b *Balancer, s *Standing, _ *Work) {
+			b.Cold(now, "language-0", time.Second)
+			s.Owns = func(fleet.UpstreamID) bool { return false }
+		}, false},
+		{"one that the newest list lacks", nil, func(b *Balancer, _ *Standing, _ *Work) {
+			b.SetUpstreams(now, nil)
+		}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			list := fleetOf(engines, 1)
+			if tc.list != nil {
+				tc.list(list)
+			}
+			b, standing, work := newBalancer(list), alone(), chat(1, 1)
+			if tc.spoil != nil {
+				tc.spoil(b, &standing, work)
+			}
+			is.Equal(b.Choose(now, work, standing) != nil, tc.chosen)
+		})
+	}
+}
+
+// A cold upstream gets its rate in every second, however much work waits.
+func TestColdRateHoldsInEverySecond(t *testing.T) {
+	is := is.New(t)
+	list := fleetOf(engines, 1)
+	list[0].ColdFor = time.Hour
+	b := newBalancer(list)
+	var sent []time.Duration
+	for now := time.Duration(0); now < 10*time.Second; now += 5 * time.Millisecond {
+		if p := b.Choose(now, chat(1, uint64(now)), alone()); p != nil {
+			sent = append(sent, now)
+			p.End(now, OutcomeServed)
+		}
+	}
+	for i, from := range sent {
+		inSecond := 0
+		for _, at := range sent[i:] {
+			if at-from < time.Second {
+				inSecond++
+			}
+		}
+		is.True(inSecond <= int(engines.ColdRate)+coldBurst) // operators bear 1.5 times the rate and 5
+	}
+	is.True(len(sent) >= 95) // and the rate is used: 10 a second for 10 s
+}
+
+// Routers that know nothing of each other send a session to one upstream.
+func TestSessionsStayAtOneUpstream(t *testing.T) {
+	is := is.New(t)
+	list := fleetOf(engines, 18)
+	var routers []*Balancer
+	for range 7 {
+		routers = append(routers, newBalancer(list))
+	}
+	where := map[uint64]map[fleet.UpstreamID]bool{}
+	requests := 0
+	for round := range 20 {
+		for session := range uint64(50) {
+			now := time.Duration(round) * time.Second
+			p := routers[requests%len(routers)].Choose(now, chat(session, uint64(requests)), alone())
+			is.True(p != nil)
+			p.Answered(now, nil)
+			p.End(now, OutcomeServed)
+			if where[session] == nil {
+				where[session] = map[fleet.UpstreamID]bool{}
+			}
+			where[session][p.Upstream.ID] = true
+			requests++
+		}
+	}
+	moved := 0
+	for _, upstreams := range where {
+		moved += len(upstreams) - 1
+	}
+	is.True(moved <= 2) // of 50 sessions, over 1000 requests at 7 routers
+}
+
+// What moves to a new upstream is fetched from the one that keeps it.
+func TestMovedSessionsAreFetched(t *testing.T) {
+	is := is.New(t)
+	list := fleetOf(engines, 4)
+	b := newBalancer(list)
+	const settled = 10 * time.Second
+	homes := map[uint64]fleet.Upstream{}
+	for session := range uint64(40) {
+		p := b.Choose(settled, chat(session, session), alone())
+		homes[session] = p.Upstream
+		p.Answered(settled, nil)
+		p.End(settled, OutcomeServed)
+	}
+	leaving := fleetOf(engines, 4)
+	leaving[2].Leaving = true
+	b.SetUpstreams(settled, leaving)
+	moved := 0
+	for session, home := range homes {
+		p := b.Choose(settled+time.Second, chat(session, 100+session), alone())
+		if home.ID == leaving[2].ID {
+			moved++
+			is.True(p.Upstream.ID != home.ID)
+			is.Equal(p.Source, home.Addr)
+		} else {
+			is.Equal(p.Upstream.ID, home.ID)
+			is.Equal(p.Source, "")
+		}
+		p.Answered(settled, nil)
+		p.End(settled+time.Second, OutcomeServed)
+	}
+	is.True(moved > 0)
+}
+
+// One hot session is spread before its upstream holds more than operators allow.
+func TestHotSessionKeepsTheLoadBound(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(fleetOf(engines, 10))
+	const now = 20 * time.Second
+	for i := range uint64(200) {
+		session := uint64(7)
+		if i%2 == 0 {
+			session = 100 + i
+		}
+		p := b.Choose(now, chat(session, i), alone())
+		is.True(p != nil)
+		p.Answered(now, nil) // and it runs on
+	}
+	total, most := 0, 0
+	for _, s := range b.states {
+		total += s.running
+		most = max(most, s.running)
+	}
+	is.Equal(total, 200)
+	mean := float64(total) / 10
+	is.True(float64(most) <= 2*mean+3)
+}
+
+func TestUpstreamsThatFail(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(fleetOf(services, 4))
+	const bad = fleet.UpstreamID("counter-0") // of the router's own zone
+	now := time.Minute
+	work := func(trial bool) *Work { return &Work{Pool: services, Draw: uint64(now), Trial: trial} }
+	sent := func(seconds int, trial bool) (toBad, all int) {
+		for range seconds * 100 {
+			now += 10 * time.Millisecond
+			p := b.Choose(now, work(trial), alone())
+			outcome := OutcomeServed
+			if p.Upstream.ID == bad {
+				outcome = OutcomeBroken
+				toBad++
+			}
+			all++
+			p.End(now, outcome)
+		}
+		return toBad, all
+	}
+	toBad, all := sent(10, false)
+	is.True(toBad <= ejectAfter+1) // requests that may not be repeated try nothing
+	is.Equal(all, 1000)
+	toBad, _ = sent(20, true)
+	is.True(toBad >= 1 && toBad <= 10) // repeatable ones find out, less and less often
+
+	good := now
+	for ; now < good+2*ejectMax; now += 10 * time.Millisecond {
+		p := b.Choose(now, work(true), alone())
+		p.End(now, OutcomeServed)
+	}
+	back := 0
+	for range 400 {
+		now += 10 * time.Millisecond
+		p := b.Choose(now, work(false), alone())
+		if p.Upstream.ID == bad {
+			back++
+		}
+		p.End(now, OutcomeServed)
+	}
+	is.True(back > 40) // of 100 that are its share
+}
+
+// Where all upstreams have failed lately, one is tried rather than none.
+func TestAllUpstreamsFailed(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(fleetOf(services, 3))
+	now := time.Minute
+	for range 20 {
+		p := b.Choose(now, &Work{Pool: services, Draw: uint64(now)}, alone())
+		is.True(p != nil)
+		p.End(now, OutcomeBroken)
+		now += time.Millisecond
+	}
+}
+
+// An upstream that owes answers and sends nothing gets nothing more; one that
+// sends is slow at the most.
+func TestSilentUpstream(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(fleetOf(engines, 2))
+	now := time.Minute
+	first := b.Choose(now, chat(1, 1), alone())
+	now += silenceTimeout / 2
+	first.Heard(now)
+	now += silenceTimeout - time.Millisecond
+	is.True(!first.Silent(now))
+	now += 2 * time.Millisecond
+	is.True(first.Silent(now))
+	for i := range uint64(20) {
+		p := b.Choose(now, chat(1, 10+i), alone())
+		is.True(p.Upstream.ID != first.Upstream.ID)
+		p.End(now, OutcomeServed)
+	}
+}
+
+// Summed over routers and in any window, second tries stay within what operators
+// allow, though each router counts alone.
+func TestRetryBudgetOfAllRouters(t *testing.T) {
+	is := is.New(t)
+	const routers = 7
+	limits := RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 54}
+	budgets := make([]budget, routers)
+	type event struct {
+		at    time.Duration
+		retry bool
+	}
+	var events []event
+	for now := time.Duration(0); now < 60*time.Second; now += 10 * time.Millisecond {
+		i := int(now/(10*time.Millisecond)) % routers
+		if now < 20*time.Second || now > 40*time.Second { // the traffic pauses
+			budgets[i].request(now, limits)
+			events = append(events, event{now, false})
+		}
+		if budgets[i].retry(now, limits, routers) { // everybody wants a second try always
+			events = append(events, event{now, true})
+		}
+	}
+	allowedSomewhere := false
+	for from := time.Duration(0); from < 50*time.Second; from += 250 * time.Millisecond {
+		requests, retries := 0, 0
+		for _, e := range events {
+			if e.at >= from && e.at < from+limits.Window {
+				if e.retry {
+					retries++
+				} else {
+					requests++
+				}
+			}
+		}
+		// The pages count the requests of the window, of the one before or of the one
+		// half a window before, whichever has most.
+		before := 0
+		for _, e := range events {
+			if !e.retry && e.at >= from-limits.Window && e.at < from {
+				before++
+			}
+		}
+		allowed := limits.Ratio*float64(max(requests, before)) + limits.Slack
+		is.True(float64(retries) <= allowed)
+		allowedSomewhere = allowedSomewhere || float64(retries) > allowed/3
+	}
+	is.True(allowedSomewhere) // the budget is of use
+}
+
+func TestSlackNeedsAKnownMembership(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(fleetOf(services, 2))
+	is.True(!b.Retry(time.Minute, services.Name, 0)) // no requests, and nobody knows how many routers share the slack
+	is.True(b.Retry(time.Minute, services.Name, 1))
+}
+
+// An address that another upstream takes over is reported, so that connections to
+// the former one are closed.
+func TestMovedAddresses(t *testing.T) {
+	is := is.New(t)
+	list := fleetOf(services, 2)
+	b := newBalancer(list)
+	is.Equal(len(b.SetUpstreams(time.Second, list)), 0)
+	list[1].Addr = "10.0.9.9:80"
+	is.Equal(b.SetUpstreams(2*time.Second, list), []string{"10.0.0.1:80"})
+	is.Equal(b.SetUpstreams(3*time.Second, list[:1]), []string{"10.0.9.9:80"})
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, count := range []int{20, 140} {
+		b.Run(fmt.Sprintf("%d upstreams", count), func(b *testing.B) {
+			balancer := newBalancer(fleetOf(engines, count))
+			standing := alone()
+			works := make([]*Work, 256)
+			for i := range works {
+				works[i] = chat(uint64(i%64), uint64(i))
+			}
+			b.ReportAllocs()
+			now := time.Minute
+			for i := 0; b.Loop(); i++ {
+				now += 100 * time.Microsecond
+				p := balancer.Choose(now, works[i%len(works)], standing)
+				p.Answered(now, nil)
+				p.End(now, OutcomeServed)
+			}
+		})
+	}
+}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -73,6 +74,14 @@
 	}
 }
 
+// CallAny makes one call at some member of the group.
+func (c *Client) CallAny(ctx context.Context, method string, request msgp.Marshaler, reply msgp.Unmarshaler) error {
+	c.mu.Lock()
+	addr := c.addrs[rand.IntN(len(c.addrs))]
+	c.mu.Unlock()
+	return c.callOne(ctx, addr, method, request, reply)
+}
+
 func (c *Client) callOne(ctx context.Context, addr, method string, request msgp.Marshaler, reply msgp.Unmarshaler) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/control/config_endpoint.go
+++ b/internal/control/config_endpoint.go
@@ -11,7 +11,8 @@
 //go:generate go tool msgp -tests=false -io=false -file config_endpoint.go
 
 // MethodFetch brings a router's configuration up to date: a FetchRequest is
-// answered by a FetchReply. Only the leader answers.
+// answered by a FetchReply. The leader answers, and any
+// other member that has applied the version that the router asks for at least.
 const MethodFetch = "config.fetch"
 
 // pageBytes bounds the part of a full copy that one reply carries. A fleet that
@@ -22,9 +23,12 @@
 // FetchRequest asks for what changed after a version. With Copy set it goes on
 // reading the full copy of that version at Offset.
 type FetchRequest struct {
-	After  fleet.ConfigVersion `msg:"a"`
-	Copy   fleet.ConfigVersion `msg:"c,omitempty"`
-	Offset uint32              `msg:"o,omitempty"`
+	After fleet.ConfigVersion `msg:"a"`
+	// AtLeast is a version that is known to be committed. A member that has applied
+	// it answers also where it doesn't lead.
+	AtLeast fleet.ConfigVersion `msg:"l,omitempty"`
+	Copy    fleet.ConfigVersion `msg:"c,omitempty"`
+	Offset  uint32              `msg:"o,omitempty"`
 }
 
 // FetchReply carries the changes, or with Copy set a page of a full copy, which
@@ -39,10 +43,11 @@
 }
 
 func (s *Server) fetch(ctx context.Context, _ string, req *FetchRequest) (*FetchReply, error) {
-	if _, leading := s.group.LeaderLease(); !leading {
+	committed := s.config.Committed()
+	if _, leading := s.group.LeaderLease(); !leading && (req.AtLeast == 0 || committed.State.Version < req.AtLeast) {
 		return nil, s.notLeader(ctx, MethodFetch)
 	}
-	reply, err := s.copies.answer(s.config.Committed(), req)
+	reply, err := s.copies.answer(committed, req)
 	return reply, fleet.At(err, MethodFetch, s.cfg.Addr)
 }
 
--- a/internal/control/config_endpoint_gen.go
+++ b/internal/control/config_endpoint_gen.go
@@ -133,12 +133,12 @@
 func (z *FetchRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
 	if z.Offset == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x4
+		zb0001Mask |= 0x8
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -152,6 +152,13 @@
 			err = msgp.WrapError(err, "After")
 			return
 		}
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o, err = z.AtLeast.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "AtLeast")
+			return
+		}
 		// string "c"
 		o = append(o, 0xa1, 0x63)
 		o, err = z.Copy.MarshalMsg(o)
@@ -159,7 +166,7 @@
 			err = msgp.WrapError(err, "Copy")
 			return
 		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// string "o"
 			o = append(o, 0xa1, 0x6f)
 			o = msgp.AppendUint32(o, z.Offset)
@@ -192,6 +199,12 @@
 				err = msgp.WrapError(err, "After")
 				return
 			}
+		case "l":
+			bts, err = z.AtLeast.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AtLeast")
+				return
+			}
 		case "c":
 			bts, err = z.Copy.UnmarshalMsg(bts)
 			if err != nil {
@@ -218,6 +231,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FetchRequest) Msgsize() (s int) {
-	s = 1 + 2 + z.After.Msgsize() + 2 + z.Copy.Msgsize() + 2 + msgp.Uint32Size
+	s = 1 + 2 + z.After.Msgsize() + 2 + z.AtLeast.Msgsize() + 2 + z.Copy.Msgsize() + 2 + msgp.Uint32Size
 	return
 }
--- a/internal/control/fetcher.go
+++ b/internal/control/fetcher.go
@@ -12,6 +12,8 @@
 // caller is what a Fetcher needs of a Client.
 type caller interface {
 	Call(ctx context.Context, method string, request msgp.Marshaler, reply msgp.Unmarshaler) error
+	// CallAny makes one call at any member and tells no other one.
+	CallAny(ctx context.Context, method string, request msgp.Marshaler, reply msgp.Unmarshaler) error
 }
 
 // Fetcher brings a router's view up to date. What it has read of a full copy it
@@ -27,24 +29,36 @@
 func NewFetcher(client *Client) *Fetcher { return &Fetcher{client: client} }
 
 // Fetch fetches until the view is up to date, ctx ends or a call fails, and
-// tells whether the view changed.
-func (f *Fetcher) Fetch(ctx context.Context, view *operator.View) (changed bool, err error) {
+// tells whether the view changed. atLeast is a version that is known to be
+// committed: all routers ask for a new one at once, and the leader's link would be
+// the narrowest place, so that any member may answer first.
+func (f *Fetcher) Fetch(ctx context.Context, view *operator.View, atLeast fleet.ConfigVersion) (changed bool, err error) {
 	for {
-		request := FetchRequest{After: view.Version(), Copy: f.copy, Offset: uint32(len(f.read))}
-		var reply FetchReply
-		if err := f.client.Call(ctx, MethodFetch, &request, &reply); err != nil {
+		request := FetchRequest{After: view.Version(), AtLeast: atLeast, Copy: f.copy, Offset: uint32(len(f.read))}
+		reply, err := f.ask(ctx, &request)
+		if err != nil {
 			return false, err
 		}
 		if reply.Copy == 0 {
 			f.forget()
 			return view.Apply(&reply.Update)
 		}
-		if f.take(&reply) {
+		if f.take(reply) {
 			return f.apply(view)
 		}
 	}
 }
 
+func (f *Fetcher) ask(ctx context.Context, request *FetchRequest) (*FetchReply, error) {
+	reply := new(FetchReply)
+	if request.AtLeast > 0 && f.client.CallAny(ctx, MethodFetch, request, reply) == nil {
+		return reply, nil
+	}
+	// That member is behind or not reached: the leader is neither, or there is none.
+	reply = new(FetchReply)
+	return reply, f.client.Call(ctx, MethodFetch, request, reply)
+}
+
 // take adds a page and tells whether the copy is whole.
 func (f *Fetcher) take(reply *FetchReply) bool {
 	if reply.Copy != f.copy || int(reply.Offset) != len(f.read) {
--- a/internal/control/fetcher_test.go
+++ b/internal/control/fetcher_test.go
@@ -40,6 +40,11 @@
 	return err
 }
 
+// CallAny answers like Call: any member may serve a version that it has applied.
+func (s *fetchSource) CallAny(ctx context.Context, method string, request msgp.Marshaler, reply msgp.Unmarshaler) error {
+	return s.Call(ctx, method, request, reply)
+}
+
 // bulk puts lists in force whose difference is too large to be kept as a change.
 func (s *fetchSource) bulk(n int, plan string) {
 	both := &lists.Both{Plans: lists.Plans{Plans: []lists.Plan{{Name: plan}}}}
@@ -73,7 +78,7 @@
 	}
 	f, view := &Fetcher{client: s}, operator.NewView()
 	for tries := 0; view.Version() == 0; tries++ {
-		_, err := f.Fetch(context.Background(), view)
+		_, err := f.Fetch(context.Background(), view, 0)
 		is.True(err != nil || view.Version() == 1)
 		is.True(tries < 100)
 	}
@@ -110,7 +115,7 @@
 		f, view := &Fetcher{client: s}, operator.NewView()
 		var last fleet.ConfigVersion
 		for view.Version() < s.config.Committed().State.Version || changes > 0 {
-			_, _ = f.Fetch(context.Background(), view)
+			_, _ = f.Fetch(context.Background(), view, s.config.Committed().State.Version)
 			if view.Version() < last {
 				t.Fatalf("seed %d: version %d after %d", seed, view.Version(), last)
 			}
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -211,7 +211,7 @@
 	r.holder.Take(r.clock(), &reply)
 	r.mu.Unlock()
 	if reply.Version > r.view.Version() {
-		_, _ = r.fetcher.Fetch(ctx, r.view)
+		_, _ = r.fetcher.Fetch(ctx, r.view, 0)
 	}
 }
 
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -127,10 +127,10 @@
 func (r *Router) applyConfig() {
 	index := r.keeper.View().Index()
 	doc := index.Routes()
-	if doc != nil && (r.table.Load() == nil || r.table.Load().Version() < doc.Version) {
-		table, err := decode(r.cfg.Decode, doc)
+	if doc != nil && (r.table.Load() == nil || r.table.Load().Version() < doc.Version()) {
+		table, err := r.cfg.Decode(doc.Sent())
 		if err != nil {
-			r.log.Error("routing table not decoded; the former one stays in force", "table", doc.Version, "error", err)
+			r.log.Error("routing table not decoded; the former one stays in force", "table", doc.Version(), "error", err)
 			return
 		}
 		r.table.Store(routes.NewIndex(table))
@@ -139,14 +139,6 @@
 	r.log.Info("configuration in force", "version", uint64(index.Version()), "table", r.tableVersion())
 }
 
-func decode(decode routes.Decoder, doc *routes.Document) (*routes.Table, error) {
-	sent, err := doc.Sent()
-	if err != nil {
-		return nil, err
-	}
-	return decode(sent)
-}
-
 func (r *Router) tableVersion() uint64 {
 	if t := r.table.Load(); t != nil {
 		return t.Version()
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -54,5 +54,9 @@
 		c.finish(a.status, "the caller left: "+err.Error())
 		return
 	}
-	c.finish(a.status, "")
+	reason := ""
+	if a.status >= http.StatusInternalServerError {
+		reason = "the upstream failed"
+	}
+	c.finish(a.status, reason)
 }
--- a/internal/member/keeper.go
+++ b/internal/member/keeper.go
@@ -200,7 +200,7 @@
 	k.cfg.Control.Learn(reply.Control)
 	k.take(&reply, request.Loads)
 	if reply.Version > k.view.Version() {
-		k.fetch(ctx)
+		k.fetch(ctx, reply.Version)
 	}
 	// Every reply comes from a proven leader. That it grants no lease, as to a router
 	// that has just been restarted, says nothing against the version.
@@ -253,8 +253,8 @@
 }
 
 // fetch brings the newest committed configuration into the view.
-func (k *Keeper) fetch(ctx context.Context) {
-	changed, err := k.fetcher.Fetch(ctx, k.view)
+func (k *Keeper) fetch(ctx context.Context, atLeast fleet.ConfigVersion) {
+	changed, err := k.fetcher.Fetch(ctx, k.view, atLeast)
 	if err != nil {
 		k.log.Warn("configuration not fetched", "error", err)
 		return
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -49,7 +49,7 @@
 	Claim  *Claim     `msg:"c,omitempty"`
 	Finish *Finish    `msg:"f,omitempty"`
 	// Routes belongs to KindRoutes.
-	Routes *routes.Document `msg:"t,omitempty"`
+	Routes *routes.Patch `msg:"t,omitempty"`
 }
 
 // Encode returns the command's entry for the control log.
--- a/internal/operator/command_gen.go
+++ b/internal/operator/command_gen.go
@@ -473,7 +473,7 @@
 				z.Routes = nil
 			} else {
 				if z.Routes == nil {
-					z.Routes = new(routes.Document)
+					z.Routes = new(routes.Patch)
 				}
 				bts, err = z.Routes.UnmarshalMsg(bts)
 				if err != nil {
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -148,19 +148,29 @@
 
 // applyRoutes brings a routing table into force. A table whose version is not
 // above the one in force is accepted and changes nothing, so that a resend is
-// answered like the first.
+// answered like the first. A patch of another table than the one in force is a
+// conflict, and its sender makes a new one.
 func (c *Config) applyRoutes(cmd Command) Answer {
-	if cmd.Routes == nil || cmd.Routes.Version == 0 {
+	patch := cmd.Routes
+	if patch == nil || patch.Version == 0 {
 		return c.answer(CodeMalformed, "the command has no routing table")
 	}
 	before := c.Committed()
-	if held := before.State.Routes; held != nil && cmd.Routes.Version <= held.Version {
+	held := before.State.Routes
+	if held != nil && patch.Version <= held.Version() {
 		return c.answer(CodeAccepted, "")
 	}
+	if !patch.Fits(held) {
+		return c.answer(CodeConflict, "another routing table is in force")
+	}
+	doc, err := patch.Apply(held)
+	if err != nil {
+		return c.answer(CodeMalformed, err.Error())
+	}
 	state := before.State
 	state.Version++
-	state.Routes = cmd.Routes
-	c.committed.Store(before.withoutRoutes().next(state, Delta{Version: state.Version, Routes: cmd.Routes}))
+	state.Routes = doc
+	c.committed.Store(before.next(state, Delta{Version: state.Version, Routes: patch}))
 	return c.answer(CodeAccepted, "")
 }
 
@@ -214,20 +224,6 @@
 	return &Committed{State: state, deltas: deltas, deltaBytes: size}
 }
 
-// withoutRoutes drops the routing tables of the kept deltas, which a newer one
-// is about to replace. A router applies all deltas that it fetches at once.
-func (c *Committed) withoutRoutes() *Committed {
-	kept := &Committed{State: c.State, deltas: slices.Clone(c.deltas), deltaBytes: c.deltaBytes}
-	for i := range kept.deltas {
-		if d := &kept.deltas[i]; d.Routes != nil {
-			kept.deltaBytes -= deltaSize(d)
-			d.Routes = nil
-			kept.deltaBytes += deltaSize(d)
-		}
-	}
-	return kept
-}
-
 // deltaSize returns the encoded size in bytes.
 func deltaSize(d *Delta) int {
 	b, _ := d.MarshalMsg(nil)
--- a/internal/operator/index.go
+++ b/internal/operator/index.go
@@ -67,8 +67,8 @@
 }
 
 // next returns the index of the version after d. Maps that d does not touch are
-// shared.
-func (x *Index) next(d *Delta) *Index {
+// shared. It fails where the routing table in hand is not the one that d changes.
+func (x *Index) next(d *Delta) (*Index, error) {
 	n := *x
 	n.version = d.Version
 	if len(d.Workspaces) > 0 || len(d.Removed) > 0 {
@@ -88,9 +88,13 @@
 		n.orders[d.Order.Spec.Upstream] = *d.Order
 	}
 	if d.Routes != nil {
-		n.routes = d.Routes
+		doc, err := d.Routes.Apply(x.routes)
+		if err != nil {
+			return nil, err
+		}
+		n.routes = doc
 	}
-	return &n
+	return &n, nil
 }
 
 // changeWorkspaces takes every former key out before it puts any new one in,
--- a/internal/operator/state.go
+++ b/internal/operator/state.go
@@ -36,8 +36,8 @@
 	Allowances *lists.Allowances `msg:"a,omitempty"`
 	Switch     *Switch           `msg:"s,omitempty"`
 	Order      *Order            `msg:"o,omitempty"`
-	// Routes replaces the routing table where set.
-	Routes *routes.Document `msg:"t,omitempty"`
+	// Routes changes the routing table where set.
+	Routes *routes.Patch `msg:"t,omitempty"`
 }
 
 // planList is a list of plans that may be set and empty.
--- a/internal/operator/view.go
+++ b/internal/operator/view.go
@@ -45,7 +45,11 @@
 		if d.Version != index.version+1 {
 			return false, ErrGap.New("version %d follows %d", d.Version, index.version)
 		}
-		index = index.next(d)
+		next, err := index.next(d)
+		if err != nil {
+			return false, err
+		}
+		index = next
 	}
 	v.index.Store(index)
 	return index != before, nil
--- a/internal/routes/document.go
+++ b/internal/routes/document.go
@@ -1,11 +1,12 @@
 package routes
 
-//go:generate go tool msgp -tests=false -io=false -file document.go
-
 import (
 	"bytes"
 	"compress/flate"
 	"io"
+	"sync"
+
+	"github.com/tinylib/msgp/msgp"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
@@ -13,44 +14,99 @@
 // MaxDocumentBytes bounds a document as it is sent.
 const MaxDocumentBytes = 4 << 20
 
-// ErrDocument means that a document cannot be decompressed.
+// ErrDocument means that a document cannot be read.
 var ErrDocument = fleet.Errors.NewType("routes_document")
 
-// Document is a table as operators sent it.
-type Document struct {
-	Version uint64 `msg:"v"`
-	// Encoded is the document, compressed by Compress.
-	Encoded []byte `msg:"e"`
-}
-
 // Decoder decodes what operators send. The dialect that they speak implements it.
 type Decoder func(document []byte) (*Table, error)
 
+// Document is a table as operators sent it. It is never changed, and is encoded
+// compressed.
+type Document struct {
+	version uint64
+	sent    []byte
+
+	once    sync.Once
+	encoded []byte // sent, compressed; made when it is first asked for
+	failed  error
+}
+
 // NewDocument returns the document of a table's version.
-func NewDocument(version uint64, sent []byte) (*Document, error) {
+func NewDocument(version uint64, sent []byte) *Document {
+	return &Document{version: version, sent: sent}
+}
+
+// Version returns the table's version.
+func (d *Document) Version() uint64 { return d.version }
+
+// Sent returns the document as it was sent. It must not be changed.
+func (d *Document) Sent() []byte { return d.sent }
+
+// compressed returns the document compressed.
+func (d *Document) compressed() ([]byte, error) {
+	d.once.Do(func() { d.encoded, d.failed = compress(d.sent) })
+	return d.encoded, d.failed
+}
+
+// MarshalMsg implements msgp.Marshaler.
+func (d *Document) MarshalMsg(b []byte) ([]byte, error) {
+	encoded, err := d.compressed()
+	if err != nil {
+		return b, err
+	}
+	b = msgp.AppendArrayHeader(b, 2)
+	b = msgp.AppendUint64(b, d.version)
+	return msgp.AppendBytes(b, encoded), nil
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler.
+func (d *Document) UnmarshalMsg(b []byte) ([]byte, error) {
+	fields, b, err := msgp.ReadArrayHeaderBytes(b)
+	if err != nil {
+		return b, err
+	}
+	if fields != 2 {
+		return b, ErrDocument.New("%d fields", fields)
+	}
+	if d.version, b, err = msgp.ReadUint64Bytes(b); err != nil {
+		return b, err
+	}
+	encoded, b, err := msgp.ReadBytesBytes(b, nil)
+	if err != nil {
+		return b, err
+	}
+	d.sent, err = decompress(encoded)
+	return b, err
+}
+
+// Msgsize implements msgp.Sizer: an upper bound of the encoded size.
+func (d *Document) Msgsize() int {
+	return msgp.ArrayHeaderSize + msgp.Uint64Size + msgp.BytesPrefixSize + len(d.sent)
+}
+
+func compress(plain []byte) ([]byte, error) {
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
 	if err != nil {
 		return nil, ErrDocument.Wrap(err, "compress")
 	}
-	if _, err := w.Write(sent); err != nil {
+	if _, err := w.Write(plain); err != nil {
 		return nil, ErrDocument.Wrap(err, "compress")
 	}
 	if err := w.Close(); err != nil {
 		return nil, ErrDocument.Wrap(err, "compress")
 	}
-	return &Document{Version: version, Encoded: out.Bytes()}, nil
+	return out.Bytes(), nil
 }
 
-// Sent returns the document as it was sent.
-func (d *Document) Sent() ([]byte, error) {
-	r := flate.NewReader(bytes.NewReader(d.Encoded))
-	sent, err := io.ReadAll(io.LimitReader(r, MaxDocumentBytes+1))
+func decompress(encoded []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(encoded))
+	plain, err := io.ReadAll(io.LimitReader(r, MaxDocumentBytes+1))
 	switch {
 	case err != nil:
-		return nil, ErrDocument.Wrap(err, "version %d", d.Version)
-	case len(sent) > MaxDocumentBytes:
-		return nil, ErrDocument.New("version %d is longer than %d bytes", d.Version, MaxDocumentBytes)
+		return nil, ErrDocument.Wrap(err, "decompress")
+	case len(plain) > MaxDocumentBytes:
+		return nil, ErrDocument.New("longer than %d bytes", MaxDocumentBytes)
 	}
-	return sent, nil
+	return plain, nil
 }
--- /dev/null
+++ b/internal/routes/routes_test.go
@@ -0,0 +1,205 @@
+package routes
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// sound returns a table that Check accepts.
+func sound() *Table {
+	return &Table{
+		Version: 3,
+		Pools:   []Pool{{Name: "language"}, {Name: "counter"}},
+		Routes: []Route{
+			{Name: "notes", Host: "press.example", Prefix: "/notes/", Timeout: time.Second, Split: []Share{{"language", 1}}},
+			{Name: "drafts", Host: "press.example", Prefix: "/notes/drafts/", Timeout: time.Second, Split: []Share{{"language", 3}, {"counter", 1}}},
+			{Name: "pickups", Host: "counter.example", Prefix: "/", Timeout: time.Second, Split: []Share{{"counter", 1}}},
+		},
+		Workspaces: []Workspace{{ID: "choir", Keys: []string{"k1", "k2"}}, {ID: "court", Keys: []string{"k3"}}},
+	}
+}
+
+func TestCheck(t *testing.T) {
+	cases := []struct {
+		name  string
+		spoil func(*Table)
+		fault string // empty: accepted
+	}{
+		{"a sound table", func(*Table) {}, ""},
+		{"version 0", func(t *Table) { t.Version = 0 }, "version"},
+		{"an unknown pool", func(t *Table) { t.Routes[0].Split[0].Pool = "gone" }, `pool "gone" is unknown`},
+		{"two routes at one place", func(t *Table) { t.Routes[1].Prefix = "/notes/" }, "belong to route"},
+		{"one prefix at two hosts", func(t *Table) { t.Routes[2].Prefix = "/notes/" }, ""},
+		{"weights that add up to 0", func(t *Table) { t.Routes[1].Split = []Share{{"language", 0}, {"counter", 0}} }, "add up to 0"},
+		{"a negative weight", func(t *Table) { t.Routes[1].Split[0].Weight = -1 }, "negative"},
+		{"no pool at all", func(t *Table) { t.Routes[0].Split = nil }, "add up to 0"},
+		{"a timeout of 0", func(t *Table) { t.Routes[0].Timeout = 0 }, "timeout"},
+		{"a prefix without a slash", func(t *Table) { t.Routes[0].Prefix = "/notes" }, "slash"},
+		{"a pool twice", func(t *Table) { t.Pools[1].Name = "language" }, "twice"},
+		{"two workspaces with one key", func(t *Table) { t.Workspaces[1].Keys = []string{"k2"} }, "share a key"},
+		{"one workspace with a key twice", func(t *Table) { t.Workspaces[0].Keys = []string{"k1", "k1"} }, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			table := sound()
+			tc.spoil(table)
+			err := table.Check()
+			if tc.fault == "" {
+				is.NoErr(err)
+				return
+			}
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), tc.fault)) // names the fault
+		})
+	}
+}
+
+func TestRouteIsTheLongestPrefix(t *testing.T) {
+	x := NewIndex(sound())
+	cases := []struct{ host, path, route string }{
+		{"press.example", "/notes/17", "notes"},
+		{"press.example", "/notes/drafts/17", "drafts"},
+		{"press.example", "/notes/drafts", "notes"}, // the prefix ends with a slash
+		{"press.example", "/notes", ""},
+		{"press.example", "/other/", ""},
+		{"counter.example", "/notes/17", "pickups"},
+		{"unknown.example", "/notes/17", ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.host+tc.path, func(t *testing.T) {
+			is := is.New(t)
+			r := x.Route(tc.host, tc.path)
+			if tc.route == "" {
+				is.True(r == nil)
+				return
+			}
+			is.True(r != nil)
+			is.Equal(r.Name, tc.route)
+		})
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	is := is.New(t)
+	r := Route{Split: []Share{{"a", 0}, {"b", 3}, {"c", 1}, {"d", 0}}}
+	count := map[fleet.PoolID]int{}
+	const draws = 1000
+	for i := range draws {
+		count[r.Pick(float64(i)/draws)]++
+	}
+	is.Equal(count, map[fleet.PoolID]int{"b": 750, "c": 250})
+}
+
+func TestDocumentReadsBackAsSent(t *testing.T) {
+	is := is.New(t)
+	sent := []byte(strings.Repeat(`{"version":7, "routes" : [] }`, 500))
+	doc := NewDocument(7, sent)
+	encoded, err := doc.MarshalMsg(nil)
+	is.NoErr(err)
+	is.True(len(encoded) < len(sent)/10) // hundreds of routes pass a slow link
+	var back Document
+	_, err = back.UnmarshalMsg(encoded)
+	is.NoErr(err)
+	is.Equal(back.Version(), uint64(7))
+	is.Equal(string(back.Sent()), string(sent))
+
+	_, err = new(Document).UnmarshalMsg(encoded[:len(encoded)/2])
+	is.True(err != nil) // a cut document is no shorter table
+}
+
+func TestPatch(t *testing.T) {
+	base := NewDocument(3, []byte(`{"version":3,"routes":[{"name":"a"},{"name":"b"},{"name":"c"}]}`))
+	cases := map[string]string{
+		"the same":        string(base.Sent()),
+		"one changed":     `{"version":4,"routes":[{"name":"a"},{"name":"x"},{"name":"c"}]}`,
+		"one added":       `{"version":4,"routes":[{"name":"a"},{"name":"b"},{"name":"b"},{"name":"c"}]}`,
+		"one removed":     `{"version":4,"routes":[{"name":"a"},{"name":"c"}]}`,
+		"repeated ends":   `{"version":3,"routes":[{"name":"a"},{"name":"b"},{"name":"c"}]}]}`,
+		"nothing alike":   `[]`,
+		"the empty bytes": ``,
+	}
+	for name, sent := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			next := NewDocument(4, []byte(sent))
+			patch, err := NewPatch(base, next)
+			is.NoErr(err)
+			encoded, err := patch.MarshalMsg(nil)
+			is.NoErr(err)
+			var arrived Patch
+			_, err = arrived.UnmarshalMsg(encoded)
+			is.NoErr(err)
+			made, err := arrived.Apply(base)
+			is.NoErr(err)
+			is.Equal(string(made.Sent()), sent)
+			is.Equal(made.Version(), uint64(4))
+
+			other := NewDocument(2, base.Sent())
+			is.True(!arrived.Fits(other))
+			_, err = arrived.Apply(other)
+			is.True(err != nil) // of another version
+			// Other content under the base's version never makes another document.
+			made, err = arrived.Apply(NewDocument(3, []byte(`{"version":3,"routes":[{"name":"a"},{"name":"B"},{"name":"c"}]}`)))
+			is.True(err != nil || string(made.Sent()) == sent)
+		})
+	}
+	t.Run("whole", func(t *testing.T) {
+		is := is.New(t)
+		patch, err := NewPatch(nil, base)
+		is.NoErr(err)
+		for _, held := range []*Document{nil, NewDocument(9, []byte("other"))} {
+			made, err := patch.Apply(held)
+			is.NoErr(err)
+			is.Equal(string(made.Sent()), string(base.Sent()))
+		}
+	})
+}
+
+// A change of one route costs a few hundred bytes of a control member's link,
+// whatever the table's size.
+func TestPatchOfManyRoutesIsSmall(t *testing.T) {
+	is := is.New(t)
+	text := func() []byte {
+		var b strings.Builder
+		for i := range 1400 {
+			fmt.Fprintf(&b, `{"name":"route-%d","timeout_ms":1000},`, i*7919)
+		}
+		return []byte(b.String())
+	}
+	base, next := NewDocument(1, text()), NewDocument(2, []byte(strings.Replace(string(text()), `"route-7919000"`, `"route-x"`, 1)))
+	patch, err := NewPatch(base, next)
+	is.NoErr(err)
+	is.True(patch.Msgsize() < 300)
+	is.True(len(base.Sent()) > 40_000)
+}
+
+func TestKeysAndKinds(t *testing.T) {
+	is := is.New(t)
+	x := NewIndex(sound())
+	is.True(x.Keyed())
+	is.Equal(x.Workspace("k2").ID, fleet.WorkspaceID("choir"))
+	is.True(x.Workspace("k9") == nil)
+	is.True(x.Pool("language") != nil)
+	is.True(x.Pool("gone") == nil)
+
+	cases := map[string]struct {
+		route      Route
+		repeatable bool
+	}{
+		"once":             {Route{Kind: KindOnce}, false},
+		"idempotent":       {Route{Kind: KindIdempotent}, true},
+		"stream":           {Route{Kind: KindStream}, false},
+		"resumable stream": {Route{Kind: KindStream, Resumable: true}, true},
+		"once, resumable":  {Route{Kind: KindOnce, Resumable: true}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(tc.route.Repeatable(), tc.repeatable) })
+	}
+}
