--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -13,21 +13,18 @@
 	c.server.log.Info(what, append(fields, args...)...)
 }
 
-// finish counts the request and, where it wasn't served, writes why. status is 0
-// where the caller got no whole answer.
+// finish counts the request and writes what became of it. status is 0 where the
+// caller got no whole answer, reason is empty where it was served.
 func (c *course) finish(status int, reason string) {
 	kind := "none"
 	if c.route != nil {
 		kind = kindNames[c.route.Kind]
 	}
-	outcome := "served"
+	message, outcome := "request served", "served"
 	if reason != "" {
-		outcome = "failed"
-	}
-	c.server.count(kind, outcome)
-	if reason == "" && !c.server.log.IsDebug() {
-		return
+		message, outcome = "request failed", "failed"
 	}
+	c.server.count(kind, outcome, c.server.cfg.Clock()-c.start)
 	args := []any{"status", status, "kind", kind, "sends", c.sends, "runs", c.runs}
 	if len(c.tried) > 0 {
 		args = append(args, "upstream", string(c.tried[len(c.tried)-1]))
@@ -35,13 +32,16 @@
 	if c.route != nil {
 		args = append(args, "route", c.route.Name)
 	}
+	if c.workspace != nil {
+		args = append(args, "workspace", string(c.workspace.ID))
+	}
 	if c.table != nil {
 		args = append(args, "table", c.table.Version())
 	}
 	if reason != "" {
 		args = append(args, "reason", reason)
 	}
-	c.note("request ended", args...)
+	c.note(message, args...)
 }
 
 var kindNames = [...]string{"once", "idempotent", "stream"}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -76,7 +76,7 @@
 	}
 	table := s.cfg.Table()
 	if table == nil {
-		return unavailable("no routing table is in force yet")
+		return uncontrolled("no routing table is in force yet")
 	}
 	c.table = table
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
@@ -109,7 +109,7 @@
 		return nil
 	}
 	if c.server.cfg.Clock() >= c.server.cfg.KeysUntil() {
-		return unavailable("the control group hasn't confirmed the keys lately")
+		return uncontrolled("the control group hasn't confirmed the keys lately")
 	}
 	if c.workspace = c.table.Workspace(c.call.Key); c.workspace == nil {
 		return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
@@ -149,8 +149,9 @@
 	return z ^ z>>31
 }
 
-// count counts a request by route kind and outcome.
-func (s *Server) count(kind, outcome string) {
-	name := telemetry.MetricName("gateway_requests", "kind", kind, "outcome", outcome)
-	metrics.GetOrRegisterCounter(name, s.cfg.Metrics).Inc(1)
+// count counts a request by route kind and outcome, and how long it took.
+func (s *Server) count(kind, outcome string, took time.Duration) {
+	labels := []string{"kind", kind, "outcome", outcome}
+	metrics.GetOrRegisterCounter(telemetry.MetricName("gateway_requests", labels...), s.cfg.Metrics).Inc(1)
+	metrics.GetOrRegisterTimer(telemetry.MetricName("gateway_request", labels...), s.cfg.Metrics).Update(took)
 }
