--- /dev/null
+++ b/internal/gateway/course_test.go
@@ -0,0 +1,515 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/wigeonflow/wigeonflow/internal/balance"
+	"github.com/wigeonflow/wigeonflow/internal/exchange"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
+)
+
+// plain is a dialect with short names.
+type plain struct{}
+
+func (plain) Call(h http.Header) (Call, error) {
+	c := Call{ID: fleet.RequestID(h.Get("Id")), Key: h.Get("Key"), After: h.Get("After")}
+	if c.ID == "" {
+		return c, errors.New("no id")
+	}
+	if ms, err := strconv.Atoi(h.Get("Patience")); err == nil {
+		c.Patience = time.Duration(ms) * time.Millisecond
+	}
+	return c, nil
+}
+
+func (plain) Forward(caller http.Header, s Send) http.Header {
+	return http.Header{
+		"Id": caller["Id"], "Left": {strconv.Itoa(int(s.Left.Milliseconds()))}, "To": {string(s.Upstream.ID)},
+		"Workspace": {string(s.Workspace)}, "After": {s.After},
+	}
+}
+
+func (plain) Matches(id fleet.RequestID, h http.Header) bool { return h.Get("Id") == string(id) }
+
+func (plain) Head(status int, h http.Header) Head {
+	return Head{NotRun: h.Get("Not-Run") != "", Stream: status == http.StatusOK && h.Get("Content-Type") == "text/event-stream"}
+}
+
+func (plain) Return(h http.Header) http.Header { return h.Clone() }
+
+func (plain) RetryAfter(h http.Header, wait time.Duration) { h.Set("Retry-After", wait.String()) }
+
+func (plain) Health(http.Header) Health { return Health{} }
+
+// conn is one connection at a scripted upstream.
+type conn struct {
+	net.Conn
+	request *http.Request
+	id      string
+}
+
+func (c *conn) write(parts ...string) { _, _ = io.WriteString(c, strings.Join(parts, "")) }
+
+// answer writes a whole answer.
+func (c *conn) answer(status int, body string, fields ...string) {
+	c.write(fmt.Sprintf("HTTP/1.1 %d X\r\nId: %s\r\nContent-Length: %d\r\n", status, c.id, len(body)))
+	for _, f := range fields {
+		c.write(f, "\r\n")
+	}
+	c.write("\r\n", body)
+}
+
+// stream begins a chunked stream.
+func (c *conn) stream() {
+	c.write("HTTP/1.1 200 OK\r\nId: ", c.id, "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+}
+
+func (c *conn) chunk(text string) {
+	c.write(strconv.FormatInt(int64(len(text)), 16), "\r\n", text, "\r\n")
+}
+
+func (c *conn) events(from, to int) {
+	for id := from; id <= to; id++ {
+		c.chunk(event(id))
+	}
+}
+
+func (c *conn) end() { c.write("0\r\n\r\n") }
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+
+func eventsOf(from, to int) string {
+	var b strings.Builder
+	for id := from; id <= to; id++ {
+		b.WriteString(event(id))
+	}
+	return b.String()
+}
+
+// rig is a server of callers in front of scripted upstreams.
+type rig struct {
+	t        *testing.T
+	balancer *balance.Balancer
+	server   *Server
+	url      string
+	standing balance.Standing
+	table    *routes.Table
+	keys     time.Duration // how long keys are good, from now
+
+	mu   sync.Mutex
+	runs []string // "upstream request-id" in order of arrival
+}
+
+const (
+	poolName  = fleet.PoolID("pool")
+	testHost  = "press.example"
+	inService = fleet.AvailabilityZone("here")
+)
+
+// newRig starts an upstream for each script. A nil script is an address at which
+// nobody listens. The first upstream is in the router's zone and so is chosen first.
+func newRig(t *testing.T, route routes.Route, scripts ...func(*conn)) *rig {
+	t.Helper()
+	r := &rig{t: t, keys: time.Hour}
+	route.Name, route.Host, route.Prefix = "route", testHost, "/"
+	route.Split = []routes.Share{{Pool: poolName, Weight: 1}}
+	if route.Timeout == 0 {
+		route.Timeout = 5 * time.Second
+	}
+	r.table = &routes.Table{Version: 1, Routes: []routes.Route{route}, Pools: []routes.Pool{{Name: poolName}}}
+	r.standing = balance.Standing{
+		Owns: func(fleet.UpstreamID) bool { return true }, Routers: 1, Out: func(fleet.Upstream) bool { return false },
+	}
+	r.balancer = balance.New(balance.Config{
+		Zone: inService, Retries: balance.RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
+	})
+	var list []balance.Listed
+	for i, script := range scripts {
+		u := fleet.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("u%d", i)), Pool: poolName, Zone: "elsewhere"}
+		if i == 0 {
+			u.Zone = inService
+		}
+		u.Addr = r.listen(string(u.ID), script)
+		list = append(list, balance.Listed{Upstream: u})
+	}
+	r.balancer.SetUpstreams(0, list)
+	r.serve()
+	return r
+}
+
+func (r *rig) listen(name string, script func(*conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if script == nil {
+		_ = l.Close()
+		return l.Addr().String()
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			raw, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { r.play(name, raw, script) })
+		}
+	})
+	r.t.Cleanup(func() {
+		_ = l.Close()
+		wg.Wait()
+	})
+	return l.Addr().String()
+}
+
+// play serves one request of a connection and closes it.
+func (r *rig) play(name string, raw net.Conn, script func(*conn)) {
+	defer raw.Close()
+	request, err := http.ReadRequest(bufio.NewReader(raw))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	c := &conn{Conn: raw, request: request, id: request.Header.Get("Id")}
+	r.mu.Lock()
+	r.runs = append(r.runs, name+" "+c.id)
+	r.mu.Unlock()
+	script(c)
+}
+
+func (r *rig) serve() {
+	clock := fleet.MonotonicClock()
+	index := routes.NewIndex(r.table)
+	pool := exchange.NewPool()
+	r.server = NewServer(ServerConfig{
+		Clock: clock, Dialect: plain{}, Table: func() *routes.Index { return index },
+		Standing: func() balance.Standing { return r.standing }, KeysUntil: func() time.Duration { return clock() + r.keys },
+		Stopping: func() bool { return false }, Balancer: r.balancer, Pool: pool,
+		Logger: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
+	})
+	front := httptest.NewServer(r.server)
+	front.Config.ErrorLog = nil
+	r.url = front.URL
+	r.t.Cleanup(func() {
+		front.Close()
+		pool.Close()
+	})
+}
+
+// ask sends one request and returns the answer with its body. err is that of the
+// body where the answer's header came.
+func (r *rig) ask(fields ...string) (*http.Response, string, error) {
+	return r.askWith(context.Background(), "POST", "/x", "order", fields...)
+}
+
+func (r *rig) askWith(ctx context.Context, method, path, body string, fields ...string) (*http.Response, string, error) {
+	r.t.Helper()
+	req, err := http.NewRequestWithContext(ctx, method, r.url+path, strings.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Host = testHost
+	req.Header.Set("Id", "a")
+	for i := 0; i+1 < len(fields); i += 2 {
+		req.Header.Set(fields[i], fields[i+1])
+	}
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp, string(text), err
+}
+
+func (r *rig) arrivals() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.runs)
+}
+
+// Scripts of upstreams.
+func serveWell(c *conn) { c.answer(http.StatusOK, "done", "Signature: s") }
+func breakOff(c *conn)  {}
+func cutAnswer(c *conn) {
+	c.write("HTTP/1.1 200 OK\r\nId: ", c.id, "\r\nContent-Length: 9\r\n\r\nhalf")
+}
+func fail(c *conn)        { c.answer(http.StatusInternalServerError, "failed", "Signature: s") }
+func declineWork(c *conn) { c.answer(http.StatusServiceUnavailable, "full", "Not-Run: 1") }
+func otherAnswer(c *conn) { c.id = "z"; serveWell(c) }
+
+// What becomes of a request, by how its first upstream fails. The second serves.
+func TestFirstUpstreamFails(t *testing.T) {
+	once := routes.Route{Kind: routes.KindOnce, MaxAttempts: 1}
+	idempotent := routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 2, Target: 100 * time.Millisecond}
+	cases := []struct {
+		name     string
+		route    routes.Route
+		first    func(*conn)
+		status   int
+		body     string
+		arrivals []string
+	}{
+		{"once, nobody listens", once, nil, 200, "done", []string{"u1 a"}},
+		{"once, it did not run", once, declineWork, 200, "done", []string{"u0 a", "u1 a"}},
+		{"once, no answer", once, breakOff, 502, "", []string{"u0 a"}},
+		{"once, a cut answer", once, cutAnswer, 502, "", []string{"u0 a"}},
+		{"once, another request's answer", once, otherAnswer, 502, "", []string{"u0 a"}},
+		{"once, it failed", once, fail, 500, "failed", []string{"u0 a"}},
+		{"idempotent, nobody listens", idempotent, nil, 200, "done", []string{"u1 a"}},
+		{"idempotent, no answer", idempotent, breakOff, 200, "done", []string{"u0 a", "u1 a"}},
+		{"idempotent, a cut answer", idempotent, cutAnswer, 200, "done", []string{"u0 a", "u1 a"}},
+		{"idempotent, another request's answer", idempotent, otherAnswer, 200, "done", []string{"u0 a", "u1 a"}},
+		{"idempotent, it failed", idempotent, fail, 200, "done", []string{"u0 a", "u1 a"}},
+		{"idempotent, it is mute", idempotent, func(c *conn) { _, _ = c.Read(make([]byte, 1)) }, 200, "done", []string{"u0 a", "u1 a"}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, tc.route, tc.first, serveWell)
+			resp, body, err := r.ask()
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, tc.status)
+			if tc.body != "" {
+				is.Equal(body, tc.body)
+				is.Equal(resp.Header.Get("Signature"), "s")
+			}
+			is.Equal(r.arrivals(), tc.arrivals)
+		})
+	}
+}
+
+// Where every upstream fails, the caller gets an upstream's own failure unchanged;
+// one that ran nowhere is told when to come back.
+func TestAllUpstreamsFail(t *testing.T) {
+	route := routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 2}
+	cases := []struct {
+		name          string
+		first, second func(*conn)
+		status        int
+		retry         bool
+	}{
+		{"both failed", fail, fail, 500, false},
+		{"one failed, one broke off", fail, breakOff, 500, false},
+		{"both broke off", breakOff, breakOff, 502, false},
+		{"neither ran it", declineWork, declineWork, 503, true},
+		{"nobody listens", nil, nil, 503, true},
+		{"one is gone, one did not run it", nil, declineWork, 503, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, route, tc.first, tc.second)
+			resp, _, err := r.ask()
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, tc.status)
+			is.Equal(resp.Header.Get("Retry-After") != "", tc.retry)
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	keyed := func(r *rig) {
+		r.table.Workspaces = []routes.Workspace{{ID: "choir", Keys: []string{"good"}}}
+	}
+	cases := []struct {
+		name   string
+		spoil  func(*rig)
+		path   string
+		fields []string
+		status int
+		retry  bool
+	}{
+		{"no id", nil, "/x", []string{"Id", ""}, 400, false},
+		{"no route", func(r *rig) { r.table.Routes[0].Prefix = "/other/" }, "/x", nil, 404, false},
+		{"an unknown key", keyed, "/x", []string{"Key", "bad"}, 401, false},
+		{"no key", keyed, "/x", nil, 401, false},
+		{"a known key", keyed, "/x", []string{"Key", "good"}, 200, false},
+		{"keys that nobody confirms", func(r *rig) { keyed(r); r.keys = -time.Second }, "/x", []string{"Key", "good"}, 503, true},
+		{"no key on a public route", func(r *rig) { keyed(r); r.table.Routes[0].Public = true }, "/x", nil, 200, false},
+		{"a body over the limit", func(r *rig) { r.table.Limits.MaxBodyBytes = 3 }, "/x", nil, 413, false},
+		{"operators took all out", func(r *rig) { r.standing.Out = func(fleet.Upstream) bool { return true } }, "/x", nil, 503, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, routes.Route{Kind: routes.KindOnce}, serveWell)
+			if tc.spoil != nil {
+				tc.spoil(r)
+				r.serve()
+			}
+			resp, _, err := r.askWith(context.Background(), "POST", tc.path, "order", tc.fields...)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, tc.status)
+			is.Equal(resp.Header.Get("Retry-After") != "", tc.retry)
+			is.Equal(len(r.arrivals()) > 0, tc.status == 200) // a refused request has not run
+		})
+	}
+}
+
+func TestDeadlines(t *testing.T) {
+	mute := func(c *conn) { _, _ = c.Read(make([]byte, 1)) }
+	t.Run("the route's timeout", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, routes.Route{Kind: routes.KindOnce, Timeout: 150 * time.Millisecond}, mute)
+		began := time.Now()
+		resp, _, err := r.ask("Patience", "5000")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusGatewayTimeout) // it may have run
+		is.True(time.Since(began) >= 150*time.Millisecond)
+	})
+	t.Run("upstreams learn what is left", func(t *testing.T) {
+		is := is.New(t)
+		var left string
+		r := newRig(t, routes.Route{Kind: routes.KindOnce, Timeout: time.Minute}, func(c *conn) {
+			left = c.request.Header.Get("Left")
+			serveWell(c)
+		})
+		_, _, err := r.ask("Patience", "700")
+		is.NoErr(err)
+		ms, err := strconv.Atoi(left)
+		is.NoErr(err)
+		is.True(ms > 0 && ms <= 700)
+	})
+	t.Run("a caller that leaves", func(t *testing.T) {
+		is := is.New(t)
+		closed := make(chan struct{})
+		r := newRig(t, routes.Route{Kind: routes.KindOnce, Timeout: time.Minute}, func(c *conn) {
+			_, _ = c.Read(make([]byte, 1))
+			close(closed)
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			for len(r.arrivals()) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			cancel()
+		}()
+		_, _, err := r.askWith(ctx, "POST", "/x", "order")
+		is.True(err != nil)
+		<-closed // the upstream learns it
+	})
+}
+
+// A stream that breaks goes on elsewhere without a missing or doubled piece where
+// the route allows it, and never looks complete where it can't.
+func TestStreams(t *testing.T) {
+	resumable := routes.Route{Kind: routes.KindStream, MaxAttempts: 2, Resumable: true}
+	single := routes.Route{Kind: routes.KindStream, MaxAttempts: 1}
+	whole := func(c *conn) { c.stream(); c.events(1, 5); c.end() }
+	cutAfter := func(id int, rest string) func(*conn) {
+		return func(c *conn) {
+			c.stream()
+			c.events(1, id)
+			if rest != "" {
+				c.chunk(rest)
+			}
+		}
+	}
+	goOn := func(c *conn) {
+		after, err := strconv.Atoi(c.request.Header.Get("After"))
+		if err != nil {
+			after = 0
+		}
+		c.stream()
+		c.events(after+1, 5)
+		c.end()
+	}
+	cases := []struct {
+		name          string
+		route         routes.Route
+		first, second func(*conn)
+		body          string
+		complete      bool
+		arrivals      int
+	}{
+		{"whole", single, whole, nil, eventsOf(1, 5), true, 1},
+		{"cut, not resumable", single, cutAfter(3, ""), goOn, eventsOf(1, 3), false, 1},
+		{"cut between events", resumable, cutAfter(3, ""), goOn, eventsOf(1, 5), true, 2},
+		{"cut inside an event", resumable, cutAfter(3, "id: 4\ndata: pie"), goOn, eventsOf(1, 5), true, 2},
+		{"cut before the first event", resumable, cutAfter(0, ""), goOn, eventsOf(1, 5), true, 2},
+		{"no answer at all", resumable, breakOff, goOn, eventsOf(1, 5), true, 2},
+		{"no answer, not resumable", single, breakOff, goOn, "", false, 1},
+		{"the second starts over", resumable, cutAfter(3, ""), whole, eventsOf(1, 5), true, 2},
+		{"the second leaves a piece out", resumable, cutAfter(2, ""), func(c *conn) { c.stream(); c.events(4, 5); c.end() }, eventsOf(1, 2), false, 2},
+		{"the second breaks as well", resumable, cutAfter(2, ""), func(c *conn) { c.stream(); c.events(3, 3) }, eventsOf(1, 3), false, 2},
+		{"end inside an event", resumable, func(c *conn) { c.stream(); c.events(1, 2); c.chunk("id: 3\nda"); c.end() }, goOn, eventsOf(1, 5), true, 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			scripts := []func(*conn){tc.first}
+			if tc.second != nil {
+				scripts = append(scripts, tc.second)
+			}
+			r := newRig(t, tc.route, scripts...)
+			resp, body, err := r.ask()
+			is.Equal(len(r.arrivals()), tc.arrivals)
+			if resp == nil || resp.StatusCode != http.StatusOK {
+				is.True(!tc.complete && tc.body == "") // nothing was begun
+				return
+			}
+			is.Equal(body, tc.body)
+			is.Equal(err == nil, tc.complete)
+		})
+	}
+}
+
+// A caller that comes back with the last event that it has gets what follows it.
+func TestCallerResumes(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 2, Resumable: true}, func(c *conn) {
+		is.Equal(c.request.Header.Get("After"), "3")
+		c.stream()
+		c.events(4, 5)
+		c.end()
+	})
+	_, body, err := r.ask("After", "3")
+	is.NoErr(err)
+	is.Equal(body, eventsOf(4, 5))
+}
+
+// The operators' retry budget holds whatever fails.
+func TestSecondTriesStayInTheBudget(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 2}, fail, fail, fail)
+	r.balancer = balance.New(balance.Config{Retries: balance.RetryLimits{Ratio: 0.2, Window: time.Hour, Slack: 10}})
+	var list []balance.Listed
+	for i := range 3 {
+		u := fleet.Upstream{ID: fleet.UpstreamID(fmt.Sprint("f", i)), Pool: poolName}
+		u.Addr = r.listen(string(u.ID), fail)
+		list = append(list, balance.Listed{Upstream: u})
+	}
+	r.balancer.SetUpstreams(0, list)
+	r.serve()
+	const requests = 60
+	for i := range requests {
+		resp, _, err := r.ask("Id", strconv.Itoa(i))
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusInternalServerError)
+	}
+	again := len(r.arrivals()) - requests
+	is.True(again > 0)
+	is.True(float64(again) <= 0.2*requests+10)
+}
