--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -102,7 +102,7 @@
 	s := a.settings
 	var err error
 	a.control, err = control.Start(control.Config{
-		Addr: s.Listen.Mesh, Members: s.Control.Members, Dir: s.DataDir, ElectionTimeout: s.Control.ElectionTimeout,
+		Addr: s.Listen.Mesh, Members: s.Control.Members, Dir: s.DataDir, ElectionTimeout: s.Control.ElectionTimeout, CopyRate: s.Control.CopyRate,
 		Session: session.Settings{Lease: s.Session.Lease, RenewInterval: s.Session.RenewInterval},
 		Ledger: ledger.Limits{
 			MaxAge: s.Ledger.MaxAge, MaxRecords: s.Ledger.MaxRecords, MaxAnswer: int(s.Ledger.MaxAnswerBytes),
--- a/internal/control/fetcher.go
+++ b/internal/control/fetcher.go
@@ -50,15 +50,20 @@
 }
 
 func (f *Fetcher) ask(ctx context.Context, request *FetchRequest) (*FetchReply, error) {
-	reply := new(FetchReply)
-	if request.AtLeast > 0 && f.client.CallAny(ctx, MethodFetch, request, reply) == nil {
-		return reply, nil
+	for try := 0; request.AtLeast > 0 && try < anyTries; try++ {
+		reply := new(FetchReply)
+		if f.client.CallAny(ctx, MethodFetch, request, reply) == nil {
+			return reply, nil
+		}
 	}
-	// That member is behind or not reached: the leader is neither, or there is none.
-	reply = new(FetchReply)
+	// Those members are busy, behind or not reached: the leader is never behind.
+	reply := new(FetchReply)
 	return reply, f.client.Call(ctx, MethodFetch, request, reply)
 }
 
+// anyTries is how many members a router asks before the leader.
+const anyTries = 3
+
 // take adds a page and tells whether the copy is whole.
 func (f *Fetcher) take(reply *FetchReply) bool {
 	if reply.Copy != f.copy || int(reply.Offset) != len(f.read) {
--- /dev/null
+++ b/internal/control/join_test.go
@@ -0,0 +1,169 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"net"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/wigeonflow/wigeonflow/internal/consensus"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/ledger"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
+)
+
+// joiner is one member of a group that is known by its seeds only.
+type joiner struct {
+	t      *testing.T
+	addr   string
+	dir    string
+	seeds  []string
+	server *mesh.Server
+	pool   *mesh.Pool
+	member *Server
+}
+
+func (j *joiner) start() {
+	j.t.Helper()
+	l, err := net.Listen("tcp", j.addr)
+	if err != nil {
+		j.t.Fatal(err)
+	}
+	cfg := mesh.Config{Instance: fleet.InstanceID(j.addr)}
+	j.server, j.pool = mesh.NewServer(cfg), mesh.NewPool(cfg)
+	j.member, err = Start(Config{
+		Addr: j.addr, Members: j.seeds, Join: !slices.Contains(j.seeds, j.addr), Adopt: true, Dir: j.dir,
+		ElectionTimeout: 300 * time.Millisecond, Clock: fleet.MonotonicClock(), OperatorAddr: j.addr,
+		Ledger: ledger.Limits{MaxAge: time.Hour, MaxRecords: 10, MaxAnswer: 10},
+		Logger: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
+	}, j.server, j.pool)
+	if err != nil {
+		j.t.Fatal(err)
+	}
+	go func() { _ = j.server.Serve(l) }()
+}
+
+// stop ends the member as a kill would, without handing anything over.
+func (j *joiner) stop() {
+	j.member.cancel()
+	if err := j.member.group.Close(); err != nil {
+		j.t.Log("member not closed cleanly:", err)
+	}
+	j.pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := j.server.Shutdown(ctx); err != nil {
+		j.t.Log("mesh not shut down:", err)
+	}
+}
+
+// voters returns the voters as the leader among the members sees them, or none.
+func voters(members ...*joiner) []string {
+	for _, j := range members {
+		if _, leads := j.member.group.LeaderLease(); !leads {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		status, err := j.member.group.Status(ctx)
+		cancel()
+		if err != nil {
+			continue
+		}
+		var out []string
+		for _, m := range status.Members {
+			if !m.Learner {
+				out = append(out, m.Addr)
+			}
+		}
+		slices.Sort(out)
+		return out
+	}
+	return nil
+}
+
+func awaitVoters(want []string, members ...*joiner) {
+	for !slices.Equal(voters(members...), want) {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Three seeds form the group; a fourth member that knows only them joins; one that
+// was removed while it was away notices, clears its folder and joins anew, and what
+// was committed stands all the while.
+func TestGroupOfSeeds(t *testing.T) {
+	is := is.New(t)
+	var seeds, all []string
+	for range 4 {
+		all = append(all, unusedAddr(t))
+	}
+	seeds = all[:3]
+	var members []*joiner
+	for _, addr := range all {
+		members = append(members, &joiner{t: t, addr: addr, seeds: seeds, dir: filepath.Join(t.TempDir(), "data")})
+	}
+	for _, j := range members {
+		j.start()
+	}
+	defer func() {
+		for _, j := range members {
+			j.stop()
+		}
+	}()
+	sorted := slices.Sorted(slices.Values(all))
+	awaitVoters(sorted, members...)
+	commit := func(zone string) {
+		for {
+			for _, j := range members {
+				cmd := operator.Command{Kind: operator.KindZone, Operation: zone, AnyVersion: true, Name: zone, Out: true}
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				answer, err := operator.Propose(ctx, j.member.Backend(), cmd)
+				cancel()
+				if err == nil && answer.Code == operator.CodeAccepted {
+					return
+				}
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	commit("medeu")
+
+	away := members[3]
+	away.stop()
+	rest := members[:3]
+	removed := consensus.MemberID(away.addr)
+	for {
+		err := errors.New("no leader")
+		for _, j := range rest {
+			if err = j.member.group.Remove(context.Background(), removed); err == nil {
+				break
+			}
+		}
+		if err == nil {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	commit("alatau")
+
+	away.start() // with its old folder
+	<-away.member.Done()
+	is.True(errorx.IsOfType(away.member.Err(), ErrRemoved))
+	away.stop()
+	away.start() // as the platform restarts a process that ends
+	awaitVoters(sorted, members...)
+	for {
+		if slices.Equal(away.member.config.Committed().State.ZonesOut, []string{"alatau", "medeu"}) {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -13,6 +13,7 @@
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/session"
+	"golang.org/x/time/rate"
 )
 
 // Config holds what a control member is set up with.
@@ -32,6 +33,9 @@
 	RenumberedFiles bool
 	// ElectionTimeout is that of the group; 0 means consensus.DefaultElectionTimeout.
 	ElectionTimeout time.Duration
+	// CopyRate bounds what copies of the configuration may use of the member's link,
+	// in bytes a second; 0 means no bound.
+	CopyRate int64
 	// Dir is the data folder.
 	Dir     string
 	Session session.Settings
@@ -54,6 +58,7 @@
 	roster  *session.Roster
 	config  *operator.Config
 	copies  copies
+	link    *rate.Limiter // of copies; nil for no limit
 	ledger  *ledger.State
 	leader  *leader
 	cancel  context.CancelFunc
@@ -75,6 +80,9 @@
 func Start(cfg Config, server *mesh.Server, pool *mesh.Pool) (*Server, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{cfg: cfg, log: cfg.Logger.Named("control"), pool: pool, cancel: cancel, done: make(chan struct{})}
+	if cfg.CopyRate > 0 {
+		s.link = rate.NewLimiter(rate.Limit(cfg.CopyRate), pageBytes)
+	}
 	wake := make(chan struct{}, 1)
 	s.machine = newMachine(func(partTag) {
 		select {
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -16,6 +16,9 @@
 	// maxDeltas and maxDeltaBytes bound the changes kept for routers that lag.
 	maxDeltas     = 512
 	maxDeltaBytes = 1 << 20
+	// maxFirstDeltas bounds the changes that a router without any configuration gets
+	// in place of a full copy, in bytes: a copy is read page by page.
+	maxFirstDeltas = 16 << 10
 )
 
 // ErrSnapshot is returned by Restore for bytes that are no snapshot.
@@ -237,7 +240,8 @@
 		return Update{}
 	}
 	missing := c.State.Version - after
-	if missing > fleet.ConfigVersion(len(c.deltas)) {
+	manyChanges := after == 0 && c.deltaBytes > maxFirstDeltas
+	if missing > fleet.ConfigVersion(len(c.deltas)) || manyChanges {
 		full := c.State
 		return Update{Full: &full}
 	}
--- a/internal/routes/patch_gen.go
+++ b/internal/routes/patch_gen.go
@@ -10,21 +10,13 @@
 func (z *Patch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.Base == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
-	if z.Prefix == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x4
-	}
-	if z.Suffix == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x8
-	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -38,19 +30,19 @@
 			o = append(o, 0xa1, 0x62)
 			o = msgp.AppendUint64(o, z.Base)
 		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// string "p"
-			o = append(o, 0xa1, 0x70)
-			o = msgp.AppendInt(o, z.Prefix)
-		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// string "s"
-			o = append(o, 0xa1, 0x73)
-			o = msgp.AppendInt(o, z.Suffix)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Pieces)))
+		for za0001 := range z.Pieces {
+			// array header, size 3
+			o = append(o, 0x93)
+			o = msgp.AppendInt(o, z.Pieces[za0001].Offset)
+			o = msgp.AppendInt(o, z.Pieces[za0001].Length)
+			o = msgp.AppendInt(o, z.Pieces[za0001].Insert)
 		}
-		// string "m"
-		o = append(o, 0xa1, 0x6d)
-		o = msgp.AppendBytes(o, z.Middle)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendBytes(o, z.Text)
 		// string "h"
 		o = append(o, 0xa1, 0x68)
 		o = msgp.AppendUint64(o, z.Sum)
@@ -89,21 +81,48 @@
 				return
 			}
 		case "p":
-			z.Prefix, bts, err = msgp.ReadIntBytes(bts)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Prefix")
+				err = msgp.WrapError(err, "Pieces")
 				return
 			}
-		case "s":
-			z.Suffix, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Suffix")
-				return
+			if cap(z.Pieces) >= int(zb0002) {
+				z.Pieces = (z.Pieces)[:zb0002]
+			} else {
+				z.Pieces = make([]Piece, zb0002)
+			}
+			for za0001 := range z.Pieces {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pieces", za0001)
+					return
+				}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+					return
+				}
+				z.Pieces[za0001].Offset, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pieces", za0001, "Offset")
+					return
+				}
+				z.Pieces[za0001].Length, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pieces", za0001, "Length")
+					return
+				}
+				z.Pieces[za0001].Insert, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pieces", za0001, "Insert")
+					return
+				}
 			}
-		case "m":
-			z.Middle, bts, err = msgp.ReadBytesBytes(bts, z.Middle)
+		case "t":
+			z.Text, bts, err = msgp.ReadBytesBytes(bts, z.Text)
 			if err != nil {
-				err = msgp.WrapError(err, "Middle")
+				err = msgp.WrapError(err, "Text")
 				return
 			}
 		case "h":
@@ -126,6 +145,54 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Patch) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Middle) + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Pieces) * (22 + msgp.IntSize + msgp.IntSize + msgp.IntSize)) + 2 + msgp.BytesPrefixSize + len(z.Text) + 2 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Piece) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt(o, z.Offset)
+	o = msgp.AppendInt(o, z.Length)
+	o = msgp.AppendInt(o, z.Insert)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Piece) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Offset, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Offset")
+		return
+	}
+	z.Length, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Length")
+		return
+	}
+	z.Insert, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Insert")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Piece) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize
 	return
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -107,6 +107,9 @@
 	// ElectionTimeout is how long members wait for a silent leader before they elect
 	// another one. Heartbeats come four times as often.
 	ElectionTimeout time.Duration `yaml:"election_timeout" default:"1s" validate:"gte=200ms"`
+	// CopyRate bounds what copies of the configuration may use of a control member's
+	// link, in bytes a second; 0 means no bound.
+	CopyRate int64 `yaml:"copy_rate" validate:"gte=0"`
 }
 
 // Platform tells where the platform lists instances.
