member: routers read changes of the configuration from each other

Nine control members at 6 Mbit/s carry 81 copies in 2 s at best; questions that were refused took their share of the pace all the same, and all asked again at once. Change: 16 routers read from the control group, the others from a router before them in a tree that all compute alike; who fails asks the control group. A refused reply takes nothing of the link (pacer). Ruled out: processors (0.011 of 0.19 core at the busiest router).

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -20,6 +20,9 @@
 	// callTimeout bounds one call at one member, so that a frozen member costs
 	// a router no more than a fifth of its lease.
 	callTimeout = 600 * time.Millisecond
+	// largeCallTimeout bounds a call whose reply may be large: its turn on the link,
+	// and some hundred kilobytes.
+	largeCallTimeout = 1500 * time.Millisecond
 	// retryPause spaces calls while the group has no leader.
 	retryPause = 50 * time.Millisecond
 )
@@ -74,12 +77,15 @@
 	}
 }
 
-// CallAny makes one call at some member of the group.
+// CallAny makes one call at some member of the group. Its reply may be large and
+// wait for its turn on the member's link.
 func (c *Client) CallAny(ctx context.Context, method string, request msgp.Marshaler, reply msgp.Unmarshaler) error {
 	c.mu.Lock()
 	addr := c.addrs[rand.IntN(len(c.addrs))]
 	c.mu.Unlock()
-	return c.callOne(ctx, addr, method, request, reply)
+	ctx, cancel := context.WithTimeout(ctx, largeCallTimeout)
+	defer cancel()
+	return c.pool.Call(ctx, addr, method, request, reply)
 }
 
 func (c *Client) callOne(ctx context.Context, addr, method string, request msgp.Marshaler, reply msgp.Unmarshaler) error {
--- a/internal/control/config_endpoint.go
+++ b/internal/control/config_endpoint.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
@@ -50,42 +49,11 @@
 	}
 	reply, err := s.copies.answer(committed, req)
 	if err == nil {
-		err = s.pace(ctx, reply.Msgsize())
+		err = s.link.await(ctx, reply.Msgsize())
 	}
 	return reply, fleet.At(err, MethodFetch, s.cfg.Addr)
 }
 
-// maxPacing is how long a reply may wait for its turn on the link. A router whose
-// reply would wait longer is told at once and asks another member.
-const maxPacing = 500 * time.Millisecond
-
-// errBusy means that too many routers read the configuration here.
-var errBusy = fleet.Errors.NewType("control_busy")
-
-// pace waits until the copies' share of the link has room for a reply: heartbeats
-// and the log must not wait behind hundreds of copies.
-func (s *Server) pace(ctx context.Context, size int) error {
-	if s.link == nil {
-		return nil
-	}
-	turn := s.link.ReserveN(time.Now(), min(size, pageBytes))
-	if !turn.OK() {
-		return errBusy.New("no reply of %d bytes fits", size)
-	}
-	wait := turn.Delay()
-	if wait > maxPacing {
-		turn.Cancel()
-		return errBusy.New("the link is busy for %v", wait)
-	}
-	select {
-	case <-ctx.Done():
-		turn.Cancel()
-		return ctx.Err()
-	case <-time.After(wait):
-		return nil
-	}
-}
-
 // keptCopies is how many versions' full copies stay, so that routers which are
 // reading one can finish it.
 const keptCopies = 2
--- a/internal/control/fetcher.go
+++ b/internal/control/fetcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/tinylib/msgp/msgp"
 
@@ -20,13 +21,17 @@
 // keeps from one Fetch to the next, so that a slow link delays a copy but never
 // prevents it. It is not safe for concurrent use.
 type Fetcher struct {
-	client caller
-	copy   fleet.ConfigVersion // being read, 0 for none
-	read   []byte
+	client  caller
+	applied func(*operator.Update) // of what came into the view; may be nil
+	copy    fleet.ConfigVersion    // being read, 0 for none
+	read    []byte
 }
 
 // NewFetcher returns a Fetcher that has read nothing.
-func NewFetcher(client *Client) *Fetcher { return &Fetcher{client: client} }
+// applied, which may be nil, is told of each update that came into a view.
+func NewFetcher(client *Client, applied func(*operator.Update)) *Fetcher {
+	return &Fetcher{client: client, applied: applied}
+}
 
 // Fetch fetches until the view is up to date, ctx ends or a call fails, and
 // tells whether the view changed. atLeast is a version that is known to be
@@ -41,7 +46,7 @@
 		}
 		if reply.Copy == 0 {
 			f.forget()
-			return view.Apply(&reply.Update)
+			return f.bring(view, &reply.Update)
 		}
 		if f.take(reply) {
 			return f.apply(view)
@@ -55,6 +60,11 @@
 		if f.client.CallAny(ctx, MethodFetch, request, reply) == nil {
 			return reply, nil
 		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(retryPause):
+		}
 	}
 	// Those members are busy, behind or not reached: the leader is never behind.
 	reply := new(FetchReply)
@@ -83,7 +93,16 @@
 	if _, err := state.UnmarshalMsg(f.read); err != nil {
 		return false, fleet.At(err, "control.fetch", "")
 	}
-	return view.Apply(&operator.Update{Full: &state})
+	return f.bring(view, &operator.Update{Full: &state})
+}
+
+// bring applies an update to the view.
+func (f *Fetcher) bring(view *operator.View, u *operator.Update) (bool, error) {
+	changed, err := view.Apply(u)
+	if changed && f.applied != nil {
+		f.applied(u)
+	}
+	return changed, err
 }
 
 func (f *Fetcher) forget() { f.copy, f.read = 0, nil }
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -163,7 +163,7 @@
 			{Pool: fleet.PoolID(fmt.Sprint("pool-", (i+1)%10)), InFlight: 25, Upstreams: 1, Warm: 25, WarmUpstreams: 1},
 		},
 	}
-	r.fetcher = NewFetcher(r.client)
+	r.fetcher = NewFetcher(r.client, nil)
 	f.routers = append(f.routers, r)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.t.Cleanup(func() { cancel(); pool.Close() })
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -13,7 +13,6 @@
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/session"
-	"golang.org/x/time/rate"
 )
 
 // Config holds what a control member is set up with.
@@ -58,7 +57,7 @@
 	roster  *session.Roster
 	config  *operator.Config
 	copies  copies
-	link    *rate.Limiter // of copies; nil for no limit
+	link    pacer // of copies
 	ledger  *ledger.State
 	leader  *leader
 	cancel  context.CancelFunc
@@ -80,9 +79,7 @@
 func Start(cfg Config, server *mesh.Server, pool *mesh.Pool) (*Server, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{cfg: cfg, log: cfg.Logger.Named("control"), pool: pool, cancel: cancel, done: make(chan struct{})}
-	if cfg.CopyRate > 0 {
-		s.link = rate.NewLimiter(rate.Limit(cfg.CopyRate), pageBytes)
-	}
+	s.link.rate, s.link.clock = cfg.CopyRate, cfg.Clock
 	wake := make(chan struct{}, 1)
 	s.machine = newMachine(func(partTag) {
 		select {
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -86,7 +86,7 @@
 	r.keeper = member.NewKeeper(member.Config{
 		Self:    r.self,
 		Session: session.Settings{Lease: s.Session.Lease, RenewInterval: s.Session.RenewInterval},
-		Clock:   cfg.Clock, Control: r.control, Logger: r.log, Owner: owner,
+		Clock:   cfg.Clock, Control: r.control, Server: server, Pool: pool, Logger: r.log, Owner: owner,
 		InForce:    func() fleet.ConfigVersion { return fleet.ConfigVersion(r.inForce.Load()) },
 		OnStanding: func() {},
 		OnConfig:   r.applyConfig,
--- a/internal/member/keeper.go
+++ b/internal/member/keeper.go
@@ -11,6 +11,7 @@
 	"github.com/wigeonflow/wigeonflow/internal/control"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/ledger"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/session"
 )
@@ -29,7 +30,11 @@
 	Session session.Settings
 	Clock   fleet.Clock
 	Control *control.Client
-	Logger  hclog.Logger
+	// Server and Pool let routers read changes from each other; nil means that all
+	// read them from the control group.
+	Server *mesh.Server
+	Pool   *mesh.Pool
+	Logger hclog.Logger
 	// Owner tells which member owns a key.
 	Owner session.OwnerFunc
 	// InForce returns the version that the router's work is in line with: the
@@ -55,6 +60,7 @@
 	log     hclog.Logger
 	view    *operator.View
 	fetcher *control.Fetcher // of renewLoop
+	relay   *relay
 
 	mu     sync.Mutex
 	holder *session.Holder
@@ -70,10 +76,14 @@
 // NewKeeper returns a Keeper that is not running.
 func NewKeeper(cfg Config) *Keeper {
 	k := &Keeper{
-		cfg: cfg, log: cfg.Logger, view: operator.NewView(), fetcher: control.NewFetcher(cfg.Control),
+		cfg: cfg, log: cfg.Logger, view: operator.NewView(), relay: newRelay(),
 		holder:  session.NewHolder(cfg.Session, cfg.Self, cfg.Owner),
 		noticed: make(chan struct{}, 1),
 	}
+	k.fetcher = control.NewFetcher(cfg.Control, k.relay.applied)
+	if cfg.Server != nil {
+		cfg.Server.Handle(MethodRelay, mesh.Unary(k.relay.serve))
+	}
 	k.authority.Store(new(session.Authority))
 	k.lease.Store(new(ledger.Lease))
 	k.confirmed.Store(neverConfirmed)
@@ -190,10 +200,8 @@
 func (k *Keeper) renew(ctx context.Context) {
 	sent := k.cfg.Clock()
 	request := k.Request()
-	ctx, cancel := context.WithTimeout(ctx, k.cfg.Session.Lease/2)
-	defer cancel()
 	var reply session.RenewReply
-	if err := k.cfg.Control.Call(ctx, control.MethodRenew, request, &reply); err != nil {
+	if err := k.askLeader(ctx, request, &reply); err != nil {
 		k.log.Warn("session not renewed", "error", err)
 		return
 	}
@@ -209,6 +217,12 @@
 	}
 }
 
+func (k *Keeper) askLeader(ctx context.Context, request *session.RenewRequest, reply *session.RenewReply) error {
+	ctx, cancel := context.WithTimeout(ctx, k.cfg.Session.Lease/2)
+	defer cancel()
+	return k.cfg.Control.Call(ctx, control.MethodRenew, request, reply)
+}
+
 // Request returns the renewal to send now.
 func (k *Keeper) Request() *session.RenewRequest {
 	var loads []session.PoolLoad
@@ -254,13 +268,40 @@
 
 // fetch brings the newest committed configuration into the view.
 func (k *Keeper) fetch(ctx context.Context, atLeast fleet.ConfigVersion) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	if k.fetchRelayed(ctx, atLeast) {
+		return
+	}
 	changed, err := k.fetcher.Fetch(ctx, k.view, atLeast)
 	if err != nil {
 		k.log.Warn("configuration not fetched", "error", err)
 		return
 	}
 	if changed {
-		k.log.Info("configuration fetched", "version", uint64(k.view.Version()))
-		k.cfg.OnConfig()
+		k.fetched()
 	}
 }
+
+// fetchTimeout bounds bringing the configuration up to date: what was read of a
+// copy by then is kept for the next time.
+const fetchTimeout = 2500 * time.Millisecond
+
+// apply brings an update that another router sent into the view.
+func (k *Keeper) apply(u *operator.Update) bool {
+	changed, err := k.view.Apply(u)
+	if err != nil {
+		k.log.Warn("changes of the configuration not applied", "error", err)
+		return false
+	}
+	if changed {
+		k.relay.applied(u)
+		k.fetched()
+	}
+	return true
+}
+
+func (k *Keeper) fetched() {
+	k.log.Info("configuration fetched", "version", uint64(k.view.Version()))
+	k.cfg.OnConfig()
+}
--- /dev/null
+++ b/internal/member/relay_test.go
@@ -0,0 +1,136 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/control"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
+)
+
+func membershipOf(n int) fleet.Membership {
+	m := fleet.Membership{Epoch: 1}
+	for i := range n {
+		m.Members = append(m.Members, fleet.Member{ID: fleet.InstanceID(fmt.Sprintf("router-%03d", i)), Addr: fmt.Sprint("a", i)})
+	}
+	return m
+}
+
+// Every router gets changes from the control group within a few steps, and nobody
+// passes them on to more than a few.
+func TestRelayTree(t *testing.T) {
+	for _, n := range []int{1, 7, directRouters, directRouters + 1, 81, 300, 410} {
+		t.Run(fmt.Sprint(n, " routers"), func(t *testing.T) {
+			is := is.New(t)
+			m := membershipOf(n)
+			direct, readers := 0, map[fleet.InstanceID]int{}
+			for _, member := range m.Members {
+				at, steps := member.ID, 0
+				for {
+					source, ok := relaySource(m, at)
+					if !ok {
+						break
+					}
+					at = source.ID
+					steps++
+					is.True(steps <= 4)
+				}
+				if steps == 0 {
+					direct++
+				} else if source, _ := relaySource(m, member.ID); true {
+					readers[source.ID]++
+				}
+			}
+			is.Equal(direct, min(n, directRouters))
+			for _, count := range readers {
+				is.True(count <= relayChildren)
+			}
+		})
+	}
+	t.Run("not a member yet", func(t *testing.T) {
+		_, ok := relaySource(membershipOf(81), "router-999")
+		is.New(t).True(!ok)
+	})
+}
+
+func deltas(from, to int) *operator.Update {
+	u := new(operator.Update)
+	for v := from; v <= to; v++ {
+		u.Deltas = append(u.Deltas, operator.Delta{Version: fleet.ConfigVersion(v)})
+	}
+	return u
+}
+
+func TestRelayedChanges(t *testing.T) {
+	cases := []struct {
+		name          string
+		applied       []*operator.Update
+		after, wanted fleet.ConfigVersion
+		got           int // changes; 0 for none
+	}{
+		{"nothing yet", nil, 3, 4, 0},
+		{"the next one", []*operator.Update{deltas(1, 4)}, 3, 4, 1},
+		{"several", []*operator.Update{deltas(1, 2), deltas(3, 9)}, 1, 4, 8},
+		{"not there yet", []*operator.Update{deltas(1, 4)}, 4, 5, 0},
+		{"a gap to the reader", []*operator.Update{deltas(5, 9)}, 3, 9, 0},
+		{"just no gap", []*operator.Update{deltas(5, 9)}, 4, 9, 5},
+		{"doubled", []*operator.Update{deltas(1, 5), deltas(3, 6)}, 2, 6, 4},
+		{"a copy in between", []*operator.Update{deltas(1, 5), {Full: &operator.State{Version: 8}}}, 2, 8, 0},
+		{"changes after a copy", []*operator.Update{{Full: &operator.State{Version: 8}}, deltas(9, 10)}, 8, 10, 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRelay()
+			for _, u := range tc.applied {
+				r.applied(u)
+			}
+			got, _ := r.after(tc.after, tc.wanted)
+			is.Equal(len(got), tc.got)
+			for i, d := range got {
+				is.Equal(d.Version, tc.after+fleet.ConfigVersion(i)+1)
+			}
+		})
+	}
+}
+
+// A reader that asks too early waits for the change and then gets it at once.
+func TestRelayWaitsForAChange(t *testing.T) {
+	is := is.New(t)
+	r := newRelay()
+	r.applied(deltas(1, 3))
+	got := make(chan *control.FetchReply)
+	go func() {
+		reply, err := r.serve(context.Background(), "", &control.FetchRequest{After: 3, AtLeast: 5})
+		if err != nil {
+			reply = nil
+		}
+		got <- reply
+	}()
+	r.applied(deltas(4, 4)) // not far enough
+	select {
+	case <-got:
+		t.Fatal("answered before the version came")
+	case <-time.After(20 * time.Millisecond):
+	}
+	r.applied(deltas(5, 5))
+	reply := <-got
+	is.True(reply != nil)
+	is.Equal(len(reply.Update.Deltas), 2)
+}
+
+func TestRelayKeepsALimit(t *testing.T) {
+	is := is.New(t)
+	r := newRelay()
+	for v := 1; v <= 5*keptChanges; v++ {
+		r.applied(deltas(v, v))
+	}
+	is.Equal(len(r.changes), keptChanges)
+	got, _ := r.after(5*keptChanges-1, 5*keptChanges)
+	is.Equal(len(got), 1)
+}
