--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -22,7 +22,7 @@
 	callTimeout = 600 * time.Millisecond
 	// largeCallTimeout bounds a call whose reply may be large: its turn on the link,
 	// and some hundred kilobytes.
-	largeCallTimeout = 1500 * time.Millisecond
+	largeCallTimeout = time.Second
 	// retryPause spaces calls while the group has no leader.
 	retryPause = 50 * time.Millisecond
 )
--- a/internal/member/keeper.go
+++ b/internal/member/keeper.go
@@ -266,27 +266,22 @@
 	}
 }
 
-// fetch brings the newest committed configuration into the view.
-func (k *Keeper) fetch(ctx context.Context, atLeast fleet.ConfigVersion) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+// fetchControl brings the view up to date from the control group and tells whether
+// it is then.
+func (k *Keeper) fetchControl(ctx context.Context, atLeast fleet.ConfigVersion, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if k.fetchRelayed(ctx, atLeast) {
-		return
-	}
 	changed, err := k.fetcher.Fetch(ctx, k.view, atLeast)
 	if err != nil {
-		k.log.Warn("configuration not fetched", "error", err)
-		return
+		k.log.Warn("configuration not fetched", "version", uint64(atLeast), "error", err)
+		return false
 	}
 	if changed {
 		k.fetched()
 	}
+	return k.view.Version() >= atLeast
 }
 
-// fetchTimeout bounds bringing the configuration up to date: what was read of a
-// copy by then is kept for the next time.
-const fetchTimeout = 2500 * time.Millisecond
-
 // apply brings an update that another router sent into the view.
 func (k *Keeper) apply(u *operator.Update) bool {
 	changed, err := k.view.Apply(u)
--- a/internal/member/relay.go
+++ b/internal/member/relay.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -27,10 +28,16 @@
 	relayChildren = 4
 	// relayPatience is how long a router waits for a change that its reader has
 	// already heard of.
-	relayPatience = 1000 * time.Millisecond
+	relayPatience = 600 * time.Millisecond
 	// relayTimeout bounds one question to a router: its patience, and a large change
 	// on its way to several readers.
-	relayTimeout = 1500 * time.Millisecond
+	relayTimeout = 900 * time.Millisecond
+	// firstFetchTimeout bounds the first read from the control group of a router that
+	// may ask another one next.
+	firstFetchTimeout = 900 * time.Millisecond
+	// fetchTimeout bounds bringing the configuration up to date: what was read of a
+	// copy by then is kept for the next time.
+	fetchTimeout = 2500 * time.Millisecond
 	// keptChanges and keptChangeBytes bound the changes that are kept for readers.
 	keptChanges     = 64
 	keptChangeBytes = 512 << 10
@@ -105,16 +112,23 @@
 	}
 }
 
+// relayOrder orders the routers as all of them do: those that read from the control
+// group come first.
+func relayOrder(m fleet.Membership) []fleet.Member {
+	order := slices.Clone(m.Members)
+	slices.SortFunc(order, func(a, b fleet.Member) int {
+		return cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID)))
+	})
+	return order
+}
+
 // relaySource returns the router that a router reads changes from; ok is false
-// where it reads them from the control group. All routers compute the same tree.
+// where it reads them from the control group.
 func relaySource(m fleet.Membership, self fleet.InstanceID) (source fleet.Member, ok bool) {
 	if len(m.Members) <= directRouters {
 		return fleet.Member{}, false
 	}
-	order := slices.Clone(m.Members)
-	slices.SortFunc(order, func(a, b fleet.Member) int {
-		return cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID)))
-	})
+	order := relayOrder(m)
 	i := slices.IndexFunc(order, func(m fleet.Member) bool { return m.ID == self })
 	if i < directRouters {
 		return fleet.Member{}, false // also where this router isn't a member yet
@@ -122,19 +136,48 @@
 	return order[(i-directRouters)/relayChildren], true
 }
 
-// fetchRelayed reads changes from another router where this one is to do so, and
-// tells whether it is up to date then.
-func (k *Keeper) fetchRelayed(ctx context.Context, atLeast fleet.ConfigVersion) bool {
-	source, ok := relaySource(k.Authority().Membership(), k.cfg.Self.ID)
-	if !ok || k.cfg.Pool == nil || k.view.Version() == 0 {
-		return false
+// relayReserve returns another router to ask where a source, or the control group,
+// doesn't answer: one of those that read from the control group.
+func relayReserve(m fleet.Membership, self fleet.InstanceID, draw int) (reserve fleet.Member, ok bool) {
+	if len(m.Members) <= directRouters {
+		return fleet.Member{}, false
+	}
+	order := relayOrder(m)
+	reserve = order[draw%directRouters]
+	return reserve, reserve.ID != self
+}
+
+// fetch brings the newest committed configuration into the view, by the shortest
+// way that answers. atLeast is a version that is known to be committed.
+func (k *Keeper) fetch(ctx context.Context, atLeast fleet.ConfigVersion) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	membership := k.Authority().Membership()
+	reserve, large := relayReserve(membership, k.cfg.Self.ID, rand.IntN(directRouters))
+	if large && k.cfg.Pool != nil && k.view.Version() > 0 {
+		if source, ok := relaySource(membership, k.cfg.Self.ID); ok {
+			if k.fetchRelayed(ctx, source, atLeast) {
+				return
+			}
+		} else if k.fetchControl(ctx, atLeast, firstFetchTimeout) {
+			return
+		}
+		if k.fetchRelayed(ctx, reserve, atLeast) {
+			return
+		}
 	}
+	k.fetchControl(ctx, atLeast, fetchTimeout)
+}
+
+// fetchRelayed reads changes from another router and tells whether this one is up to
+// date then.
+func (k *Keeper) fetchRelayed(ctx context.Context, source fleet.Member, atLeast fleet.ConfigVersion) bool {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	request := control.FetchRequest{After: k.view.Version(), AtLeast: atLeast}
 	var reply control.FetchReply
 	if err := k.cfg.Pool.Call(ctx, source.Addr, MethodRelay, &request, &reply); err != nil {
-		k.log.Debug("configuration not read from a router", "peer", string(source.ID), "error", err)
+		k.log.Info("configuration not read from a router", "peer", string(source.ID), "version", uint64(atLeast), "error", err)
 		return false
 	}
 	return k.apply(&reply.Update) && k.view.Version() >= atLeast
