gateway: routers share what runs at each upstream

Ways weighed: reports of engines (priced as probes, old as well), owners that admit (a hop for each request), sums over the streams that carry the list already.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -138,6 +138,29 @@
 	}
 }
 
+// Running returns this router's requests in flight by upstream.
+func (b *Balancer) Running() map[fleet.UpstreamID]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	running := make(map[fleet.UpstreamID]int)
+	for id, s := range b.states {
+		if s.running > 0 {
+			running[id] = s.running
+		}
+	}
+	return running
+}
+
+// SetOthers takes what runs for other routers, by upstream; one that is left out
+// runs nothing for them.
+func (b *Balancer) SetOthers(now time.Duration, others map[fleet.UpstreamID]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.states {
+		s.others, s.reported, s.reportedAt = others[id], true, now
+	}
+}
+
 // mix combines two hashes.
 func mix(a, b uint64) uint64 {
 	hi, lo := bits.Mul64(a^0xa0761d6478bd642f, b^0xe7037ed1a0b428db)
--- a/internal/gateway/list_source.go
+++ b/internal/gateway/list_source.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,6 +46,7 @@
 	interval time.Duration // between two reads of the platform's list
 	pool     *mesh.Pool
 	members  func() fleet.Membership
+	loads    Loads
 	take     func(asOf time.Duration, s *snapshot)
 }
 
@@ -54,6 +56,7 @@
 // the next one, which reads the list because it is followed.
 type lists struct {
 	listsConfig
+	book *loadBook // of the followers
 
 	mu        sync.Mutex
 	current   *snapshot
@@ -63,7 +66,7 @@
 }
 
 func newLists(cfg listsConfig) *lists {
-	return &lists{listsConfig: cfg, changed: make(chan struct{}), failed: make(map[fleet.InstanceID]time.Duration)}
+	return &lists{listsConfig: cfg, book: newLoadBook(), changed: make(chan struct{}), failed: make(map[fleet.InstanceID]time.Duration)}
 }
 
 // run keeps the list until ctx ends.
@@ -179,6 +182,7 @@
 	}
 	defer stream.Close()
 	var known *snapshot // as the source knows this router's list
+	var reported map[fleet.UpstreamID]int
 	for {
 		u, err := receiveUpdate(ctx, stream)
 		if err != nil {
@@ -190,6 +194,9 @@
 		}
 		known = next
 		l.set(next)
+		if reported, err = l.exchangeLoads(ctx, stream, known, u, reported); err != nil {
+			return fleet.At(err, "gateway.follow", addr)
+		}
 		if source, ok := l.source(); !ok || source.Addr != addr {
 			return fleet.At(errSourceChanged, "gateway.follow", addr)
 		}
@@ -227,22 +234,42 @@
 		l.followers--
 		l.mu.Unlock()
 	}()
-	var sent *snapshot
+	var last atomic.Pointer[snapshot] // sent to this follower
+	ctx, cancel := context.WithCancel(ctx)
+	received := make(chan struct{})
+	go func() {
+		defer close(received)
+		l.receiveReports(ctx, stream, func() (*snapshot, uint64) {
+			s := last.Load()
+			if s == nil {
+				return nil, 0
+			}
+			return s, s.number
+		})
+	}()
+	defer func() {
+		cancel()
+		<-received
+		l.book.forget(stream)
+	}()
 	for {
+		sent := last.Load()
 		l.mu.Lock()
 		current, changed := l.current, l.changed
 		l.mu.Unlock()
 		if current != nil && l.clock()-current.asOf <= 2*l.interval {
-			message, err := current.update(sent, l.clock()).MarshalMsg(nil)
+			u := current.update(sent, l.clock())
+			u.Totals = *current.report(current.number, l.book.sum(l.clock(), l.loads.Running))
+			message, err := u.MarshalMsg(nil)
 			if err != nil {
 				return err
 			}
 			if err := stream.Send(ctx, message); err != nil {
 				return err
 			}
-			sent = current
+			last.Store(current)
 		}
-		if err := l.awaitChange(ctx, sent, changed); err != nil {
+		if err := l.awaitChange(ctx, last.Load(), changed); err != nil {
 			return err
 		}
 	}
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -30,6 +31,10 @@
 	Whole   bool               `msg:"w,omitempty"`
 	Changed []ListEntry        `msg:"c,omitempty"`
 	Removed []fleet.UpstreamID `msg:"r,omitempty"`
+	// Number is the sender's number of the list that the update leads to.
+	Number uint64 `msg:"n"`
+	// Totals are the requests in flight of all routers together.
+	Totals LoadReport `msg:"t"`
 }
 
 // coldTolerance is how far the end of a cold start may seem to move between two
@@ -41,6 +46,13 @@
 	number  uint64 // counts the changes of the list
 	asOf    time.Duration
 	entries map[fleet.UpstreamID]listed
+	order   []fleet.UpstreamID // of entries, sorted: the places of load reports
+}
+
+// sorted fills in the order and returns the snapshot.
+func (s *snapshot) sorted() *snapshot {
+	s.order = slices.Sorted(maps.Keys(s.entries))
+	return s
 }
 
 type listed struct {
@@ -53,7 +65,7 @@
 	for _, l := range list {
 		s.entries[l.ID] = listed{l.Upstream, asOf + l.ColdFor}
 	}
-	return s
+	return s.sorted()
 }
 
 // after numbers the snapshot as the successor of an earlier one.
@@ -94,7 +106,7 @@
 
 // update returns what brings a holder of the former snapshot, nil for none, to s.
 func (s *snapshot) update(former *snapshot, now time.Duration) *ListUpdate {
-	u := &ListUpdate{Age: now - s.asOf}
+	u := &ListUpdate{Age: now - s.asOf, Number: s.number}
 	switch {
 	case former == nil:
 		u.Whole = true
@@ -125,7 +137,7 @@
 	for _, e := range u.Changed {
 		next.entries[e.Upstream.ID] = listed{e.Upstream, now + e.ColdFor}
 	}
-	return next
+	return next.sorted()
 }
 
 // list returns the snapshot as the balancer takes it.
--- a/internal/gateway/listing_gen.go
+++ b/internal/gateway/listing_gen.go
@@ -136,8 +136,8 @@
 func (z *ListUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
 	if z.Whole == false {
 		zb0001Len--
@@ -209,6 +209,16 @@
 				}
 			}
 		}
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendUint64(o, z.Number)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o, err = z.Totals.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Totals")
+			return
+		}
 	}
 	return
 }
@@ -310,6 +320,18 @@
 					return
 				}
 			}
+		case "n":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		case "t":
+			bts, err = z.Totals.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Totals")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -332,5 +354,6 @@
 	for za0002 := range z.Removed {
 		s += z.Removed[za0002].Msgsize()
 	}
+	s += 2 + msgp.Uint64Size + 2 + z.Totals.Msgsize()
 	return
 }
--- a/internal/gateway/listing_test.go
+++ b/internal/gateway/listing_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"sync"
 	"testing"
@@ -123,8 +124,34 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 
-	mu    sync.Mutex
-	taken *snapshot
+	mu      sync.Mutex
+	taken   *snapshot
+	running map[fleet.UpstreamID]int // of this router
+	others  map[fleet.UpstreamID]int // as told
+}
+
+func (n *node) Running() map[fleet.UpstreamID]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.running)
+}
+
+func (n *node) SetOthers(_ time.Duration, others map[fleet.UpstreamID]int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.others = others
+}
+
+func (n *node) run(running map[fleet.UpstreamID]int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.running = running
+}
+
+func (n *node) sees(others map[fleet.UpstreamID]int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Equal(n.others, others)
 }
 
 func (n *node) has(id fleet.UpstreamID) bool {
@@ -155,7 +182,7 @@
 		n := &node{lister: &fakeList{}, server: mesh.NewServer(cfg), pool: mesh.NewPool(cfg), done: make(chan struct{})}
 		n.lists = newLists(listsConfig{
 			log: hclog.NewNullLogger(), clock: fleet.MonotonicClock(), self: m.ID, lister: n.lister, interval: 50 * time.Millisecond,
-			pool: n.pool, members: func() fleet.Membership { return membership },
+			pool: n.pool, loads: n, members: func() fleet.Membership { return membership },
 			take: func(_ time.Duration, s *snapshot) {
 				n.mu.Lock()
 				n.taken = s
@@ -265,3 +292,51 @@
 	}
 	is.New(t).True(nodes[0].lister.count() > 0)
 }
+
+// Every router learns what runs for the others, and that it has ended, also where
+// the list changes or a router stops meanwhile.
+func TestLoadsAreShared(t *testing.T) {
+	nodes, membership := startNodes(t, 4)
+	source := rankSources(membership)[0].ID
+	for i, n := range nodes {
+		n.run(map[fleet.UpstreamID]int{"a": i + 1, "gone": 9}) // 1, 2, 3 and 4 at a
+		n.lister.set(nil, up("a"), up("b"))
+	}
+	for i, n := range nodes {
+		await(func() bool { return n.sees(map[fleet.UpstreamID]int{"a": 10 - (i + 1)}) })
+	}
+	for _, n := range nodes {
+		n.lister.set(nil, up("0"), up("a"), up("b"), up("c")) // places have moved
+		n.run(map[fleet.UpstreamID]int{"b": 5})
+	}
+	for _, n := range nodes {
+		await(func() bool { return n.sees(map[fleet.UpstreamID]int{"b": 15}) })
+	}
+	stopped := -1
+	for i, n := range nodes {
+		if membership.Members[i].ID != source {
+			n.stop(t)
+			stopped = i
+			break
+		}
+	}
+	for i, n := range nodes {
+		if i != stopped {
+			await(func() bool { return n.sees(map[fleet.UpstreamID]int{"b": 10}) })
+		}
+	}
+}
+
+// A report of another list is of no use: its places mean other upstreams.
+func TestReportsOfAnotherList(t *testing.T) {
+	is := is.New(t)
+	s := snap(0, up("a"), up("b"))
+	r := s.report(4, map[fleet.UpstreamID]int{"b": 3, "z": 1})
+	is.Equal(s.running(4, r), map[fleet.UpstreamID]int{"b": 3})
+	is.Equal(len(s.running(5, r)), 0)
+	is.True(s.running(5, r) == nil)
+	is.True(s.running(4, &LoadReport{Number: 4, Places: []uint16{7}, Counts: []uint16{1}}) == nil)
+	is.True(s.running(4, &LoadReport{Number: 4, Places: []uint16{1}}) == nil)
+	var none *snapshot
+	is.True(none.running(4, r) == nil)
+}
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -97,7 +97,7 @@
 	})
 	r.lists = newLists(listsConfig{
 		log: r.log.Named("list"), clock: cfg.Clock, self: r.self.ID, lister: cfg.Lister, interval: cfg.ListInterval,
-		pool: pool, members: func() fleet.Membership { return r.keeper.Authority().Membership() }, take: r.takeList,
+		pool: pool, members: func() fleet.Membership { return r.keeper.Authority().Membership() }, loads: r.balancer, take: r.takeList,
 	})
 	server.HandleBackground(MethodList, r.lists.serve)
 	return r
