--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -49,6 +49,10 @@
 	// Source is the address of an upstream that probably keeps parts of the prompt
 	// which the chosen one lacks; empty for none.
 	Source string
+	// Load is what ran there before, and Mean the mean of those that could be chosen,
+	// as this router estimates them.
+	Load int
+	Mean float64
 
 	balancer *Balancer
 	state    *state
@@ -71,7 +75,9 @@
 		i := b.best(now, w, usable, source)
 		s := usable[i]
 		if !s.isCold(now) || s.cold.take(now, w.Pool.ColdRate, coldBurst) {
-			return b.pick(now, w, s, source)
+			p := b.pick(now, w, s, source)
+			p.Mean = meanLoad(now, usable)
+			return p
 		}
 		usable = slices.Delete(usable, i, i+1)
 	}
@@ -228,7 +234,7 @@
 		s.lastByte = now
 	}
 	s.running++
-	p := &Pick{Upstream: s.Upstream, balancer: b, state: s}
+	p := &Pick{Upstream: s.Upstream, Load: s.load(now) - 1, balancer: b, state: s}
 	if w.Pool.Engine != nil {
 		if source != nil && source != s && !b.memory.holds(now, w.key(), s.ID) {
 			p.Source = source.Addr
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -54,6 +54,7 @@
 		instanceCommand(stdout, stderr),
 		upstreamCommand(stdout, stderr),
 		orderCommand(stdout, stderr),
+		explainCommand(stdout, stderr),
 		standin.Commands(stdout, stderr),
 		load.Command(stdout, stderr),
 		versionCommand(stdout),
--- a/internal/gateway/course.go
+++ b/internal/gateway/course.go
@@ -55,6 +55,7 @@
 	tried []fleet.UpstreamID // not to be chosen again
 	last  error              // of the newest attempt
 	held  *answer            // an upstream's failure, in case no other one serves
+	pick  *balance.Pick      // the newest
 
 	stream *relay // set once the answer's header was written
 }
@@ -127,6 +128,7 @@
 	defer func() { pick.End(s.cfg.Clock(), outcome) }()
 
 	c.tried = append(c.tried, pick.Upstream.ID)
+	c.pick = pick
 	resp, err := s.cfg.Pool.Do(ctx, pick.Upstream.Addr, c.request(pick))
 	if err != nil {
 		outcome = c.failed(ctx, err)
--- a/internal/gateway/course_test.go
+++ b/internal/gateway/course_test.go
@@ -203,6 +203,7 @@
 	r.server = NewServer(ServerConfig{
 		Clock: clock, Dialect: plain{}, Table: func() *routes.Index { return index },
 		Standing: func() balance.Standing { return r.standing }, KeysUntil: func() time.Duration { return clock() + r.keys },
+		ListAge:  func() time.Duration { return 0 },
 		Stopping: func() bool { return false }, Balancer: r.balancer, Pool: pool,
 		Logger: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
 	})
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 )
 
@@ -26,8 +27,8 @@
 	}
 	c.server.count(kind, outcome, c.server.cfg.Clock()-c.start)
 	args := []any{"status", status, "kind", kind, "sends", c.sends, "runs", c.runs}
-	if len(c.tried) > 0 {
-		args = append(args, "upstream", string(c.tried[len(c.tried)-1]))
+	if c.pick != nil {
+		args = append(args, "upstream", string(c.pick.Upstream.ID), "load", c.pick.Load, "mean", math.Round(c.pick.Mean))
 	}
 	if c.route != nil {
 		args = append(args, "route", c.route.Name)
@@ -39,7 +40,9 @@
 		args = append(args, "table", c.table.Version())
 	}
 	if reason != "" {
-		args = append(args, "reason", reason)
+		now := c.server.cfg.Clock()
+		args = append(args, "keys_left", (c.server.cfg.KeysUntil() - now).Round(time.Millisecond).String(),
+			"list_age", c.server.cfg.ListAge().Round(time.Millisecond).String(), "reason", reason)
 	}
 	c.note(message, args...)
 }
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -92,7 +92,7 @@
 		OnConfig:   r.applyConfig,
 	})
 	r.server = NewServer(ServerConfig{
-		Clock: cfg.Clock, Dialect: cfg.Dialect, Table: r.table.Load, Standing: r.standing, KeysUntil: r.keysUntil,
+		Clock: cfg.Clock, Dialect: cfg.Dialect, Table: r.table.Load, Standing: r.standing, KeysUntil: r.keysUntil, ListAge: r.listAge,
 		Stopping: r.stopping.Load, Balancer: r.balancer, Pool: r.pool, Logger: cfg.Logger, Metrics: cfg.Metrics,
 	})
 	r.lists = newLists(listsConfig{
@@ -166,6 +166,16 @@
 	return r.keeper.Confirmed() + r.cfg.KeyLife - keysMargin
 }
 
+// listAge returns how old the platform's list is here.
+func (r *Router) listAge() time.Duration {
+	r.lists.mu.Lock()
+	defer r.lists.mu.Unlock()
+	if r.lists.current == nil {
+		return r.cfg.Clock()
+	}
+	return r.cfg.Clock() - r.lists.current.asOf
+}
+
 // Ready returns why the balancer should send nothing here, or nil.
 func (r *Router) Ready() error {
 	table := r.table.Load()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -31,6 +31,8 @@
 	Standing func() balance.Standing
 	// KeysUntil returns the end of the time for which keys are known to be valid.
 	KeysUntil func() time.Duration
+	// ListAge returns how old the list of upstreams is.
+	ListAge func() time.Duration
 	// Stopping tells whether callers should close their connections.
 	Stopping func() bool
 	Balancer *balance.Balancer
