balance: the parts of a prompt are looked up once for all upstreams

Cause: Choose took 2.7 us and 7 allocations with 20 upstreams, 15.2 us and 9 with 140; most of it map lookups for each part and upstream, and copies of a part's holders.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -54,6 +54,8 @@
 	pools   map[fleet.PoolID][]*state
 	budgets map[fleet.PoolID]*budget
 	memory  *memory
+	scratch []*state   // of usable, reused from choice to choice
+	uses    []*partUse // of the parts of the work at hand, set by recall
 }
 
 // New returns a Balancer without upstreams.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -70,13 +70,15 @@
 		// Rather an upstream that failed lately than none.
 		usable = b.usable(now, w, standing, true)
 	}
+	b.recall(w)
 	source := b.source(now, w)
 	for len(usable) > 0 {
-		i := b.best(now, w, usable, source)
+		mean := meanLoad(now, usable)
+		i := b.best(now, w, usable, source, mean)
 		s := usable[i]
 		if !s.isCold(now) || s.cold.take(now, w.Pool.ColdRate, coldBurst) {
 			p := b.pick(now, w, s, source)
-			p.Mean = meanLoad(now, usable)
+			p.Mean = mean
 			return p
 		}
 		usable = slices.Delete(usable, i, i+1)
@@ -86,7 +88,7 @@
 
 // usable returns the upstreams that may get the work.
 func (b *Balancer) usable(now time.Duration, w *Work, standing Standing, failed bool) []*state {
-	var out []*state
+	out := b.scratch[:0]
 	for _, s := range b.pools[w.Pool.Name] {
 		if s.Leaving || slices.Contains(w.Tried, s.ID) || standing.Out(s.Upstream) || s.silent(now) && !failed {
 			continue
@@ -102,9 +104,33 @@
 		}
 		out = append(out, s)
 	}
+	b.scratch = out
 	return out
 }
 
+// recall looks the work's parts up once for all upstreams.
+func (b *Balancer) recall(w *Work) {
+	b.uses = b.uses[:0]
+	if w.Pool.Engine == nil {
+		return
+	}
+	for _, p := range w.Parts {
+		b.uses = append(b.uses, b.memory.find(p.ID))
+	}
+}
+
+// keyUse returns what is remembered of the work's key part.
+func (b *Balancer) keyUse() *partUse {
+	switch n := len(b.uses); {
+	case n >= 2:
+		return b.uses[n-2]
+	case n == 1:
+		return b.uses[0]
+	default:
+		return nil
+	}
+}
+
 // connectionLimit is this router's share of an upstream's connections.
 func connectionLimit(all, routers int) int {
 	if all <= 0 || routers <= 0 {
@@ -114,8 +140,7 @@
 }
 
 // best returns the index of the cheapest upstream.
-func (b *Balancer) best(now time.Duration, w *Work, usable []*state, source *state) int {
-	mean := meanLoad(now, usable)
+func (b *Balancer) best(now time.Duration, w *Work, usable []*state, source *state, mean float64) int {
 	first, second := rank(w.key(), usable)
 	best, bestCost := 0, math.Inf(1)
 	for i, s := range usable {
@@ -200,7 +225,7 @@
 		}
 		score := mix(key, s.hash) >> 1
 		switch {
-		case b.memory.holds(now, key, s.ID):
+		case b.keyUse().at(now, s.ID):
 			score |= 1 << 63
 		case now-s.since < settledAge:
 			continue
@@ -217,7 +242,7 @@
 	left := float64(w.PromptTokens)
 	known := true
 	for i, p := range w.Parts {
-		switch known = known && b.memory.holds(now, p.ID, s.ID); {
+		switch known = known && b.uses[i].at(now, s.ID); {
 		case known:
 			left -= float64(p.Tokens)
 		case i < len(w.Parts)-1:
@@ -236,7 +261,7 @@
 	s.running++
 	p := &Pick{Upstream: s.Upstream, Load: s.load(now) - 1, balancer: b, state: s}
 	if w.Pool.Engine != nil {
-		if source != nil && source != s && !b.memory.holds(now, w.key(), s.ID) {
+		if source != nil && source != s && !b.keyUse().at(now, s.ID) {
 			p.Source = source.Addr
 		}
 		p.prefill = int(b.unread(now, w, s, 0))
--- a/internal/balance/memory.go
+++ b/internal/balance/memory.go
@@ -24,7 +24,8 @@
 
 type partUse struct {
 	part    uint64
-	holders []holder // most recently used first
+	holders [holdersPerPart]holder // most recently used first
+	count   int                    // of holders
 }
 
 type holder struct {
@@ -34,14 +35,22 @@
 
 func newMemory() *memory { return &memory{parts: make(map[uint64]*list.Element), order: list.New()} }
 
-// holds tells whether an upstream has read a part lately.
-func (m *memory) holds(now time.Duration, part uint64, id fleet.UpstreamID) bool {
+// find returns what is remembered of a part, or nil.
+func (m *memory) find(part uint64) *partUse {
 	e := m.parts[part]
 	if e == nil {
+		return nil
+	}
+	return e.Value.(*partUse)
+}
+
+// at tells whether an upstream has read the part lately.
+func (u *partUse) at(now time.Duration, id fleet.UpstreamID) bool {
+	if u == nil {
 		return false
 	}
-	for _, h := range e.Value.(*partUse).holders {
-		if h.upstream == id {
+	for i := range u.holders[:u.count] {
+		if h := &u.holders[i]; h.upstream == id {
 			return now-h.at < memoryAge
 		}
 	}
@@ -61,13 +70,22 @@
 		m.parts[part] = e
 	}
 	m.order.MoveToBack(e)
-	use := e.Value.(*partUse)
-	holders := make([]holder, 0, holdersPerPart)
-	holders = append(holders, holder{id, now})
-	for _, h := range use.holders {
-		if h.upstream != id && len(holders) < holdersPerPart {
-			holders = append(holders, h)
-		}
+	e.Value.(*partUse).put(now, id)
+}
+
+// put makes an upstream the most recent holder. The least recent one yields.
+func (u *partUse) put(now time.Duration, id fleet.UpstreamID) {
+	place := 0
+	for place < u.count && u.holders[place].upstream != id {
+		place++
+	}
+	switch {
+	case place < u.count:
+	case u.count < holdersPerPart:
+		u.count++
+	default:
+		place = holdersPerPart - 1
 	}
-	use.holders = holders
+	copy(u.holders[1:place+1], u.holders[:place])
+	u.holders[0] = holder{id, now}
 }
