One mixing function, one type of error and one notice time each; the drain notice is a setting

What the reading before the landing found: balance had a copy of placement's mixing step, an error type was made anew with each refused attempt, and the router had a constant beside the setting of the same meaning. Measured: package tests pass.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math/bits"
 	"sync"
 	"time"
 
@@ -154,12 +153,6 @@
 	}
 }
 
-// mix combines two hashes.
-func mix(a, b uint64) uint64 {
-	hi, lo := bits.Mul64(a^0xa0761d6478bd642f, b^0xe7037ed1a0b428db)
-	return hi ^ lo
-}
-
 // key returns what decides where a prompt's cache is looked for first: its last
 // part but one, since the last belongs to the request or its session alone.
 func (w *Work) key() uint64 {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/placement"
 )
 
 const (
@@ -171,7 +172,7 @@
 	first, second = -1, -1
 	var firstScore, secondScore uint64
 	for i, s := range usable {
-		switch score := mix(key, s.hash); {
+		switch score := placement.Mix(key, s.hash); {
 		case first < 0 || score > firstScore:
 			second, secondScore = first, firstScore
 			first, firstScore = i, score
@@ -195,7 +196,7 @@
 	}
 	if w.Pool.Engine == nil {
 		// Break ties differently for each request.
-		return cost + requestCost*float64(mix(w.Draw, s.hash)>>40)/float64(1<<24)
+		return cost + requestCost*float64(placement.Mix(w.Draw, s.hash)>>40)/float64(1<<24)
 	}
 	if slots := w.Pool.Engine.Slots; slots > 0 && load >= float64(slots) {
 		cost += fullCost
@@ -223,7 +224,7 @@
 		if s.silent(now) || now < s.health.until {
 			continue
 		}
-		score := mix(key, s.hash) >> 1
+		score := placement.Mix(key, s.hash) >> 1
 		switch {
 		case b.keyUse().at(now, s.ID):
 			score |= 1 << 63
--- a/internal/gateway/course.go
+++ b/internal/gateway/course.go
@@ -93,6 +93,9 @@
 	c.giveUp()
 }
 
+// errNotRun means that an upstream says that it hasn't run the request.
+var errNotRun = fleet.Errors.NewType("gateway_not_run")
+
 var errNoUpstream = fleet.Errors.NewType("gateway_no_upstream").New("no upstream may take the request now")
 
 // next tells whether the request may go to an upstream, the first or another.
@@ -139,7 +142,7 @@
 	c.sends++
 	if head.NotRun {
 		pick.Answered(s.cfg.Clock(), head.Load)
-		c.last = fleet.Errors.NewType("gateway_not_run").New("%s did not run the request: status %d", pick.Upstream.ID, resp.Status)
+		c.last = errNotRun.New("%s did not run the request: status %d", pick.Upstream.ID, resp.Status)
 		c.note("upstream did not run the request", "upstream", string(pick.Upstream.ID), "status", resp.Status)
 		return false
 	}
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -32,9 +32,6 @@
 	trimInterval = time.Second
 	// stopPoll spaces looks at what still runs while a router stops.
 	stopPoll = 25 * time.Millisecond
-	// drainNotice is how long a stopping router still takes new connections: the
-	// balancer asks for readiness every second and believes the second answer.
-	drainNotice = 2500 * time.Millisecond
 )
 
 // Config holds what a Router is set up with.
@@ -210,7 +207,7 @@
 	r.stopping.Store(true)
 	select {
 	case <-ctx.Done():
-	case <-time.After(drainNotice):
+	case <-time.After(r.cfg.Settings.DrainNotice):
 	}
 }
 
--- a/internal/placement/hash.go
+++ b/internal/placement/hash.go
@@ -28,9 +28,9 @@
 // cached under one adapter is of no use to another.
 func KeyOf(workspace fleet.WorkspaceID, chat fleet.ChatID, adapter string) ChatKey {
 	h := xxhash.Sum64String(string(workspace))
-	h = mix(h, xxhash.Sum64String(string(chat)))
+	h = Mix(h, xxhash.Sum64String(string(chat)))
 	if adapter != "" {
-		h = mix(h^saltAdapter, xxhash.Sum64String(adapter))
+		h = Mix(h^saltAdapter, xxhash.Sum64String(adapter))
 	}
 	return ChatKey(h) &^ requestBit
 }
@@ -38,16 +38,16 @@
 // RequestKey returns the key of a request that belongs to no chat, so that any
 // upstream of the pool serves it equally well.
 func RequestKey(id fleet.RequestID) ChatKey {
-	return ChatKey(mix(xxhash.Sum64String(string(id)), mixB)) | requestBit
+	return ChatKey(Mix(xxhash.Sum64String(string(id)), mixB)) | requestBit
 }
 
 // Chat tells whether the key belongs to a chat.
 func (k ChatKey) Chat() bool { return k&requestBit == 0 }
 
-// mix combines two hashes into one whose bits depend on all bits of both.
-func mix(a, b uint64) uint64 { return fold(a^mixA, b^mixB) }
+// Mix combines two hashes into one whose bits depend on all bits of both.
+func Mix(a, b uint64) uint64 { return fold(a^mixA, b^mixB) }
 
-// fold is the step of mix after its operands have been salted. Loops over many
+// fold is the step of Mix after its operands have been salted. Loops over many
 // members keep their hashes salted.
 func fold(a, b uint64) uint64 {
 	hi, lo := bits.Mul64(a, b)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -64,7 +64,7 @@
 	is := is.New(t)
 	ring := NewRing(members(50))
 	for i := range 5000 {
-		key := mix(uint64(i), saltOwner)
+		key := Mix(uint64(i), saltOwner)
 		is.Equal(ring.pickUniform(key), ring.pickWeighted(key))
 	}
 }
@@ -179,7 +179,7 @@
 	i := 0
 	is.Equal(testing.AllocsPerRun(1000, func() {
 		i++
-		table.Candidates(ChatKey(mix(uint64(i), mixA))&^requestBit, "llm", "z1", room[:0])
+		table.Candidates(ChatKey(Mix(uint64(i), mixA))&^requestBit, "llm", "z1", room[:0])
 		table.Owner("engine-001")
 		table.Home("w")
 	}), 0.0)
@@ -203,7 +203,7 @@
 			var room [4]Candidate
 			b.ReportAllocs()
 			for i := range b.N {
-				tc.table.Candidates(ChatKey(mix(uint64(i), mixA))&^requestBit, "llm", "z1", room[:0])
+				tc.table.Candidates(ChatKey(Mix(uint64(i), mixA))&^requestBit, "llm", "z1", room[:0])
 			}
 		})
 	}
--- a/internal/placement/resident.go
+++ b/internal/placement/resident.go
@@ -231,7 +231,7 @@
 }
 
 func (r *Resident) set(key uint64) []record {
-	at := (mix(key, saltHome) & r.mask) * recordWays
+	at := (Mix(key, saltHome) & r.mask) * recordWays
 	return r.records[at : at+recordWays]
 }
 
--- a/internal/placement/resident_test.go
+++ b/internal/placement/resident_test.go
@@ -168,7 +168,7 @@
 	r.Own("e1", true)
 	b.ReportAllocs()
 	for i := range b.N {
-		key := ChatKey(mix(uint64(i%chats), mixA)) &^ requestBit
+		key := ChatKey(Mix(uint64(i%chats), mixA)) &^ requestBit
 		r.Lookup(key, "e1")
 		r.Served(time.Duration(i), key, "e1", 2000)
 	}
--- a/internal/placement/ring.go
+++ b/internal/placement/ring.go
@@ -85,7 +85,7 @@
 func (r *Ring) pickUniform(key uint64) int {
 	best, bestScore := 0, uint64(0)
 	for i, h := range r.hashes {
-		if score := mix(key, h); score > bestScore {
+		if score := Mix(key, h); score > bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -96,7 +96,7 @@
 func (r *Ring) pickWeighted(key uint64) int {
 	best, bestScore := 0, math.Inf(-1)
 	for i, h := range r.hashes {
-		u := (float64(mix(key, h)>>11) + 0.5) / (1 << 53)
+		u := (float64(Mix(key, h)>>11) + 0.5) / (1 << 53)
 		if score := -r.weights[i] / math.Log(u); score > bestScore {
 			best, bestScore = i, score
 		}
