control: a member that does not answer is passed over, and fetches don't hold renewals up

Ruled out: the election (0.6 s) and the notices. Change: a member that failed to answer is not chosen for 3 s; fetches end after 1.3 s.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -22,7 +22,7 @@
 	callTimeout = 600 * time.Millisecond
 	// largeCallTimeout bounds a call whose reply may be large: its turn on the link,
 	// and some hundred kilobytes.
-	largeCallTimeout = time.Second
+	largeCallTimeout = 900 * time.Millisecond
 	// retryPause spaces calls while the group has no leader.
 	retryPause = 50 * time.Millisecond
 )
@@ -37,11 +37,12 @@
 	mu     sync.Mutex
 	leader string
 	next   int
+	mute   map[string]time.Time // when a member last failed to answer
 }
 
 // NewClient returns a client of the group whose members listen at addrs.
 func NewClient(pool *mesh.Pool, addrs []string) *Client {
-	return &Client{pool: pool, addrs: addrs}
+	return &Client{pool: pool, addrs: addrs, mute: make(map[string]time.Time)}
 }
 
 // Learn replaces the addresses of the group by those that it has now.
@@ -80,18 +81,50 @@
 // CallAny makes one call at some member of the group. Its reply may be large and
 // wait for its turn on the member's link.
 func (c *Client) CallAny(ctx context.Context, method string, request msgp.Marshaler, reply msgp.Unmarshaler) error {
-	c.mu.Lock()
-	addr := c.addrs[rand.IntN(len(c.addrs))]
-	c.mu.Unlock()
+	addr := c.any()
 	ctx, cancel := context.WithTimeout(ctx, largeCallTimeout)
 	defer cancel()
-	return c.pool.Call(ctx, addr, method, request, reply)
+	err := c.pool.Call(ctx, addr, method, request, reply)
+	c.noteMute(addr, err)
+	return err
+}
+
+// muteTime is how long a member that did not answer is passed over.
+const muteTime = 3 * time.Second
+
+// any returns some member, rather one that has not failed to answer lately: a member
+// that is frozen costs each call to it a time-out.
+func (c *Client) any() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	start := rand.IntN(len(c.addrs))
+	for i := range c.addrs {
+		addr := c.addrs[(start+i)%len(c.addrs)]
+		if at, mute := c.mute[addr]; !mute || time.Since(at) > muteTime {
+			return addr
+		}
+	}
+	return c.addrs[start]
+}
+
+// noteMute notes whether a member answers, with an error or without.
+func (c *Client) noteMute(addr string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var remote *mesh.RemoteError
+	if err == nil || errors.As(err, &remote) {
+		delete(c.mute, addr)
+	} else {
+		c.mute[addr] = time.Now()
+	}
 }
 
 func (c *Client) callOne(ctx context.Context, addr, method string, request msgp.Marshaler, reply msgp.Unmarshaler) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return c.pool.Call(ctx, addr, method, request, reply)
+	err := c.pool.Call(ctx, addr, method, request, reply)
+	c.noteMute(addr, err)
+	return err
 }
 
 // target returns the member to call: the leader as last heard of, else the
--- /dev/null
+++ b/internal/control/client_test.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
+)
+
+// A member that does not answer costs one time-out, not one for each call that
+// happens to choose it.
+func TestMuteMemberIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	listen := func(h mesh.Handler) string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		server := mesh.NewServer(mesh.Config{Instance: "member"})
+		server.HandleBackground(MethodOperators, h)
+		go func() { _ = server.Serve(l) }()
+		t.Cleanup(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			if err := server.Shutdown(ctx); err != nil {
+				t.Log("mesh not shut down:", err)
+			}
+		})
+		return l.Addr().String()
+	}
+	mute := listen(func(ctx context.Context, _ *mesh.Stream, _ []byte) error {
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	answers := listen(mesh.Unary(func(context.Context, string, *OperatorsRequest) (*OperatorsReply, error) {
+		return &OperatorsReply{Addr: "here"}, nil
+	}))
+	pool := mesh.NewPool(mesh.Config{Instance: "router"})
+	defer pool.Close()
+	c := NewClient(pool, []string{mute, answers})
+	failed := 0
+	for range 40 {
+		var reply OperatorsReply
+		if err := c.CallAny(context.Background(), MethodOperators, &OperatorsRequest{}, &reply); err != nil {
+			failed++
+		} else {
+			is.Equal(reply.Addr, "here")
+		}
+	}
+	is.True(failed <= 1)
+	// Where none has answered lately, one is tried all the same.
+	c.mute = map[string]time.Time{mute: time.Now(), answers: time.Now()}
+	is.True(c.any() != "")
+}
--- a/internal/member/relay.go
+++ b/internal/member/relay.go
@@ -37,7 +37,10 @@
 	firstFetchTimeout = 900 * time.Millisecond
 	// fetchTimeout bounds bringing the configuration up to date: what was read of a
 	// copy by then is kept for the next time.
-	fetchTimeout = 2500 * time.Millisecond
+	fetchTimeout = 2 * time.Second
+	// controlFetchTimeout bounds reading from the control group alone. No renewal goes
+	// out meanwhile, and it is a renewal that finds a new leader.
+	controlFetchTimeout = 1300 * time.Millisecond
 	// keptChanges and keptChangeBytes bound the changes that are kept for readers.
 	keptChanges     = 64
 	keptChangeBytes = 512 << 10
@@ -166,7 +169,7 @@
 			return
 		}
 	}
-	k.fetchControl(ctx, atLeast, fetchTimeout)
+	k.fetchControl(ctx, atLeast, controlFetchTimeout)
 }
 
 // fetchRelayed reads changes from another router and tells whether this one is up to
