--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -134,6 +134,27 @@
 	}
 }
 
+// Streams that are opened while a shutdown waits are waited for as well, and race
+// with nothing.
+func TestStreamsOpenedDuringAShutdown(t *testing.T) {
+	is := is.New(t)
+	server := NewServer(testConfig)
+	server.Handle("m", func(context.Context, *Stream, []byte) error { return nil })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	pool := NewPool(testConfig)
+	defer pool.Close()
+	for range 50 {
+		s, err := pool.Open(context.Background(), l.Addr().String(), "m", nil)
+		is.NoErr(err)
+		defer s.Close()
+	}
+	is.NoErr(server.Shutdown(context.Background()))
+	is.NoErr(<-served)
+}
+
 func TestCloseCancelsTheHandler(t *testing.T) {
 	is := is.New(t)
 	started, cancelled := make(chan struct{}), make(chan struct{})
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -29,16 +29,19 @@
 	conns    map[*connection]struct{}
 	listener net.Listener
 	closed   bool
-	streams  sync.WaitGroup
+	streams  int        // that a shutdown waits for
+	idle     *sync.Cond // of mu: streams has become 0
 }
 
 // NewServer returns a server without handlers.
 func NewServer(cfg Config) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Server{
+	s := &Server{
 		cfg: cfg.withDefaults(), handlers: make(map[string]Handler), background: make(map[string]bool),
 		conns: make(map[*connection]struct{}), ctx: ctx, cancel: cancel,
 	}
+	s.idle = sync.NewCond(&s.mu)
+	return s
 }
 
 // Handle registers the handler of a method. It must not be called after Serve.
@@ -130,7 +133,7 @@
 	if background {
 		parent = s.ctx
 	} else {
-		s.streams.Add(1)
+		s.count(1)
 	}
 	ctx, cancel := context.WithCancel(parent)
 	st.mu.Lock()
@@ -138,13 +141,32 @@
 	st.mu.Unlock()
 	go func() {
 		if !background {
-			defer s.streams.Done()
+			defer s.count(-1)
 		}
 		defer cancel()
 		st.end(endOf(h(ctx, st, body.Message)))
 	}()
 }
 
+// count changes the number of streams that a shutdown waits for. A wait group won't
+// do: streams may still be opened while the shutdown waits.
+func (s *Server) count(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.streams += n; s.streams == 0 {
+		s.idle.Broadcast()
+	}
+}
+
+// awaitStreams waits until no stream runs.
+func (s *Server) awaitStreams() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.streams > 0 {
+		s.idle.Wait()
+	}
+}
+
 func endOf(err error) endBody {
 	if err == nil {
 		return endBody{}
@@ -170,7 +192,7 @@
 	}
 	idle := make(chan struct{})
 	go func() {
-		s.streams.Wait()
+		s.awaitStreams()
 		close(idle)
 	}()
 	var err error
