--- /dev/null
+++ b/internal/gateway/rig_test.go
@@ -0,0 +1,258 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/wigeonflow/wigeonflow/internal/balance"
+	"github.com/wigeonflow/wigeonflow/internal/exchange"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
+	"github.com/wigeonflow/wigeonflow/internal/testnet"
+)
+
+// plain is a dialect with short names.
+type plain struct{}
+
+func (plain) Call(h http.Header) (Call, error) {
+	c := Call{ID: fleet.RequestID(h.Get("Id")), Key: h.Get("Key"), After: h.Get("After")}
+	if c.ID == "" {
+		return c, errors.New("no id")
+	}
+	if ms, err := strconv.Atoi(h.Get("Patience")); err == nil {
+		c.Patience = time.Duration(ms) * time.Millisecond
+	}
+	return c, nil
+}
+
+func (plain) Forward(caller http.Header, s Send) http.Header {
+	return http.Header{
+		"Id": caller["Id"], "Left": {strconv.Itoa(int(s.Left.Milliseconds()))}, "To": {string(s.Upstream.ID)},
+		"Workspace": {string(s.Workspace)}, "After": {s.After},
+	}
+}
+
+func (plain) Matches(id fleet.RequestID, h http.Header) bool { return h.Get("Id") == string(id) }
+
+func (plain) Head(status int, h http.Header) Head {
+	return Head{NotRun: h.Get("Not-Run") != "", Stream: status == http.StatusOK && h.Get("Content-Type") == "text/event-stream"}
+}
+
+func (plain) Return(h http.Header) http.Header { return h.Clone() }
+
+func (plain) RetryAfter(h http.Header, wait time.Duration) { h.Set("Retry-After", wait.String()) }
+
+// conn is one connection at a scripted upstream.
+type conn struct {
+	net.Conn
+	request *http.Request
+	id      string
+}
+
+func (c *conn) write(parts ...string) { _, _ = io.WriteString(c, strings.Join(parts, "")) }
+
+// answer writes a whole answer, the only one of its connection.
+func (c *conn) answer(status int, body string, fields ...string) {
+	c.write(fmt.Sprintf("HTTP/1.1 %d X\r\nId: %s\r\nConnection: close\r\nContent-Length: %d\r\n", status, c.id, len(body)))
+	for _, f := range fields {
+		c.write(f, "\r\n")
+	}
+	c.write("\r\n", body)
+}
+
+// stream begins a chunked stream.
+func (c *conn) stream() {
+	c.write("HTTP/1.1 200 OK\r\nId: ", c.id, "\r\nConnection: close\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+}
+
+func (c *conn) chunk(text string) {
+	c.write(strconv.FormatInt(int64(len(text)), 16), "\r\n", text, "\r\n")
+}
+
+func (c *conn) events(from, to int) {
+	for id := from; id <= to; id++ {
+		c.chunk(event(id))
+	}
+}
+
+func (c *conn) end() { c.write("0\r\n\r\n") }
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+
+func eventsOf(from, to int) string {
+	var b strings.Builder
+	for id := from; id <= to; id++ {
+		b.WriteString(event(id))
+	}
+	return b.String()
+}
+
+// rig is a server of callers in front of scripted upstreams.
+type rig struct {
+	t        *testing.T
+	balancer *balance.Balancer
+	server   *Server
+	url      string
+	standing balance.Standing
+	table    *routes.Table
+	keys     time.Duration // how long keys are good, from now
+
+	mu   sync.Mutex
+	runs []string // "upstream request-id" in order of arrival
+}
+
+const (
+	poolName  = fleet.PoolID("pool")
+	testHost  = "press.example"
+	inService = fleet.AvailabilityZone("here")
+)
+
+// newRig starts an upstream for each script. A nil script is an address at which
+// nobody listens. The first upstream is in the router's zone and so is chosen first.
+func newRig(t *testing.T, route routes.Route, scripts ...func(*conn)) *rig {
+	t.Helper()
+	r := &rig{t: t, keys: time.Hour}
+	route.Name, route.Host, route.Prefix = "route", testHost, "/"
+	route.Split = []routes.Share{{Pool: poolName, Weight: 1}}
+	if route.Timeout == 0 {
+		route.Timeout = 5 * time.Second
+	}
+	r.table = &routes.Table{Version: 1, Routes: []routes.Route{route}, Pools: []routes.Pool{{Name: poolName}}}
+	r.standing = balance.Standing{
+		Owns: func(fleet.UpstreamID) bool { return true }, Routers: 1, Out: func(fleet.Upstream) bool { return false },
+	}
+	r.balancer = balance.New(balance.Config{
+		Zone: inService, Retries: balance.RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
+	})
+	var list []balance.Listed
+	for i, script := range scripts {
+		u := fleet.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("u%d", i)), Pool: poolName, Zone: "elsewhere"}
+		if i == 0 {
+			u.Zone = inService
+		}
+		u.Addr = r.listen(string(u.ID), script)
+		list = append(list, balance.Listed{Upstream: u})
+	}
+	r.balancer.SetUpstreams(0, list)
+	r.serve()
+	return r
+}
+
+func (r *rig) listen(name string, script func(*conn)) string {
+	if script == nil {
+		return testnet.RefusingAddr(r.t)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			raw, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { r.play(name, raw, script) })
+		}
+	})
+	r.t.Cleanup(func() {
+		_ = l.Close()
+		wg.Wait()
+	})
+	return l.Addr().String()
+}
+
+// play serves one request of a connection and closes it.
+func (r *rig) play(name string, raw net.Conn, script func(*conn)) {
+	defer raw.Close()
+	request, err := http.ReadRequest(bufio.NewReader(raw))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	c := &conn{Conn: raw, request: request, id: request.Header.Get("Id")}
+	r.mu.Lock()
+	r.runs = append(r.runs, name+" "+c.id)
+	r.mu.Unlock()
+	script(c)
+}
+
+func (r *rig) serve() {
+	clock := fleet.MonotonicClock()
+	index := routes.NewIndex(r.table)
+	pool := exchange.NewPool()
+	r.server = NewServer(ServerConfig{
+		Clock: clock, Dialect: plain{}, Table: func() *routes.Index { return index },
+		Standing: func() balance.Standing { return r.standing }, KeysUntil: func() time.Duration { return clock() + r.keys },
+		ListAge:  func() time.Duration { return 0 },
+		Stopping: func() bool { return false }, Balancer: r.balancer, Pool: pool,
+		Logger: hclog.NewNullLogger(), Metrics: metrics.NewRegistry(),
+	})
+	front := httptest.NewServer(r.server)
+	front.Config.ErrorLog = nil
+	r.url = front.URL
+	r.t.Cleanup(func() {
+		front.Close()
+		pool.Close()
+	})
+}
+
+// ask sends one request and returns the answer with its body. err is that of the
+// body where the answer's header came.
+func (r *rig) ask(fields ...string) (*http.Response, string, error) {
+	return r.askWith(context.Background(), "POST", "/x", "order", fields...)
+}
+
+func (r *rig) askWith(ctx context.Context, method, path, body string, fields ...string) (*http.Response, string, error) {
+	r.t.Helper()
+	req, err := http.NewRequestWithContext(ctx, method, r.url+path, strings.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Host = testHost
+	req.Header.Set("Id", "a")
+	for i := 0; i+1 < len(fields); i += 2 {
+		req.Header.Set(fields[i], fields[i+1])
+	}
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp, string(text), err
+}
+
+func (r *rig) arrivals() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.runs)
+}
+
+// Scripts of upstreams.
+func serveWell(c *conn) { c.answer(http.StatusOK, "done", "Signature: s") }
+func breakOff(c *conn)  {}
+func cutAnswer(c *conn) {
+	c.write("HTTP/1.1 200 OK\r\nId: ", c.id, "\r\nContent-Length: 9\r\n\r\nhalf")
+}
+func fail(c *conn)        { c.answer(http.StatusInternalServerError, "failed", "Signature: s") }
+func declineWork(c *conn) { c.answer(http.StatusServiceUnavailable, "full", "Not-Run: 1") }
+func otherAnswer(c *conn) { c.id = "z"; serveWell(c) }
