--- a/internal/gateway/list_source.go
+++ b/internal/gateway/list_source.go
@@ -1,20 +1,18 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/placement"
 )
 
 // MethodList opens a stream on which a router sends the platform's list and its
@@ -75,7 +73,7 @@
 		source, ok := l.source()
 		if !ok {
 			l.read(ctx)
-			pause(ctx, l.interval)
+			fleet.Pause(ctx, l.interval)
 			continue
 		}
 		err := l.follow(ctx, source.Addr)
@@ -93,13 +91,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // source returns the router to follow; ok is false where this one reads itself.
 func (l *lists) source() (source fleet.Member, ok bool) {
 	ranking := rankSources(l.members())
@@ -131,9 +122,7 @@
 			out = append(out, member)
 		}
 	}
-	slices.SortFunc(out, func(a, b fleet.Member) int {
-		return cmp.Compare(xxhash.Sum64String(sourceSalt+string(a.ID)), xxhash.Sum64String(sourceSalt+string(b.ID)))
-	})
+	placement.Order(out, sourceSalt)
 	return out
 }
 
@@ -259,7 +248,7 @@
 		l.mu.Unlock()
 		if current != nil && l.clock()-current.asOf <= 2*l.interval {
 			u := current.update(sent, l.clock())
-			u.Totals = *current.report(current.number, l.book.sum(l.clock(), l.loads.Running))
+			u.Totals = *current.report(current.number, l.book.all(l.clock(), l.loads.Running))
 			message, err := u.MarshalMsg(nil)
 			if err != nil {
 				return err
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -10,7 +11,7 @@
 )
 
 //go:generate go tool msgp -tests=false -io=false -file loads.go
-//msgp:ignore loadBook loadVector
+//msgp:ignore loadBook
 
 // LoadReport tells how many requests one router has in flight, by the place of an
 // upstream in the ordered list of the given number. Upstreams without any are left
@@ -63,62 +64,66 @@
 	return out
 }
 
-// loadBook sums the followers' reports at a source. It is safe for concurrent use.
+// loadBook sums the followers' reports at a source. The sum is kept up to date with
+// each report: reports of all followers come several times a second. It is safe for
+// concurrent use.
 type loadBook struct {
 	mu      sync.Mutex
 	reports map[*mesh.Stream]map[fleet.UpstreamID]int
-	totals  map[fleet.UpstreamID]int
+	sum     map[fleet.UpstreamID]int // of reports
+	totals  map[fleet.UpstreamID]int // sum and this router's own, as of at
 	at      time.Duration
 }
 
 func newLoadBook() *loadBook {
-	return &loadBook{reports: make(map[*mesh.Stream]map[fleet.UpstreamID]int)}
+	return &loadBook{
+		reports: make(map[*mesh.Stream]map[fleet.UpstreamID]int), sum: make(map[fleet.UpstreamID]int),
+	}
 }
 
-func (b *loadBook) set(from *mesh.Stream, running map[fleet.UpstreamID]int) {
+// set replaces a follower's report and returns the sum of all.
+func (b *loadBook) set(from *mesh.Stream, running map[fleet.UpstreamID]int) map[fleet.UpstreamID]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.replace(from, running)
 	b.reports[from] = running
+	return maps.Clone(b.sum)
 }
 
 func (b *loadBook) forget(from *mesh.Stream) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.replace(from, nil)
 	delete(b.reports, from)
 }
 
-// sum returns what runs for all routers, this one included, and what of it runs for
-// the others. The maps must not be changed.
-func (b *loadBook) sum(now time.Duration, own func() map[fleet.UpstreamID]int) (totals map[fleet.UpstreamID]int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.totals != nil && now-b.at < totalsAge {
-		return b.totals
+// replace brings the sum up to date with a follower's next report. The caller holds
+// mu.
+func (b *loadBook) replace(from *mesh.Stream, running map[fleet.UpstreamID]int) {
+	for id, n := range b.reports[from] {
+		if b.sum[id] -= n; b.sum[id] == 0 {
+			delete(b.sum, id)
+		}
 	}
-	totals = make(map[fleet.UpstreamID]int)
-	add(totals, own())
-	for _, running := range b.reports {
-		add(totals, running)
+	for id, n := range running {
+		b.sum[id] += n
 	}
-	b.totals, b.at = totals, now
-	return totals
 }
 
-// others returns the sum of the followers' reports.
-func (b *loadBook) others() map[fleet.UpstreamID]int {
+// all returns what runs for all routers, this one included, as of a moment ago. The
+// map must not be changed.
+func (b *loadBook) all(now time.Duration, own func() map[fleet.UpstreamID]int) map[fleet.UpstreamID]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	sum := make(map[fleet.UpstreamID]int)
-	for _, running := range b.reports {
-		add(sum, running)
+	if b.totals != nil && now-b.at < totalsAge {
+		return b.totals
 	}
-	return sum
-}
-
-func add(sum, running map[fleet.UpstreamID]int) {
-	for id, n := range running {
-		sum[id] += n
+	totals := maps.Clone(b.sum)
+	for id, n := range own() {
+		totals[id] += n
 	}
+	b.totals, b.at = totals, now
+	return totals
 }
 
 // without returns totals less what a router had reported itself.
@@ -147,8 +152,7 @@
 		}
 		list, number := known()
 		if running := list.running(number, &r); running != nil {
-			l.book.set(stream, running)
-			l.loads.SetOthers(l.clock(), l.book.others())
+			l.loads.SetOthers(l.clock(), l.book.set(stream, running))
 		}
 	}
 }
