What stood twice is one: rings, order of members, pauses, hop-by-hop fields, proposals

What the last reading found in the change, behaviour unchanged unless said: - the gateway built a ring of all routers at each look at a cold upstream, beside router's cache of rings: the cache is placement.Rings now and serves both; - the list's sources and the relays sorted members by hash in two copies: placement.Order; - five copies of waiting for a time or the end of a context, two of waiting for a condition: fleet.Pause and fleet.Await; - platform listed hop-by-hop fields twice beside upstream's list: upstream.HopByHop.

--- a/internal/agent/storage.go
+++ b/internal/agent/storage.go
@@ -30,17 +30,13 @@
 		return false
 	}
 	log.Warn("data folder fails; waiting until it takes writes again", "folder", dir, "error", cause)
-	for {
-		select {
-		case <-ctx.Done():
-			return true
-		case <-time.After(storagePoll):
-		}
+	for fleet.Pause(ctx, storagePoll) {
 		if err := tryWrite(dir); err == nil {
 			log.Info("data folder takes writes again", "folder", dir)
-			return true
+			break
 		}
 	}
+	return true
 }
 
 func isStorage(err error) bool {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -66,8 +66,8 @@
 }
 
 // SetUpstreams replaces the list; asOf is when it was asked for. An upstream that
-// is no longer listed gets no new work. It returns the addresses that another
-// upstream has taken over.
+// is no longer listed gets no new work. It returns the addresses at which a
+// former upstream no longer is.
 func (b *Balancer) SetUpstreams(asOf time.Duration, list []Listed) (moved []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/control/fetcher.go
+++ b/internal/control/fetcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/tinylib/msgp/msgp"
 
@@ -60,10 +59,8 @@
 		if f.client.CallAny(ctx, MethodFetch, request, reply) == nil {
 			return reply, nil
 		}
-		select {
-		case <-ctx.Done():
+		if !fleet.Pause(ctx, retryPause) {
 			return nil, ctx.Err()
-		case <-time.After(retryPause):
 		}
 	}
 	// Those members are busy, behind or not reached: the leader is never behind.
--- a/internal/control/pacer.go
+++ b/internal/control/pacer.go
@@ -48,10 +48,8 @@
 	if err != nil || wait == 0 {
 		return err
 	}
-	select {
-	case <-ctx.Done():
+	if !fleet.Pause(ctx, wait) {
 		return ctx.Err()
-	case <-time.After(wait):
-		return nil
 	}
+	return nil
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// DefaultDialTimeout bounds connecting: an upstream is a few milliseconds away,
+	// dialTimeout bounds connecting: an upstream is a few milliseconds away,
 	// and a dropped opening packet is sent again only after a second.
-	DefaultDialTimeout = 400 * time.Millisecond
+	dialTimeout = 400 * time.Millisecond
 	// defaultIdle is how long a connection is kept whose peer names no timeout.
 	defaultIdle = 4 * time.Second
 	// idleMargin is how much sooner than the peer's idle timeout a connection is
@@ -24,7 +24,7 @@
 // that owes an answer is found by probes, one that takes no bytes by their
 // acknowledgement.
 var limits = socket.Limits{
-	Dial: DefaultDialTimeout, Unacked: 2 * time.Second,
+	Dial: dialTimeout, Unacked: 2 * time.Second,
 	Idle: 2 * time.Second, Interval: time.Second, Probes: 2,
 }
 
--- a/internal/gateway/course.go
+++ b/internal/gateway/course.go
@@ -76,12 +76,13 @@
 	s := c.server
 	s.cfg.Balancer.Request(s.cfg.Clock(), c.pool.Name)
 	for c.next() {
-		pick := s.cfg.Balancer.Choose(s.cfg.Clock(), c.work(), s.cfg.Standing())
+		standing := s.cfg.Standing()
+		pick := s.cfg.Balancer.Choose(s.cfg.Clock(), c.work(), standing)
 		if pick == nil {
 			c.last = errNoUpstream
 			break
 		}
-		if c.sends > 0 && !s.cfg.Balancer.Retry(s.cfg.Clock(), c.pool.Name, s.cfg.Standing().Routers) {
+		if c.sends > 0 && !s.cfg.Balancer.Retry(s.cfg.Clock(), c.pool.Name, standing.Routers) {
 			pick.End(s.cfg.Clock(), balance.OutcomeUnknown)
 			c.note("no second try: the retry budget is spent")
 			break
@@ -100,10 +101,7 @@
 
 // next tells whether the request may go to an upstream, the first or another.
 func (c *course) next() bool {
-	if c.server.cfg.Clock() >= c.deadline || c.r.Context().Err() != nil {
-		return false
-	}
-	if c.sends >= maxSends {
+	if c.server.cfg.Clock() >= c.deadline || c.r.Context().Err() != nil || c.sends >= maxSends {
 		return false
 	}
 	if c.runs == 0 {
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -83,10 +83,9 @@
 	r.keeper = member.NewKeeper(member.Config{
 		Self:    r.self,
 		Session: session.Settings{Lease: s.Session.Lease, RenewInterval: s.Session.RenewInterval},
-		Clock:   cfg.Clock, Control: r.control, Server: server, Pool: pool, Logger: r.log, Owner: owner,
-		InForce:    func() fleet.ConfigVersion { return fleet.ConfigVersion(r.inForce.Load()) },
-		OnStanding: func() {},
-		OnConfig:   r.applyConfig,
+		Clock:   cfg.Clock, Control: r.control, Server: server, Pool: pool, Logger: r.log, Owner: placement.NewRings().Owner,
+		InForce:  func() fleet.ConfigVersion { return fleet.ConfigVersion(r.inForce.Load()) },
+		OnConfig: r.applyConfig,
 	})
 	r.server = NewServer(ServerConfig{
 		Clock: cfg.Clock, Dialect: cfg.Dialect, Table: r.table.Load, Standing: r.standing, KeysUntil: r.keysUntil, ListAge: r.listAge,
@@ -100,10 +99,6 @@
 	return r
 }
 
-func owner(m fleet.Membership, key string) fleet.InstanceID {
-	return placement.Owner(m, fleet.UpstreamID(key))
-}
-
 // Handler returns the callers' HTTP handler.
 func (r *Router) Handler() http.Handler { return r.server }
 
@@ -205,10 +200,7 @@
 func (r *Router) Drain(ctx context.Context) {
 	r.log.Info("draining", "running", r.server.Running())
 	r.stopping.Store(true)
-	select {
-	case <-ctx.Done():
-	case <-time.After(r.cfg.Settings.DrainNotice):
-	}
+	fleet.Pause(ctx, r.cfg.Settings.DrainNotice)
 }
 
 // Stop ends the router once callers' requests have ended, or when ctx does.
@@ -229,12 +221,8 @@
 var errGracePeriod = fleet.Errors.NewType("gateway_grace_period")
 
 func (r *Router) await(ctx context.Context, done func() bool) error {
-	for !done() {
-		select {
-		case <-ctx.Done():
-			return errGracePeriod.New("%d requests still run", r.server.Running())
-		case <-time.After(stopPoll):
-		}
+	if !fleet.Await(ctx, stopPoll, done) {
+		return errGracePeriod.New("%d requests still run", r.server.Running())
 	}
 	return nil
 }
--- a/internal/member/keeper.go
+++ b/internal/member/keeper.go
@@ -45,7 +45,7 @@
 	// Pressed tells whether work waits for newer means; nil means never.
 	Pressed func() bool
 	// OnStanding is called after a reply changed membership, settled epoch or the
-	// lease's validity.
+	// lease's validity; nil means that nobody asks.
 	OnStanding func()
 	// OnMeans receives the fleet's sums with each reply, and what this router had
 	// reported itself; nil means that nobody asks.
@@ -257,8 +257,7 @@
 	if !taken {
 		return
 	}
-	now := k.cfg.Clock()
-	if before.Membership().Epoch != after.Membership().Epoch || before.Settled() != after.Settled() || before.Valid(now) != after.Valid(now) {
+	if k.cfg.OnStanding != nil && k.changed(before, after) {
 		k.cfg.OnStanding()
 	}
 	if k.cfg.OnMeans != nil {
@@ -266,6 +265,12 @@
 	}
 }
 
+// changed tells whether the router may do something else than before.
+func (k *Keeper) changed(before, after session.Authority) bool {
+	now := k.cfg.Clock()
+	return before.Membership().Epoch != after.Membership().Epoch || before.Settled() != after.Settled() || before.Valid(now) != after.Valid(now)
+}
+
 // fetchControl brings the view up to date from the control group and tells whether
 // it is then.
 func (k *Keeper) fetchControl(ctx context.Context, atLeast fleet.ConfigVersion, timeout time.Duration) bool {
--- a/internal/member/relay.go
+++ b/internal/member/relay.go
@@ -1,18 +1,16 @@
 package member
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wigeonflow/wigeonflow/internal/control"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
+	"github.com/wigeonflow/wigeonflow/internal/placement"
 )
 
 // MethodRelay asks a router for the changes of the configuration that it has
@@ -119,9 +117,7 @@
 // group come first.
 func relayOrder(m fleet.Membership) []fleet.Member {
 	order := slices.Clone(m.Members)
-	slices.SortFunc(order, func(a, b fleet.Member) int {
-		return cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID)))
-	})
+	placement.Order(order, "")
 	return order
 }
 
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -187,17 +187,7 @@
 
 // propose commits an operator's command and writes the answer.
 func (h *handler) propose(w http.ResponseWriter, r *http.Request, cmd Command) {
-	encoded, err := cmd.Encode()
-	if err != nil {
-		refuse(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	b, err := h.Backend.Propose(r.Context(), encoded)
-	if err != nil {
-		h.fail(w, r, err)
-		return
-	}
-	a, err := DecodeAnswer(b)
+	a, err := Propose(r.Context(), h.Backend, cmd)
 	if err != nil {
 		h.fail(w, r, err)
 		return
--- a/internal/operator/propose.go
+++ b/internal/operator/propose.go
@@ -14,7 +14,7 @@
 func Propose(ctx context.Context, backend Backend, cmd Command) (Answer, error) {
 	encoded, err := cmd.Encode()
 	if err != nil {
-		return Answer{}, err
+		return Answer{}, ErrUnavailable.Wrap(err, "encode") // nothing was proposed
 	}
 	result, err := backend.Propose(ctx, encoded)
 	if err != nil {
--- a/internal/router/reconcile.go
+++ b/internal/router/reconcile.go
@@ -95,7 +95,7 @@
 		}
 	}
 	r.drain(r.stopping.Load() && r.entry.Running() == 0 || index.ZoneOut(r.self.Zone) || index.InstanceOut(r.self.ID))
-	ring := r.rings.ring(membership)
+	ring := r.rings.Ring(membership)
 	r.owner.Reconcile(ctx, owner.View{
 		Upstreams: upstreams, Out: out, Pools: poolSettings(index, upstreams),
 		Membership: membership, Owner: ring.Owner,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -42,7 +42,7 @@
 	platform upstream.Platform
 	view     *operator.View
 	keeper   *member.Keeper
-	rings    *rings
+	rings    *placement.Rings
 	entry    *entry.Server
 	owner    *owner.Server
 	plans    *plans
@@ -70,7 +70,7 @@
 		self:     fleet.Member{ID: s.Instance, Boot: fleet.BootID(uuid.NewString()), Addr: s.Listen.Mesh, Zone: s.Zone},
 		control:  control.NewClient(pool, s.Control.Members),
 		platform: upstream.NewPlatform(hostOf(s.Platform.URL), upstream.NewHTTPClient()),
-		rings:    newRings(),
+		rings:    placement.NewRings(),
 		changed:  make(chan struct{}, 1),
 	}
 	r.keeper = r.newKeeper()
--- a/internal/router/session_loop.go
+++ b/internal/router/session_loop.go
@@ -31,7 +31,7 @@
 func (r *Router) newKeeper() *member.Keeper {
 	return member.NewKeeper(member.Config{
 		Self: r.self, Session: sessionSettings(r.cfg.Settings), Clock: r.cfg.Clock, Control: r.control, Logger: r.log,
-		Owner:      r.rings.owner,
+		Owner:      r.ownerOf,
 		InForce:    func() fleet.ConfigVersion { return fleet.ConfigVersion(r.inForce.Load()) },
 		Loads:      func() []session.PoolLoad { return poolLoads(r.owner.Loads()) },
 		Pressed:    func() bool { return r.owner.Pressed() },
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -18,7 +18,7 @@
 func (r *Router) Drain(ctx context.Context) {
 	r.log.Info("draining", "running", r.entry.Running())
 	r.stopping.Store(true)
-	r.pause(ctx, r.cfg.Settings.DrainNotice)
+	fleet.Pause(ctx, r.cfg.Settings.DrainNotice)
 }
 
 // Stop ends the router once callers' requests have ended: it has the other
@@ -47,19 +47,8 @@
 func (r *Router) left() bool { return r.keeper.Left() && r.owner.Running() == 0 }
 
 func (r *Router) await(ctx context.Context, done func() bool) error {
-	for !done() {
-		if !r.pause(ctx, stopPoll) {
-			return errGracePeriod.New("%d callers' requests and %d at upstreams still run", r.entry.Running(), r.owner.Running())
-		}
+	if !fleet.Await(ctx, stopPoll, done) {
+		return errGracePeriod.New("%d callers' requests and %d at upstreams still run", r.entry.Running(), r.owner.Running())
 	}
 	return nil
 }
-
-func (r *Router) pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/upstream/service_http.go
+++ b/internal/upstream/service_http.go
@@ -200,12 +200,15 @@
 	return false
 }
 
-// hopByHop lists the headers that concern one connection.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+// hopByHop holds the headers that concern one connection.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 }
 
+// HopByHop tells whether a header, by its canonical name, concerns one connection.
+func HopByHop(name string) bool { return hopByHop[name] }
+
 // endToEnd returns a copy of h without the hop-by-hop headers, those that
 // Connection names included.
 func endToEnd(h http.Header) http.Header {
@@ -218,7 +221,7 @@
 			out.Del(textproto.TrimString(name))
 		}
 	}
-	for _, name := range hopByHop {
+	for name := range hopByHop {
 		out.Del(name)
 	}
 	return out
