--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -129,15 +129,6 @@
 	return found
 }
 
-// Cold notes that an upstream said how long it will be cold.
-func (b *Balancer) Cold(now time.Duration, id fleet.UpstreamID, left time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if s := b.states[id]; s != nil {
-		s.coldUntil = max(s.coldUntil, now+left)
-	}
-}
-
 // Running returns this router's requests in flight by upstream.
 func (b *Balancer) Running() map[fleet.UpstreamID]int {
 	b.mu.Lock()
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -46,8 +46,6 @@
 // Pick is a chosen upstream with one place taken at it. End it exactly once.
 type Pick struct {
 	Upstream fleet.Upstream
-	// Trial is set where the pick tries an upstream that failed.
-	Trial bool
 	// Source is the address of an upstream that probably keeps parts of the prompt
 	// which the chosen one lacks; empty for none.
 	Source string
@@ -230,7 +228,7 @@
 		s.lastByte = now
 	}
 	s.running++
-	p := &Pick{Upstream: s.Upstream, Trial: trial, balancer: b, state: s}
+	p := &Pick{Upstream: s.Upstream, balancer: b, state: s}
 	if w.Pool.Engine != nil {
 		if source != nil && source != s && !b.memory.holds(now, w.key(), s.ID) {
 			p.Source = source.Addr
@@ -262,7 +260,6 @@
 	if load != nil {
 		s.reported, s.reportedAt = true, now
 		s.others = max(load.Running+load.Waiting-s.running, 0)
-		s.waiting, s.slots = load.Waiting, load.Slots
 	}
 }
 
--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -42,8 +42,6 @@
 	prefill int // prompt tokens sent and not yet answered by a first event
 	// others is what runs there for other routers, as of reportedAt.
 	others     int
-	waiting    int
-	slots      int
 	reported   bool
 	reportedAt time.Duration
 
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -50,13 +50,6 @@
 	Load *balance.Load
 }
 
-// Health is an upstream's answer to a health check.
-type Health struct {
-	Upstream fleet.UpstreamID
-	// ColdFor is how much longer the upstream is cold.
-	ColdFor time.Duration
-}
-
 // Dialect translates the header fields of callers and upstreams.
 type Dialect interface {
 	// Call reads a caller's header. The error says what is wrong with it.
@@ -71,8 +64,6 @@
 	Return(h http.Header) http.Header
 	// RetryAfter writes how long a caller should wait.
 	RetryAfter(h http.Header, wait time.Duration)
-	// Health reads the header of an answer to a health check.
-	Health(h http.Header) Health
 }
 
 // Lister reads the platform's list of upstreams.
