gateway: log the age of the configuration behind a failed request

A refusal by an old table could be told from one by a confirmed table only through keys_left, which counts from another bound and is missing where keys don't expire. request failed now has config_age, the time since the control leader last confirmed the table by which the request was admitted, and the gauge gateway_config_age_ms has it for the router.

The age is read before the table, so that it is never too small for it.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -114,7 +114,9 @@
 	session  balance.SessionState
 	table    *routes.Table
 	keys     time.Duration // time from now for which keys are accepted
-	tracer   *telemetry.Tracer
+	// configAge is the age of the newest confirmation of the configuration.
+	configAge time.Duration
+	tracer    *telemetry.Tracer
 
 	mu   sync.Mutex
 	runs []string // "UPSTREAM REQUEST-ID" of each request, in order of arrival
@@ -207,8 +209,9 @@
 	r.server = NewServer(ServerConfig{
 		Clock: clock, Protocol: testProtocol{}, Table: func() *routes.Index { return index },
 		SessionState: func() balance.SessionState { return r.session }, KeysUntil: func() time.Duration { return clock() + r.keys },
-		ListAge:  func() time.Duration { return 0 },
-		Stopping: func() bool { return false }, Balancer: r.balancer, Pool: pool,
+		ConfirmedAt: func() time.Duration { return clock() - r.configAge },
+		ListAge:     func() time.Duration { return 0 },
+		Stopping:    func() bool { return false }, Balancer: r.balancer, Pool: pool,
 		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(), Tracer: r.tracer,
 	})
 	front := httptest.NewServer(r.server)
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -45,15 +45,16 @@
 	r      *http.Request
 	start  time.Duration
 
-	call      Call
-	table     *routes.Index
-	route     *routes.Route
-	pool      *routes.Pool
-	workspace *routes.Workspace
-	priority  int
-	body      []byte
-	draw      uint64 // the random number that newDraw has set
-	deadline  time.Duration
+	call        Call
+	table       *routes.Index
+	confirmedAt time.Duration // see ServerConfig.ConfirmedAt
+	route       *routes.Route
+	pool        *routes.Pool
+	workspace   *routes.Workspace
+	priority    int
+	body        []byte
+	draw        uint64 // the random number that newDraw has set
+	deadline    time.Duration
 
 	sends        int                // upstreams that the request, or a part of it, may have been sent to
 	runs         int                // of these, upstreams that may have run the request
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -43,6 +43,9 @@
 	}
 	if f.table != nil {
 		args = append(args, "table", f.table.Version())
+		if reason != "" {
+			args = append(args, "config_age", f.configAge().Round(time.Millisecond).String())
+		}
 	}
 	if reason != "" {
 		now := f.server.cfg.Clock()
--- a/internal/gateway/log_bench_test.go
+++ b/internal/gateway/log_bench_test.go
@@ -25,7 +25,7 @@
 			defer out.Close()
 			server := NewServer(ServerConfig{
 				Clock: fleet.MonotonicClock(), Log: telemetry.NewRequestLogger(s, "gateway", out), Metrics: metrics.NewRegistry(),
-				KeysUntil: func() time.Duration { return 0 }, ListAge: func() time.Duration { return 0 },
+				KeysUntil: func() time.Duration { return 0 }, ConfirmedAt: func() time.Duration { return 0 }, ListAge: func() time.Duration { return 0 },
 			})
 			f := &forwarder{
 				server: server, w: httptest.NewRecorder(), r: httptest.NewRequest("GET", "/", nil), route: &routes.Route{Name: "r-vz3pfi6"}, workspace: &routes.Workspace{ID: "hule930"},
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -93,7 +93,7 @@
 		OnConfig: r.applyConfig,
 	})
 	r.server = NewServer(ServerConfig{
-		Clock: cfg.Clock, Protocol: cfg.Protocol, Table: r.table.Load, SessionState: r.sessionState, KeysUntil: r.keysUntil, ListAge: r.listAge,
+		Clock: cfg.Clock, Protocol: cfg.Protocol, Table: r.table.Load, SessionState: r.sessionState, KeysUntil: r.keysUntil, ConfirmedAt: r.keeper.ConfirmedAt, ListAge: r.listAge,
 		Stopping: r.stopping.Load, Balancer: r.balancer, Pool: r.pool, Log: cfg.Requests, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	})
 	r.list = newUpstreamList(upstreamListConfig{
@@ -101,6 +101,9 @@
 		pool: pool, relays: r.keeper.Relays, needed: func() bool { return r.table.Load() != nil }, loads: r.balancer, onChange: r.applyList,
 	})
 	server.HandleBackground(MethodList, r.list.serve)
+	metrics.NewRegisteredFunctionalGauge(telemetry.MetricName("gateway_config_age_ms"), cfg.Metrics, func() int64 {
+		return (cfg.Clock() - r.keeper.ConfirmedAt()).Milliseconds()
+	})
 	return r
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -32,6 +32,9 @@
 	SessionState func() balance.SessionState
 	// KeysUntil returns the time until which keys may be accepted.
 	KeysUntil func() time.Duration
+	// ConfirmedAt returns the time up to which Table holds every acknowledged change, as
+	// far as this router knows.
+	ConfirmedAt func() time.Duration
 	// ListAge returns the age of the upstream list.
 	ListAge func() time.Duration
 	// Stopping reports whether callers should close their connections.
@@ -95,6 +98,7 @@
 	if f.call, err = s.cfg.Protocol.Call(f.r.Header); err != nil {
 		return &rejection{status: http.StatusBadRequest, reason: err.Error()}
 	}
+	f.confirmedAt = s.cfg.ConfirmedAt() // before the table: a newer one holds what is confirmed as well
 	table := s.cfg.Table()
 	if table == nil {
 		return controlUnavailable("no routing table is in force yet")
@@ -157,6 +161,10 @@
 	return nil
 }
 
+// configAge returns the time since the configuration that the request was admitted by was
+// last confirmed to be the newest.
+func (f *forwarder) configAge() time.Duration { return f.server.cfg.Clock() - f.confirmedAt }
+
 // newDraw sets f.draw to a new random number, and returns it as a fraction in [0, 1).
 func (f *forwarder) newDraw() float64 {
 	f.draw = f.server.nextDraw()
