gateway: refuse for good only by a table confirmed within configuration_apply_ms

What callers saw: 401 for a key and 404 for a route that a change acknowledged over 2 s before had added, at routers the control group could not reach in time.

Cause: the router answered 404 from any table and 401 until 4.6 s after the newest confirmation. Nothing asked whether a refusal that callers don't retry rests on a table that the router can vouch for.

TestFinalRefusalRestsOnAConfirmedTable failed with 404, 401 and 413 at an age of 2.1 s.

Change: 404, 401 and 413 need a confirmation younger than configuration_apply_ms; otherwise the answer is 503 with Retry-After. A table that lacks an acknowledged change was last confirmed before that change, so at that age it can't be older than the bound allows, whether the router is slow, paused, cut off or has just started.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -209,9 +209,9 @@
 	r.server = NewServer(ServerConfig{
 		Clock: clock, Protocol: testProtocol{}, Table: func() *routes.Index { return index },
 		SessionState: func() balance.SessionState { return r.session }, KeysUntil: func() time.Duration { return clock() + r.keys },
-		ConfirmedAt: func() time.Duration { return clock() - r.configAge },
-		ListAge:     func() time.Duration { return 0 },
-		Stopping:    func() bool { return false }, Balancer: r.balancer, Pool: pool,
+		ConfirmedAt: func() time.Duration { return clock() - r.configAge }, MaxConfigAge: ConfigAgeLimits{Refusal: 2 * time.Second},
+		ListAge:  func() time.Duration { return 0 },
+		Stopping: func() bool { return false }, Balancer: r.balancer, Pool: pool,
 		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(), Tracer: r.tracer,
 	})
 	front := httptest.NewServer(r.server)
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -49,8 +49,9 @@
 	Decode   routes.Decoder
 	// KeyLife is the time after its revocation within which every router rejects a key;
 	// 0 or less accepts keys without a confirmation.
-	KeyLife time.Duration
-	Retries balance.RetryLimits
+	KeyLife      time.Duration
+	MaxConfigAge ConfigAgeLimits
+	Retries      balance.RetryLimits
 	// ListInterval is the time between two reads of the upstream list.
 	ListInterval time.Duration
 }
@@ -93,7 +94,7 @@
 		OnConfig: r.applyConfig,
 	})
 	r.server = NewServer(ServerConfig{
-		Clock: cfg.Clock, Protocol: cfg.Protocol, Table: r.table.Load, SessionState: r.sessionState, KeysUntil: r.keysUntil, ConfirmedAt: r.keeper.ConfirmedAt, ListAge: r.listAge,
+		Clock: cfg.Clock, Protocol: cfg.Protocol, Table: r.table.Load, SessionState: r.sessionState, KeysUntil: r.keysUntil, ConfirmedAt: r.keeper.ConfirmedAt, MaxConfigAge: cfg.MaxConfigAge, ListAge: r.listAge,
 		Stopping: r.stopping.Load, Balancer: r.balancer, Pool: r.pool, Log: cfg.Requests, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	})
 	r.list = newUpstreamList(upstreamListConfig{
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -35,6 +35,8 @@
 	// ConfirmedAt returns the time up to which Table holds every acknowledged change, as
 	// far as this router knows.
 	ConfirmedAt func() time.Duration
+	// MaxConfigAge bounds the age of ConfirmedAt.
+	MaxConfigAge ConfigAgeLimits
 	// ListAge returns the age of the upstream list.
 	ListAge func() time.Duration
 	// Stopping reports whether callers should close their connections.
@@ -47,6 +49,15 @@
 	Tracer *telemetry.Tracer
 }
 
+// ConfigAgeLimits bound the age of the newest confirmation of the routing table, by what
+// rests on it; 0 means no limit.
+type ConfigAgeLimits struct {
+	// Refusal applies to refusals that callers don't retry: no route, an unknown key, a
+	// body over the limit. It is the time within which an acknowledged table must be in
+	// force, so that no such table is unknown to a router that refuses.
+	Refusal time.Duration
+}
+
 // Server forwards callers' HTTP requests to upstreams. It is an http.Handler.
 type Server struct {
 	cfg     ServerConfig
@@ -106,7 +117,7 @@
 	f.table = table
 	path, _, _ := strings.Cut(f.r.RequestURI, "?")
 	if f.route = table.Route(f.r.Host, path); f.route == nil {
-		return &rejection{status: http.StatusNotFound, reason: "no route"}
+		return f.refuse(http.StatusNotFound, "no route")
 	}
 	if rejected := f.authenticate(); rejected != nil {
 		return rejected
@@ -138,11 +149,20 @@
 		return controlUnavailable("the control group hasn't confirmed the keys lately")
 	}
 	if f.workspace = f.table.Workspace(f.call.Key); f.workspace == nil {
-		return &rejection{status: http.StatusUnauthorized, reason: "unknown key"}
+		return f.refuse(http.StatusUnauthorized, "unknown key")
 	}
 	return nil
 }
 
+// refuse returns a rejection that the routing table demands and that callers don't retry.
+// If a newer table may be in force elsewhere, callers are told to retry instead.
+func (f *forwarder) refuse(status int, reason string) *rejection {
+	if limit := f.server.cfg.MaxConfigAge.Refusal; limit > 0 && f.configAge() >= limit {
+		return controlUnavailable(reason + " in a routing table that the control group hasn't confirmed lately")
+	}
+	return &rejection{status: status, reason: reason}
+}
+
 // readBody reads the complete body, so that the request can be sent more than once.
 func (f *forwarder) readBody() *rejection {
 	limit := f.table.Limits().MaxBodyBytes
@@ -153,7 +173,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}
+		return f.refuse(http.StatusRequestEntityTooLarge, "the body is too long")
 	case err != nil:
 		return &rejection{status: http.StatusBadRequest, reason: "the body did not arrive: " + err.Error()}
 	}
