control: remove a gone member soon after its successor votes

Cause: the gone member stayed a voter for 10 s, so the group had six voters and needed four, of which three were alive. A member that has joined in place of a silent one raises the quorum as long as both are listed.

Change: the leader records which voter was silent when a new member joined, and removes it 2 s after it fell silent once the new one votes. One that is heard again keeps its place, and without a successor the time stays 10 s, which is longer than a restart or a freeze.

Evidence: TestGoneMemberIsRemovedOnceItsSuccessorVotes failed (no change was due at 3 s) and passes.

--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -19,6 +19,9 @@
 	// it removes the member. It is longer than a restart or a freeze; a member that
 	// comes back later joins the group again.
 	silentTimeout = 10 * time.Second
+	// replacedTimeout is silentTimeout for a member that was silent when another one
+	// joined, once that one votes: the silent member then only raises the quorum.
+	replacedTimeout = 2 * time.Second
 	// minVoters is the number of voters that removals must leave: a smaller group
 	// tolerates no failure.
 	minVoters = 3
@@ -32,16 +35,22 @@
 	// silentSince holds the time since which the leader has received nothing from
 	// each inactive member.
 	silentSince map[consensus.MemberID]time.Duration
+	// replacedBy maps each voter that was silent when a new member joined to that member.
+	// One that is heard again is deleted.
+	replacedBy map[consensus.MemberID]consensus.MemberID
 }
 
 func newRepairPlanner(adopt bool) *repairPlanner {
-	return &repairPlanner{adopt: adopt, silentSince: make(map[consensus.MemberID]time.Duration)}
+	return &repairPlanner{
+		adopt: adopt, silentSince: make(map[consensus.MemberID]time.Duration), replacedBy: make(map[consensus.MemberID]consensus.MemberID),
+	}
 }
 
 // nextChange returns the change that is due now; ok is false if there is none. In order
 // of priority: add a member whose disk was replaced as a learner, promote a
 // learner to a voter, add a new member as a learner, remove a member from which
-// nothing was received for silentTimeout.
+// nothing was received for silentTimeout, or replacedTimeout if another one has joined
+// in its place.
 func (r *repairPlanner) nextChange(now time.Duration, status consensus.Status) (change consensus.Change, ok bool) {
 	r.observe(now, status)
 	if w, ok := replacedDisk(status); ok {
@@ -56,6 +65,7 @@
 		return consensus.Change{}, false
 	}
 	if w, ok := unlistedMember(status); ok {
+		r.recordSuccessor(w.ID, status)
 		return consensus.Change{Kind: consensus.ChangeAddLearner, ID: w.ID, Addr: w.Addr, Store: w.Store}, true
 	}
 	if id, ok := r.removableMember(now, status); ok {
@@ -65,20 +75,54 @@
 }
 
 // reset discards what was observed under an earlier leadership.
-func (r *repairPlanner) reset() { clear(r.silentSince) }
+func (r *repairPlanner) reset() {
+	clear(r.silentSince)
+	clear(r.replacedBy)
+}
 
 // observe records since when the leader has received nothing from each inactive member.
 func (r *repairPlanner) observe(now time.Duration, status consensus.Status) {
 	for _, m := range status.Members {
 		if m.Active {
 			delete(r.silentSince, m.ID)
+			delete(r.replacedBy, m.ID)
 		} else if _, known := r.silentSince[m.ID]; !known {
 			r.silentSince[m.ID] = now
 		}
 	}
 }
 
-// removableMember returns a member that has been silent for silentTimeout, learners first.
+// recordSuccessor records the joining member as the successor of the voter that has been
+// silent longest and has none, if there is one.
+func (r *repairPlanner) recordSuccessor(joining consensus.MemberID, status consensus.Status) {
+	var replaced consensus.MemberID
+	for _, m := range status.Members {
+		since, silent := r.silentSince[m.ID]
+		switch successor := r.replacedBy[m.ID]; {
+		case successor == joining:
+			return
+		case m.Learner || !silent || successor != "":
+		case replaced == "" || since < r.silentSince[replaced]:
+			replaced = m.ID
+		}
+	}
+	if replaced != "" {
+		r.replacedBy[replaced] = joining
+	}
+}
+
+// timeoutOf returns how long a member must be silent before it is removed.
+func (r *repairPlanner) timeoutOf(id consensus.MemberID, status consensus.Status) time.Duration {
+	successor := r.replacedBy[id]
+	for _, m := range status.Members {
+		if m.ID == successor && m.Active && !m.Learner {
+			return replacedTimeout
+		}
+	}
+	return silentTimeout
+}
+
+// removableMember returns a member that has been silent for its timeout, learners first.
 // It returns a voter only if more than minVoters voters are listed.
 func (r *repairPlanner) removableMember(now time.Duration, status consensus.Status) (consensus.MemberID, bool) {
 	voters := 0
@@ -90,7 +134,7 @@
 	var found consensus.MemberID
 	for _, m := range status.Members {
 		since, silent := r.silentSince[m.ID]
-		if m.Active || !silent || now-since < silentTimeout {
+		if m.Active || !silent || now-since < r.timeoutOf(m.ID, status) {
 			continue
 		}
 		if m.Learner {
@@ -164,7 +208,7 @@
 		s.log.Info("membership change of the control group ended: promote learner to voter", "peer", peer, "error", err)
 	case consensus.ChangeRemove:
 		err = s.group.Remove(ctx, change.ID)
-		s.log.Info("membership change of the control group ended: remove silent member", "peer", peer, "silent", silentTimeout.String(), "error", err)
+		s.log.Info("membership change of the control group ended: remove silent member", "peer", peer, "silent", planner.timeoutOf(change.ID, status).String(), "error", err)
 	}
 }
 
--- a/internal/control/repair_test.go
+++ b/internal/control/repair_test.go
@@ -99,3 +99,46 @@
 	_, ok = r.nextChange(10*silentTimeout, group(false))
 	is.True(!ok)
 }
+
+// The gone member raises the quorum, so that the loss of a zone right after the repair left no leader.
+func TestGoneMemberIsRemovedOnceItsSuccessorVotes(t *testing.T) {
+	is := is.New(t)
+	r := newRepairPlanner(true)
+	members := []consensus.MemberStatus{voter("a", true), voter("b", true), voter("c", true), voter("d", true), voter("gone", false)}
+	status := consensus.Status{Members: members, Waiting: []consensus.WaitingStore{waitingStore("new")}}
+	change, ok := r.nextChange(0, status)
+	is.True(ok)
+	is.Equal(change.Kind, consensus.ChangeAddLearner)
+
+	status = consensus.Status{Members: append(members, learner("new", true))}
+	change, ok = r.nextChange(time.Second, status)
+	is.True(ok)
+	is.Equal(change.Kind, consensus.ChangePromote)
+
+	status = consensus.Status{Members: append(members, voter("new", true))}
+	_, ok = r.nextChange(1500*time.Millisecond, status)
+	is.True(!ok) // it may only have restarted
+	change, ok = r.nextChange(3*time.Second, status)
+	is.True(ok)
+	is.Equal(change, consensus.Change{Kind: consensus.ChangeRemove, ID: "gone"})
+}
+
+// A member that only paused while another one joined must keep its place.
+func TestReturnedMemberKeepsItsPlaceBesideASuccessor(t *testing.T) {
+	is := is.New(t)
+	r := newRepairPlanner(true)
+	group := func(paused bool) consensus.Status {
+		return consensus.Status{Members: []consensus.MemberStatus{
+			voter("a", true), voter("b", true), voter("c", true), voter("d", !paused), voter("new", true),
+		}}
+	}
+	joining := consensus.Status{Members: group(true).Members[:4], Waiting: []consensus.WaitingStore{waitingStore("new")}}
+	change, ok := r.nextChange(0, joining)
+	is.True(ok)
+	is.Equal(change.ID, consensus.MemberID("new"))
+	_, ok = r.nextChange(time.Second, group(false))
+	is.True(!ok)
+	r.observe(2*time.Second, group(true))
+	_, ok = r.nextChange(6*time.Second, group(true))
+	is.True(!ok)
+}
