gateway: serve nothing in contact with control by a table unconfirmed for contact_ms

A router that has contact with control members, none of which leads, served for 4.6 s by the table it had, and without a limit on routes that need no key. A change that was acknowledged right before the leader was lost may have moved the route or dropped the key.

Change: without a confirmation for contact_ms a router answers 503 and reports itself as not ready while any control member answers it. One that is cut off serves on as before, until its keys expire: it isn't required to know.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -38,6 +38,8 @@
 	leader string               // empty if unknown
 	next   int                  // index into addrs of the member to try while the leader is unknown
 	silent map[string]time.Time // when a member last failed to answer
+
+	answeredAt time.Time // when a member last answered; zero if none has
 }
 
 // NewClient returns a client of the control group whose members listen at addrs.
@@ -118,11 +120,20 @@
 	var remote *mesh.RemoteError
 	if err == nil || errors.As(err, &remote) {
 		delete(c.silent, addr)
+		c.answeredAt = time.Now()
 	} else {
 		c.silent[addr] = time.Now()
 	}
 }
 
+// AnsweredWithin reports whether a member has answered a call within the last d, as the
+// leader or not.
+func (c *Client) AnsweredWithin(d time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.answeredAt.IsZero() && time.Since(c.answeredAt) < d
+}
+
 func (c *Client) callOne(ctx context.Context, addr, method string, request msgp.Marshaler, reply msgp.Unmarshaler) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -40,6 +40,7 @@
 	pool := mesh.NewPool(mesh.Config{Instance: "router"})
 	defer pool.Close()
 	c := NewClient(pool, []string{silent, answering})
+	is.True(!c.AnsweredWithin(time.Hour))
 	failed := 0
 	for range 40 {
 		var reply OperatorsReply
@@ -50,6 +51,8 @@
 		}
 	}
 	is.True(failed <= 1)
+	is.True(c.AnsweredWithin(time.Hour))
+	is.True(!c.AnsweredWithin(0))
 	// If no member has answered recently, one is still chosen.
 	c.silent = map[string]time.Time{silent: time.Now(), answering: time.Now()}
 	is.True(c.any() != "")
--- a/internal/gateway/confirmation_test.go
+++ b/internal/gateway/confirmation_test.go
@@ -41,3 +41,31 @@
 		}
 	}
 }
+
+// A route may have moved or a key may be gone in a newer table that a leader has acknowledged before it was lost.
+func TestNothingIsServedInContactByAnUnconfirmedTable(t *testing.T) {
+	cases := []struct {
+		name    string
+		age     time.Duration
+		contact bool
+		status  int
+	}{
+		{"just confirmed", 0, true, http.StatusOK},
+		{"an election", 2 * time.Second, true, http.StatusOK},
+		{"in contact without a confirmation", 3100 * time.Millisecond, true, http.StatusServiceUnavailable},
+		{"cut off from the control group", 3100 * time.Millisecond, false, http.StatusOK},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestGateway(t, routes.Route{Kind: routes.KindOnce, MaxAttempts: 1}, serveDone)
+			r.configAge, r.contact = tc.age, tc.contact
+			r.startServer()
+			resp, _, err := r.send()
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, tc.status)
+			is.Equal(resp.Header.Get("Retry-After") != "", tc.status == http.StatusServiceUnavailable)
+			is.Equal(len(r.arrivals()) > 0, tc.status == http.StatusOK)
+		})
+	}
+}
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -94,7 +94,7 @@
 		OnConfig: r.applyConfig,
 	})
 	r.server = NewServer(ServerConfig{
-		Clock: cfg.Clock, Protocol: cfg.Protocol, Table: r.table.Load, SessionState: r.sessionState, KeysUntil: r.keysUntil, ConfirmedAt: r.keeper.ConfirmedAt, MaxConfigAge: cfg.MaxConfigAge, ListAge: r.listAge,
+		Clock: cfg.Clock, Protocol: cfg.Protocol, Table: r.table.Load, SessionState: r.sessionState, KeysUntil: r.keysUntil, ConfirmedAt: r.keeper.ConfirmedAt, MaxConfigAge: cfg.MaxConfigAge, InContact: r.inContact, ListAge: r.listAge,
 		Stopping: r.stopping.Load, Balancer: r.balancer, Pool: r.pool, Log: cfg.Requests, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	})
 	r.list = newUpstreamList(upstreamListConfig{
@@ -169,6 +169,9 @@
 	return r.keeper.ConfirmedAt() + r.cfg.KeyLife - keysMargin
 }
 
+// inContact reports whether a control member has answered within MaxConfigAge.Service.
+func (r *Router) inContact() bool { return r.control.AnsweredWithin(r.cfg.MaxConfigAge.Service) }
+
 // listAge returns the age of the upstream list, or the clock's reading if there is none.
 func (r *Router) listAge() time.Duration {
 	current, _ := r.list.newest()
@@ -187,7 +190,7 @@
 		return errStopping
 	case table == nil:
 		return errNoTable
-	case table.RequiresKeys() && r.cfg.Clock() >= r.keysUntil():
+	case table.RequiresKeys() && r.cfg.Clock() >= r.keysUntil(), !r.server.isConfirmed(r.cfg.Clock() - r.keeper.ConfirmedAt()):
 		return errUnconfirmed
 	default:
 		return nil
@@ -197,7 +200,7 @@
 var (
 	errStopping    = fleet.Errors.NewType("gateway_stopping").New("this router is stopping")
 	errNoTable     = fleet.Errors.NewType("gateway_no_table").New("no routing table is in force")
-	errUnconfirmed = fleet.Errors.NewType("gateway_unconfirmed").New("the control group hasn't confirmed the keys lately")
+	errUnconfirmed = fleet.Errors.NewType("gateway_unconfirmed").New("the control group hasn't confirmed the configuration lately")
 )
 
 // applyList passes a changed list to the balancer and closes the connections to
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -37,6 +37,8 @@
 	ConfirmedAt func() time.Duration
 	// MaxConfigAge bounds the age of ConfirmedAt.
 	MaxConfigAge ConfigAgeLimits
+	// InContact reports whether a control member has answered lately, as a leader or not.
+	InContact func() bool
 	// ListAge returns the age of the upstream list.
 	ListAge func() time.Duration
 	// Stopping reports whether callers should close their connections.
@@ -56,6 +58,9 @@
 	// body over the limit. It is the time within which an acknowledged table must be in
 	// force, so that no such table is unknown to a router that refuses.
 	Refusal time.Duration
+	// Service applies to all other requests, at routers that are in contact with control
+	// members. A router that is cut off serves on: it isn't required to have newer tables.
+	Service time.Duration
 }
 
 // Server forwards callers' HTTP requests to upstreams. It is an http.Handler.
@@ -115,6 +120,9 @@
 		return controlUnavailable("no routing table is in force yet")
 	}
 	f.table = table
+	if !s.isConfirmed(f.configAge()) {
+		return controlUnavailable("the control group hasn't confirmed the configuration lately")
+	}
 	path, _, _ := strings.Cut(f.r.RequestURI, "?")
 	if f.route = table.Route(f.r.Host, path); f.route == nil {
 		return f.refuse(http.StatusNotFound, "no route")
@@ -154,6 +162,13 @@
 	return nil
 }
 
+// isConfirmed reports whether a router whose newest confirmation has the given age may serve
+// by its routing table.
+func (s *Server) isConfirmed(age time.Duration) bool {
+	limit := s.cfg.MaxConfigAge.Service
+	return limit <= 0 || age < limit || !s.cfg.InContact()
+}
+
 // refuse returns a rejection that the routing table demands and that callers don't retry.
 // If a newer table may be in force elsewhere, callers are told to retry instead.
 func (f *forwarder) refuse(status int, reason string) *rejection {
