member: confirm only what is in force

Cause: a renewal confirmed the version that the View held. A routing table that can't be decoded leaves the previous one in force, and the router then vouched for a table that it didn't act by.

Change: the confirmation counts once Config.InForce has reached the version. TestFetchedVersionThatIsNotInForceIsNotConfirmed failed before.

--- a/internal/member/keeper.go
+++ b/internal/member/keeper.go
@@ -111,7 +111,8 @@
 func (k *Keeper) Lease() ledger.Lease { return *k.lease.Load() }
 
 // ConfirmedAt returns the latest time T for which a reply of the control leader has
-// confirmed that the View holds every change acknowledged to an operator before T.
+// confirmed that every change acknowledged to an operator before T is in force at this
+// router, by Config.InForce.
 // Before the first confirmation it returns a time far in the past.
 func (k *Keeper) ConfirmedAt() time.Duration { return time.Duration(k.confirmed.Load()) }
 
@@ -241,7 +242,7 @@
 	// Every reply comes from a leader that has proven its leadership. The version is
 	// therefore confirmed even if the reply grants no lease. A router that has just
 	// restarted gets such replies.
-	if k.view.Version() >= reply.Version {
+	if k.cfg.InForce() >= reply.Version {
 		k.confirmed.Store(int64(sent))
 	}
 }
