gateway: log events and prompt parts of a failed attempt

Nothing in the logs connected attempts that broke off with the prompts that they had in common. attempt failed now has the number of events that the attempt had relayed and the IDs of the prompt's parts.

--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -63,7 +63,8 @@
 	failedAnswer *answer            // an upstream's failure, returned if no other one serves the request
 	pick         *balance.Pick      // of the latest attempt
 
-	stream *eventRelay // set once the answer's header was written
+	stream       *eventRelay // set once the answer's header was written
+	eventsBefore int         // events that earlier attempts have relayed
 
 	trace   string // traceparent of the request's span
 	failure error  // with which the span ends; nil if the caller was served
@@ -141,6 +142,7 @@
 
 	f.tried = append(f.tried, pick.Upstream.ID)
 	f.pick = pick
+	f.eventsBefore += f.attemptEvents()
 	span, trace := s.cfg.Tracer.Start("gateway.attempt", f.trace)
 	span.Set("upstream", string(pick.Upstream.ID))
 	f.lastErr = nil
@@ -224,13 +226,21 @@
 	default:
 		f.lastErr = err
 	}
-	f.logDecision("attempt failed", "error", f.lastErr)
+	f.logDecision("attempt failed", "error", f.lastErr, "events", f.attemptEvents(), "parts", formatParts(f.call.Parts))
 	if errors.Is(cause, errDeadline) {
 		return balance.OutcomeError
 	}
 	return balance.OutcomeBroken
 }
 
+// attemptEvents returns the number of events that the latest attempt has relayed.
+func (f *forwarder) attemptEvents() int {
+	if f.stream == nil {
+		return 0
+	}
+	return f.stream.events - f.eventsBefore
+}
+
 // watchAttempt cancels an attempt at the request's deadline, and earlier if the request
 // can be retried and the upstream sends nothing or is too slow. The caller calls stop at
 // the end of the attempt.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -4,7 +4,11 @@
 	"errors"
 	"log/slog"
 	"math"
+	"strconv"
+	"strings"
 	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/balance"
 )
 
 // logDecision logs a decision on the request, with the request's ID and age.
@@ -55,4 +59,16 @@
 	f.logDecision(message, args...)
 }
 
+// formatParts returns the IDs of a prompt's parts in hexadecimal, separated by commas.
+func formatParts(parts []balance.PromptPart) string {
+	var b strings.Builder
+	for i, p := range parts {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.FormatUint(p.ID, 16))
+	}
+	return b.String()
+}
+
 var kindNames = [...]string{"once", "idempotent", "stream"}
