exchange: bound the head of an answer

What callers would see: a router that an upstream in trouble sends bytes without end keeps them all until the request's deadline, 15 s on the longest route, and is ended for its memory with all requests that it serves.

Cause: http.ReadResponse bounds neither the status line nor the fields, and informational answers were skipped without a limit.

Change: the head, with informational answers before it, may have 64 KiB, as for callers' heads. Beyond that the exchange fails and its connection is closed.

TestEndlessHeadEndsTheExchange failed in its five cases (status line, one field, many fields, informational answers, no answer at all) by reading all that the upstream sent, and passes.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -9,21 +10,60 @@
 	"golang.org/x/sys/unix"
 )
 
-// readBufferBytes is the size of a connection's read buffer in bytes: a header and a
-// few events of a stream.
-const readBufferBytes = 4 << 10
+const (
+	// readBufferBytes is the size of a connection's read buffer in bytes: a header and a
+	// few events of a stream.
+	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of an answer in bytes, with informational answers before
+	// it. An upstream in trouble may send bytes without end.
+	maxHeadBytes = 64 << 10
+)
 
 // conn is one connection to an upstream. It serves one exchange at a time.
 type conn struct {
 	net.Conn
 	addr      string
 	in        *bufio.Reader
+	head      headLimit // between Conn and in
 	reused    bool      // an earlier exchange has used the connection
 	idleUntil time.Time // end of the time for which it may be reused
 }
 
 func newConn(raw net.Conn, addr string) *conn {
-	return &conn{Conn: raw, addr: addr, in: bufio.NewReaderSize(raw, readBufferBytes)}
+	c := &conn{Conn: raw, addr: addr, head: headLimit{inner: raw}}
+	c.in = bufio.NewReaderSize(&c.head, readBufferBytes)
+	return c
+}
+
+// headLimit fails with ErrHeadTooLong once the head being read exceeds maxHeadBytes.
+type headLimit struct {
+	inner   io.Reader
+	reading bool // a head is being read
+	left    int  // bytes that the head may still have
+}
+
+// begin starts a head, and end ends it.
+func (l *headLimit) begin() { l.reading, l.left = true, maxHeadBytes }
+func (l *headLimit) end()   { l.reading = false }
+
+// exceeded reports whether the head being read has maxHeadBytes and no end.
+func (l *headLimit) exceeded() bool { return l.reading && l.left <= 0 }
+
+func errHeadTooLong() error {
+	return ErrHeadTooLong.New("the answer's head does not end within %d bytes", maxHeadBytes)
+}
+
+// Read implements io.Reader.
+func (l *headLimit) Read(b []byte) (int, error) {
+	if !l.reading {
+		return l.inner.Read(b)
+	}
+	if l.exceeded() {
+		return 0, errHeadTooLong()
+	}
+	n, err := l.inner.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // close closes the connection. An error is ignored, since the connection is not used
--- a/internal/exchange/errors.go
+++ b/internal/exchange/errors.go
@@ -42,6 +42,9 @@
 	// ErrUnmatched means that answers of other exchanges were received, and none of this
 	// one.
 	ErrUnmatched = fleet.Errors.NewType("exchange_unmatched")
+	// ErrHeadTooLong means that the head of the answer, with informational answers before it,
+	// did not end within maxHeadBytes.
+	ErrHeadTooLong = fleet.Errors.NewType("exchange_head_too_long")
 	// ErrClosed means that the pool was closed.
 	ErrClosed = fleet.Errors.NewType("exchange_closed")
 )
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -114,10 +114,15 @@
 
 // readHeader reads the header of the next final answer.
 func (r *Response) readHeader(method string) (*http.Response, error) {
+	r.conn.head.begin()
+	defer r.conn.head.end()
 	for {
 		resp, err := http.ReadResponse(r.conn.in, &http.Request{Method: method})
 		if err != nil {
-			if errors.Is(err, io.EOF) {
+			switch {
+			case r.conn.head.exceeded(): // the parser may have failed on the part of a line before it
+				err = errHeadTooLong()
+			case errors.Is(err, io.EOF):
 				err = io.ErrUnexpectedEOF
 			}
 			return nil, err
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
@@ -327,3 +328,41 @@
 		})
 	}
 }
+
+// Without a bound, the head would be kept in memory until the request's deadline.
+func TestEndlessHeadEndsTheExchange(t *testing.T) {
+	const endless = 64 << 20 // bytes; more than the buffers of a connection hold
+	cases := []struct{ name, start, repeated string }{
+		{"status line", "HTTP/1.1 200 ", "OK"},
+		{"one field", "HTTP/1.1 200 OK\r\nX-Id: ", "a"},
+		{"many fields", "HTTP/1.1 200 OK\r\n", "X-Id: a\r\n"},
+		{"informational answers", "", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"},
+		{"no answer at all", "", "\x00"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var written atomic.Int64
+			ended := make(chan struct{})
+			p := newPeer(t, func(_ *peer, conn net.Conn, read func() *http.Request) {
+				defer close(ended)
+				read()
+				_, _ = io.WriteString(conn, tc.start)
+				block := []byte(strings.Repeat(tc.repeated, 1+(32<<10)/len(tc.repeated)))
+				for written.Load() < endless {
+					n, err := conn.Write(block)
+					written.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			})
+			pool := NewPool()
+			defer pool.Close()
+			_, err := pool.Do(context.Background(), p.addr(), getRequest("a"))
+			is.True(errorx.IsOfType(err.(*Error).Cause, ErrHeadTooLong))
+			<-ended
+			is.True(written.Load() < endless)
+		})
+	}
+}
