gateway: an empty stream that ends with its connection is broken off

What callers would see: status 200 and a stream without an event that looks complete, from an engine that ended before the first event of an answer without length or chunks.

Cause: the end of the connection alone was taken for the end of the stream. It was so after an event; inside an event it counted as a break already.

Change: such a stream without any event, that wasn't asked to go on after one, is incomplete, so that another engine may serve the request.

TestStreamsThatEndWithTheirConnection: closed before the first event failed with an empty body; closed after and inside an event and reset passed before. TestEndlessAnswersAreAbandoned passed before the change too: bodies and events without end are given up and another upstream serves.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -87,8 +87,12 @@
 }
 
 // endStream ends the answer after the upstream has ended its stream. The stream is
-// incomplete if it ended inside an event.
+// incomplete if it ended inside an event, or without any event at the end of a connection
+// that alone would tell that it is complete.
 func (f *forwarder) endStream(ctx context.Context, pick *balance.Pick, resp *exchange.Response) (bool, balance.Outcome) {
+	if !resp.Delimited && f.stream == nil && f.call.After == "" {
+		return f.recordStreamFailure(ctx, io.ErrUnexpectedEOF)
+	}
 	f.beginStream(resp)
 	if len(f.stream.pending) > 0 {
 		return f.recordStreamFailure(ctx, io.ErrUnexpectedEOF)
