gateway: bound the answers that are read at a time

What callers would see: some answers without end at a time, of up to 16 MiB each, end a router for its memory.

Change: beyond 256 KiB an answer is read on only while all answers being read hold at most 48 MiB; otherwise its attempt fails as one over 16 MiB does.

--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -5,14 +5,21 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/wigeonflow/wigeonflow/internal/balance"
 	"github.com/wigeonflow/wigeonflow/internal/exchange"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
 
-// maxAnswerBytes bounds an answer that is read completely before it is relayed.
-const maxAnswerBytes = 16 << 20
+const (
+	// maxAnswerBytes bounds an answer that is read completely before it is relayed.
+	maxAnswerBytes = 16 << 20
+	// maxBufferedBytes bounds all such answers of a router that are being read at a time.
+	// Answers of up to smallAnswerBytes are read beyond it.
+	maxBufferedBytes = 48 << 20
+	smallAnswerBytes = 256 << 10
+)
 
 var errTooLong = fleet.Errors.NewType("gateway_answer_too_long")
 
@@ -20,10 +27,9 @@
 // never reaches the caller.
 func (f *forwarder) relayComplete(ctx context.Context, pick *balance.Pick, resp *exchange.Response, head Head) (done bool, o balance.Outcome) {
 	pick.RecordAnswerHead(f.server.cfg.Clock(), head.Load)
-	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errTooLong.New("the upstream's answer exceeds %d bytes", maxAnswerBytes)
-	}
+	reader := &answerReader{inner: resp, buffered: &f.server.buffered}
+	defer reader.release()
+	body, err := io.ReadAll(reader)
 	if err != nil {
 		return false, f.recordIncomplete(ctx, err)
 	}
@@ -38,6 +44,31 @@
 	return false, balance.OutcomeError
 }
 
+// answerReader reads an answer that is kept in memory. It fails if the answer exceeds
+// maxAnswerBytes, or if all answers being read exceed maxBufferedBytes.
+type answerReader struct {
+	inner    io.Reader
+	buffered *atomic.Int64 // bytes of all answers being read
+	read     int64
+}
+
+// Read implements io.Reader.
+func (r *answerReader) Read(b []byte) (int, error) {
+	n, err := r.inner.Read(b)
+	r.read += int64(n)
+	total := r.buffered.Add(int64(n))
+	switch {
+	case r.read > maxAnswerBytes:
+		return n, errTooLong.New("the upstream's answer exceeds %d bytes", maxAnswerBytes)
+	case r.read > smallAnswerBytes && total > maxBufferedBytes:
+		return n, errTooLong.New("the answers being read exceed %d bytes, this one has %d so far", maxBufferedBytes, r.read)
+	}
+	return n, err
+}
+
+// release ends the count of the answer.
+func (r *answerReader) release() { r.buffered.Add(-r.read) }
+
 // writeAnswer sends a complete answer to the caller.
 func (f *forwarder) writeAnswer(a *answer) {
 	h := f.w.Header()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -65,10 +65,11 @@
 
 // Server forwards callers' HTTP requests to upstreams. It is an http.Handler.
 type Server struct {
-	cfg     ServerConfig
-	running atomic.Int64
-	draw    atomic.Uint64
-	counts  sync.Map // of *requestCount by requestLabels
+	cfg      ServerConfig
+	running  atomic.Int64
+	buffered atomic.Int64 // bytes of the answers being read, see answerReader
+	draw     atomic.Uint64
+	counts   sync.Map // of *requestCount by requestLabels
 }
 
 // requestLabels are the labels of the request metrics.
