gateway: keep quarantines at the control leader for a restart of all routers

Cause: what routers know of prompt parts is in their memory. One that restarts learns it from the others; if all restart, nobody knows.

Change: a renewal carries the sender's quarantined parts as a note of up to 4 KiB. The leader keeps the newest for 30 s and hands it to routers that have none, so that they know it before their routing table. A follower of the list also merges an update's suspicions before its upstreams.

--- a/internal/balance/suspects.go
+++ b/internal/balance/suspects.go
@@ -355,6 +355,18 @@
 	return b.suspects.report(now)
 }
 
+// QuarantinedSuspicions returns those of the Suspicions whose parts are quarantined.
+func (b *Balancer) QuarantinedSuspicions(now time.Duration) (out []Suspicion) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range b.suspects.report(now) {
+		if now < b.suspects.quarantinedUntil(r.Part) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // MergeSuspicions adds what another router knows.
 func (b *Balancer) MergeSuspicions(now time.Duration, reports []Suspicion) {
 	b.mu.Lock()
--- a/internal/gateway/list_stream.go
+++ b/internal/gateway/list_stream.go
@@ -41,6 +41,7 @@
 			return fleet.At(err, "gateway.follow", addr)
 		}
 		timeout = sourceIdleTimeout
+		l.mergeSuspicions(&u.Totals) // before new upstreams may get requests
 		if known, err = known.apply(l.clock(), u); err != nil {
 			return fleet.At(err, "gateway.follow", addr)
 		}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -29,51 +29,6 @@
 	Suspicions []Suspicion `msg:"s,omitempty"`
 }
 
-// Suspicion is a balance.Suspicion.
-type Suspicion struct {
-	Part uint64 `msg:"p"`
-	// SinceServed is in milliseconds; -1 if the part was not served.
-	SinceServed int64         `msg:"s"`
-	Breaks      []PromptBreak `msg:"b,omitempty"`
-}
-
-// PromptBreak is a balance.Break.
-type PromptBreak struct {
-	Upstream uint64 `msg:"u"`
-	Next     uint64 `msg:"n"`
-	// Age is in milliseconds.
-	Age int64 `msg:"a"`
-}
-
-// encodeSuspicions returns suspicions in the form of a report.
-func encodeSuspicions(suspicions []balance.Suspicion) []Suspicion {
-	var out []Suspicion
-	for _, s := range suspicions {
-		e := Suspicion{Part: s.Part, SinceServed: -1}
-		if s.Served {
-			e.SinceServed = s.SinceServed.Milliseconds()
-		}
-		for _, b := range s.Breaks {
-			e.Breaks = append(e.Breaks, PromptBreak{Upstream: b.Upstream, Next: b.Next, Age: b.Age.Milliseconds()})
-		}
-		out = append(out, e)
-	}
-	return out
-}
-
-// decodeSuspicions returns the suspicions of a report.
-func decodeSuspicions(encoded []Suspicion) []balance.Suspicion {
-	var out []balance.Suspicion
-	for _, e := range encoded {
-		s := balance.Suspicion{Part: e.Part, Served: e.SinceServed >= 0, SinceServed: time.Duration(e.SinceServed) * time.Millisecond}
-		for _, b := range e.Breaks {
-			s.Breaks = append(s.Breaks, balance.Break{Upstream: b.Upstream, Next: b.Next, Age: time.Duration(max(b.Age, 0)) * time.Millisecond})
-		}
-		out = append(out, s)
-	}
-	return out
-}
-
 // Loads exchanges activities at upstreams, and suspicions of prompt parts, with the
 // balancer.
 type Loads interface {
@@ -248,7 +203,6 @@
 // exchangeLoads applies the totals of an update and replies with a report of this
 // router's subtree. reported is the previous report; the new one is returned.
 func (l *upstreamList) exchangeLoads(ctx context.Context, stream *mesh.Stream, list *snapshot, u *ListUpdate, reported balance.Activities) (balance.Activities, error) {
-	l.mergeSuspicions(&u.Totals)
 	if totals := list.decodeReport(u.Number, &u.Totals); totals != nil {
 		l.loadTotals.setTotals(totals, reported)
 		l.loads.SetPeerActivities(l.clock(), l.loadTotals.peerActivities())
@@ -267,11 +221,3 @@
 	r.Suspicions = encodeSuspicions(l.loads.Suspicions(l.clock()))
 	return r
 }
-
-// mergeSuspicions adds the suspicions of another router's report, which don't depend on the
-// list.
-func (l *upstreamList) mergeSuspicions(r *LoadReport) {
-	if len(r.Suspicions) > 0 {
-		l.loads.MergeSuspicions(l.clock(), decodeSuspicions(r.Suspicions))
-	}
-}
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
 	"github.com/wigeonflow/wigeonflow/internal/balance"
@@ -124,3 +125,30 @@
 	got[0].SinceServed = 0
 	is.Equal(got, want)
 }
+
+// Without the note, routers that all restart send on what ended upstreams before.
+func TestQuarantineNoteRestoresAQuarantine(t *testing.T) {
+	is := is.New(t)
+	newRouter := func() *Router {
+		return &Router{cfg: Config{Clock: func() time.Duration { return time.Hour }}, log: hclog.NewNullLogger(), balancer: balance.New(balance.Config{})}
+	}
+	before := newRouter()
+	is.Equal(len(before.quarantineNote()), 0)
+	suspicion := balance.Suspicion{Part: 0xdd}
+	for i := range uint64(3) {
+		suspicion.Breaks = append(suspicion.Breaks, balance.Break{Upstream: i, Next: i, Age: time.Minute})
+	}
+	before.balancer.MergeSuspicions(time.Hour, []balance.Suspicion{suspicion, {Part: 0xee, Breaks: suspicion.Breaks[:1]}})
+	_, end, ok := before.balancer.Quarantined(time.Hour, []balance.PromptPart{{ID: 0xdd}})
+	is.True(ok)
+
+	restarted := newRouter()
+	restarted.applyNote(before.quarantineNote(), 4*time.Second)
+	_, restored, ok := restarted.balancer.Quarantined(time.Hour, []balance.PromptPart{{ID: 0xdd}})
+	is.True(ok)
+	is.Equal(restored, end-4*time.Second) // the note doesn't prolong it
+	is.Equal(len(restarted.balancer.Suspicions(time.Hour)), 1)
+
+	restarted.applyNote([]byte("not a note"), 0)
+	is.True(len(restarted.quarantineNote()) > 0)
+}
--- /dev/null
+++ b/internal/gateway/suspicions.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/balance"
+	"github.com/wigeonflow/wigeonflow/internal/session"
+)
+
+//go:generate go tool msgp -tests=false -io=false -file suspicions.go
+
+// Suspicion is a balance.Suspicion.
+type Suspicion struct {
+	Part uint64 `msg:"p"`
+	// SinceServed is in milliseconds; -1 if the part was not served.
+	SinceServed int64         `msg:"s"`
+	Breaks      []PromptBreak `msg:"b,omitempty"`
+}
+
+// PromptBreak is a balance.Break.
+type PromptBreak struct {
+	Upstream uint64 `msg:"u"`
+	Next     uint64 `msg:"n"`
+	// Age is in milliseconds.
+	Age int64 `msg:"a"`
+}
+
+// encodeSuspicions returns suspicions in the form of a report.
+func encodeSuspicions(suspicions []balance.Suspicion) []Suspicion {
+	var out []Suspicion
+	for _, s := range suspicions {
+		e := Suspicion{Part: s.Part, SinceServed: -1}
+		if s.Served {
+			e.SinceServed = s.SinceServed.Milliseconds()
+		}
+		for _, b := range s.Breaks {
+			e.Breaks = append(e.Breaks, PromptBreak{Upstream: b.Upstream, Next: b.Next, Age: b.Age.Milliseconds()})
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// decodeSuspicions returns the suspicions of a report.
+func decodeSuspicions(encoded []Suspicion) []balance.Suspicion {
+	var out []balance.Suspicion
+	for _, e := range encoded {
+		s := balance.Suspicion{Part: e.Part, Served: e.SinceServed >= 0, SinceServed: time.Duration(e.SinceServed) * time.Millisecond}
+		for _, b := range e.Breaks {
+			s.Breaks = append(s.Breaks, balance.Break{Upstream: b.Upstream, Next: b.Next, Age: time.Duration(max(b.Age, 0)) * time.Millisecond})
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// SuspicionNote is the note by which routers keep quarantines at the control leader.
+type SuspicionNote struct {
+	Suspicions []Suspicion `msg:"s"`
+}
+
+// mergeSuspicions adds the suspicions of another router's report, which don't depend on the
+// list.
+func (l *upstreamList) mergeSuspicions(r *LoadReport) {
+	if len(r.Suspicions) > 0 {
+		l.loads.MergeSuspicions(l.clock(), decodeSuspicions(r.Suspicions))
+	}
+}
+
+// quarantineNote returns the note with the quarantined parts, or nil if there are none. The
+// control leader keeps it for routers that restart while no other router can tell them.
+func (r *Router) quarantineNote() []byte {
+	suspicions := r.balancer.QuarantinedSuspicions(r.cfg.Clock())
+	for len(suspicions) > 0 {
+		note, err := (&SuspicionNote{Suspicions: encodeSuspicions(suspicions)}).MarshalMsg(nil)
+		if err == nil && len(note) <= session.MaxNote {
+			return note
+		}
+		suspicions = suspicions[:len(suspicions)-1]
+	}
+	return nil
+}
+
+// applyNote merges the quarantined parts of a note that was sent age ago.
+func (r *Router) applyNote(note []byte, age time.Duration) {
+	var n SuspicionNote
+	if _, err := n.UnmarshalMsg(note); err != nil {
+		r.log.Warn("cannot decode the note of quarantined prompt parts", "error", err)
+		return
+	}
+	suspicions := decodeSuspicions(n.Suspicions)
+	for i := range suspicions {
+		suspicions[i].SinceServed += age
+		for k := range suspicions[i].Breaks {
+			suspicions[i].Breaks[k].Age += age
+		}
+	}
+	r.balancer.MergeSuspicions(r.cfg.Clock(), suspicions)
+}
--- a/internal/member/keeper.go
+++ b/internal/member/keeper.go
@@ -57,6 +57,12 @@
 	OnPoolMeans func(means []session.PoolMean, own []session.PoolLoad)
 	// OnConfig is called after the View's version has increased.
 	OnConfig func()
+	// Note returns the note to send with a renewal, see session.RenewRequest; nil means
+	// none.
+	Note func() []byte
+	// OnNote is called with a note that another router sent and its age, before the reply's
+	// configuration comes into force; it may be nil.
+	OnNote func(note []byte, age time.Duration)
 }
 
 // Keeper renews the lease and keeps the configuration up to date while Run runs.
@@ -232,6 +238,9 @@
 		return
 	}
 	k.cfg.Control.SetAddrs(reply.Control)
+	if len(reply.Note) > 0 && k.cfg.OnNote != nil {
+		k.cfg.OnNote(reply.Note, reply.NoteAge)
+	}
 	if len(reply.Relays) > 0 {
 		k.relays.Store(&reply.Relays)
 	}
@@ -262,6 +271,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	request := k.holder.Request(k.cfg.Clock(), k.cfg.InForce(), loads)
+	if k.cfg.Note != nil {
+		request.Note = k.cfg.Note()
+	}
 	k.publish()
 	return request
 }
--- a/internal/session/grantor.go
+++ b/internal/session/grantor.go
@@ -25,6 +25,8 @@
 	config     configRequirement
 	loads      loadSums
 	lastNotice Notice
+	note       []byte        // newest note of any router; nil for none
+	notedAt    time.Duration // when note was received
 	nextChange time.Duration // earliest time of the next membership change
 }
 
@@ -175,6 +177,7 @@
 	reply.Epoch = g.membership.Epoch
 	reply.Version = g.config.version
 	reply.Pace = g.pace()
+	g.exchangeNotes(now, req, reply)
 	s := g.sessions[sessionKey{req.Instance, req.Boot}]
 	switch {
 	case s == nil && req.Leaving:
@@ -190,6 +193,18 @@
 	return reply
 }
 
+// exchangeNotes keeps the request's note or, if it has none, adds the newest note to the
+// reply. So it outlasts a restart of all routers, unless the leader is lost as well.
+func (g *Grantor) exchangeNotes(now time.Duration, req *RenewRequest, reply *RenewReply) {
+	switch n := len(req.Note); {
+	case n > MaxNote:
+	case n > 0:
+		g.note, g.notedAt = req.Note, now
+	case g.note != nil && now-g.notedAt < noteLife:
+		reply.Note, reply.NoteAge = g.note, now-g.notedAt
+	}
+}
+
 // recordJoiner records a boot that requests to become a member.
 func (g *Grantor) recordJoiner(now time.Duration, req *RenewRequest) Status {
 	if g.config.tooOld(now, req.KnownVersion, g.settings.ConfigGrace) {
--- a/internal/session/message.go
+++ b/internal/session/message.go
@@ -52,8 +52,19 @@
 	Leaving bool `msg:"x,omitempty"`
 	// Draining requests that other members own this one's keys.
 	Draining bool `msg:"g,omitempty"`
+	// Note is data that the router wants new routers to have, up to MaxNote bytes; empty for
+	// none. The leader doesn't read it.
+	Note []byte `msg:"no,omitempty"`
 }
 
+const (
+	// MaxNote bounds a note in bytes; longer ones are ignored.
+	MaxNote = 4 << 10
+	// noteLife is how long the leader keeps a note that no router sends again. It covers a
+	// restart of all routers.
+	noteLife = 30 * time.Second
+)
+
 // member returns the member record that the request describes.
 func (r *RenewRequest) member() fleet.Member {
 	return fleet.Member{ID: r.Instance, Boot: r.Boot, Addr: r.Addr, Zone: r.Zone, Weight: r.Weight, Draining: r.Draining}
@@ -122,6 +133,9 @@
 	// that they already have: after all routers were killed, every router waits until
 	// the lease of its former boot ends.
 	Relays []fleet.Member `msg:"r,omitempty"`
+	// Note is the newest note of any router, sent NoteAge ago, for a router that has none.
+	Note    []byte        `msg:"no,omitempty"`
+	NoteAge time.Duration `msg:"na,omitempty"`
 }
 
 // Granted reports whether the reply extends the lease.
--- a/internal/session/message_gen.go
+++ b/internal/session/message_gen.go
@@ -319,8 +319,8 @@
 func (z *RenewReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(12)
-	var zb0001Mask uint16 /* 12 bits */
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
 	_ = zb0001Mask
 	if z.Lease == 0 {
 		zb0001Len--
@@ -350,6 +350,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
+	if z.Note == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
+	if z.NoteAge == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -449,6 +457,16 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "no"
+			o = append(o, 0xa2, 0x6e, 0x6f)
+			o = msgp.AppendBytes(o, z.Note)
+		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "na"
+			o = append(o, 0xa2, 0x6e, 0x61)
+			o = msgp.AppendDuration(o, z.NoteAge)
+		}
 	}
 	return
 }
@@ -610,6 +628,18 @@
 					return
 				}
 			}
+		case "no":
+			z.Note, bts, err = msgp.ReadBytesBytes(bts, z.Note)
+			if err != nil {
+				err = msgp.WrapError(err, "Note")
+				return
+			}
+		case "na":
+			z.NoteAge, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NoteAge")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -646,6 +676,7 @@
 	for za0004 := range z.Relays {
 		s += z.Relays[za0004].Msgsize()
 	}
+	s += 3 + msgp.BytesPrefixSize + len(z.Note) + 3 + msgp.DurationSize
 	return
 }
 
@@ -653,8 +684,8 @@
 func (z *RenewRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
 	if z.Weight == 0 {
 		zb0001Len--
@@ -672,6 +703,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
+	if z.Note == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -745,6 +780,11 @@
 			o = append(o, 0xa1, 0x67)
 			o = msgp.AppendBool(o, z.Draining)
 		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "no"
+			o = append(o, 0xa2, 0x6e, 0x6f)
+			o = msgp.AppendBytes(o, z.Note)
+		}
 	}
 	return
 }
@@ -846,6 +886,12 @@
 				err = msgp.WrapError(err, "Draining")
 				return
 			}
+		case "no":
+			z.Note, bts, err = msgp.ReadBytesBytes(bts, z.Note)
+			if err != nil {
+				err = msgp.WrapError(err, "Note")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -864,7 +910,7 @@
 	for za0001 := range z.Loads {
 		s += z.Loads[za0001].Msgsize()
 	}
-	s += 2 + msgp.BoolSize + 2 + msgp.BoolSize
+	s += 2 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.BytesPrefixSize + len(z.Note)
 	return
 }
 
