gateway: serve nothing by a table known to be superseded for configuration_apply_ms

What callers would see: service by an older table at a router whose control leader has announced a newer one that it can't read in time, because it is short of processor time or the members that have it are slow.

Change: the keeper records the newest version that a reply or a notice has named. While the one in force is older and was last confirmed configuration_apply_ms ago, the router answers 503 and reports itself as not ready, whether it is in contact or not.

TestNothingIsServedByAnUnconfirmedTable failed with 200 in its two new cases.

--- a/internal/gateway/confirmation_test.go
+++ b/internal/gateway/confirmation_test.go
@@ -42,24 +42,28 @@
 	}
 }
 
-// A route may have moved or a key may be gone in a newer table that a leader has acknowledged before it was lost.
-func TestNothingIsServedInContactByAnUnconfirmedTable(t *testing.T) {
+// A route may have moved or a key may be gone in a newer table that was acknowledged.
+func TestNothingIsServedByAnUnconfirmedTable(t *testing.T) {
 	cases := []struct {
 		name    string
 		age     time.Duration
 		contact bool
+		newer   bool // a newer table is known
 		status  int
 	}{
-		{"just confirmed", 0, true, http.StatusOK},
-		{"an election", 2 * time.Second, true, http.StatusOK},
-		{"in contact without a confirmation", 3100 * time.Millisecond, true, http.StatusServiceUnavailable},
-		{"cut off from the control group", 3100 * time.Millisecond, false, http.StatusOK},
+		{"just confirmed", 0, true, false, http.StatusOK},
+		{"an election", 2100 * time.Millisecond, true, false, http.StatusOK},
+		{"in contact without a confirmation", 3100 * time.Millisecond, true, false, http.StatusServiceUnavailable},
+		{"cut off from the control group", 3100 * time.Millisecond, false, false, http.StatusOK},
+		{"a newer table is being read", time.Second, true, true, http.StatusOK},
+		{"a newer table can't be read", 2100 * time.Millisecond, true, true, http.StatusServiceUnavailable},
+		{"cut off from a newer table", 2100 * time.Millisecond, false, true, http.StatusServiceUnavailable},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			r := newTestGateway(t, routes.Route{Kind: routes.KindOnce, MaxAttempts: 1}, serveDone)
-			r.configAge, r.contact = tc.age, tc.contact
+			r.configAge, r.contact, r.superseded = tc.age, tc.contact, tc.newer
 			r.startServer()
 			resp, _, err := r.send()
 			is.NoErr(err)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -124,9 +124,10 @@
 	table    *routes.Table
 	keys     time.Duration // time from now for which keys are accepted
 	// configAge is the age of the newest confirmation of the configuration.
-	configAge time.Duration
-	contact   bool // with the control group
-	tracer    *telemetry.Tracer
+	configAge  time.Duration
+	contact    bool // with the control group
+	superseded bool // a newer configuration is known
+	tracer     *telemetry.Tracer
 
 	mu   sync.Mutex
 	runs []string // "UPSTREAM REQUEST-ID" of each request, in order of arrival
@@ -220,9 +221,9 @@
 		Clock: clock, Protocol: testProtocol{}, Table: func() *routes.Index { return index },
 		SessionState: func() balance.SessionState { return r.session }, KeysUntil: func() time.Duration { return clock() + r.keys },
 		ConfirmedAt: func() time.Duration { return clock() - r.configAge }, MaxConfigAge: ConfigAgeLimits{Refusal: 2 * time.Second, Service: 3 * time.Second},
-		InContact: func() bool { return r.contact },
-		ListAge:   func() time.Duration { return 0 },
-		Stopping:  func() bool { return false }, Balancer: r.balancer, Pool: pool,
+		InContact: func() bool { return r.contact }, IsSuperseded: func() bool { return r.superseded },
+		ListAge:  func() time.Duration { return 0 },
+		Stopping: func() bool { return false }, Balancer: r.balancer, Pool: pool,
 		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(), Tracer: r.tracer,
 	})
 	front := httptest.NewServer(r.server)
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -95,7 +95,7 @@
 		OnConfig: r.applyConfig, Note: r.quarantineNote, OnNote: r.applyNote,
 	})
 	r.server = NewServer(ServerConfig{
-		Clock: cfg.Clock, Protocol: cfg.Protocol, Table: r.table.Load, SessionState: r.sessionState, KeysUntil: r.keysUntil, ConfirmedAt: r.keeper.ConfirmedAt, MaxConfigAge: cfg.MaxConfigAge, InContact: r.inContact, ListAge: r.listAge,
+		Clock: cfg.Clock, Protocol: cfg.Protocol, Table: r.table.Load, SessionState: r.sessionState, KeysUntil: r.keysUntil, ConfirmedAt: r.keeper.ConfirmedAt, MaxConfigAge: cfg.MaxConfigAge, InContact: r.inContact, IsSuperseded: r.isSuperseded, ListAge: r.listAge,
 		Stopping: r.stopping.Load, Balancer: r.balancer, Pool: r.pool, Log: cfg.Requests, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	})
 	r.list = newUpstreamList(upstreamListConfig{
@@ -178,6 +178,12 @@
 // inContact reports whether a control member has answered within MaxConfigAge.Service.
 func (r *Router) inContact() bool { return r.control.AnsweredWithin(r.cfg.MaxConfigAge.Service) }
 
+// isSuperseded reports whether the control leader has announced a newer configuration than
+// the one in force.
+func (r *Router) isSuperseded() bool {
+	return r.keeper.Announced() > fleet.ConfigVersion(r.inForce.Load())
+}
+
 // listAge returns the age of the upstream list, or the clock's reading if there is none.
 func (r *Router) listAge() time.Duration {
 	current, _ := r.list.newest()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -39,6 +39,9 @@
 	MaxConfigAge ConfigAgeLimits
 	// InContact reports whether a control member has answered lately, as a leader or not.
 	InContact func() bool
+	// IsSuperseded reports whether a newer configuration than the one in force is known to
+	// be committed.
+	IsSuperseded func() bool
 	// ListAge returns the age of the upstream list.
 	ListAge func() time.Duration
 	// Stopping reports whether callers should close their connections.
@@ -60,6 +63,7 @@
 	Refusal time.Duration
 	// Service applies to all other requests, at routers that are in contact with control
 	// members. A router that is cut off serves on: it isn't required to have newer tables.
+	// Where a newer table is known, Refusal applies to all requests.
 	Service time.Duration
 }
 
@@ -166,14 +170,20 @@
 // isConfirmed reports whether a router whose newest confirmation has the given age may serve
 // by its routing table.
 func (s *Server) isConfirmed(age time.Duration) bool {
-	limit := s.cfg.MaxConfigAge.Service
-	return limit <= 0 || age < limit || !s.cfg.InContact()
+	limits := s.cfg.MaxConfigAge
+	if exceeds(age, limits.Refusal) && s.cfg.IsSuperseded() {
+		return false
+	}
+	return !exceeds(age, limits.Service) || !s.cfg.InContact()
 }
 
+// exceeds reports whether an age has reached its limit; 0 means no limit.
+func exceeds(age, limit time.Duration) bool { return limit > 0 && age >= limit }
+
 // refuse returns a rejection that the routing table demands and that callers don't retry.
 // If a newer table may be in force elsewhere, callers are told to retry instead.
 func (f *forwarder) refuse(status int, reason string) *rejection {
-	if limit := f.server.cfg.MaxConfigAge.Refusal; limit > 0 && f.configAge() >= limit {
+	if exceeds(f.configAge(), f.server.cfg.MaxConfigAge.Refusal) {
 		return controlUnavailable(reason + " in a routing table that the control group hasn't confirmed lately")
 	}
 	return &rejection{status: status, reason: reason}
--- a/internal/member/keeper.go
+++ b/internal/member/keeper.go
@@ -81,6 +81,7 @@
 	authority  atomic.Pointer[session.Authority]
 	lease      atomic.Pointer[ledger.Lease]
 	confirmed  atomic.Int64                   // see ConfirmedAt
+	announced  atomic.Uint64                  // see Announced
 	relays     atomic.Pointer[[]fleet.Member] // named by the control group, see Relays
 	relayCache placement.RelayCache           // relays of the current membership
 
@@ -122,6 +123,20 @@
 // Before the first confirmation it returns a time far in the past.
 func (k *Keeper) ConfirmedAt() time.Duration { return time.Duration(k.confirmed.Load()) }
 
+// Announced returns the newest configuration version that the control leader has named in a
+// reply or a notice.
+func (k *Keeper) Announced() fleet.ConfigVersion { return fleet.ConfigVersion(k.announced.Load()) }
+
+// announce records a version that the control leader has named.
+func (k *Keeper) announce(version fleet.ConfigVersion) {
+	for {
+		known := k.announced.Load()
+		if uint64(version) <= known || k.announced.CompareAndSwap(known, uint64(version)) {
+			return
+		}
+	}
+}
+
 // Relays returns the routers that relay data which is read once for the whole fleet,
 // in placement order. They are computed from the membership or, on a router that is
 // not a member yet, named by the control group.
@@ -204,6 +219,7 @@
 	k.cfg.Control.Watch(ctx, func(n session.Notice) {
 		k.mu.Lock()
 		now := k.cfg.Clock()
+		k.announce(n.Version)
 		k.holder.HandleNotice(now, n)
 		due := k.holder.NextRenewal() <= now
 		k.mu.Unlock()
@@ -237,6 +253,7 @@
 		k.log.Warn("session not renewed", "error", err)
 		return
 	}
+	k.announce(reply.Version)
 	k.cfg.Control.SetAddrs(reply.Control)
 	if len(reply.Note) > 0 && k.cfg.OnNote != nil {
 		k.cfg.OnNote(reply.Note, reply.NoteAge)
--- a/internal/member/keeper_test.go
+++ b/internal/member/keeper_test.go
@@ -53,6 +53,7 @@
 	k.renew(t.Context())
 	is.Equal(k.View().Version(), fleet.ConfigVersion(3))
 	is.True(k.ConfirmedAt() < 0)
+	is.Equal(k.Announced(), fleet.ConfigVersion(3))
 	inForce.Store(3)
 	k.renew(t.Context())
 	is.True(k.ConfirmedAt() >= 0)
