gateway, balance: one word for rejections, shorter announcements of quarantines

The glossary's word is rejection; the new names and comments said refusal. An engine's 4xx doesn't show that a prompt does it no harm, so that it no longer counts as service of its parts.

--- a/internal/balance/suspects.go
+++ b/internal/balance/suspects.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"iter"
 	"slices"
 	"time"
 
@@ -122,8 +121,8 @@
 	return x
 }
 
-// recordServed records that a part was served at the given time. It keeps no record of parts
-// without breaks.
+// recordServed records that a part was served at the given time, if breaks under it are
+// known.
 func (s *suspects) recordServed(part uint64, at time.Duration) {
 	if x := s.parts[part]; x != nil {
 		x.recordServed(at)
@@ -163,8 +162,8 @@
 	}
 }
 
-// spare returns the index of the break that shows least: before the newest one, which dates
-// the quarantine, the last whose next part stands in an earlier break.
+// spare returns the index of the break to drop: the latest one before the newest, which dates
+// the quarantine, whose next part stands in an earlier break as well.
 func (x *suspect) spare() int {
 	for i := len(x.breaks) - 2; i > 0; i-- {
 		if slices.ContainsFunc(x.breaks[:i], func(b partBreak) bool { return b.next == x.breaks[i].next }) {
@@ -318,13 +317,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.suspects.recordBreak(now, p.Upstream, p.parts, b.parts.servedAt)
-	b.announceQuarantines(now, func(yield func(uint64) bool) {
-		for _, part := range p.parts {
-			if !yield(part.ID) {
-				return
-			}
-		}
-	})
+	for _, part := range p.parts {
+		b.announceQuarantine(now, part.ID)
+	}
 }
 
 // RecordServed records that the upstream has written enough of the answer to show that the
@@ -372,27 +367,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.suspects.merge(now, reports, b.parts.servedAt)
-	b.announceQuarantines(now, func(yield func(uint64) bool) {
-		for _, r := range reports {
-			if !yield(r.Part) {
-				return
-			}
-		}
-	})
+	for _, r := range reports {
+		b.announceQuarantine(now, r.Part)
+	}
 }
 
-// announceQuarantines calls OnQuarantine for those of the parts whose quarantine has begun.
-func (b *Balancer) announceQuarantines(now time.Duration, parts iter.Seq[uint64]) {
-	for part := range parts {
-		x := b.suspects.parts[part]
-		if x == nil {
-			continue
-		}
-		quarantined := now < b.suspects.quarantinedUntil(part)
-		if quarantined && !x.announced && b.cfg.OnQuarantine != nil {
-			upstreams, branches, _ := x.count(func(partBreak) bool { return true })
-			b.cfg.OnQuarantine(part, upstreams, branches)
-		}
-		x.announced = quarantined
+// announceQuarantine calls OnQuarantine if the part's quarantine has begun since the last
+// call.
+func (b *Balancer) announceQuarantine(now time.Duration, part uint64) {
+	x := b.suspects.parts[part]
+	if x == nil {
+		return
+	}
+	quarantined := now < b.suspects.quarantinedUntil(part)
+	if quarantined && !x.announced && b.cfg.OnQuarantine != nil {
+		upstreams, branches, _ := x.count(func(partBreak) bool { return true })
+		b.cfg.OnQuarantine(part, upstreams, branches)
 	}
+	x.announced = quarantined
 }
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -35,7 +35,9 @@
 	}
 	complete := &answer{status: resp.Status, header: resp.Header, body: body}
 	if resp.Status < http.StatusInternalServerError {
-		pick.RecordServed(f.server.cfg.Clock())
+		if resp.Status < http.StatusBadRequest {
+			pick.RecordServed(f.server.cfg.Clock())
+		}
 		f.writeAnswer(complete)
 		return true, balance.OutcomeServed
 	}
--- a/internal/gateway/confirmation_test.go
+++ b/internal/gateway/confirmation_test.go
@@ -10,8 +10,8 @@
 	"github.com/wigeonflow/wigeonflow/internal/routes"
 )
 
-// A newer table may have the route or the key, and callers don't retry these refusals.
-func TestFinalRefusalRestsOnAConfirmedTable(t *testing.T) {
+// A newer table may have the route or the key, and callers don't retry these rejections.
+func TestFinalRejectionRestsOnAConfirmedTable(t *testing.T) {
 	cases := []struct {
 		name, path, key, body string
 		status                int // with a table that was just confirmed
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -220,7 +220,7 @@
 	r.server = NewServer(ServerConfig{
 		Clock: clock, Protocol: testProtocol{}, Table: func() *routes.Index { return index },
 		SessionState: func() balance.SessionState { return r.session }, KeysUntil: func() time.Duration { return clock() + r.keys },
-		ConfirmedAt: func() time.Duration { return clock() - r.configAge }, MaxConfigAge: ConfigAgeLimits{Refusal: 2 * time.Second, Service: 3 * time.Second},
+		ConfirmedAt: func() time.Duration { return clock() - r.configAge }, MaxConfigAge: ConfigAgeLimits{Rejection: 2 * time.Second, Service: 3 * time.Second},
 		InContact: func() bool { return r.contact }, IsSuperseded: func() bool { return r.superseded },
 		ListAge:  func() time.Duration { return 0 },
 		Stopping: func() bool { return false }, Balancer: r.balancer, Pool: pool,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -57,13 +57,13 @@
 // ConfigAgeLimits bound the age of the newest confirmation of the routing table, by what
 // rests on it; 0 means no limit.
 type ConfigAgeLimits struct {
-	// Refusal applies to refusals that callers don't retry: no route, an unknown key, a
+	// Rejection applies to rejections that callers don't retry: no route, an unknown key, a
 	// body over the limit. It is the time within which an acknowledged table must be in
-	// force, so that no such table is unknown to a router that refuses.
-	Refusal time.Duration
+	// force, so that no such table is unknown to a router that rejects.
+	Rejection time.Duration
 	// Service applies to all other requests, at routers that are in contact with control
 	// members. A router that is cut off serves on: it isn't required to have newer tables.
-	// Where a newer table is known, Refusal applies to all requests.
+	// Where a newer table is known, Rejection applies to all requests.
 	Service time.Duration
 }
 
@@ -130,7 +130,7 @@
 	}
 	path, _, _ := strings.Cut(f.r.RequestURI, "?")
 	if f.route = table.Route(f.r.Host, path); f.route == nil {
-		return f.refuse(http.StatusNotFound, "no route")
+		return f.rejectByTable(http.StatusNotFound, "no route")
 	}
 	if rejected := f.authenticate(); rejected != nil {
 		return rejected
@@ -162,7 +162,7 @@
 		return controlUnavailable("the control group hasn't confirmed the keys lately")
 	}
 	if f.workspace = f.table.Workspace(f.call.Key); f.workspace == nil {
-		return f.refuse(http.StatusUnauthorized, "unknown key")
+		return f.rejectByTable(http.StatusUnauthorized, "unknown key")
 	}
 	return nil
 }
@@ -171,7 +171,7 @@
 // by its routing table.
 func (s *Server) isConfirmed(age time.Duration) bool {
 	limits := s.cfg.MaxConfigAge
-	if exceeds(age, limits.Refusal) && s.cfg.IsSuperseded() {
+	if exceeds(age, limits.Rejection) && s.cfg.IsSuperseded() {
 		return false
 	}
 	return !exceeds(age, limits.Service) || !s.cfg.InContact()
@@ -180,10 +180,10 @@
 // exceeds reports whether an age has reached its limit; 0 means no limit.
 func exceeds(age, limit time.Duration) bool { return limit > 0 && age >= limit }
 
-// refuse returns a rejection that the routing table demands and that callers don't retry.
+// rejectByTable returns a rejection that the routing table demands and that callers don't retry.
 // If a newer table may be in force elsewhere, callers are told to retry instead.
-func (f *forwarder) refuse(status int, reason string) *rejection {
-	if exceeds(f.configAge(), f.server.cfg.MaxConfigAge.Refusal) {
+func (f *forwarder) rejectByTable(status int, reason string) *rejection {
+	if exceeds(f.configAge(), f.server.cfg.MaxConfigAge.Rejection) {
 		return controlUnavailable(reason + " in a routing table that the control group hasn't confirmed lately")
 	}
 	return &rejection{status: status, reason: reason}
@@ -199,7 +199,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return f.refuse(http.StatusRequestEntityTooLarge, "the body is too long")
+		return f.rejectByTable(http.StatusRequestEntityTooLarge, "the body is too long")
 	case err != nil:
 		return &rejection{status: http.StatusBadRequest, reason: "the body did not arrive: " + err.Error()}
 	}
