gateway, balance: a read of the diff as a newcomer

One set for upstreams and one for next parts in place of a shared one, reasons for provenEvents and MaxConfigAge, shorter lines.

--- a/internal/balance/suspects.go
+++ b/internal/balance/suspects.go
@@ -176,21 +176,14 @@
 // count returns the numbers of different upstreams and next parts among the breaks for
 // which counts returns true, and the time of the newest of these.
 func (x *suspect) count(counts func(partBreak) bool) (upstreams, branches int, latest time.Duration) {
-	seen := make(map[uint64]bool, 2*len(x.breaks))
+	seen, followed := make(map[uint64]bool, len(x.breaks)), make(map[uint64]bool, len(x.breaks))
 	for _, b := range x.breaks {
-		if !counts(b) {
-			continue
-		}
-		if !seen[b.upstream] {
-			upstreams++
-		}
-		if !seen[b.next] {
-			branches++
+		if counts(b) {
+			seen[b.upstream], followed[b.next] = true, true
+			latest = b.at
 		}
-		seen[b.upstream], seen[b.next] = true, true
-		latest = b.at
 	}
-	return upstreams, branches, latest
+	return len(seen), len(followed), latest
 }
 
 // isSuspected reports whether enough upstreams broke off under a part that different parts
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -29,7 +29,7 @@
 	// idempotent request is retried on another upstream.
 	slowTargetFactor = 2
 	// provenEvents is the number of events after which a prompt counts as served for the
-	// quarantine of its parts.
+	// quarantine of its parts. An upstream that breaks off before them may have ended by it.
 	provenEvents = 3
 )
 
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -50,7 +50,8 @@
 	Decode   routes.Decoder
 	// KeyLife is the time after its revocation within which every router rejects a key;
 	// 0 or less accepts keys without a confirmation.
-	KeyLife      time.Duration
+	KeyLife time.Duration
+	// MaxConfigAge bounds the age of the newest confirmation of the configuration.
 	MaxConfigAge ConfigAgeLimits
 	Retries      balance.RetryLimits
 	// ListInterval is the time between two reads of the upstream list.
@@ -95,7 +96,8 @@
 		OnConfig: r.applyConfig, Note: r.quarantineNote, OnNote: r.applyNote,
 	})
 	r.server = NewServer(ServerConfig{
-		Clock: cfg.Clock, Protocol: cfg.Protocol, Table: r.table.Load, SessionState: r.sessionState, KeysUntil: r.keysUntil, ConfirmedAt: r.keeper.ConfirmedAt, MaxConfigAge: cfg.MaxConfigAge, InContact: r.inContact, IsSuperseded: r.isSuperseded, ListAge: r.listAge,
+		Clock: cfg.Clock, Protocol: cfg.Protocol, Table: r.table.Load, SessionState: r.sessionState, KeysUntil: r.keysUntil, ListAge: r.listAge,
+		ConfirmedAt: r.keeper.ConfirmedAt, MaxConfigAge: cfg.MaxConfigAge, InContact: r.inContact, IsSuperseded: r.isSuperseded,
 		Stopping: r.stopping.Load, Balancer: r.balancer, Pool: r.pool, Log: cfg.Requests, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	})
 	r.list = newUpstreamList(upstreamListConfig{
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -180,8 +180,8 @@
 // exceeds reports whether an age has reached its limit; 0 means no limit.
 func exceeds(age, limit time.Duration) bool { return limit > 0 && age >= limit }
 
-// rejectByTable returns a rejection that the routing table demands and that callers don't retry.
-// If a newer table may be in force elsewhere, callers are told to retry instead.
+// rejectByTable returns a rejection that the routing table demands and that callers don't
+// retry. If a newer table may be in force elsewhere, callers are told to retry instead.
 func (f *forwarder) rejectByTable(status int, reason string) *rejection {
 	if exceeds(f.configAge(), f.server.cfg.MaxConfigAge.Rejection) {
 		return controlUnavailable(reason + " in a routing table that the control group hasn't confirmed lately")
