--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -128,6 +128,7 @@
 	contact    bool // with the control group
 	superseded bool // a newer configuration is known
 	tracer     *telemetry.Tracer
+	upstreams  []fleet.Upstream // one for each script
 
 	mu   sync.Mutex
 	runs []string // "UPSTREAM REQUEST-ID" of each request, in order of arrival
@@ -157,20 +158,28 @@
 	r.balancer = balance.New(balance.Config{
 		Zone: routerZone, Retries: balance.RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
 	})
-	var list []balance.ListedUpstream
 	for i, script := range scripts {
 		u := fleet.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("u%d", i)), Pool: poolName, Zone: "elsewhere"}
 		if i == 0 {
 			u.Zone = routerZone
 		}
 		u.Addr = r.startUpstream(string(u.ID), script)
-		list = append(list, balance.ListedUpstream{Upstream: u})
+		r.upstreams = append(r.upstreams, u)
 	}
-	r.balancer.SetUpstreams(0, list)
+	r.listUpstreams(r.upstreams)
 	r.startServer()
 	return r
 }
 
+// listUpstreams replaces the upstream list.
+func (r *testGateway) listUpstreams(upstreams []fleet.Upstream) {
+	list := make([]balance.ListedUpstream, 0, len(upstreams))
+	for _, u := range upstreams {
+		list = append(list, balance.ListedUpstream{Upstream: u})
+	}
+	r.balancer.SetUpstreams(0, list)
+}
+
 func (r *testGateway) startUpstream(name string, script func(*conn)) string {
 	if script == nil {
 		return testnet.RefusingAddr(r.t)
