gateway: log and count why a connection is closed without an answer

What callers saw: a connection closed without a complete answer. Of such an end the log had 'stream not completed' with status 0 and nothing that tells a spent retry budget from a lack of upstreams, a route that allows no second run or a stream that another upstream continued at the wrong event.

Change: 'request failed' has last_error and no_attempt, and gateway_unanswered{cause} counts such ends by what ended the latest attempt. That an upstream wasn't found no longer replaces the error of the attempt before it. No decision changes.

--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/wigeonflow/wigeonflow/internal/balance"
 	"github.com/wigeonflow/wigeonflow/internal/exchange"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
@@ -64,6 +66,7 @@
 	tried        []fleet.UpstreamID // excluded from further choices
 	lastErr      error              // of the latest attempt
 	failedAnswer *answer            // an upstream's failure, returned if no other one serves the request
+	noAttempt    string             // why no further upstream is asked; empty as long as one may be
 	pick         *balance.Pick      // of the latest attempt
 
 	stream       *eventRelay // set once the answer's header was written
@@ -95,11 +98,15 @@
 		session := s.cfg.SessionState()
 		pick := s.cfg.Balancer.Choose(s.cfg.Clock(), f.balancerRequest(), session)
 		if pick == nil {
-			f.lastErr = errNoUpstream
+			f.noAttempt = "no upstream"
+			if f.lastErr == nil {
+				f.lastErr = errNoUpstream
+			}
 			break
 		}
 		if f.sends > 0 && !s.cfg.Balancer.TakeRetry(s.cfg.Clock(), f.pool.Name, session.Routers) {
 			pick.End(s.cfg.Clock(), balance.OutcomeUnknown)
+			f.noAttempt = "retry budget spent"
 			f.logDecision("request not retried: the retry budget is spent")
 			break
 		}
@@ -120,13 +127,21 @@
 
 // mayAttempt reports whether the request may be sent to a further upstream.
 func (f *forwarder) mayAttempt() bool {
-	if f.server.cfg.Clock() >= f.deadline || f.r.Context().Err() != nil || f.sends >= maxSends {
-		return false
-	}
-	if f.runs == 0 {
+	switch {
+	case f.r.Context().Err() != nil:
+		f.noAttempt = "caller disconnected"
+	case f.server.cfg.Clock() >= f.deadline:
+		f.noAttempt = "deadline reached"
+	case f.sends >= maxSends:
+		f.noAttempt = "too many upstreams asked"
+	case f.runs > 0 && !f.route.Repeatable():
+		f.noAttempt = "not repeatable"
+	case f.runs > 0 && f.runs >= max(f.route.MaxAttempts, 1):
+		f.noAttempt = "attempts used up"
+	default:
 		return true
 	}
-	return f.route.Repeatable() && f.runs < max(f.route.MaxAttempts, 1)
+	return false
 }
 
 // isQuarantined reports whether a part of the prompt is quarantined, because upstreams break
@@ -138,6 +153,7 @@
 		return false
 	}
 	f.quarantineLeft = until - now
+	f.noAttempt = "prompt part quarantined"
 	f.lastErr = errQuarantined.New("prompt part %x is quarantined for %v: upstreams break off under it", part, f.quarantineLeft.Round(time.Second))
 	return true
 }
@@ -355,6 +371,25 @@
 // abort closes the connection of an answer that has begun, so that it doesn't look
 // complete to the caller.
 func (f *forwarder) abort(reason string) {
+	f.server.countUnanswered(f.endCause())
 	f.recordOutcome(0, reason)
 	panic(http.ErrAbortHandler)
 }
+
+// endCause returns what ended the latest attempt, as a label of gateway_unanswered.
+func (f *forwarder) endCause() string {
+	switch {
+	case f.r.Context().Err() != nil:
+		return "caller_disconnected"
+	case errors.Is(f.lastErr, errDeadline):
+		return "deadline"
+	case errors.Is(f.lastErr, errIdleTimeout):
+		return "silent"
+	case errors.Is(f.lastErr, errSlow):
+		return "slow"
+	case errorx.IsOfType(f.lastErr, errEventGap), errorx.IsOfType(f.lastErr, errEventTooLong):
+		return "invalid_stream"
+	default:
+		return "broken_off"
+	}
+}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -56,6 +56,9 @@
 		args = append(args, "keys_left", (f.server.cfg.KeysUntil() - now).Round(time.Millisecond).String(),
 			"list_age", f.server.cfg.ListAge().Round(time.Millisecond).String(), "reason", reason)
 	}
+	if reason != "" && f.noAttempt != "" {
+		args = append(args, "last_error", f.lastErr, "no_attempt", f.noAttempt)
+	}
 	f.logDecision(message, args...)
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -225,6 +225,11 @@
 	return z ^ z>>31
 }
 
+// countUnanswered counts a request whose connection is closed without a complete answer.
+func (s *Server) countUnanswered(cause string) {
+	metrics.GetOrRegisterCounter(telemetry.MetricName("gateway_unanswered", "cause", cause), s.cfg.Metrics).Inc(1)
+}
+
 // countRequest updates the request metrics of a route kind and an outcome.
 func (s *Server) countRequest(kind, outcome string, took time.Duration) {
 	labels := requestLabels{kind, outcome}
