gateway: cancel a silent or slow attempt only once a replacement answers

What callers saw: a stream cut in the middle, or 502, although the upstream that served it was sound and about to go on. Beside a change of the configuration, a release or an evacuation it looks like a cut by the change.

Cause: an attempt at a request that may be repeated was canceled as soon as its upstream had sent nothing for 1.2 s, or an idempotent one after twice its latency target. Whether another upstream could be chosen, the retry budget allowed it, a part of the prompt was quarantined or the next upstream answered was found out afterwards; if not, the caller's connection was closed. Class: what works is abandoned before what replaces it is certain.

Change: the watcher of an attempt opens a replacement beside it, by the same choice, budget, quarantine and bounds as a retry, and only at an upstream that is neither ejected nor stalled. The attempt is canceled once the replacement has sent the first bytes of a stream's events, or a complete answer that is no failure. Until then both run, and the replacement is canceled if the first upstream goes on. If the first attempt fails by itself, the replacement becomes the next attempt.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -25,6 +25,8 @@
 	// MayProbe is set if the request may be repeated. It may then serve as the probe of an
 	// ejected upstream.
 	MayProbe bool
+	// SoundOnly excludes ejected and stalled upstreams even if there are no others.
+	SoundOnly bool
 	// Tried lists the upstreams that the request was sent to before.
 	Tried []fleet.UpstreamID
 }
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -84,7 +84,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	usable := b.usable(now, r, session, false)
-	if len(usable) == 0 {
+	if len(usable) == 0 && !r.SoundOnly {
 		// An ejected or stalled upstream is better than none.
 		usable = b.usable(now, r, session, true)
 	}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,270 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/balance"
+	"github.com/wigeonflow/wigeonflow/internal/exchange"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
+	"github.com/wigeonflow/wigeonflow/internal/telemetry"
+)
+
+// Causes with which an attempt is canceled.
+var (
+	errDeadline    = fleet.Errors.NewType("gateway_deadline").New("the request's time limit has passed")
+	errIdleTimeout = fleet.Errors.NewType("gateway_silent").New("no bytes received from the upstream within the idle timeout")
+	errSlow        = fleet.Errors.NewType("gateway_slow").New("no complete answer within the timeout derived from the route's latency target")
+	errNotNeeded   = fleet.Errors.NewType("gateway_not_needed").New("the attempt that it should replace goes on")
+)
+
+// errFailedAnswer is the type of errors of attempts with a complete answer that doesn't serve
+// the request.
+var errFailedAnswer = fleet.Errors.NewType("gateway_failed_answer")
+
+// attempt is one exchange of a request with an upstream. It is opened by the request's
+// forwarder, or as a replacement by the watcher of the attempt before it.
+type attempt struct {
+	pick  *balance.Pick
+	after string // ID of the event after which a stream resumes; empty for the start
+	began time.Duration
+	span  telemetry.Span
+	trace string
+
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	deadline *time.Timer
+
+	// opened is closed once a replacement has been opened; nil for other attempts.
+	opened chan struct{}
+
+	// The fields below are set when the attempt is opened.
+
+	sent bool // the request may have been sent to the upstream
+	ran  bool // the upstream may have run it
+	resp *exchange.Response
+	head Head
+	body io.Reader // of resp
+	err  error     // why there is no answer to relay
+	// failedAnswer is a complete answer that only serves the caller if there is no better one.
+	failedAnswer *answer
+	outcome      balance.Outcome // for the upstream's health
+}
+
+// newAttempt returns an attempt that takes over the slot of pick.
+func (f *forwarder) newAttempt(pick *balance.Pick, after string) *attempt {
+	a := &attempt{pick: pick, after: after, began: f.server.cfg.Clock(), outcome: balance.OutcomeUnknown}
+	a.ctx, a.cancel = context.WithCancelCause(f.r.Context())
+	a.deadline = time.AfterFunc(f.deadline-a.began, func() { a.cancel(errDeadline) })
+	a.span, a.trace = f.server.cfg.Tracer.Start("gateway.attempt", f.trace)
+	a.span.Set("upstream", string(pick.Upstream.ID))
+	return a
+}
+
+// end releases what the attempt holds.
+func (a *attempt) end(now time.Duration) {
+	a.deadline.Stop()
+	if a.resp != nil {
+		a.resp.Close() // keeps the connection, unlike a canceled context
+	}
+	a.cancel(nil)
+	a.pick.End(now, a.outcome)
+	a.span.End(a.err)
+}
+
+// runAttempt opens the attempt unless it is a replacement, and relays its answer. It returns
+// true if the caller has received its final answer.
+func (f *forwarder) runAttempt(a *attempt) (done bool) {
+	f.tried = append(f.tried, a.pick.Upstream.ID)
+	f.pick = a.pick
+	f.eventsBefore += f.attemptEvents()
+	w := f.watch(a)
+	defer func() {
+		f.replacement = w.stop(done)
+		a.end(f.server.cfg.Clock())
+	}()
+	if a.opened != nil {
+		<-a.opened
+	} else {
+		f.open(a)
+	}
+	f.recordAttempt(a)
+	if a.err != nil {
+		return false
+	}
+	if a.head.Stream {
+		done, a.outcome = f.relayStream(a)
+	} else {
+		done, a.outcome = f.relayComplete(a)
+	}
+	f.lastErr = a.err
+	return done
+}
+
+// recordAttempt records what opening an attempt has shown.
+func (f *forwarder) recordAttempt(a *attempt) {
+	if a.sent {
+		f.sends++
+	}
+	if a.ran {
+		f.runs++
+	}
+	if a.failedAnswer != nil {
+		f.failedAnswer = a.failedAnswer
+	}
+	f.lastErr = a.err
+}
+
+// open sends the request and reads the head of the answer. It changes nothing of the
+// forwarder and may run beside another attempt.
+func (f *forwarder) open(a *attempt) {
+	s := f.server
+	resp, err := s.cfg.Pool.Do(a.ctx, a.pick.Upstream.Addr, f.upstreamRequest(a))
+	if err != nil {
+		f.recordNoAnswer(a, err)
+		return
+	}
+	a.resp, a.body, a.sent = resp, resp, true
+	a.head = s.cfg.Protocol.Head(resp.Status, resp.Header)
+	if !a.head.NotRun {
+		a.ran = true
+		return
+	}
+	a.pick.RecordAnswerHead(s.cfg.Clock(), a.head.Load)
+	if a.head.Misdirected {
+		a.pick.MarkReplaced(s.cfg.Clock())
+	}
+	a.err = errNotRun.New("upstream %s did not run the request: status %d", a.pick.Upstream.ID, resp.Status)
+	f.logDecision("upstream did not run the request", "upstream", string(a.pick.Upstream.ID), "status", resp.Status)
+}
+
+// upstreamRequest builds the request to an upstream.
+func (f *forwarder) upstreamRequest(a *attempt) *exchange.Request {
+	header := AttemptHeader{
+		Upstream: a.pick.Upstream, Remaining: f.deadline - f.server.cfg.Clock(), Priority: f.priority,
+		Source: a.pick.Source, After: a.after,
+	}
+	if f.workspace != nil {
+		header.Workspace = f.workspace.ID
+	}
+	fields := f.server.cfg.Protocol.UpstreamHeader(f.r.Header, header)
+	if a.trace != "" {
+		fields.Set(telemetry.HeaderTraceparent, a.trace)
+	}
+	return &exchange.Request{
+		Method: f.r.Method, Target: f.r.RequestURI, Host: f.r.Host, Body: f.body,
+		Header:  fields,
+		Matches: func(h http.Header) bool { return f.server.cfg.Protocol.Matches(f.call.ID, h) },
+	}
+}
+
+// recordNoAnswer records an attempt that got no answer.
+func (f *forwarder) recordNoAnswer(a *attempt, err error) {
+	a.err = err
+	var failure *exchange.Error
+	if errors.As(err, &failure) && failure.Phase == exchange.PhaseConnect {
+		f.logDecision("cannot connect to upstream", "error", err)
+		if context.Cause(a.ctx) == nil {
+			a.outcome = balance.OutcomeBroken
+		}
+		return
+	}
+	a.sent, a.ran = true, true
+	a.outcome = f.recordIncomplete(a, err, 0)
+}
+
+// recordIncomplete records a missing or incomplete answer, of which the given number of events
+// was relayed, and returns its outcome for the upstream's health.
+func (f *forwarder) recordIncomplete(a *attempt, err error, events int) balance.Outcome {
+	cause := context.Cause(a.ctx)
+	a.err = err
+	switch {
+	case f.r.Context().Err() != nil:
+		a.err = f.r.Context().Err()
+		return balance.OutcomeUnknown
+	case errors.Is(cause, errNotNeeded):
+		a.err = cause
+		return balance.OutcomeUnknown
+	case errors.Is(cause, errDeadline), errors.Is(cause, errIdleTimeout), errors.Is(cause, errSlow):
+		a.err = cause
+	}
+	f.logDecision("attempt failed", "upstream", string(a.pick.Upstream.ID), "error", a.err, "events", events, "parts", formatParts(f.call.Parts))
+	if errors.Is(cause, errDeadline) {
+		return balance.OutcomeError
+	}
+	if cause == nil && events < provenEvents && !onIdleConnection(err) {
+		a.pick.RecordBreak(f.server.cfg.Clock())
+	}
+	return balance.OutcomeBroken
+}
+
+// onIdleConnection reports whether an exchange failed without an answer on a connection that
+// had been idle. The upstream may have closed it before the request arrived.
+func onIdleConnection(err error) bool {
+	var failure *exchange.Error
+	return errors.As(err, &failure) && failure.Reused
+}
+
+// openReplacement opens an attempt and reads as much of its answer as shows that the attempt
+// before it can be canceled: the first bytes of a stream's events, or a complete answer that
+// isn't a failure. Otherwise a.err is set.
+func (f *forwarder) openReplacement(a *attempt) {
+	f.open(a)
+	switch {
+	case a.err != nil:
+		return
+	case a.head.Stream:
+		f.readStart(a)
+	default:
+		f.readComplete(a)
+	}
+}
+
+// readStart reads the first bytes of a stream's events.
+func (f *forwarder) readStart(a *attempt) {
+	start := make([]byte, streamBuffer)
+	n, err := 0, error(nil)
+	for n == 0 && err == nil {
+		n, err = a.body.Read(start)
+	}
+	if n == 0 {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		a.outcome = f.recordIncomplete(a, err, 0)
+		return
+	}
+	a.body = io.MultiReader(bytes.NewReader(start[:n]), a.body)
+}
+
+// readComplete reads a complete answer. One that is a failure, or that isn't a stream although
+// the route's answers are, doesn't replace an attempt that goes on.
+func (f *forwarder) readComplete(a *attempt) {
+	complete, err := f.readAnswer(a)
+	switch {
+	case err != nil:
+		a.outcome = f.recordIncomplete(a, err, 0)
+	case f.route.Kind == routes.KindStream || complete.status >= http.StatusInternalServerError:
+		a.failedAnswer = complete
+		a.outcome = f.recordFailedAnswer(a)
+	default:
+		a.body = bytes.NewReader(complete.body)
+	}
+}
+
+// recordFailedAnswer records a complete answer that doesn't serve the request, and returns its
+// outcome for the upstream's health.
+func (f *forwarder) recordFailedAnswer(a *attempt) balance.Outcome {
+	a.err = errFailedAnswer.New("upstream %s answered with status %d", a.pick.Upstream.ID, a.resp.Status)
+	if a.resp.Status < http.StatusInternalServerError {
+		f.logDecision("upstream answered a stream's request with a complete answer", "upstream", string(a.pick.Upstream.ID), "status", a.resp.Status)
+		return balance.OutcomeServed
+	}
+	f.logDecision("upstream answered with a server error", "upstream", string(a.pick.Upstream.ID), "status", a.resp.Status)
+	return balance.OutcomeError
+}
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -1,14 +1,12 @@
 package gateway
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 
 	"github.com/wigeonflow/wigeonflow/internal/balance"
-	"github.com/wigeonflow/wigeonflow/internal/exchange"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
 
@@ -25,25 +23,32 @@
 
 // relayComplete reads an answer to its end before it relays it, so that a truncated one
 // never reaches the caller.
-func (f *forwarder) relayComplete(ctx context.Context, pick *balance.Pick, resp *exchange.Response, head Head) (done bool, o balance.Outcome) {
-	pick.RecordAnswerHead(f.server.cfg.Clock(), head.Load)
-	reader := &answerReader{inner: resp, buffered: &f.server.buffered}
+func (f *forwarder) relayComplete(a *attempt) (done bool, o balance.Outcome) {
+	a.pick.RecordAnswerHead(f.server.cfg.Clock(), a.head.Load)
+	complete, err := f.readAnswer(a)
+	if err != nil {
+		return false, f.recordIncomplete(a, err, 0)
+	}
+	if complete.status >= http.StatusInternalServerError {
+		f.failedAnswer = complete
+		return false, f.recordFailedAnswer(a)
+	}
+	if complete.status < http.StatusBadRequest {
+		a.pick.RecordServed(f.server.cfg.Clock())
+	}
+	f.writeAnswer(complete)
+	return true, balance.OutcomeServed
+}
+
+// readAnswer reads the attempt's answer to its end.
+func (f *forwarder) readAnswer(a *attempt) (*answer, error) {
+	reader := &answerReader{inner: a.body, buffered: &f.server.buffered}
 	defer reader.release()
 	body, err := io.ReadAll(reader)
 	if err != nil {
-		return false, f.recordIncomplete(ctx, err)
-	}
-	complete := &answer{status: resp.Status, header: resp.Header, body: body}
-	if resp.Status < http.StatusInternalServerError {
-		if resp.Status < http.StatusBadRequest {
-			pick.RecordServed(f.server.cfg.Clock())
-		}
-		f.writeAnswer(complete)
-		return true, balance.OutcomeServed
+		return nil, err
 	}
-	f.failedAnswer = complete
-	f.logDecision("upstream answered with a server error", "upstream", string(pick.Upstream.ID), "status", resp.Status)
-	return false, balance.OutcomeError
+	return &answer{status: a.resp.Status, header: a.resp.Header, body: body}, nil
 }
 
 // answerReader reads an answer that is kept in memory. It fails if the answer exceeds
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -270,6 +270,21 @@
 	return resp, string(text), err
 }
 
+// awaitIdle waits until no upstream counts a request in flight.
+func (r *testGateway) awaitIdle() {
+	r.t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		running := 0
+		for _, a := range r.balancer.Activities(time.Hour) {
+			running += a.Running
+		}
+		if running == 0 {
+			return
+		}
+	}
+	r.t.Error("upstreams still count requests in flight")
+}
+
 func (r *testGateway) arrivals() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -9,10 +8,8 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/wigeonflow/wigeonflow/internal/balance"
-	"github.com/wigeonflow/wigeonflow/internal/exchange"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/routes"
-	"github.com/wigeonflow/wigeonflow/internal/telemetry"
 )
 
 const (
@@ -21,27 +18,11 @@
 	// there may belong to other upstreams until the upstream list is updated. Failed
 	// connections don't count.
 	maxSends = 6
-	// attemptPoll is the interval at which a pending attempt is checked for a stalled or
-	// slow upstream.
-	attemptPoll = 200 * time.Millisecond
-	// minSlowTimeout is the shortest time that an upstream gets to complete its answer
-	// before an idempotent request is retried on another one.
-	minSlowTimeout = 200 * time.Millisecond
-	// slowTargetFactor times a route's latency target is the time after which an
-	// idempotent request is retried on another upstream.
-	slowTargetFactor = 2
 	// provenEvents is the number of events after which a prompt counts as served for the
 	// quarantine of its parts. An upstream that breaks off before them may have ended by it.
 	provenEvents = 3
 )
 
-// Causes with which an attempt is canceled.
-var (
-	errDeadline    = fleet.Errors.NewType("gateway_deadline").New("the request's time limit has passed")
-	errIdleTimeout = fleet.Errors.NewType("gateway_silent").New("no bytes received from the upstream within the idle timeout")
-	errSlow        = fleet.Errors.NewType("gateway_slow").New("no complete answer within the timeout derived from the route's latency target")
-)
-
 // forwarder drives one request through its attempts at upstreams until the caller has
 // an answer.
 type forwarder struct {
@@ -68,9 +49,11 @@
 	failedAnswer *answer            // an upstream's failure, returned if no other one serves the request
 	noAttempt    string             // why no further upstream is asked; empty as long as one may be
 	pick         *balance.Pick      // of the latest attempt
+	replacement  *attempt           // opened during the latest attempt and not yet used
 
-	stream       *eventRelay // set once the answer's header was written
-	eventsBefore int         // events that earlier attempts have relayed
+	stream       *eventRelay    // set once the answer's header was written
+	position     streamPosition // of the last event that the caller has
+	eventsBefore int            // events that earlier attempts have relayed
 
 	quarantineLeft time.Duration // until the end of the quarantine of a prompt part; 0 for none
 
@@ -92,31 +75,46 @@
 		f.reject(rejected)
 		return
 	}
-	s := f.server
-	s.cfg.Balancer.CountRequest(s.cfg.Clock(), f.pool.Name)
-	for f.mayAttempt() && !f.isQuarantined() {
-		session := s.cfg.SessionState()
-		pick := s.cfg.Balancer.Choose(s.cfg.Clock(), f.balancerRequest(), session)
-		if pick == nil {
-			f.noAttempt = "no upstream"
-			if f.lastErr == nil {
-				f.lastErr = errNoUpstream
-			}
-			break
-		}
-		if f.sends > 0 && !s.cfg.Balancer.TakeRetry(s.cfg.Clock(), f.pool.Name, session.Routers) {
-			pick.End(s.cfg.Clock(), balance.OutcomeUnknown)
-			f.noAttempt = "retry budget spent"
-			f.logDecision("request not retried: the retry budget is spent")
-			break
-		}
-		if done := f.attempt(pick); done {
+	f.server.cfg.Balancer.CountRequest(f.server.cfg.Clock(), f.pool.Name)
+	f.position.set(f.call.After)
+	defer f.dropReplacement()
+	for a := f.nextAttempt(); a != nil; a = f.nextAttempt() {
+		if done := f.runAttempt(a); done {
 			return
 		}
 	}
 	f.answerFailure()
 }
 
+// nextAttempt returns the replacement that was opened during the latest attempt, or else a
+// new attempt at an upstream. It returns nil if there is to be none.
+func (f *forwarder) nextAttempt() *attempt {
+	if a := f.replacement; a != nil {
+		f.replacement = nil
+		return a
+	}
+	if !f.mayAttempt() || f.isQuarantined() {
+		return nil
+	}
+	s := f.server
+	session := s.cfg.SessionState()
+	pick := s.cfg.Balancer.Choose(s.cfg.Clock(), f.balancerRequest(), session)
+	if pick == nil {
+		f.noAttempt = "no upstream"
+		if f.lastErr == nil {
+			f.lastErr = errNoUpstream
+		}
+		return nil
+	}
+	if f.sends > 0 && !s.cfg.Balancer.TakeRetry(s.cfg.Clock(), f.pool.Name, session.Routers) {
+		pick.End(s.cfg.Clock(), balance.OutcomeUnknown)
+		f.noAttempt = "retry budget spent"
+		f.logDecision("request not retried: the retry budget is spent")
+		return nil
+	}
+	return f.newAttempt(pick, f.position.get())
+}
+
 // errNotRun is the type of errors of attempts that the upstream reports as not run.
 var errNotRun = fleet.Errors.NewType("gateway_not_run")
 
@@ -147,17 +145,26 @@
 // isQuarantined reports whether a part of the prompt is quarantined, because upstreams break
 // off under it. The request is then not sent to any further one.
 func (f *forwarder) isQuarantined() bool {
-	now := f.server.cfg.Clock()
-	part, until, ok := f.server.cfg.Balancer.Quarantined(now, f.call.Parts)
-	if !ok {
+	left, err := f.quarantine()
+	if err == nil {
 		return false
 	}
-	f.quarantineLeft = until - now
+	f.quarantineLeft, f.lastErr = left, err
 	f.noAttempt = "prompt part quarantined"
-	f.lastErr = errQuarantined.New("prompt part %x is quarantined for %v: upstreams break off under it", part, f.quarantineLeft.Round(time.Second))
 	return true
 }
 
+// quarantine returns an error if a part of the prompt is quarantined, and for how much longer.
+func (f *forwarder) quarantine() (left time.Duration, err error) {
+	now := f.server.cfg.Clock()
+	part, until, ok := f.server.cfg.Balancer.Quarantined(now, f.call.Parts)
+	if !ok {
+		return 0, nil
+	}
+	left = until - now
+	return left, errQuarantined.New("prompt part %x is quarantined for %v: upstreams break off under it", part, left.Round(time.Second))
+}
+
 // balancerRequest describes the request for the choice of an upstream.
 func (f *forwarder) balancerRequest() *balance.Request {
 	return &balance.Request{
@@ -166,120 +173,6 @@
 	}
 }
 
-// attempt sends the request to one upstream. It returns true if the caller has
-// received its final answer.
-func (f *forwarder) attempt(pick *balance.Pick) (done bool) {
-	s := f.server
-	ctx, cancel := context.WithCancelCause(f.r.Context())
-	defer cancel(nil)
-	stop := f.watchAttempt(pick, cancel)
-	defer stop()
-	outcome := balance.OutcomeUnknown
-	defer func() { pick.End(s.cfg.Clock(), outcome) }()
-
-	f.tried = append(f.tried, pick.Upstream.ID)
-	f.pick = pick
-	f.eventsBefore += f.attemptEvents()
-	span, trace := s.cfg.Tracer.Start("gateway.attempt", f.trace)
-	span.Set("upstream", string(pick.Upstream.ID))
-	f.lastErr = nil
-	defer func() { span.End(f.lastErr) }()
-	resp, err := s.cfg.Pool.Do(ctx, pick.Upstream.Addr, f.upstreamRequest(pick, trace))
-	if err != nil {
-		outcome = f.recordNoAnswer(ctx, err)
-		return false
-	}
-	defer resp.Close()
-	head := s.cfg.Protocol.Head(resp.Status, resp.Header)
-	f.sends++
-	if head.NotRun {
-		pick.RecordAnswerHead(s.cfg.Clock(), head.Load)
-		if head.Misdirected {
-			pick.MarkReplaced(s.cfg.Clock())
-		}
-		f.lastErr = errNotRun.New("upstream %s did not run the request: status %d", pick.Upstream.ID, resp.Status)
-		f.logDecision("upstream did not run the request", "upstream", string(pick.Upstream.ID), "status", resp.Status)
-		return false
-	}
-	f.runs++
-	if head.Stream {
-		done, outcome = f.relayStream(ctx, pick, resp, head)
-	} else {
-		done, outcome = f.relayComplete(ctx, pick, resp, head)
-	}
-	return done
-}
-
-// upstreamRequest builds the request to an upstream. trace is the attempt's traceparent.
-func (f *forwarder) upstreamRequest(pick *balance.Pick, trace string) *exchange.Request {
-	attempt := AttemptHeader{
-		Upstream: pick.Upstream, Remaining: f.deadline - f.server.cfg.Clock(), Priority: f.priority,
-		Source: pick.Source, After: f.call.After,
-	}
-	if f.workspace != nil {
-		attempt.Workspace = f.workspace.ID
-	}
-	if f.stream != nil && f.stream.last != "" {
-		attempt.After = f.stream.last
-	}
-	header := f.server.cfg.Protocol.UpstreamHeader(f.r.Header, attempt)
-	if trace != "" {
-		header.Set(telemetry.HeaderTraceparent, trace)
-	}
-	return &exchange.Request{
-		Method: f.r.Method, Target: f.r.RequestURI, Host: f.r.Host, Body: f.body,
-		Header:  header,
-		Matches: func(h http.Header) bool { return f.server.cfg.Protocol.Matches(f.call.ID, h) },
-	}
-}
-
-// recordNoAnswer records an attempt that got no answer and returns its outcome for the
-// upstream's health.
-func (f *forwarder) recordNoAnswer(ctx context.Context, err error) balance.Outcome {
-	f.lastErr = err
-	var failure *exchange.Error
-	if errors.As(err, &failure) && failure.Phase == exchange.PhaseConnect {
-		f.logDecision("cannot connect to upstream", "error", err)
-		if f.r.Context().Err() != nil {
-			return balance.OutcomeUnknown
-		}
-		return balance.OutcomeBroken
-	}
-	f.sends++
-	f.runs++
-	return f.recordIncomplete(ctx, err)
-}
-
-// recordIncomplete records a missing or incomplete answer and returns its outcome for the
-// upstream's health.
-func (f *forwarder) recordIncomplete(ctx context.Context, err error) balance.Outcome {
-	cause := context.Cause(ctx)
-	switch {
-	case f.r.Context().Err() != nil:
-		f.lastErr = f.r.Context().Err()
-		return balance.OutcomeUnknown
-	case errors.Is(cause, errDeadline), errors.Is(cause, errIdleTimeout), errors.Is(cause, errSlow):
-		f.lastErr = cause
-	default:
-		f.lastErr = err
-	}
-	f.logDecision("attempt failed", "error", f.lastErr, "events", f.attemptEvents(), "parts", formatParts(f.call.Parts))
-	if errors.Is(cause, errDeadline) {
-		return balance.OutcomeError
-	}
-	if cause == nil && f.attemptEvents() < provenEvents && !onIdleConnection(err) {
-		f.pick.RecordBreak(f.server.cfg.Clock())
-	}
-	return balance.OutcomeBroken
-}
-
-// onIdleConnection reports whether an exchange failed without an answer on a connection that
-// had been idle. The upstream may have closed it before the request arrived.
-func onIdleConnection(err error) bool {
-	var failure *exchange.Error
-	return errors.As(err, &failure) && failure.Reused
-}
-
 // attemptEvents returns the number of events that the latest attempt has relayed.
 func (f *forwarder) attemptEvents() int {
 	if f.stream == nil {
@@ -288,56 +181,6 @@
 	return f.stream.events - f.eventsBefore
 }
 
-// watchAttempt cancels an attempt at the request's deadline, and earlier if the request
-// can be retried and the upstream sends nothing or is too slow. The caller calls stop at
-// the end of the attempt.
-func (f *forwarder) watchAttempt(pick *balance.Pick, cancel context.CancelCauseFunc) (stop func()) {
-	clock := f.server.cfg.Clock
-	deadline := time.AfterFunc(f.deadline-clock(), func() { cancel(errDeadline) })
-	if !f.canRetry() {
-		return func() { deadline.Stop() }
-	}
-	began := clock()
-	done := make(chan struct{})
-	go func() {
-		ticker := time.NewTicker(attemptPoll)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-ticker.C:
-			}
-			if cause := f.cancelCause(pick, began); cause != nil {
-				cancel(cause)
-				return
-			}
-		}
-	}()
-	return func() {
-		deadline.Stop()
-		close(done)
-	}
-}
-
-// canRetry reports whether the request may be retried on another upstream after the
-// attempt that starts now, even if that upstream has run it.
-func (f *forwarder) canRetry() bool {
-	return f.route.Repeatable() && f.runs+1 < f.route.MaxAttempts && f.sends+1 < maxSends
-}
-
-// cancelCause returns the cause for which an attempt should be canceled, or nil.
-func (f *forwarder) cancelCause(pick *balance.Pick, began time.Duration) error {
-	now := f.server.cfg.Clock()
-	if pick.Stalled(now) {
-		return errIdleTimeout
-	}
-	if f.route.Kind == routes.KindIdempotent && now-began > max(slowTargetFactor*f.route.Target, minSlowTimeout) {
-		return errSlow
-	}
-	return nil
-}
-
 // answerFailure answers a request that no upstream has served: with an upstream's own
 // failure if there is one, and otherwise with a status that says whether the
 // request may have run.
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -102,3 +103,77 @@
 		})
 	}
 }
+
+// An upstream that stays silent loses its stream to another one, which continues it after the
+// last event, and its connection is closed then.
+func TestReplacementContinuesStreamOfSilentUpstream(t *testing.T) {
+	is := is.New(t)
+	left := make(chan struct{})
+	r := newTestGateway(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 2, Resumable: true},
+		func(c *conn) {
+			c.beginStream()
+			c.writeEvents(1, 2)
+			_, _ = c.Read(make([]byte, 1))
+			close(left)
+		},
+		func(c *conn) {
+			is.Equal(c.request.Header.Get("After"), "2")
+			c.beginStream()
+			c.writeEvents(3, 5)
+			c.endStream()
+		})
+	_, body, err := r.send()
+	is.NoErr(err)
+	is.Equal(body, encodeEvents(1, 5))
+	<-left
+	is.Equal(r.arrivals(), []string{"u0 a", "u1 a"})
+	r.awaitIdle()
+}
+
+// A replacement is canceled as soon as the silent upstream goes on.
+func TestReplacementEndsWhenSilentUpstreamGoesOn(t *testing.T) {
+	is := is.New(t)
+	left := make(chan struct{})
+	r := newTestGateway(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 2, Resumable: true},
+		func(c *conn) {
+			c.beginStream()
+			c.writeEvents(1, 2)
+			time.Sleep(silence)
+			c.writeEvents(3, 4)
+			<-left
+			c.writeEvents(5, 5)
+			c.endStream()
+		},
+		func(c *conn) {
+			_, _ = c.Read(make([]byte, 1))
+			close(left)
+		})
+	_, body, err := r.send()
+	is.NoErr(err)
+	is.Equal(body, encodeEvents(1, 5))
+	is.Equal(r.arrivals(), []string{"u0 a", "u1 a"})
+	r.awaitIdle()
+}
+
+// Both attempts end if their caller leaves.
+func TestCallerLeavesDuringReplacement(t *testing.T) {
+	is := is.New(t)
+	left := make(chan struct{}, 2)
+	silent := func(c *conn) {
+		_, _ = c.Read(make([]byte, 1))
+		left <- struct{}{}
+	}
+	r := newTestGateway(t, routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 2}, silent, silent)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for len(r.arrivals()) < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, _, err := r.sendWith(ctx, "POST", "/x", "order")
+	is.True(err != nil)
+	<-left
+	<-left
+	r.awaitIdle()
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,11 +2,11 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/wigeonflow/wigeonflow/internal/balance"
 	"github.com/wigeonflow/wigeonflow/internal/exchange"
@@ -29,42 +29,60 @@
 type eventRelay struct {
 	w       http.ResponseWriter
 	flusher *http.ResponseController
-	last    string // ID of the last event relayed; empty for none
-	lastID  int64  // last as a number, -1 if it is none
-	pending []byte // the start of an incomplete event
-	resumed bool   // the next new event must have the ID lastID+1
+	last    *streamPosition // the last event relayed
+	lastID  int64           // its ID as a number, -1 if it is none
+	pending []byte          // the start of an incomplete event
+	resumed bool            // the next new event must have the ID lastID+1
 	events  int
 }
 
+// streamPosition is the ID of a stream event. It is safe for concurrent use.
+type streamPosition struct {
+	mu sync.Mutex
+	id string // empty for none
+}
+
+func (p *streamPosition) set(id string) {
+	p.mu.Lock()
+	p.id = id
+	p.mu.Unlock()
+}
+
+func (p *streamPosition) get() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.id
+}
+
 // relayStream relays a stream event by event. An incomplete event never reaches the
 // caller, so that another upstream can resume the stream after the last one.
-func (f *forwarder) relayStream(ctx context.Context, pick *balance.Pick, resp *exchange.Response, head Head) (done bool, o balance.Outcome) {
+func (f *forwarder) relayStream(a *attempt) (done bool, o balance.Outcome) {
 	first, proven := true, false
 	buffer := make([]byte, streamBuffer)
 	for {
-		n, err := resp.Read(buffer)
+		n, err := a.body.Read(buffer)
 		if n > 0 {
 			now := f.server.cfg.Clock()
 			if first {
-				pick.RecordAnswerHead(now, head.Load)
+				a.pick.RecordAnswerHead(now, a.head.Load)
 				first = false
 			} else {
-				pick.RecordBytes(now)
+				a.pick.RecordBytes(now)
 			}
-			f.beginStream(resp)
+			f.beginStream(a.resp)
 			if relayErr := f.stream.write(buffer[:n]); relayErr != nil {
-				return f.recordStreamFailure(ctx, relayErr)
+				return f.recordStreamFailure(a, relayErr)
 			}
 			if !proven && f.attemptEvents() >= provenEvents {
-				pick.RecordServed(now)
+				a.pick.RecordServed(now)
 				proven = true
 			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return f.endStream(ctx, pick, resp)
+			return f.endStream(a)
 		case err != nil:
-			return f.recordStreamFailure(ctx, err)
+			return f.recordStreamFailure(a, err)
 		}
 	}
 }
@@ -79,9 +97,9 @@
 		h[name] = values
 	}
 	h.Del("Content-Length") // events of several upstreams may follow
-	f.stream = &eventRelay{w: f.w, flusher: http.NewResponseController(f.w), lastID: -1}
+	f.stream = &eventRelay{w: f.w, flusher: http.NewResponseController(f.w), last: &f.position, lastID: -1}
 	if id, err := strconv.ParseInt(f.call.After, 10, 64); err == nil {
-		f.stream.last, f.stream.lastID = f.call.After, id
+		f.stream.lastID = id
 	}
 	f.w.WriteHeader(resp.Status)
 }
@@ -89,21 +107,21 @@
 // endStream ends the answer after the upstream has ended its stream. The stream is
 // incomplete if it ended inside an event, or without any event at the end of a connection
 // that alone would tell that it is complete.
-func (f *forwarder) endStream(ctx context.Context, pick *balance.Pick, resp *exchange.Response) (bool, balance.Outcome) {
-	if !resp.Delimited && f.stream == nil && f.call.After == "" {
-		return f.recordStreamFailure(ctx, io.ErrUnexpectedEOF)
+func (f *forwarder) endStream(a *attempt) (bool, balance.Outcome) {
+	if !a.resp.Delimited && f.stream == nil && f.call.After == "" {
+		return f.recordStreamFailure(a, io.ErrUnexpectedEOF)
 	}
-	f.beginStream(resp)
+	f.beginStream(a.resp)
 	if len(f.stream.pending) > 0 {
-		return f.recordStreamFailure(ctx, io.ErrUnexpectedEOF)
+		return f.recordStreamFailure(a, io.ErrUnexpectedEOF)
 	}
-	pick.RecordServed(f.server.cfg.Clock())
-	f.recordOutcome(resp.Status, "")
+	a.pick.RecordServed(f.server.cfg.Clock())
+	f.recordOutcome(a.resp.Status, "")
 	return true, balance.OutcomeServed
 }
 
 // recordStreamFailure ends an attempt at a stream and discards an incomplete event.
-func (f *forwarder) recordStreamFailure(ctx context.Context, err error) (bool, balance.Outcome) {
+func (f *forwarder) recordStreamFailure(a *attempt, err error) (bool, balance.Outcome) {
 	var gone *callerGoneError
 	if errors.As(err, &gone) {
 		f.recordOutcome(0, gone.Error())
@@ -113,7 +131,7 @@
 		f.stream.pending = nil
 		f.stream.resumed = true
 	}
-	return false, f.recordIncomplete(ctx, err)
+	return false, f.recordIncomplete(a, err, f.attemptEvents())
 }
 
 // callerGoneError wraps the error of a write to the caller.
@@ -178,7 +196,8 @@
 	}
 	id, err := strconv.ParseInt(text, 10, 64)
 	if err != nil {
-		r.last, r.lastID = text, -1
+		r.last.set(text)
+		r.lastID = -1
 		return true, nil
 	}
 	if r.lastID >= 0 && id <= r.lastID {
@@ -188,7 +207,8 @@
 		return false, errEventGap.New("the resumed stream continues with event %d after event %d", id, r.lastID)
 	}
 	r.resumed = false
-	r.last, r.lastID = text, id
+	r.last.set(text)
+	r.lastID = id
 	r.events++
 	return true, nil
 }
