gateway: test that a configuration change ends no request

The second hypothesis of docs/incidents/silent-upstream.md: a request that is under way reads the newer table, and what is gone there ends it. It doesn't: route, pool, key and deadline are those of the table by which the request was admitted, also when it is retried, its stream continues at another upstream or its upstream is silent for a while.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -128,7 +129,8 @@
 	contact    bool // with the control group
 	superseded bool // a newer configuration is known
 	tracer     *telemetry.Tracer
-	upstreams  []fleet.Upstream // one for each script
+	upstreams  []fleet.Upstream             // one for each script
+	index      atomic.Pointer[routes.Index] // of the table in force
 
 	mu   sync.Mutex
 	runs []string // "UPSTREAM REQUEST-ID" of each request, in order of arrival
@@ -224,10 +226,10 @@
 
 func (r *testGateway) startServer() {
 	clock := fleet.MonotonicClock()
-	index := routes.NewIndex(r.table)
+	r.index.Store(routes.NewIndex(r.table))
 	pool := exchange.NewPool()
 	r.server = NewServer(ServerConfig{
-		Clock: clock, Protocol: testProtocol{}, Table: func() *routes.Index { return index },
+		Clock: clock, Protocol: testProtocol{}, Table: r.index.Load,
 		SessionState: func() balance.SessionState { return r.session }, KeysUntil: func() time.Duration { return clock() + r.keys },
 		ConfirmedAt: func() time.Duration { return clock() - r.configAge }, MaxConfigAge: ConfigAgeLimits{Rejection: 2 * time.Second, Service: 3 * time.Second},
 		InContact: func() bool { return r.contact }, IsSuperseded: func() bool { return r.superseded },
