gateway: keep answers and heads that are no events out of a stream

What callers saw (reported by operators of other systems): the text of an error, at times its head, in the middle of their stream, or a stream that ended as if it were complete.

Cause: an answer under 500 that is no stream was relayed as a complete one also after a stream had begun, so that its body followed the events and the request counted as served. A block of lines in a stream passed as an event whatever it consisted of, such as the head of an answer that the upstream wrote after its events.

Evidence: TestErrorAnswerInsideAStream; six of its nine cases failed before (a client error, a success that is no stream or empty, 204, a head as a chunk, an answer in a stream without a length).

Change: once a stream has begun, an answer that is no stream ends the attempt. An event must consist of fields and comments. Events before one that is invalid are relayed before the attempt ends, since they count as received.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -97,9 +97,12 @@
 	if a.err != nil {
 		return false
 	}
-	if a.head.Stream {
+	switch {
+	case a.head.Stream:
 		done, a.outcome = f.relayStream(a)
-	} else {
+	case f.stream != nil:
+		a.outcome = f.recordFailedAnswer(a)
+	default:
 		done, a.outcome = f.relayComplete(a)
 	}
 	f.lastErr = a.err
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -230,7 +230,8 @@
 		return "silent"
 	case errors.Is(f.lastErr, errSlow):
 		return "slow"
-	case errorx.IsOfType(f.lastErr, errEventGap), errorx.IsOfType(f.lastErr, errEventTooLong):
+	case errorx.IsOfType(f.lastErr, errEventGap), errorx.IsOfType(f.lastErr, errEventTooLong), errorx.IsOfType(f.lastErr, errInvalidEvent),
+		errorx.IsOfType(f.lastErr, errFailedAnswer):
 		return "invalid_stream"
 	default:
 		return "broken_off"
--- a/internal/gateway/forwarder_test.go
+++ b/internal/gateway/forwarder_test.go
@@ -291,3 +291,37 @@
 	is.True(retries > 0)
 	is.True(float64(retries) <= 0.2*requests+10)
 }
+
+// An answer that is no stream never reaches a caller whose stream has begun.
+func TestErrorAnswerInsideAStream(t *testing.T) {
+	cut := func(c *conn) { c.beginStream(); c.writeEvents(1, 2) }
+	head := "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\nfailed"
+	cases := []struct {
+		name          string
+		first, second func(*conn)
+	}{
+		{"a server error", cut, answerError},
+		{"a client error", cut, func(c *conn) { c.writeAnswer(http.StatusBadRequest, "bad offset", "Signature: s") }},
+		{"a success that is no stream", cut, serveDone},
+		{"an empty success", cut, func(c *conn) { c.writeAnswer(http.StatusOK, "", "Signature: s") }},
+		{"no content", cut, func(c *conn) { c.write("HTTP/1.1 204 X\r\nId: ", c.id, "\r\nConnection: close\r\n\r\n") }},
+		{"a stream with an error status", cut, func(c *conn) {
+			c.writeAnswer(http.StatusBadGateway, encodeEvent(3), "Content-Type: text/event-stream")
+		}},
+		{"an answer's head as a chunk", func(c *conn) { cut(c); c.writeChunk(head + "\n\n"); c.endStream() }, answerError},
+		{"an answer in place of a chunk", func(c *conn) { cut(c); c.write(head) }, answerError},
+		{"an answer in a stream without a length", func(c *conn) {
+			c.write("HTTP/1.1 200 OK\r\nId: ", c.id, "\r\nConnection: close\r\nContent-Type: text/event-stream\r\n\r\n", encodeEvents(1, 2), head)
+		}, answerError},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestGateway(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 2, Resumable: true}, tc.first, tc.second)
+			resp, body, err := r.send()
+			is.True(resp != nil)
+			is.True(err != nil) // the answer doesn't look complete
+			is.Equal(body, encodeEvents(1, 2))
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,6 +22,7 @@
 var (
 	errEventTooLong = fleet.Errors.NewType("gateway_event_too_long")
 	errEventGap     = fleet.Errors.NewType("gateway_event_gap")
+	errInvalidEvent = fleet.Errors.NewType("gateway_invalid_event")
 )
 
 // eventRelay writes a stream's events to the caller. One relay serves all attempts of a
@@ -140,20 +141,19 @@
 func (e *callerGoneError) Error() string { return "the caller disconnected: " + e.cause.Error() }
 func (e *callerGoneError) Unwrap() error { return e.cause }
 
-// write appends b to the pending bytes and relays all complete events among them.
+// write appends b to the pending bytes and relays all complete events among them, up to the
+// first that isn't valid.
 func (r *eventRelay) write(b []byte) error {
 	r.pending = append(r.pending, b...)
 	begin, out := 0, 0
-	for {
+	var invalid error
+	for invalid == nil {
 		end := eventEnd(r.pending[begin:])
 		if end < 0 {
 			break
 		}
-		keep, err := r.acceptEvent(r.pending[begin : begin+end])
-		if err != nil {
-			return err
-		}
-		if keep {
+		var keep bool
+		if keep, invalid = r.acceptEvent(r.pending[begin : begin+end]); keep {
 			out += copy(r.pending[out:], r.pending[begin:begin+end])
 		}
 		begin += end
@@ -167,10 +167,10 @@
 		}
 	}
 	r.pending = r.pending[:copy(r.pending, r.pending[begin:])]
-	if len(r.pending) > maxEventBytes {
+	if invalid == nil && len(r.pending) > maxEventBytes {
 		return errEventTooLong.New("a stream event exceeds %d bytes", maxEventBytes)
 	}
-	return nil
+	return invalid
 }
 
 // eventEnd returns the length of the first event with its blank line, or -1.
@@ -190,6 +190,9 @@
 // acceptEvent records an event's ID and reports whether the caller still lacks the event.
 // After a resumption, the first such event must follow the last one relayed.
 func (r *eventRelay) acceptEvent(event []byte) (bool, error) {
+	if line, ok := invalidLine(event); ok {
+		return false, errInvalidEvent.New("the stream contains the line %.80q, which is no field of an event", line)
+	}
 	text, ok := eventID(event)
 	if !ok {
 		return true, nil
@@ -213,6 +216,22 @@
 	return true, nil
 }
 
+// invalidLine returns the first line of an event that is neither a field nor a comment. Names of
+// fields are in lower case, unlike a status line that an upstream writes into its stream.
+func invalidLine(event []byte) (line []byte, ok bool) {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		name, _, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
+		if bytes.ContainsFunc(name, func(r rune) bool { return !isFieldNameRune(r) }) {
+			return line, true
+		}
+	}
+	return nil, false
+}
+
+func isFieldNameRune(r rune) bool {
+	return 'a' <= r && r <= 'z' || '0' <= r && r <= '9' || r == '-' || r == '_'
+}
+
 // eventID returns the value of an event's id field.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
