gateway: close the connection of a caller whose request ended without an answer

What callers would see: one that closes its sending side after the request, as some clients and proxies do, got an empty 200 for a request that no upstream had answered, and a stream that was broken off ended as if it were complete.

Cause: net/http cancels the request when the caller's side is closed. The forwarder then returned without writing anything, and net/http completes what a handler leaves: an empty 200, or the last chunk.

Evidence: TestHalfClosedCallerGetsNoImplicitAnswer, both cases failed before.

Change: the forwarder aborts the connection in all cases in which it returns without a complete answer, and counts them in gateway_unanswered with the cause caller_disconnected.

--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -90,6 +90,7 @@
 	}
 	f.w.WriteHeader(a.status)
 	if _, err := f.w.Write(a.body); err != nil {
+		f.callerGone = true
 		f.recordOutcome(a.status, "the caller disconnected: "+err.Error())
 		return
 	}
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -53,6 +53,7 @@
 
 	stream       *eventRelay    // set once the answer's header was written
 	position     streamPosition // of the last event that the caller has
+	callerGone   bool           // writing the answer has failed
 	eventsBefore int            // events that earlier attempts have relayed
 
 	quarantineLeft time.Duration // until the end of the quarantine of a prompt part; 0 for none
@@ -80,6 +81,9 @@
 	defer f.dropReplacement()
 	for a := f.nextAttempt(); a != nil; a = f.nextAttempt() {
 		if done := f.runAttempt(a); done {
+			if f.callerGone {
+				f.abort()
+			}
 			return
 		}
 	}
@@ -188,8 +192,10 @@
 	switch {
 	case f.r.Context().Err() != nil:
 		f.recordOutcome(0, "the caller disconnected")
+		f.abort()
 	case f.stream != nil:
-		f.abort("stream not completed")
+		f.recordOutcome(0, "stream not completed")
+		f.abort()
 	case f.failedAnswer != nil:
 		f.writeAnswer(f.failedAnswer)
 	case f.runs == 0 && f.quarantineLeft > 0:
@@ -211,18 +217,17 @@
 	return f.lastErr.Error()
 }
 
-// abort closes the connection of an answer that has begun, so that it doesn't look
-// complete to the caller.
-func (f *forwarder) abort(reason string) {
+// abort closes the caller's connection without an answer, or without the rest of one, so that
+// net/http doesn't complete it. It doesn't return.
+func (f *forwarder) abort() {
 	f.server.countUnanswered(f.endCause())
-	f.recordOutcome(0, reason)
 	panic(http.ErrAbortHandler)
 }
 
 // endCause returns what ended the latest attempt, as a label of gateway_unanswered.
 func (f *forwarder) endCause() string {
 	switch {
-	case f.r.Context().Err() != nil:
+	case f.callerGone, f.r.Context().Err() != nil:
 		return "caller_disconnected"
 	case errors.Is(f.lastErr, errDeadline):
 		return "deadline"
--- a/internal/gateway/forwarder_test.go
+++ b/internal/gateway/forwarder_test.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -325,3 +329,40 @@
 		})
 	}
 }
+
+// A caller that has closed its sending side never gets an empty success for a request that was
+// not served.
+func TestHalfClosedCallerGetsNoImplicitAnswer(t *testing.T) {
+	cases := []struct {
+		name   string
+		kind   routes.Kind
+		script func(*conn)
+	}{
+		{"no answer", routes.KindOnce, func(c *conn) { _, _ = c.Read(make([]byte, 1)) }},
+		{"a stream that has begun", routes.KindStream, func(c *conn) {
+			c.beginStream()
+			c.writeEvents(1, 2)
+			_, _ = c.Read(make([]byte, 1))
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestGateway(t, routes.Route{Kind: tc.kind}, tc.script)
+			raw, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+			is.NoErr(err)
+			defer raw.Close()
+			_, err = io.WriteString(raw, "POST /x HTTP/1.1\r\nHost: "+testHost+"\r\nId: a\r\nContent-Length: 0\r\n\r\n")
+			is.NoErr(err)
+			for len(r.arrivals()) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			is.NoErr(raw.(*net.TCPConn).CloseWrite())
+			resp, err := http.ReadResponse(bufio.NewReader(raw), nil)
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+			}
+			is.True(err != nil) // no complete answer
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -125,6 +125,7 @@
 func (f *forwarder) recordStreamFailure(a *attempt, err error) (bool, balance.Outcome) {
 	var gone *callerGoneError
 	if errors.As(err, &gone) {
+		f.callerGone = true
 		f.recordOutcome(0, gone.Error())
 		return true, balance.OutcomeUnknown
 	}
