balance: a zone that is taken back counts as cold until a list can show it

Class: a stale list taken for a current one.

Change: an upstream that was out of service counts as cold until a list was requested so long after its return that it shows whether it is. As for every cold one, only its owner sends, at the pool's rate for cold upstreams. Pools without such a rate aren't concerned.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -369,3 +369,35 @@
 		})
 	}
 }
+
+// Upstreams of a zone that is taken back may be cold although the list doesn't show it yet.
+func TestReturnedZoneIsColdUntilAListCanShowIt(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(fleetOf(engines, 3))
+	session := onlyRouterSession()
+	out := true
+	session.Out = func(u fleet.Upstream) bool { return out && u.Zone == "zone-1" }
+	sessions := uint64(0)
+	chosen := func(now time.Duration) (count int) {
+		for range 200 {
+			sessions++
+			p := b.Choose(now, chat(sessions, sessions), session)
+			if p.Upstream.Zone == "zone-1" {
+				count++
+			}
+			p.End(now, OutcomeServed)
+		}
+		return count
+	}
+	const back = time.Minute
+	session.ListAsOf = back
+	is.Equal(chosen(back), 0)
+	out = false
+	is.True(chosen(back+time.Millisecond) <= coldBurst)
+	session.ListAsOf = back + maxListLag - time.Millisecond // requested too early to show it
+	is.True(chosen(back+2*time.Second) <= coldBurst)
+	session.Owns = func(fleet.UpstreamID) bool { return false }
+	is.Equal(chosen(back+3*time.Second), 0)
+	session.ListAsOf = back + maxListLag
+	is.True(chosen(back+4*time.Second) > coldBurst)
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -40,6 +40,9 @@
 	Routers int
 	// Out reports whether operators have taken an upstream out of service.
 	Out func(fleet.Upstream) bool
+	// ListAsOf is the time at which the newest upstream list was requested, whether it has
+	// changed or not.
+	ListAsOf time.Duration
 }
 
 // Config configures a Balancer.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -100,7 +100,7 @@
 		c.first, c.second = rank(r.rankingKey(), usable)
 		i := b.best(&c, session.Routers)
 		s := usable[i]
-		if !s.isCold(now) || s.coldBucket.takeToken(now, r.Pool.ColdRate, coldBurst) {
+		if !s.isCold(now, r.Pool, session) || s.coldBucket.takeToken(now, r.Pool.ColdRate, coldBurst) {
 			p := b.takeSlot(now, r, s, source)
 			p.Mean = mean.load
 			return p
@@ -115,10 +115,14 @@
 func (b *Balancer) usable(now time.Duration, r *Request, session SessionState, includeFailed bool) []*upstreamState {
 	out := b.scratch[:0]
 	for _, s := range b.pools[r.Pool.Name] {
-		if s.Leaving || now < s.replacedUntil || slices.Contains(r.Tried, s.ID) || session.Out(s.Upstream) || s.stalled(now) && !includeFailed {
+		if session.Out(s.Upstream) {
+			s.outAt = now
 			continue
 		}
-		if s.isCold(now) && r.Pool.ColdRate > 0 && !session.Owns(s.ID) {
+		if s.Leaving || now < s.replacedUntil || slices.Contains(r.Tried, s.ID) || s.stalled(now) && !includeFailed {
+			continue
+		}
+		if s.isCold(now, r.Pool, session) && r.Pool.ColdRate > 0 && !session.Owns(s.ID) {
 			continue
 		}
 		if limit := connectionLimit(r.Pool.MaxConnections, session.Routers); limit > 0 && s.running >= limit {
--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
 )
 
 // ListedUpstream is an upstream as the platform lists it.
@@ -29,6 +30,9 @@
 	// its address. The list is up to a second late and contains stopped upstreams for some
 	// seconds more.
 	replacedFor = 5 * time.Second
+	// maxListLag is by how much the platform's list may lag behind the moment at which it is
+	// read.
+	maxListLag = time.Second
 	// coldBurst is how many requests a cold upstream may get at once.
 	coldBurst = 2
 )
@@ -51,6 +55,7 @@
 	reportedAt time.Duration
 
 	replacedUntil time.Duration // see Pick.MarkReplaced
+	outAt         time.Duration // when operators were last seen to have the upstream out of service; 0 for never
 
 	lastByte time.Duration // time of the newest byte of any answer, or of the first request after idleness
 	health   health
@@ -75,7 +80,11 @@
 	return s.running > 0 && now-s.lastByte > stallTimeout
 }
 
-func (s *upstreamState) isCold(now time.Duration) bool { return now < s.coldUntil }
+// isCold reports whether the upstream of a pool counts as cold: while the list says so, and
+// after its return to service until a list can show whether it is.
+func (s *upstreamState) isCold(now time.Duration, pool *routes.Pool, session SessionState) bool {
+	return now < s.coldUntil || s.outAt > 0 && pool.ColdRate > 0 && session.ListAsOf < s.outAt+maxListLag
+}
 
 // bucket is a token bucket. The zero value holds one token at time 0 of the clock and
 // fills from then on.
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -163,9 +163,10 @@
 	index := r.keeper.View().Index()
 	now := r.cfg.Clock()
 	return balance.SessionState{
-		Owns:    func(id fleet.UpstreamID) bool { return authority.Owns(now, string(id)) },
-		Routers: len(authority.Membership().Members),
-		Out:     func(u fleet.Upstream) bool { return index.ZoneOut(u.Zone) || index.UpstreamOut(u.ID) },
+		ListAsOf: now - r.listAge(),
+		Owns:     func(id fleet.UpstreamID) bool { return authority.Owns(now, string(id)) },
+		Routers:  len(authority.Membership().Members),
+		Out:      func(u fleet.Upstream) bool { return index.ZoneOut(u.Zone) || index.UpstreamOut(u.ID) },
 	}
 }
 
