gateway: a request whose handler panics is answered and logged

What callers would see: a whole request gets neither an answer nor a refusal, its connection is closed; operators see nothing, since net/http's line on the panic goes to the debug level.

Cause: a panic in the handler was left to net/http's recovery. No input is known that causes one; the choice of an upstream, for instance, runs the balancer's code for each request.

Change: the panic is logged as an error with its stack and the request's ID. If the answer hasn't begun, the caller gets 502, which promises nothing: the request may have run. Otherwise the connection is closed, and the request is counted in gateway_unanswered, cause "panic". The answer's writer is wrapped to know whether it has begun. So http.MaxBytesReader doesn't close the connection of a body over the limit any more by itself; net/http does if more than 256 KB are unread, and reads them otherwise.

Evidence: before, TestPanicClosesConnectionWithoutAnswer gets EOF in place of an answer, and TestPanicInsideStream finds the cut stream counted nowhere.

--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -21,6 +21,11 @@
 	log.Info(message, append(fields, args...)...)
 }
 
+// logError logs a failure of this router on the request.
+func (f *forwarder) logError(message string, args ...any) {
+	f.server.cfg.Log.Error(message, append([]any{"request", string(f.call.ID)}, args...)...)
+}
+
 // recordOutcome counts the request and logs its outcome. status is the status of the
 // complete answer, even if writing it to the caller failed, and 0 if there is no complete
 // answer. reason is empty if the caller was served.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -100,7 +100,8 @@
 	if s.cfg.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	f := &forwarder{server: s, w: w, r: r, start: s.cfg.Clock()}
+	answer := &answerWriter{ResponseWriter: w}
+	f := &forwarder{server: s, w: answer, r: r, start: s.cfg.Clock()}
 	span, trace := s.cfg.Tracer.Start("gateway.request", r.Header.Get(telemetry.HeaderTraceparent))
 	f.trace = trace
 	defer func() { // runs also if abort panics
@@ -108,6 +109,13 @@
 		span.SetInt("sends", f.sends)
 		span.End(f.failure)
 	}()
+	defer func() {
+		if value := recover(); value == http.ErrAbortHandler {
+			panic(value)
+		} else if value != nil {
+			f.answerPanic(value, answer)
+		}
+	}()
 	f.forward()
 }
 
--- /dev/null
+++ b/internal/gateway/unanswered.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"runtime/debug"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/wigeonflow/wigeonflow/internal/telemetry"
+)
+
+// causePanic is a value of the label cause of the metric gateway_unanswered.
+const causePanic = "panic"
+
+// countUnanswered counts a request whose connection ends without a complete answer.
+func (s *Server) countUnanswered(cause string) {
+	metrics.GetOrRegisterCounter(telemetry.MetricName("gateway_unanswered", "cause", cause), s.cfg.Metrics).Inc(1)
+}
+
+// answerWriter is a ResponseWriter that knows whether the answer has begun.
+type answerWriter struct {
+	http.ResponseWriter
+	begun bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	w.begun = w.begun || status >= http.StatusOK
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *answerWriter) Write(b []byte) (int, error) {
+	w.begun = true
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap lets http.ResponseController find the writer's other methods.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// answerPanic ends a request whose handler has panicked with the given value: with 502 if its
+// answer hasn't begun, since the request may have run, and otherwise by closing the connection.
+func (f *forwarder) answerPanic(value any, w *answerWriter) {
+	f.logError("request handler panicked", "panic", fmt.Sprint(value), "stack", string(debug.Stack()))
+	if w.begun {
+		f.server.countUnanswered(causePanic)
+		panic(http.ErrAbortHandler)
+	}
+	f.reject(&rejection{status: http.StatusBadGateway, reason: "internal error"})
+}
--- /dev/null
+++ b/internal/gateway/unanswered_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
+	"github.com/wigeonflow/wigeonflow/internal/telemetry"
+)
+
+// unanswered returns the number of requests that ended without an answer by a cause.
+func (r *testGateway) unanswered(cause string) int64 {
+	return metrics.GetOrRegisterCounter(telemetry.MetricName("gateway_unanswered", "cause", cause), r.server.cfg.Metrics).Count()
+}
+
+func TestPanicClosesConnectionWithoutAnswer(t *testing.T) {
+	is := is.New(t)
+	r := newTestGateway(t, routes.Route{Kind: routes.KindOnce, MaxAttempts: 1}, serveDone)
+	r.session.Out = func(fleet.Upstream) bool { panic("broken") }
+	resp, _, err := r.send()
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+	is.Equal(r.unanswered(causePanic), int64(0))
+}
+
+// A panic after the start of a stream must not make the stream look complete.
+func TestPanicInsideStream(t *testing.T) {
+	is := is.New(t)
+	var begun atomic.Bool
+	r := newTestGateway(t, routes.Route{Kind: routes.KindStream, Resumable: true, MaxAttempts: 2}, func(c *conn) {
+		c.beginStream()
+		c.writeEvents(1, 3)
+		begun.Store(true)
+	}, serveDone)
+	r.session.Out = func(fleet.Upstream) bool {
+		if begun.Load() {
+			panic("broken")
+		}
+		return false
+	}
+	_, body, err := r.send()
+	is.True(err != nil) // the stream is cut
+	is.True(strings.HasPrefix(body, encodeEvents(1, 1)))
+	is.Equal(r.unanswered(causePanic), int64(1))
+}
