gateway: no request ends in the empty 200 that net/http adds

What callers would see: a caller that closes only the sending side of its connection after its request gets "200 OK" with an empty body, an answer that no upstream gave, while its request may be running.

Cause: net/http answers 200 for a handler that returns without having written an answer. The forwarder returns so when the request's context has ended, which net/http also ends at a half-closed connection.

Change: a handler that returns without an answer closes the connection. Whether the caller of a half-closed connection should rather get its answer is for the forwarder to decide; this rules the class out.

Evidence: TestHandlerReturnsWithoutAnswer gets "HTTP/1.1 200" before.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -117,6 +117,9 @@
 		}
 	}()
 	f.forward()
+	if !answer.begun {
+		panic(http.ErrAbortHandler) // otherwise net/http answers 200 with an empty body
+	}
 }
 
 // admit reads the request and finds its route, pool and workspace. It returns a
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -49,3 +51,33 @@
 	is.True(strings.HasPrefix(body, encodeEvents(1, 1)))
 	is.Equal(r.unanswered(causePanic), int64(1))
 }
+
+// A caller that closes only its sending side gets no answer that no upstream gave.
+func TestHandlerReturnsWithoutAnswer(t *testing.T) {
+	is := is.New(t)
+	r := newTestGateway(t, routes.Route{Kind: routes.KindOnce, MaxAttempts: 1}, func(c *conn) { _, _ = c.Read(make([]byte, 1)) })
+	answer := r.sendHalfClosed()
+	is.True(!strings.HasPrefix(answer, "HTTP/1.1 200"))
+}
+
+// sendHalfClosed sends a request, closes the sending side of the connection and returns all
+// that comes back.
+func (r *testGateway) sendHalfClosed() string {
+	r.t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, "POST /x HTTP/1.1\r\nHost: "+testHost+"\r\nId: a\r\nContent-Length: 5\r\n\r\norder"); err != nil {
+		r.t.Fatal(err)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		r.t.Fatal(err)
+	}
+	answer, err := io.ReadAll(c)
+	if err != nil {
+		r.t.Log("the answer ends with", err)
+	}
+	return string(answer)
+}
