gateway: requests cut at the end of the grace period are logged and counted

Until now a request that still ran at the end of the grace period ended with the process, and only the number of such requests was in an error. Each now leaves a line with its ID and age ("request cut: the grace period has ended") and counts in gateway_unanswered, cause "grace_period".

Evidence: TestRequestCutAtEndOfGracePeriodIsNotLogged; before, there was neither line nor count.

--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -238,6 +238,9 @@
 func (r *Router) Stop(ctx context.Context) error {
 	r.keeper.SetDraining(true)
 	err := r.await(ctx, func() bool { return r.server.Running() == 0 })
+	if err != nil {
+		r.server.logCut()
+	}
 	r.keeper.Leave()
 	if err == nil {
 		err = r.await(ctx, r.keeper.HasLeft)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -71,6 +71,7 @@
 type Server struct {
 	cfg      ServerConfig
 	running  atomic.Int64
+	inFlight sync.Map     // time.Duration by *http.Request: when each running request started
 	buffered atomic.Int64 // bytes of the answers being read, see answerReader
 	draw     atomic.Uint64
 	counts   sync.Map // of *requestCount by requestLabels
@@ -102,6 +103,8 @@
 	}
 	answer := &answerWriter{ResponseWriter: w}
 	f := &forwarder{server: s, w: answer, r: r, start: s.cfg.Clock()}
+	s.inFlight.Store(r, f.start)
+	defer s.inFlight.Delete(r)
 	span, trace := s.cfg.Tracer.Start("gateway.request", r.Header.Get(telemetry.HeaderTraceparent))
 	f.trace = trace
 	defer func() { // runs also if abort panics
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -4,14 +4,18 @@
 	"fmt"
 	"net/http"
 	"runtime/debug"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/wigeonflow/wigeonflow/internal/telemetry"
 )
 
-// causePanic is a value of the label cause of the metric gateway_unanswered.
-const causePanic = "panic"
+// Values of the label cause of the metric gateway_unanswered.
+const (
+	causePanic       = "panic"
+	causeGracePeriod = "grace_period"
+)
 
 // countUnanswered counts a request whose connection ends without a complete answer.
 func (s *Server) countUnanswered(cause string) {
@@ -49,3 +53,15 @@
 	}
 	f.reject(&rejection{status: http.StatusBadGateway, reason: "internal error"})
 }
+
+// logCut logs and counts the requests that are still running. It is called when their
+// connections are about to be closed, at the end of the grace period.
+func (s *Server) logCut() {
+	now := s.cfg.Clock()
+	s.inFlight.Range(func(key, started any) bool {
+		call, _ := s.cfg.Protocol.Call(key.(*http.Request).Header) // a malformed header has no ID to log
+		s.cfg.Log.Warn("request cut: the grace period has ended", "request", string(call.ID), "age", (now - started.(time.Duration)).Round(time.Millisecond).String())
+		s.countUnanswered(causeGracePeriod)
+		return true
+	})
+}
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -60,6 +62,31 @@
 	is.True(!strings.HasPrefix(answer, "HTTP/1.1 200"))
 }
 
+func TestRequestCutAtEndOfGracePeriodIsNotLogged(t *testing.T) {
+	is := is.New(t)
+	arrived, end := make(chan struct{}), make(chan struct{})
+	r := newTestGateway(t, routes.Route{Kind: routes.KindOnce, MaxAttempts: 1}, func(c *conn) {
+		close(arrived)
+		<-end
+		serveDone(c)
+	})
+	var lines bytes.Buffer
+	r.server.cfg.Log = slog.New(slog.NewTextHandler(&lines, &slog.HandlerOptions{Level: slog.LevelWarn}))
+	served := make(chan error, 1)
+	go func() {
+		_, _, err := r.send()
+		served <- err
+	}()
+	<-arrived
+	r.server.logCut()
+	is.Equal(r.unanswered(causeGracePeriod), int64(1))
+	is.True(strings.Contains(lines.String(), `"request cut: the grace period has ended" request=a`))
+	close(end)
+	is.NoErr(<-served)
+	r.server.logCut()
+	is.Equal(r.unanswered(causeGracePeriod), int64(1)) // none is left
+}
+
 // sendHalfClosed sends a request, closes the sending side of the connection and returns all
 // that comes back.
 func (r *testGateway) sendHalfClosed() string {
