control: a returning member votes at once, its removal would have tolerated no further loss

What operators saw: one core machine was back for 4 s after 11.5 s without power, then a zone with two of the five was lost. No member led until the zone was back, 11 s later: "a valid config had no ack after 4387 ms of steady state", and nearly all requests were refused.

Cause: a voter from which the leader hears nothing for 10 s is removed. Among five this lowers the number of voters to four, but not the quorum of three, so nothing is gained; the returning machine can't vote before it has noticed its removal (6 s after a restart), cleared its disk, restarted and been added again, about 9 s. Two of four voters are no quorum.

Change: a voter is removed only where that lowers the quorum, from an even number of voters: among six, once a successor has joined, or among four. Five voters remain five.

--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -50,7 +50,7 @@
 // of priority: add a member whose disk was replaced as a learner, promote a
 // learner to a voter, add a new member as a learner, remove a member from which
 // nothing was received for silentTimeout, or replacedTimeout if another one has joined
-// in its place.
+// in its place, see removableMember.
 func (r *repairPlanner) nextChange(now time.Duration, status consensus.Status) (change consensus.Change, ok bool) {
 	r.observe(now, status)
 	if w, ok := replacedDisk(status); ok {
@@ -123,7 +123,9 @@
 }
 
 // removableMember returns a member that has been silent for its timeout, learners first.
-// It returns a voter only if more than minVoters voters are listed.
+// It returns a voter only if more than minVoters voters are listed and the removal lowers
+// the quorum. Otherwise the removal would tolerate no further loss, but the member could
+// not vote when it returns.
 func (r *repairPlanner) removableMember(now time.Duration, status consensus.Status) (consensus.MemberID, bool) {
 	voters := 0
 	for _, m := range status.Members {
@@ -142,7 +144,8 @@
 		}
 		found = m.ID
 	}
-	return found, found != "" && voters > minVoters
+	lowersQuorum := voters%2 == 0
+	return found, found != "" && voters > minVoters && lowersQuorum
 }
 
 // replacedDisk returns a waiting store with the ID of a listed member, but another
