control: a member clears its disk only after a committed removal

What operators would see: an acknowledged change is lost, or the group has no quorum any more.

Cause: a member that knows no leader asks the leader whether it is still listed, and clears its data directory if it isn't. The leader answered by the membership in force, and that is in force as soon as it is in the leader's log, before a majority has it. If the leader then loses the leadership, the removal is reverted and the group counts a voter whose copy of the log is gone.

Change: Status tells whether the membership in force is committed, and a member counts as removed only then. (A new leader answers only with a lease, hence after it has committed an entry of its own term and all that it found in its log.)

--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -289,3 +289,22 @@
 		})
 	}
 }
+
+// A leader that is cut off removes a member, which a later leader reverts.
+func TestUncommittedRemovalCountsAsRemoval(t *testing.T) {
+	is := is.New(t)
+	sim, lead := simulationWithLeader(t)
+	removed := sim.others(lead)[0]
+	pending := func(m *simMember) bool { return m.replica.core.Status(m.localTime()).ChangePending }
+	is.True(!pending(lead))
+	for _, o := range sim.others(lead) {
+		sim.cut(lead.id, o.id, 0)
+	}
+	lead.proposeChange(Change{Kind: ChangeRemove, ID: removed.id})
+	is.True(lead.replica.core.membership().Find(removed.id) == nil) // in force at once
+	is.True(pending(lead))
+	clear(sim.blocked)
+	sim.run(sim.now + 5*time.Second)
+	is.NoErr(sim.check.err)
+	is.True(!pending(sim.leader()))
+}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -23,6 +23,9 @@
 	Snapshot     uint64 // index of the newest snapshot
 	Transferring bool
 	Members      []MemberStatus
+	// ChangePending is set while the membership in force isn't committed, so that Members
+	// may still be reverted.
+	ChangePending bool
 	// Waiting are the data directories that wait to be added to the group.
 	Waiting []WaitingStore
 	// LossesLeft is how many more live voters the group can lose and still commit,
@@ -63,6 +66,7 @@
 		Leader: c.leader, LeaderAddr: c.memberAddr(c.leader),
 		Commit: c.log.commit, Applied: c.log.applied, Last: c.log.last(), Snapshot: c.snapshot.Index,
 		Transferring: c.leadership.transfer != nil, LossesLeft: -1, Dropped: c.dropped,
+		ChangePending: c.log.commit < c.lastChangeIndex(),
 	}
 	for _, m := range c.membership().Members {
 		s.Members = append(s.Members, c.memberStatus(now, m))
--- a/internal/control/standing.go
+++ b/internal/control/standing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/consensus"
@@ -22,8 +23,8 @@
 
 // MembershipReply reports whether the member was removed.
 type MembershipReply struct {
-	// Removed is set if the group does not list the member with this store. Only a
-	// leader that holds its lease answers.
+	// Removed is set if the group does not list the member with this store, and this is
+	// committed. Only a leader that holds its lease answers.
 	Removed bool `msg:"r"`
 }
 
@@ -50,12 +51,16 @@
 	if err != nil {
 		return nil, fleet.At(err, MethodMembership, s.cfg.Addr)
 	}
-	for _, m := range status.Members {
-		if string(m.ID) == req.Member && uint64(m.Store) == req.Store {
-			return &MembershipReply{}, nil
-		}
-	}
-	return &MembershipReply{Removed: true}, nil
+	return &MembershipReply{Removed: removed(status, req)}, nil
+}
+
+// removed reports whether the member is certainly no longer listed with its store. A
+// removal that isn't committed may be reverted, and the member's data is needed then.
+func removed(status consensus.Status, req *MembershipRequest) bool {
+	listed := slices.ContainsFunc(status.Members, func(m consensus.MemberStatus) bool {
+		return string(m.ID) == req.Member && uint64(m.Store) == req.Store
+	})
+	return !listed && !status.ChangePending
 }
 
 // membershipLoop asks the group whether it still lists this member while this
