consensus: an interrupted clearing of a data directory is completed at the next start

Cause: ClearDataDir removed one file after another, the identity last, and synced the directory once.

Change: a file marks the directory before anything is removed, and is removed last; a start that finds it completes the clearing.

--- a/internal/consensus/disk.go
+++ b/internal/consensus/disk.go
@@ -1,7 +1,6 @@
 package consensus
 
 import (
-	"cmp"
 	"io"
 	"os"
 	"path/filepath"
@@ -41,6 +40,8 @@
 
 const (
 	lockFile = "lock"
+	// clearingFile marks a directory that is being cleared.
+	clearingFile = "clearing"
 	filePerm = 0o600
 	dirPerm  = 0o700
 )
@@ -111,34 +112,60 @@
 	return st.Ino, nil
 }
 
-// ClearDataDir removes all files from the data directory of a stopped member. The
-// identity is removed last, because openIdentity rejects a directory that has a log
-// but no identity.
+// ClearDataDir removes all files from the data directory of a stopped member. If it is
+// interrupted, the next start of the member completes it.
 func ClearDataDir(path string) error {
 	disk, err := OpenDir(path)
 	if err != nil {
 		return storageError(err, "open", path)
 	}
 	defer disk.Close()
+	return clearDisk(disk)
+}
+
+// clearDisk removes all files. Removals are durable in any order, and a directory that has
+// lost only some files is rejected as corrupt, or passes for a member's empty log. A
+// clearing file marks it until all others are durably removed.
+func clearDisk(disk Disk) error {
+	marker, err := disk.Create(clearingFile)
+	if err != nil {
+		return storageError(err, "create", clearingFile)
+	}
+	defer marker.Close()
+	if err := marker.Sync(); err != nil {
+		return storageError(err, "sync", clearingFile)
+	}
+	if err := disk.SyncDir(); err != nil {
+		return storageError(err, "sync the directory of", clearingFile)
+	}
+	return completeClearing(disk)
+}
+
+// completeClearing removes the files of a directory that has a clearing file, and that file
+// last. It does nothing to other directories.
+func completeClearing(disk Disk) error {
 	names, err := disk.List()
 	if err != nil {
-		return storageError(err, "list", path)
+		return storageError(err, "list", "data directory")
+	}
+	if !slices.Contains(names, clearingFile) {
+		return nil
 	}
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(identityRank(a), identityRank(b)) })
 	for _, name := range names {
+		if name == clearingFile {
+			continue
+		}
 		if err := disk.Remove(name); err != nil {
 			return storageError(err, "remove", name)
 		}
 	}
-	return storageError(disk.SyncDir(), "sync", path)
-}
-
-// identityRank returns a sort key that places the identity file after all others.
-func identityRank(name string) int {
-	if name == identityFile {
-		return 1
+	if err := disk.SyncDir(); err != nil {
+		return storageError(err, "sync", "data directory")
+	}
+	if err := disk.Remove(clearingFile); err != nil {
+		return storageError(err, "remove", clearingFile)
 	}
-	return 0
+	return storageError(disk.SyncDir(), "sync", "data directory")
 }
 
 // unstableFileIDs is a Disk whose inode numbers can change between starts. Its FileID is
--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -32,6 +32,9 @@
 
 // openStore opens a data directory. It formats an empty one with a random store ID.
 func openStore(disk Disk, group string, id MemberID, rng *rand.Rand) (*store, State, error) {
+	if err := completeClearing(disk); err != nil {
+		return nil, State{}, err
+	}
 	ident, fresh, err := openIdentity(disk, group, id, rng)
 	if err != nil {
 		return nil, State{}, err
--- a/internal/consensus/store_test.go
+++ b/internal/consensus/store_test.go
@@ -161,6 +161,33 @@
 	return term, 42, nil
 }
 
+// A data directory whose clearing was interrupted was rejected as corrupt or foreign at each
+// start, or passed for an empty log of the same store.
+func TestInterruptedClearingOfDataDir(t *testing.T) {
+	finished := false
+	for crashAt := 1; !finished; crashAt++ {
+		for seed := range uint64(40) {
+			is := is.New(t)
+			d := newMemDisk(rand.New(rand.NewPCG(seed, uint64(crashAt))))
+			_, last, err := writeHistory(d)
+			is.NoErr(err)
+			before, _, err := openTestStore(d)
+			is.NoErr(err)
+			d.crashIn = crashAt
+			finished = clearDisk(d) == nil
+			if d.crashIn = 0; seed%2 == 0 {
+				d.crash() // otherwise the process was killed
+			}
+			s, st, err := openStore(d, "group", "a", rand.New(rand.NewPCG(seed, 0)))
+			is.NoErr(err)
+			if got := st.Base + uint64(len(st.Entries)); got != last {
+				is.Equal(got, uint64(0))
+				is.True(s.id != before.id)
+			}
+		}
+	}
+}
+
 func TestStoreRejectsForeignDataDirs(t *testing.T) {
 	cases := []struct {
 		name  string
