--- /dev/null
+++ b/internal/gateway/unanswered_test.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
+	"github.com/wigeonflow/wigeonflow/internal/telemetry"
+)
+
+// unanswered returns the number of requests that ended without an answer by a cause.
+func (r *testGateway) unanswered(cause string) int64 {
+	return metrics.GetOrRegisterCounter(telemetry.MetricName("gateway_unanswered", "cause", cause), r.server.cfg.Metrics).Count()
+}
+
+func TestPanicClosesConnectionWithoutAnswer(t *testing.T) {
+	is := is.New(t)
+	r := newTestGateway(t, routes.Route{Kind: routes.KindOnce, MaxAttempts: 1}, serveDone)
+	r.session.Out = func(fleet.Upstream) bool { panic("broken") }
+	resp, _, err := r.send()
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+	is.Equal(r.unanswered(causePanic), int64(0))
+}
+
+// A panic after the start of a stream must not make the stream look complete.
+func TestPanicInsideStream(t *testing.T) {
+	is := is.New(t)
+	var begun atomic.Bool
+	r := newTestGateway(t, routes.Route{Kind: routes.KindStream, Resumable: true, MaxAttempts: 2}, func(c *conn) {
+		c.beginStream()
+		c.writeEvents(1, 3)
+		begun.Store(true)
+	}, serveDone)
+	r.session.Out = func(fleet.Upstream) bool {
+		if begun.Load() {
+			panic("broken")
+		}
+		return false
+	}
+	_, body, err := r.send()
+	is.True(err != nil) // the stream is cut
+	is.True(strings.HasPrefix(body, encodeEvents(1, 1)))
+	is.Equal(r.unanswered(causePanic), int64(1))
+}
+
+// A caller that closes only its sending side gets no answer that no upstream gave.
+func TestHandlerReturnsWithoutAnswer(t *testing.T) {
+	is := is.New(t)
+	r := newTestGateway(t, routes.Route{Kind: routes.KindOnce, MaxAttempts: 1}, func(c *conn) { _, _ = c.Read(make([]byte, 1)) })
+	answer := r.sendHalfClosed()
+	is.True(!strings.HasPrefix(answer, "HTTP/1.1 200"))
+}
+
+func TestRequestCutAtEndOfGracePeriodIsNotLogged(t *testing.T) {
+	is := is.New(t)
+	arrived, end := make(chan struct{}), make(chan struct{})
+	r := newTestGateway(t, routes.Route{Kind: routes.KindOnce, MaxAttempts: 1}, func(c *conn) {
+		close(arrived)
+		<-end
+		serveDone(c)
+	})
+	var lines bytes.Buffer
+	r.server.cfg.Log = slog.New(slog.NewTextHandler(&lines, &slog.HandlerOptions{Level: slog.LevelWarn}))
+	served := make(chan error, 1)
+	go func() {
+		_, _, err := r.send()
+		served <- err
+	}()
+	<-arrived
+	r.server.logCut()
+	is.Equal(r.unanswered(causeGracePeriod), int64(1))
+	is.True(strings.Contains(lines.String(), `"request cut: the grace period has ended" request=a`))
+	close(end)
+	is.NoErr(<-served)
+	r.server.logCut()
+	is.Equal(r.unanswered(causeGracePeriod), int64(1)) // none is left
+}
+
+// sendHalfClosed sends a request, closes the sending side of the connection and returns all
+// that comes back.
+func (r *testGateway) sendHalfClosed() string {
+	r.t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, "POST /x HTTP/1.1\r\nHost: "+testHost+"\r\nId: a\r\nContent-Length: 5\r\n\r\norder"); err != nil {
+		r.t.Fatal(err)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		r.t.Fatal(err)
+	}
+	answer, err := io.ReadAll(c)
+	if err != nil {
+		r.t.Log("the answer ends with", err)
+	}
+	return string(answer)
+}
