gateway: a replacement takes a request over only with the next event in hand

A reviewer who hadn't seen the work showed what the replacement of attempts still got wrong, each with a failing test:

- the first bytes of a replacement ended the first attempt, also if they were a comment, a part of an event, a gap, an event that the caller has or the head of an answer: the stream was cut although the first upstream goes on.
A replacement is now read until the next event that the caller lacks, and the first attempt isn't canceled if it has gone on meanwhile.
- a replacement that the router canceled, since the first upstream went on, used up one of the route's attempts.
Its upstream may now be asked again, which adds none to those that run the request.
- an upstream that has nothing to add after the last event counted as broken off, which speaks for a quarantine.
It now completes the stream.
- a replacement that sends nothing kept a third upstream from being asked where the route allows three.
- a replacement that the retry budget forbids was chosen first, which took from a cold upstream's rate five times a second.
The budget is asked before.
- an ejected upstream was probed with a replacement.
- a panic while a replacement is opened ended the process.
- events whose IDs are no numbers came twice if the first upstream went on just then.
- two upstreams could run a stream's request for longer than the 400 ms that the users allow: a replacement whose head says that it runs is canceled if its first event doesn't follow within 250 ms.

What was sent where stands in one place (history) that both attempts use, so that no accounts have to be merged.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -25,10 +25,13 @@
 	// MayProbe is set if the request may be repeated. It may then serve as the probe of an
 	// ejected upstream.
 	MayProbe bool
-	// SoundOnly excludes ejected and stalled upstreams even if there are no others.
+	// SoundOnly excludes ejected and stalled upstreams, also for a probe and if there are no
+	// others.
 	SoundOnly bool
-	// Tried lists the upstreams that the request was sent to before.
+	// Tried lists the upstreams that must not be chosen.
 	Tried []fleet.UpstreamID
+	// Only lists those to which the choice is limited; nil for no limit.
+	Only []fleet.UpstreamID
 }
 
 // SessionState is the state of the router's session at the time of a choice.
@@ -130,6 +133,13 @@
 	b.budget(pool).countRequest(now, b.cfg.Retries)
 }
 
+// MayRetry reports whether a pool's budget has a retry left.
+func (b *Balancer) MayRetry(now time.Duration, pool fleet.PoolID, routers int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget(pool).mayRetry(now, b.cfg.Retries, routers)
+}
+
 // TakeRetry takes one retry out of a pool's budget and reports whether there was one left.
 func (b *Balancer) TakeRetry(now time.Duration, pool fleet.PoolID, routers int) bool {
 	b.mu.Lock()
--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -34,9 +34,9 @@
 	}
 }
 
-// takeRetry counts one retry if the budget allows it, and reports whether it does. The
-// slack is divided by the number of routers; it isn't used while that is unknown (0).
-func (b *budget) takeRetry(now time.Duration, l RetryLimits, routers int) bool {
+// mayRetry reports whether the budget allows one more retry. The slack is divided by the number
+// of routers; it isn't used while that is unknown (0).
+func (b *budget) mayRetry(now time.Duration, l RetryLimits, routers int) bool {
 	if l.Window <= 0 {
 		return false
 	}
@@ -45,7 +45,12 @@
 	if routers > 0 {
 		allowed += slackMargin * l.Slack / float64(routers)
 	}
-	if float64(retries+1) > allowed {
+	return float64(retries+1) <= allowed
+}
+
+// takeRetry counts one retry if the budget allows it, and reports whether it does.
+func (b *budget) takeRetry(now time.Duration, l RetryLimits, routers int) bool {
+	if !b.mayRetry(now, l, routers) {
 		return false
 	}
 	tallyAt(b.slots[:], now, l.Window/budgetSlots).marked++
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -119,7 +119,7 @@
 			s.outAt = now
 			continue
 		}
-		if s.Leaving || now < s.replacedUntil || slices.Contains(r.Tried, s.ID) || s.stalled(now) && !includeFailed {
+		if s.Leaving || now < s.replacedUntil || !r.allows(s.ID) || s.stalled(now) && !includeFailed {
 			continue
 		}
 		if s.isCold(now, r.Pool, session) && r.Pool.ColdRate > 0 && !session.Owns(s.ID) {
@@ -128,7 +128,7 @@
 		if limit := connectionLimit(r.Pool.MaxConnections, session.Routers); limit > 0 && s.running >= limit {
 			continue
 		}
-		if ok, probe := s.health.usable(now); !includeFailed && (!ok || probe && !r.MayProbe) {
+		if ok, probe := s.health.usable(now); !includeFailed && (!ok || probe && (!r.MayProbe || r.SoundOnly)) {
 			continue
 		}
 		out = append(out, s)
@@ -137,6 +137,11 @@
 	return out
 }
 
+// allows reports whether the request may be sent to an upstream by Tried and Only.
+func (r *Request) allows(id fleet.UpstreamID) bool {
+	return !slices.Contains(r.Tried, id) && (r.Only == nil || slices.Contains(r.Only, id))
+}
+
 // lookUpParts finds the cached parts of the request, once for all upstreams.
 func (b *Balancer) lookUpParts(r *Request) {
 	b.cachedParts = b.cachedParts[:0]
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/balance"
@@ -20,9 +21,14 @@
 	errDeadline    = fleet.Errors.NewType("gateway_deadline").New("the request's time limit has passed")
 	errIdleTimeout = fleet.Errors.NewType("gateway_silent").New("no bytes received from the upstream within the idle timeout")
 	errSlow        = fleet.Errors.NewType("gateway_slow").New("no complete answer within the timeout derived from the route's latency target")
-	errNotNeeded   = fleet.Errors.NewType("gateway_not_needed").New("the attempt that it should replace goes on")
+	errNotNeeded   = fleet.Errors.NewType("gateway_not_needed").New("another attempt serves the request")
+	errNoEvent     = fleet.Errors.NewType("gateway_no_event").New("no event received within the time for which two upstreams may run a request")
 )
 
+// maxOverlap bounds the time for which an upstream that has begun to run a stream's request may
+// be waited for while the one before it still runs it, too. Operators allow 400 ms.
+const maxOverlap = 250 * time.Millisecond
+
 // errFailedAnswer is the type of errors of attempts with a complete answer that doesn't serve
 // the request.
 var errFailedAnswer = fleet.Errors.NewType("gateway_failed_answer")
@@ -30,11 +36,15 @@
 // attempt is one exchange of a request with an upstream. It is opened by the request's
 // forwarder, or as a replacement by the watcher of the attempt before it.
 type attempt struct {
-	pick  *balance.Pick
-	after string // ID of the event after which a stream resumes; empty for the start
-	began time.Duration
-	span  telemetry.Span
-	trace string
+	pick    *balance.Pick
+	after   string // ID of the event after which a stream resumes; empty for the start
+	resumes bool   // after is an event that this router has relayed
+	began   time.Duration
+	span    telemetry.Span
+	trace   string
+	again   bool // the upstream may have run the request before
+
+	answering atomic.Bool // the answer has begun
 
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
@@ -51,18 +61,23 @@
 	head Head
 	body io.Reader // of resp
 	err  error     // why there is no answer to relay
+	// complete is an answer that was read to its end, of a replacement.
+	complete *answer
+	buffered *answerReader // counts the memory of complete
 	// failedAnswer is a complete answer that only serves the caller if there is no better one.
 	failedAnswer *answer
 	outcome      balance.Outcome // for the upstream's health
 }
 
-// newAttempt returns an attempt that takes over the slot of pick.
-func (f *forwarder) newAttempt(pick *balance.Pick, after string) *attempt {
-	a := &attempt{pick: pick, after: after, began: f.server.cfg.Clock(), outcome: balance.OutcomeUnknown}
+// newAttempt returns an attempt that holds the slot of pick, and records it in the history.
+func (f *forwarder) newAttempt(pick *balance.Pick) *attempt {
+	a := &attempt{pick: pick, after: f.position.get(), began: f.server.cfg.Clock(), outcome: balance.OutcomeUnknown}
+	a.resumes = a.after != f.call.After
 	a.ctx, a.cancel = context.WithCancelCause(f.r.Context())
 	a.deadline = time.AfterFunc(f.deadline-a.began, func() { a.cancel(errDeadline) })
 	a.span, a.trace = f.server.cfg.Tracer.Start("gateway.attempt", f.trace)
 	a.span.Set("upstream", string(pick.Upstream.ID))
+	f.history.begin(a)
 	return a
 }
 
@@ -73,6 +88,9 @@
 		a.resp.Close() // keeps the connection, unlike a canceled context
 	}
 	a.cancel(nil)
+	if a.buffered != nil {
+		a.buffered.release()
+	}
 	a.pick.End(now, a.outcome)
 	a.span.End(a.err)
 }
@@ -80,12 +98,11 @@
 // runAttempt opens the attempt unless it is a replacement, and relays its answer. It returns
 // true if the caller has received its final answer.
 func (f *forwarder) runAttempt(a *attempt) (done bool) {
-	f.tried = append(f.tried, a.pick.Upstream.ID)
 	f.pick = a.pick
 	f.eventsBefore += f.attemptEvents()
 	w := f.watch(a)
 	defer func() {
-		f.replacement = w.stop(done)
+		f.replacements = w.stop(done)
 		a.end(f.server.cfg.Clock())
 	}()
 	if a.opened != nil {
@@ -93,11 +110,14 @@
 	} else {
 		f.open(a)
 	}
-	f.recordAttempt(a)
-	if a.err != nil {
+	f.history.settle(a, true)
+	if f.lastErr = a.err; a.err != nil {
 		return false
 	}
+	a.answering.Store(true)
 	switch {
+	case f.hasMovedOn(a):
+		a.err = errNotNeeded
 	case a.head.Stream:
 		done, a.outcome = f.relayStream(a)
 	case f.stream != nil:
@@ -109,18 +129,17 @@
 	return done
 }
 
-// recordAttempt records what opening an attempt has shown.
-func (f *forwarder) recordAttempt(a *attempt) {
-	if a.sent {
-		f.sends++
-	}
-	if a.ran {
-		f.runs++
-	}
-	if a.failedAnswer != nil {
-		f.failedAnswer = a.failedAnswer
-	}
-	f.lastErr = a.err
+// hasMovedOn reports whether events were relayed since a replacement was opened that can't be
+// told from those it will send, because their IDs aren't numbers.
+func (f *forwarder) hasMovedOn(a *attempt) bool {
+	return a.opened != nil && f.stream != nil && f.stream.lastID < 0 && f.position.get() != a.after
+}
+
+// keepFailedAnswer keeps an answer for a request that no upstream serves.
+func (f *forwarder) keepFailedAnswer(failed *answer) {
+	f.failedMu.Lock()
+	f.failedAnswer = failed
+	f.failedMu.Unlock()
 }
 
 // open sends the request and reads the head of the answer. It changes nothing of the
@@ -190,7 +209,7 @@
 	case f.r.Context().Err() != nil:
 		a.err = f.r.Context().Err()
 		return balance.OutcomeUnknown
-	case errors.Is(cause, errNotNeeded):
+	case errors.Is(cause, errNotNeeded), errors.Is(cause, errNoEvent):
 		a.err = cause
 		return balance.OutcomeUnknown
 	case errors.Is(cause, errDeadline), errors.Is(cause, errIdleTimeout), errors.Is(cause, errSlow):
@@ -214,8 +233,8 @@
 }
 
 // openReplacement opens an attempt and reads as much of its answer as shows that the attempt
-// before it can be canceled: the first bytes of a stream's events, or a complete answer that
-// isn't a failure. Otherwise a.err is set.
+// before it can be canceled: the first event of a stream that the caller lacks, or a complete
+// answer that isn't a failure. Otherwise a.err is set.
 func (f *forwarder) openReplacement(a *attempt) {
 	f.open(a)
 	switch {
@@ -228,21 +247,32 @@
 	}
 }
 
-// readStart reads the first bytes of a stream's events.
+// readStart reads a stream until its first event that the caller lacks.
 func (f *forwarder) readStart(a *attempt) {
-	start := make([]byte, streamBuffer)
-	n, err := 0, error(nil)
-	for n == 0 && err == nil {
-		n, err = a.body.Read(start)
+	if a.head.Started {
+		timer := time.AfterFunc(maxOverlap, func() { a.cancel(errNoEvent) })
+		defer timer.Stop()
 	}
-	if n == 0 {
+	sequence := eventSequence{last: new(streamPosition), lastID: eventNumber(a.after), resumed: a.resumes}
+	var start []byte
+	buffer := make([]byte, streamBuffer)
+	for found := false; !found; {
+		n, err := a.body.Read(buffer)
+		start = append(start, buffer[:n]...)
+		sequence.pending = append(sequence.pending, buffer[:n]...)
+		found, err = sequence.findNew(err)
+		if errors.Is(err, io.EOF) && len(sequence.pending) == 0 && a.resp.Delimited && a.resumes {
+			break // nothing follows the last event
+		}
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
-		a.outcome = f.recordIncomplete(a, err, 0)
-		return
+		if err != nil && !found {
+			a.outcome = f.recordIncomplete(a, err, 0)
+			return
+		}
 	}
-	a.body = io.MultiReader(bytes.NewReader(start[:n]), a.body)
+	a.body = io.MultiReader(bytes.NewReader(start), a.body)
 }
 
 // readComplete reads a complete answer. One that is a failure, or that isn't a stream although
@@ -256,7 +286,7 @@
 		a.failedAnswer = complete
 		a.outcome = f.recordFailedAnswer(a)
 	default:
-		a.body = bytes.NewReader(complete.body)
+		a.complete = complete
 	}
 }
 
--- a/internal/gateway/change_test.go
+++ b/internal/gateway/change_test.go
@@ -58,7 +58,7 @@
 				c.beginStream()
 				c.writeEvents(1, 2)
 				change()
-				time.Sleep(silence)
+				time.Sleep(pauseLength)
 				c.writeEvents(3, 5)
 				c.endStream()
 			}, nil)
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -25,12 +25,15 @@
 // never reaches the caller.
 func (f *forwarder) relayComplete(a *attempt) (done bool, o balance.Outcome) {
 	a.pick.RecordAnswerHead(f.server.cfg.Clock(), a.head.Load)
-	complete, err := f.readAnswer(a)
+	complete, err := a.complete, error(nil)
+	if complete == nil {
+		complete, err = f.readAnswer(a)
+	}
 	if err != nil {
 		return false, f.recordIncomplete(a, err, 0)
 	}
 	if complete.status >= http.StatusInternalServerError {
-		f.failedAnswer = complete
+		f.keepFailedAnswer(complete)
 		return false, f.recordFailedAnswer(a)
 	}
 	if complete.status < http.StatusBadRequest {
@@ -40,11 +43,10 @@
 	return true, balance.OutcomeServed
 }
 
-// readAnswer reads the attempt's answer to its end.
+// readAnswer reads the attempt's answer to its end. Its memory counts until the attempt's end.
 func (f *forwarder) readAnswer(a *attempt) (*answer, error) {
-	reader := &answerReader{inner: a.body, buffered: &f.server.buffered}
-	defer reader.release()
-	body, err := io.ReadAll(reader)
+	a.buffered = &answerReader{inner: a.resp, buffered: &f.server.buffered}
+	body, err := io.ReadAll(a.buffered)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -173,6 +173,12 @@
 	return r
 }
 
+// setRetries replaces the balancer by one with other retry limits. startServer must follow.
+func (r *testGateway) setRetries(limits balance.RetryLimits) {
+	r.balancer = balance.New(balance.Config{Zone: routerZone, Retries: limits})
+	r.listUpstreams(r.upstreams)
+}
+
 // listUpstreams replaces the upstream list.
 func (r *testGateway) listUpstreams(upstreams []fleet.Upstream) {
 	list := make([]balance.ListedUpstream, 0, len(upstreams))
@@ -272,6 +278,16 @@
 	return resp, string(text), err
 }
 
+// awaitArrivals waits until count requests have arrived at upstreams.
+func (r *testGateway) awaitArrivals(count int) {
+	for deadline := time.Now().Add(10 * time.Second); len(r.arrivals()) < count; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			r.t.Errorf("%d requests have arrived, want %d", len(r.arrivals()), count)
+			return
+		}
+	}
+}
+
 // awaitIdle waits until no upstream counts a request in flight.
 func (r *testGateway) awaitIdle() {
 	r.t.Helper()
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -42,14 +43,13 @@
 	draw        uint64 // the random number that newDraw has set
 	deadline    time.Duration
 
-	sends        int                // upstreams that the request, or a part of it, may have been sent to
-	runs         int                // of these, upstreams that may have run the request
-	tried        []fleet.UpstreamID // excluded from further choices
-	lastErr      error              // of the latest attempt
-	failedAnswer *answer            // an upstream's failure, returned if no other one serves the request
-	noAttempt    string             // why no further upstream is asked; empty as long as one may be
-	pick         *balance.Pick      // of the latest attempt
-	replacement  *attempt           // opened during the latest attempt and not yet used
+	history      history
+	lastErr      error         // of the latest attempt
+	noAttempt    string        // why no further upstream is asked; empty as long as one may be
+	pick         *balance.Pick // of the latest attempt
+	replacements []*attempt    // opened during the latest attempt and not yet used; the oldest first
+	failedMu     sync.Mutex
+	failedAnswer *answer // an upstream's failure, returned if no other one serves the request
 
 	stream       *eventRelay    // set once the answer's header was written
 	position     streamPosition // of the last event that the caller has
@@ -78,7 +78,7 @@
 	}
 	f.server.cfg.Balancer.CountRequest(f.server.cfg.Clock(), f.pool.Name)
 	f.position.set(f.call.After)
-	defer f.dropReplacement()
+	defer f.dropReplacements()
 	for a := f.nextAttempt(); a != nil; a = f.nextAttempt() {
 		if done := f.runAttempt(a); done {
 			if f.callerGone {
@@ -90,11 +90,12 @@
 	f.answerFailure()
 }
 
-// nextAttempt returns the replacement that was opened during the latest attempt, or else a
-// new attempt at an upstream. It returns nil if there is to be none.
+// nextAttempt returns a replacement that was opened during the latest attempt, or else a new
+// attempt at an upstream. It returns nil if there is to be none.
 func (f *forwarder) nextAttempt() *attempt {
-	if a := f.replacement; a != nil {
-		f.replacement = nil
+	if len(f.replacements) > 0 {
+		a := f.replacements[0]
+		f.replacements = f.replacements[1:]
 		return a
 	}
 	if !f.mayAttempt() || f.isQuarantined() {
@@ -110,13 +111,13 @@
 		}
 		return nil
 	}
-	if f.sends > 0 && !s.cfg.Balancer.TakeRetry(s.cfg.Clock(), f.pool.Name, session.Routers) {
+	if sends, _ := f.history.counts(); sends > 0 && !s.cfg.Balancer.TakeRetry(s.cfg.Clock(), f.pool.Name, session.Routers) {
 		pick.End(s.cfg.Clock(), balance.OutcomeUnknown)
 		f.noAttempt = "retry budget spent"
 		f.logDecision("request not retried: the retry budget is spent")
 		return nil
 	}
-	return f.newAttempt(pick, f.position.get())
+	return f.newAttempt(pick)
 }
 
 // errNotRun is the type of errors of attempts that the upstream reports as not run.
@@ -134,16 +135,10 @@
 		f.noAttempt = "caller disconnected"
 	case f.server.cfg.Clock() >= f.deadline:
 		f.noAttempt = "deadline reached"
-	case f.sends >= maxSends:
-		f.noAttempt = "too many upstreams asked"
-	case f.runs > 0 && !f.route.Repeatable():
-		f.noAttempt = "not repeatable"
-	case f.runs > 0 && f.runs >= max(f.route.MaxAttempts, 1):
-		f.noAttempt = "attempts used up"
 	default:
-		return true
+		f.noAttempt = f.history.mayAsk(f.route)
 	}
-	return false
+	return f.noAttempt == ""
 }
 
 // isQuarantined reports whether a part of the prompt is quarantined, because upstreams break
@@ -171,9 +166,10 @@
 
 // balancerRequest describes the request for the choice of an upstream.
 func (f *forwarder) balancerRequest() *balance.Request {
+	tried, only := f.history.candidates(f.route)
 	return &balance.Request{
 		Pool: f.pool, Parts: f.call.Parts, PromptTokens: f.call.PromptTokens, Draw: f.draw,
-		MayProbe: f.route.Repeatable(), Tried: f.tried,
+		MayProbe: f.route.Repeatable(), Tried: tried, Only: only,
 	}
 }
 
@@ -189,6 +185,7 @@
 // failure if there is one, and otherwise with a status that says whether the
 // request may have run.
 func (f *forwarder) answerFailure() {
+	_, runs := f.history.counts()
 	switch {
 	case f.r.Context().Err() != nil:
 		f.recordOutcome(0, "the caller disconnected")
@@ -198,9 +195,9 @@
 		f.abort()
 	case f.failedAnswer != nil:
 		f.writeAnswer(f.failedAnswer)
-	case f.runs == 0 && f.quarantineLeft > 0:
+	case runs == 0 && f.quarantineLeft > 0:
 		f.reject(&rejection{status: http.StatusServiceUnavailable, reason: f.failureReason(), base: f.quarantineLeft})
-	case f.runs == 0:
+	case runs == 0:
 		f.reject(unavailable(f.failureReason()))
 	case errors.Is(f.lastErr, errDeadline):
 		f.reject(&rejection{status: http.StatusGatewayTimeout, reason: f.failureReason()})
@@ -232,7 +229,7 @@
 	case errors.Is(f.lastErr, errDeadline):
 		return "deadline"
 	case errors.Is(f.lastErr, errIdleTimeout):
-		return "silent"
+		return "stalled"
 	case errors.Is(f.lastErr, errSlow):
 		return "slow"
 	case errorx.IsOfType(f.lastErr, errEventGap), errorx.IsOfType(f.lastErr, errEventTooLong), errorx.IsOfType(f.lastErr, errInvalidEvent),
--- a/internal/gateway/forwarder_test.go
+++ b/internal/gateway/forwarder_test.go
@@ -354,9 +354,7 @@
 			defer raw.Close()
 			_, err = io.WriteString(raw, "POST /x HTTP/1.1\r\nHost: "+testHost+"\r\nId: a\r\nContent-Length: 0\r\n\r\n")
 			is.NoErr(err)
-			for len(r.arrivals()) == 0 {
-				time.Sleep(time.Millisecond)
-			}
+			r.awaitArrivals(1)
 			is.NoErr(raw.(*net.TCPConn).CloseWrite())
 			resp, err := http.ReadResponse(bufio.NewReader(raw), nil)
 			if err == nil {
--- /dev/null
+++ b/internal/gateway/history.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
+)
+
+// history records the upstreams that a request was sent to. It is safe for concurrent use,
+// since a replacement may be opened beside the latest attempt.
+type history struct {
+	mu    sync.Mutex
+	sends int // how often the request, or a part of it, may have been sent
+	// ran lists the different upstreams that may have run the request.
+	ran []fleet.UpstreamID
+	// tried lists the upstreams that are not to be asked again.
+	tried []fleet.UpstreamID
+	// spare lists those of ran whose attempt was canceled because it wasn't needed. They may be
+	// asked again, which adds no further upstream that runs the request.
+	spare []fleet.UpstreamID
+}
+
+// begin records an attempt that is about to be opened. Until settle it counts as run.
+func (h *history) begin(a *attempt) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	id := a.pick.Upstream.ID
+	h.sends++
+	h.tried = append(h.tried, id)
+	h.spare = slices.DeleteFunc(h.spare, func(s fleet.UpstreamID) bool { return s == id })
+	if a.again = slices.Contains(h.ran, id); !a.again {
+		h.ran = append(h.ran, id)
+	}
+}
+
+// settle records what an attempt that was opened has shown. needed is false if it was canceled
+// because another attempt serves the request.
+func (h *history) settle(a *attempt, needed bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	id := a.pick.Upstream.ID
+	is := func(s fleet.UpstreamID) bool { return s == id }
+	if !a.sent {
+		h.sends--
+	}
+	if !a.ran && !a.again {
+		h.ran = slices.DeleteFunc(h.ran, is)
+	}
+	if !needed {
+		h.tried = slices.DeleteFunc(h.tried, is)
+		if slices.Contains(h.ran, id) {
+			h.spare = append(h.spare, id)
+		}
+	}
+}
+
+// mayAsk returns the reason for which the request may not be sent to a further upstream, or ""
+// if it may.
+func (h *history) mayAsk(route *routes.Route) (refusal string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.sends >= maxSends:
+		return "too many upstreams asked"
+	case len(h.ran) > 0 && !route.Repeatable():
+		return "not repeatable"
+	case h.usedUp(route) && len(h.spare) == 0:
+		return "attempts used up"
+	}
+	return ""
+}
+
+// usedUp reports whether as many upstreams as the route allows may have run the request.
+func (h *history) usedUp(route *routes.Route) bool {
+	return len(h.ran) > 0 && len(h.ran) >= max(route.MaxAttempts, 1)
+}
+
+// candidates returns the upstreams that must not be chosen, and those to which the choice is
+// limited; nil for no limit.
+func (h *history) candidates(route *routes.Route) (tried, only []fleet.UpstreamID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.usedUp(route) {
+		only = append([]fleet.UpstreamID{}, h.spare...)
+	}
+	return slices.Clone(h.tried), only
+}
+
+// counts returns how often the request may have been sent, and the number of different
+// upstreams that may have run it.
+func (h *history) counts() (sends, runs int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.sends, len(h.ran)
+}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -40,7 +40,8 @@
 		f.failure = errors.New(reason)
 	}
 	f.server.countRequest(kind, outcome, f.server.cfg.Clock()-f.start)
-	args := []any{"status", status, "kind", kind, "sends", f.sends, "runs", f.runs}
+	sends, runs := f.history.counts()
+	args := []any{"status", status, "kind", kind, "sends", sends, "runs", runs}
 	if f.pick != nil {
 		args = append(args, "upstream", string(f.pick.Upstream.ID), "load", f.pick.Load, "mean", math.Round(f.pick.Mean))
 	}
--- a/internal/gateway/log_bench_test.go
+++ b/internal/gateway/log_bench_test.go
@@ -29,7 +29,7 @@
 			})
 			f := &forwarder{
 				server: server, w: httptest.NewRecorder(), r: httptest.NewRequest("GET", "/", nil), route: &routes.Route{Name: "r-vz3pfi6"}, workspace: &routes.Workspace{ID: "hule930"},
-				table: routes.NewIndex(&routes.Table{Version: 7}), call: Call{ID: "9c41d07be2a35f68"}, sends: 1, runs: 1,
+				table: routes.NewIndex(&routes.Table{Version: 7}), call: Call{ID: "9c41d07be2a35f68"}, history: history{sends: 1, ran: []fleet.UpstreamID{"i-7f3a91c2"}},
 				pick: &balance.Pick{Upstream: fleet.Upstream{ID: "i-7f3a91c2"}, Load: 3, Mean: 2.5},
 			}
 			b.ReportAllocs()
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -49,6 +49,8 @@
 	// Misdirected is set if the address now belongs to another upstream than the one
 	// that the request was sent to.
 	Misdirected bool
+	// Started is set if the upstream has begun to run the request.
+	Started bool
 	// Stream is set if the body is a stream of events.
 	Stream bool
 	// Load is nil if the upstream reports none.
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/balance"
@@ -20,113 +22,118 @@
 	slowTargetFactor = 2
 )
 
-// watcher opens a replacement for an attempt whose upstream has stalled or is slow. It cancels
-// the attempt only once the replacement answers: until then the first upstream, which may be
+// watcher opens replacements for an attempt whose upstream has stalled or is slow. It cancels
+// the attempt only once a replacement answers: until then the first upstream, which may be
 // sound, may still be the one that serves the request.
 type watcher struct {
 	f       *forwarder
 	attempt *attempt
 	cause   error // for which the attempt is to be replaced
-	tried   []fleet.UpstreamID
-	// sendsLeft and runsLeft are the numbers of further upstreams that the request may be sent
-	// to and that may run it.
-	sendsLeft, runsLeft int
-	refused             bool // a missing replacement was logged
+	logged  bool  // a missing replacement was logged
 
 	done   chan struct{} // closed by stop
-	exited chan struct{} // closed when the goroutine has ended, which owns the fields below until then
-	next   *attempt      // the replacement; nil for none
-	failed []*attempt    // replacements that did not answer, and those that weren't needed
+	exited chan struct{} // closed when the goroutine has ended, which owns pending until then
+	opened chan *attempt // replacements that have been opened
+	// pending are the replacements that are being opened, or that have answered once the
+	// watcher has exited; the oldest first.
+	pending []*attempt
 }
 
-// watch starts a watcher of an attempt that is about to be opened. It returns nil if the request
-// may not be sent to a further upstream even if this one has run it.
+// watch starts a watcher of an attempt that is about to be opened, with the replacements that
+// are left of the attempt before it. It returns nil if the request may not be sent to a further
+// upstream even if this one has run it.
 func (f *forwarder) watch(a *attempt) *watcher {
+	if len(f.replacements) == 0 && (!f.route.Repeatable() || f.history.mayAsk(f.route) != "") {
+		return nil
+	}
 	w := &watcher{
-		f: f, attempt: a, tried: f.tried[:len(f.tried):len(f.tried)],
-		sendsLeft: maxSends - f.sends - 1, runsLeft: f.route.MaxAttempts - f.runs - 1,
-		done: make(chan struct{}), exited: make(chan struct{}),
+		f: f, attempt: a, done: make(chan struct{}), exited: make(chan struct{}),
+		opened: make(chan *attempt, maxSends), pending: f.replacements,
 	}
-	if !f.route.Repeatable() || !w.mayOpen() {
-		return nil
+	f.replacements = nil
+	for _, p := range w.pending {
+		go func() { <-p.opened; w.opened <- p }()
 	}
 	go w.run()
 	return w
 }
 
-// mayOpen reports whether the request may be sent to a further upstream.
-func (w *watcher) mayOpen() bool { return w.sendsLeft > 0 && w.runsLeft > 0 }
-
-// stop ends the watcher and returns the replacement, which may not have been opened yet, or
-// nil. If the request is done, the replacement is abandoned. The watcher may be nil.
-func (w *watcher) stop(done bool) *attempt {
+// stop ends the watcher and returns the replacements that are left, which may not have been
+// opened yet. If the request is done, it cancels them. The watcher may be nil.
+func (w *watcher) stop(done bool) []*attempt {
 	if w == nil {
 		return nil
 	}
 	close(w.done)
 	<-w.exited
-	if done && w.next != nil {
+	if done {
 		w.abandon()
 	}
-	for _, a := range w.failed {
-		w.f.recordReplacement(a)
-	}
-	return w.next
+	return w.pending
 }
 
-// recordReplacement records a replacement that was not used.
-func (f *forwarder) recordReplacement(a *attempt) {
-	err := f.lastErr
-	f.recordAttempt(a)
-	f.lastErr = err
-	f.tried = append(f.tried, a.pick.Upstream.ID)
-}
-
-// dropReplacement ends the replacement that was opened during the latest attempt, if any.
-func (f *forwarder) dropReplacement() {
-	if a := f.replacement; a != nil {
-		f.replacement = nil
-		a.cancel(errNotNeeded)
-		<-a.opened
-		a.end(f.server.cfg.Clock())
-	}
+// dropReplacements ends the replacements that are left of the latest attempt.
+func (f *forwarder) dropReplacements() {
+	w := &watcher{f: f, pending: f.replacements}
+	f.replacements = nil
+	w.abandon()
 }
 
 func (w *watcher) run() {
 	defer close(w.exited)
+	defer w.f.recoverPanic(nil)
 	ticker := time.NewTicker(attemptPoll)
 	defer ticker.Stop()
 	for {
-		var opened chan struct{}
-		if w.next != nil {
-			opened = w.next.opened
-		}
 		select {
 		case <-w.done:
 			return
-		case <-opened:
-			if w.next.err == nil {
-				w.f.logDecision("request moved to another upstream", "from", string(w.attempt.pick.Upstream.ID),
-					"to", string(w.next.pick.Upstream.ID), "cause", w.cause)
-				w.attempt.cancel(w.cause)
+		case next := <-w.opened:
+			if w.accept(next) {
 				return
 			}
-			w.drop()
 		case <-ticker.C:
 			w.check()
 		}
 	}
 }
 
-// check opens a replacement if the attempt needs one, and abandons it if the attempt no longer
-// does.
+// accept cancels the attempt if the replacement has answered and the attempt hasn't gone on
+// meanwhile. It reports whether it did.
+func (w *watcher) accept(next *attempt) bool {
+	if !slices.Contains(w.pending, next) {
+		return false // abandoned
+	}
+	if next.err != nil {
+		w.drop(next, true)
+		return false
+	}
+	if cause := w.f.replaceCause(w.attempt); cause == nil && w.attempt.answering.Load() {
+		w.abandon()
+		return false
+	}
+	w.f.logDecision("request moved to another upstream", "from", string(w.attempt.pick.Upstream.ID), "to", string(next.pick.Upstream.ID), "cause", w.cause)
+	w.pending = slices.DeleteFunc(w.pending, func(a *attempt) bool { return a == next })
+	w.abandon()
+	w.pending = []*attempt{next}
+	w.attempt.cancel(w.cause)
+	return true
+}
+
+// check opens a replacement if the attempt, and the latest replacement, have stalled or are
+// slow. It abandons the replacements once the attempt goes on.
 func (w *watcher) check() {
-	cause := w.f.replaceCause(w.attempt)
-	switch {
-	case cause == nil && w.next != nil:
+	f := w.f
+	cause := f.replaceCause(w.attempt)
+	if cause == nil {
 		w.abandon()
-	case cause != nil && w.next == nil && w.mayOpen():
-		w.cause = cause
+		return
+	}
+	if n := len(w.pending); n > 0 && f.replaceCause(w.pending[n-1]) == nil {
+		return
+	}
+	w.cause = cause
+	if w.attempt.ctx.Err() == nil && f.history.mayAsk(f.route) == "" {
 		w.open()
 	}
 }
@@ -137,58 +144,60 @@
 	f := w.f
 	s := f.server
 	if _, err := f.quarantine(); err != nil {
-		w.logRefusal(err.Error())
+		w.logMissing(err.Error())
 		return
 	}
-	request := f.balancerRequest()
-	request.Tried, request.SoundOnly = w.tried, true
 	session := s.cfg.SessionState()
+	if !s.cfg.Balancer.MayRetry(s.cfg.Clock(), f.pool.Name, session.Routers) { // before a choice, which takes from a cold upstream's rate
+		w.logMissing("the retry budget is spent")
+		return
+	}
+	request := f.balancerRequest()
+	request.SoundOnly = true
 	pick := s.cfg.Balancer.Choose(s.cfg.Clock(), request, session)
 	if pick == nil {
-		w.logRefusal(errNoUpstream.Error())
+		w.logMissing(errNoUpstream.Error())
 		return
 	}
 	if !s.cfg.Balancer.TakeRetry(s.cfg.Clock(), f.pool.Name, session.Routers) {
 		pick.End(s.cfg.Clock(), balance.OutcomeUnknown)
-		w.logRefusal("the retry budget is spent")
 		return
 	}
-	a := f.newAttempt(pick, f.position.get())
+	a := f.newAttempt(pick)
 	a.opened = make(chan struct{})
-	w.next = a
+	w.pending = append(w.pending, a)
 	go func() {
+		defer func() { w.opened <- a }()
 		defer close(a.opened)
+		defer f.recoverPanic(a)
 		f.openReplacement(a)
 	}()
 }
 
-// logRefusal logs once for each attempt that it goes on without a replacement.
-func (w *watcher) logRefusal(reason string) {
-	if !w.refused {
-		w.f.logDecision("request not moved from a silent or slow upstream", "upstream", string(w.attempt.pick.Upstream.ID), "cause", w.cause, "reason", reason)
-		w.refused = true
+// logMissing logs once for each attempt that it goes on without a replacement.
+func (w *watcher) logMissing(reason string) {
+	if !w.logged {
+		w.f.logDecision("request not moved from a stalled or slow upstream", "upstream", string(w.attempt.pick.Upstream.ID), "cause", w.cause, "reason", reason)
+		w.logged = true
 	}
 }
 
-// abandon cancels the replacement, since the first attempt goes on, and waits for its end.
+// abandon cancels the replacements, which aren't needed, and waits for their end.
 func (w *watcher) abandon() {
-	w.next.cancel(errNotNeeded)
-	<-w.next.opened
-	w.drop()
+	for _, a := range slices.Clone(w.pending) {
+		a.cancel(errNotNeeded)
+		<-a.opened
+		w.drop(a, false)
+	}
 }
 
-// drop ends the replacement, which has been opened.
-func (w *watcher) drop() {
-	a := w.next
-	w.next = nil
+// drop ends a replacement that has been opened.
+func (w *watcher) drop(a *attempt, needed bool) {
+	w.pending = slices.DeleteFunc(w.pending, func(p *attempt) bool { return p == a })
 	a.end(w.f.server.cfg.Clock())
-	w.failed = append(w.failed, a)
-	w.tried = append(w.tried, a.pick.Upstream.ID)
-	if a.sent {
-		w.sendsLeft--
-	}
-	if a.ran {
-		w.runsLeft--
+	w.f.history.settle(a, needed)
+	if a.failedAnswer != nil {
+		w.f.keepFailedAnswer(a.failedAnswer)
 	}
 }
 
@@ -203,3 +212,20 @@
 	}
 	return nil
 }
+
+// recoverPanic ends a panic of a goroutine that works for the request, so that it doesn't end
+// the process, and logs it. The attempt that was being opened, if any, fails.
+func (f *forwarder) recoverPanic(a *attempt) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	f.logPanic(value, debug.Stack())
+	if a != nil {
+		a.sent, a.ran = true, true
+		a.err = errPanic
+	}
+}
+
+// errPanic is the error of an attempt whose opening has panicked.
+var errPanic = fleet.Errors.NewType("gateway_panic").New("the attempt has panicked")
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -109,7 +109,8 @@
 	f.trace = trace
 	defer func() { // runs also if abort panics
 		span.Set("request.id", string(f.call.ID))
-		span.SetInt("sends", f.sends)
+		sends, _ := f.history.counts()
+		span.SetInt("sends", sends)
 		span.End(f.failure)
 	}()
 	defer func() {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,11 +28,16 @@
 // eventRelay writes a stream's events to the caller. One relay serves all attempts of a
 // request.
 type eventRelay struct {
+	eventSequence
 	w       http.ResponseWriter
 	flusher *http.ResponseController
-	last    *streamPosition // the last event relayed
+}
+
+// eventSequence splits a stream into events and checks that they follow each other.
+type eventSequence struct {
+	last    *streamPosition // of the newest event
 	lastID  int64           // its ID as a number, -1 if it is none
-	pending []byte          // the start of an incomplete event
+	pending []byte          // bytes that don't yet make an event
 	resumed bool            // the next new event must have the ID lastID+1
 	events  int
 }
@@ -98,10 +103,7 @@
 		h[name] = values
 	}
 	h.Del("Content-Length") // events of several upstreams may follow
-	f.stream = &eventRelay{w: f.w, flusher: http.NewResponseController(f.w), last: &f.position, lastID: -1}
-	if id, err := strconv.ParseInt(f.call.After, 10, 64); err == nil {
-		f.stream.lastID = id
-	}
+	f.stream = &eventRelay{w: f.w, flusher: http.NewResponseController(f.w), eventSequence: eventSequence{last: &f.position, lastID: eventNumber(f.call.After)}}
 	f.w.WriteHeader(resp.Status)
 }
 
@@ -188,9 +190,37 @@
 	}
 }
 
+// eventNumber returns an event's ID as a number, or -1 if it is none.
+func eventNumber(id string) int64 {
+	if number, err := strconv.ParseInt(id, 10, 64); err == nil {
+		return number
+	}
+	return -1
+}
+
+// findNew reports whether the pending bytes contain an event with data that is new, and removes
+// the events before it. It returns readErr, or the error of an invalid event.
+func (r *eventSequence) findNew(readErr error) (bool, error) {
+	for {
+		end := eventEnd(r.pending)
+		if end < 0 {
+			if len(r.pending) > maxEventBytes {
+				return false, errEventTooLong.New("a stream event exceeds %d bytes", maxEventBytes)
+			}
+			return false, readErr
+		}
+		event := r.pending[:end]
+		isNew, err := r.acceptEvent(event)
+		if err != nil || isNew && hasData(event) {
+			return err == nil, err
+		}
+		r.pending = r.pending[end:]
+	}
+}
+
 // acceptEvent records an event's ID and reports whether the caller still lacks the event.
 // After a resumption, the first such event must follow the last one relayed.
-func (r *eventRelay) acceptEvent(event []byte) (bool, error) {
+func (r *eventSequence) acceptEvent(event []byte) (bool, error) {
 	if line, ok := invalidLine(event); ok {
 		return false, errInvalidEvent.New("the stream contains the line %.80q, which is no field of an event", line)
 	}
@@ -198,8 +228,8 @@
 	if !ok {
 		return true, nil
 	}
-	id, err := strconv.ParseInt(text, 10, 64)
-	if err != nil {
+	id := eventNumber(text)
+	if id < 0 {
 		r.last.set(text)
 		r.lastID = -1
 		return true, nil
@@ -229,6 +259,16 @@
 	return nil, false
 }
 
+// hasData reports whether an event has a data or id field.
+func hasData(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if bytes.HasPrefix(line, []byte("data")) || bytes.HasPrefix(line, []byte("id")) {
+			return true
+		}
+	}
+	return false
+}
+
 func isFieldNameRune(r rune) bool {
 	return 'a' <= r && r <= 'z' || '0' <= r && r <= '9' || r == '-' || r == '_'
 }
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -46,7 +46,7 @@
 // answerPanic ends a request whose handler has panicked with the given value: with 502 if its
 // answer hasn't begun, since the request may have run, and otherwise by closing the connection.
 func (f *forwarder) answerPanic(value any, w *answerWriter) {
-	f.logError("request handler panicked", "panic", fmt.Sprint(value), "stack", string(debug.Stack()))
+	f.logPanic(value, debug.Stack())
 	if w.begun {
 		f.server.countUnanswered(causePanic)
 		panic(http.ErrAbortHandler)
@@ -54,6 +54,11 @@
 	f.reject(&rejection{status: http.StatusBadGateway, reason: "internal error"})
 }
 
+// logPanic logs a panic on the request, with the stack of the goroutine that panicked.
+func (f *forwarder) logPanic(value any, stack []byte) {
+	f.logError("request handler panicked", "panic", fmt.Sprint(value), "stack", string(stack))
+}
+
 // logCut logs and counts the requests that are still running. It is called when their
 // connections are about to be closed, at the end of the grace period.
 func (s *Server) logCut() {
