gateway: an upstream isn't stalled while its caller doesn't read

What callers would see: one that doesn't read for 1.2 s has its stream moved to another upstream, which takes a retry from the budget; the first upstream, which is sound, counts as broken off.

Cause: an upstream counts as stalled if no byte of its answers was read for a while. While the router waits for a caller to read, it reads none.

Evidence: TestUpstreamIsNotBlamedForCallerThatReadsSlowly failed before.

Change: an attempt that waits for its caller isn't replaced. For the choice of other requests its upstream still counts as stalled meanwhile, if nothing else runs there.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,6 +45,7 @@
 	again   bool // the upstream may have run the request before
 
 	answering atomic.Bool // the answer has begun
+	writing   atomic.Bool // a part of the answer is being written to the caller
 
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -201,10 +201,11 @@
 	}
 }
 
-// replaceCause returns the cause for which an attempt should be replaced, or nil.
+// replaceCause returns the cause for which an attempt should be replaced, or nil. An attempt
+// that waits for its caller to read is not to be replaced.
 func (f *forwarder) replaceCause(a *attempt) error {
 	now := f.server.cfg.Clock()
-	if a.pick.Stalled(now) {
+	if a.pick.Stalled(now) && !a.writing.Load() {
 		return errIdleTimeout
 	}
 	if f.route.Kind == routes.KindIdempotent && now-a.began > max(slowTargetFactor*f.route.Target, minSlowTimeout) {
--- a/internal/gateway/replacement_test.go
+++ b/internal/gateway/replacement_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -318,6 +322,32 @@
 	r.awaitIdle()
 }
 
+func TestUpstreamIsNotBlamedForCallerThatReadsSlowly(t *testing.T) {
+	is := is.New(t)
+	const events = 600 // together more than the socket buffers on the way hold
+	data := strings.Repeat("x", 64<<10)
+	script := func(c *conn) {
+		after, _ := strconv.Atoi(c.request.Header.Get("After"))
+		c.beginStream()
+		for id := after + 1; id <= events; id++ {
+			c.writeChunk(fmt.Sprintf("id: %d\ndata: %s\n\n", id, data))
+		}
+		c.endStream()
+	}
+	r := newTestGateway(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 2, Resumable: true, Timeout: time.Minute}, script, script)
+	req, err := http.NewRequest(http.MethodPost, r.url+"/x", http.NoBody)
+	is.NoErr(err)
+	req.Host = testHost
+	req.Header.Set("Id", "a")
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	time.Sleep(2 * time.Second)
+	_, err = io.Copy(io.Discard, resp.Body)
+	is.NoErr(err)
+	is.Equal(r.arrivals(), []string{"u0 a"})
+}
+
 func TestReplacementIsNoProbe(t *testing.T) {
 	is := is.New(t)
 	r := newTestGateway(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 2, Resumable: true}, func(c *conn) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -76,7 +76,10 @@
 				a.pick.RecordBytes(now)
 			}
 			f.beginStream(a.resp)
-			if relayErr := f.stream.write(buffer[:n]); relayErr != nil {
+			a.writing.Store(true)
+			relayErr := f.stream.write(buffer[:n])
+			a.writing.Store(false)
+			if relayErr != nil {
 				return f.recordStreamFailure(a, relayErr)
 			}
 			if !proven && f.attemptEvents() >= provenEvents {
