gateway: a block of lines without a known field is no event

What callers would see: 'failed' or 'error: overloaded' on lines of their own in the middle of a stream, with a complete end.

Cause: the check of events rejected lines that can't be fields, but passed blocks in which no line is a field that events have.

Evidence: two of the three new cases of TestErrorAnswerInsideAStream failed before (found by the reviewer).

Change: unless it consists of comments, an event has one of the fields that the standard names; others need a value and a name in lower case.

--- a/internal/gateway/forwarder_test.go
+++ b/internal/gateway/forwarder_test.go
@@ -313,6 +313,9 @@
 			c.writeAnswer(http.StatusBadGateway, encodeEvent(3), "Content-Type: text/event-stream")
 		}},
 		{"an answer's head as a chunk", func(c *conn) { cut(c); c.writeChunk(head + "\n\n"); c.endStream() }, answerError},
+		{"text as a chunk", func(c *conn) { cut(c); c.writeChunk("failed\n\n"); c.endStream() }, answerError},
+		{"a field that no event has", func(c *conn) { cut(c); c.writeChunk("error: overloaded\n\n"); c.endStream() }, answerError},
+		{"an answer's head inside an event", func(c *conn) { cut(c); c.writeChunk("id: 3\ndata: pi" + head + "\n\n"); c.endStream() }, answerError},
 		{"an answer in place of a chunk", func(c *conn) { cut(c); c.write(head) }, answerError},
 		{"an answer in a stream without a length", func(c *conn) {
 			c.write("HTTP/1.1 200 OK\r\nId: ", c.id, "\r\nConnection: close\r\nContent-Type: text/event-stream\r\n\r\n", encodeEvents(1, 2), head)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -250,16 +250,29 @@
 	return true, nil
 }
 
-// invalidLine returns the first line of an event that is neither a field nor a comment. Names of
-// fields are in lower case, unlike a status line that an upstream writes into its stream.
+// Names of the fields of an event (HTML, section 9.2.6).
+var eventFields = map[string]bool{"data": true, "event": true, "id": true, "retry": true}
+
+// invalidLine returns a line that shows that a block of lines is no event. An event consists of
+// comments and fields, at least one of them known unless all are comments. Other fields have a
+// value and a name in lower case, unlike the head of an answer.
 func invalidLine(event []byte) (line []byte, ok bool) {
+	var unknown []byte
+	known := false
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		name, _, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
-		if bytes.ContainsFunc(name, func(r rune) bool { return !isFieldNameRune(r) }) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		name, _, hasValue := bytes.Cut(line, []byte(":"))
+		switch {
+		case eventFields[string(name)]:
+			known = true
+		case len(name) == 0: // a comment, or the end of the event
+		case !hasValue, bytes.ContainsFunc(name, func(r rune) bool { return !isFieldNameRune(r) }):
 			return line, true
+		default:
+			unknown = line
 		}
 	}
-	return nil, false
+	return unknown, unknown != nil && !known
 }
 
 // hasData reports whether an event has a data or id field.
