gateway: a resumed stream without a length needs an event to be complete

Cause: a stream that ends with its connection and has no event counted as broken off only if no stream had begun at the caller.

Change: such an end completes a stream only after an event of the same attempt, or where the caller itself resumes after its last event. Events without a number count as events.

--- a/internal/gateway/forwarder_test.go
+++ b/internal/gateway/forwarder_test.go
@@ -367,3 +367,17 @@
 		})
 	}
 }
+
+// Without a length, the end of the connection may be a crash.
+func TestStreamWithoutLengthAndEventsCompletesNothing(t *testing.T) {
+	is := is.New(t)
+	r := newTestGateway(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 2, Resumable: true}, func(c *conn) {
+		c.beginStream()
+		c.writeEvents(1, 2)
+	}, func(c *conn) {
+		c.write("HTTP/1.1 200 OK\r\nId: ", c.id, "\r\nConnection: close\r\nContent-Type: text/event-stream\r\n\r\n")
+	})
+	_, body, err := r.send()
+	is.Equal(body, encodeEvents(1, 2))
+	is.True(err != nil) // events 3 and later may be missing
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,7 +39,7 @@
 	lastID  int64           // its ID as a number, -1 if it is none
 	pending []byte          // bytes that don't yet make an event
 	resumed bool            // the next new event must have the ID lastID+1
-	events  int
+	events  int             // accepted events with data
 }
 
 // streamPosition is the ID of a stream event. It is safe for concurrent use.
@@ -112,9 +112,11 @@
 
 // endStream ends the answer after the upstream has ended its stream. The stream is
 // incomplete if it ended inside an event, or without any event at the end of a connection
-// that alone would tell that it is complete.
+// that alone would tell that it is complete. Only a caller that resumes a stream itself may
+// lack no event.
 func (f *forwarder) endStream(a *attempt) (bool, balance.Outcome) {
-	if !a.resp.Delimited && f.stream == nil && f.call.After == "" {
+	callerResumes := f.stream == nil && f.call.After != ""
+	if !a.resp.Delimited && f.attemptEvents() == 0 && !callerResumes {
 		return f.recordStreamFailure(a, io.ErrUnexpectedEOF)
 	}
 	f.beginStream(a.resp)
@@ -229,12 +231,16 @@
 	}
 	text, ok := eventID(event)
 	if !ok {
+		if hasData(event) {
+			r.events++
+		}
 		return true, nil
 	}
 	id := eventNumber(text)
 	if id < 0 {
 		r.last.set(text)
 		r.lastID = -1
+		r.events++
 		return true, nil
 	}
 	if r.lastID >= 0 && id <= r.lastID {
