platform, routes, balance: numbers of a table beyond their range

Two weights of 2^62 each were summed to a negative integer, so that one pool got all requests, and four of them to 0, so that the table was rejected.

Cause: a float64 was converted to an int64 unchecked, whose result out of range is the architecture's; integer sums were not bounded.

Change: fleet.BoundedDuration is the one conversion; a longer duration becomes 365 days, which has the same effect and keeps sums from overflowing. Weights are summed as floats.

--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -86,10 +86,10 @@
 // takeToken takes one token and reports whether there was one. The bucket gains rate
 // tokens per second and holds at most burst.
 func (b *bucket) takeToken(now time.Duration, rate float64, burst int) bool {
-	if rate <= 0 {
+	if !(rate > 0) { // NaN too
 		return false
 	}
-	interval := time.Duration(float64(time.Second) / rate)
+	interval, _ := fleet.BoundedDuration(1/rate, time.Second, fleet.MaxDuration)
 	start := max(b.takenUntil, now-time.Duration(burst-1)*interval)
 	if start > now {
 		return false
--- a/internal/routes/check.go
+++ b/internal/routes/check.go
@@ -51,7 +51,6 @@
 	case r.Timeout <= 0:
 		return ErrInvalid.New("route %q: timeout %v must be greater than 0", r.Name, r.Timeout)
 	}
-	total := 0
 	for _, s := range r.Split {
 		if s.Weight < 0 {
 			return ErrInvalid.New("route %q: pool %q has the negative weight %d", r.Name, s.Pool, s.Weight)
@@ -59,9 +58,8 @@
 		if !pools[s.Pool] {
 			return ErrInvalid.New("route %q: pool %q is unknown", r.Name, s.Pool)
 		}
-		total += s.Weight
 	}
-	if total == 0 {
+	if r.totalWeight() == 0 {
 		return ErrInvalid.New("route %q: the weights of its pools add up to 0", r.Name)
 	}
 	return nil
--- a/internal/routes/index.go
+++ b/internal/routes/index.go
@@ -71,11 +71,7 @@
 // Pick selects one of the route's pools by weight; draw is a random number in
 // [0, 1).
 func (r *Route) Pick(draw float64) fleet.PoolID {
-	total := 0
-	for _, s := range r.Split {
-		total += s.Weight
-	}
-	left := draw * float64(total)
+	left := draw * r.totalWeight()
 	for _, s := range r.Split {
 		if left -= float64(s.Weight); left < 0 {
 			return s.Pool
@@ -83,3 +79,13 @@
 	}
 	return r.Split[len(r.Split)-1].Pool // not reached if draw < 1 and the weights are valid
 }
+
+// totalWeight returns the sum of the weights of the route's pools, which may exceed an
+// integer.
+func (r *Route) totalWeight() float64 {
+	total := 0.0
+	for _, s := range r.Split {
+		total += float64(s.Weight)
+	}
+	return total
+}
