exchange: an announced idle timeout beyond a duration

What operators would see: an upstream that announces Keep-Alive: timeout= has its connections closed after each exchange on one router, and kept for 292 years on another field value, because the seconds wrap where they become a duration. A number beyond an integer counted as none.

Change: an announced timeout is bounded to 10 minutes either way.

Evidence: on the code before, the 5 new cases of TestKeepAliveTimeout that are beyond a duration fail.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -161,8 +161,10 @@
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
-		if seconds, err := strconv.Atoi(value); err == nil {
-			return time.Duration(seconds)*time.Second - idleMargin
+		seconds, err := strconv.ParseInt(value, 10, 64) // the nearest integer if value is beyond it
+		if err == nil || errors.Is(err, strconv.ErrRange) {
+			const most = int64(maxIdleTimeout / time.Second)
+			return time.Duration(min(max(seconds, -most), most))*time.Second - idleMargin
 		}
 	}
 	return defaultIdleTimeout
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -321,6 +321,13 @@
 		"max=9, Timeout=2": 2*time.Second - idleMargin,
 		"timeout=x":        defaultIdleTimeout,
 		"timeout=0":        -idleMargin,
+		"timeout=-1":       -time.Second - idleMargin,
+		// A number of seconds beyond a duration must not wrap to a time in the past.
+		"timeout=9223372037":           maxIdleTimeout - idleMargin,
+		"timeout=18446744075":          maxIdleTimeout - idleMargin,
+		"timeout=9223372036854775807":  maxIdleTimeout - idleMargin,
+		"timeout=99999999999999999999": maxIdleTimeout - idleMargin,
+		"timeout=-9223372037":          -maxIdleTimeout - idleMargin,
 	}
 	for field, want := range cases {
 		t.Run(field, func(t *testing.T) {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -15,6 +15,8 @@
 	dialTimeout = 400 * time.Millisecond
 	// defaultIdleTimeout is the idle timeout of a connection whose peer announces none.
 	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTimeout bounds the idle timeout that a peer may announce.
+	maxIdleTimeout = 10 * time.Minute
 	// idleMargin is subtracted from the peer's idle timeout, so that no request is sent
 	// while the peer closes the connection.
 	idleMargin = 500 * time.Millisecond
