exchange: a request that returns to an upstream uses another connection

What callers would see once a request may return to an upstream that has refused it: told "not run, try again" although that upstream runs it (REFUSED), or it runs at another one as well (TWICE), if the faulty upstream writes its earlier refusal once more on the kept connection. The copy bears the same ID, so that matching doesn't tell it from the answer that is due. Today a request goes to an upstream once, so that callers can't meet this yet.

Change: Request.Trail holds the connections that have carried a request; the pool gives it others. They stay in the pool for other requests, so that only a request that returns costs a new connection, and only if no other one is idle.

Weighed: not to keep a connection after a refusal costs a new connection with each refusal; to remember IDs with each connection needs a bound, beyond which the copy would be taken again. A trail is exact and ends with its request.

Not covered: a copy in the middle of a body with a length, which is taken as part of that body.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -42,10 +42,11 @@
 // Do sends a request and returns its answer once the header was read. The error is an
 // *Error. If ctx ends before the response is closed, the connection is closed.
 func (p *Pool) Do(ctx context.Context, addr string, req *Request) (*Response, error) {
-	c, err := p.get(ctx, addr)
+	c, err := p.get(ctx, addr, req.Trail)
 	if err != nil {
 		return nil, &Error{Phase: PhaseConnect, Addr: addr, Cause: err}
 	}
+	req.Trail.add(c)
 	r := &Response{conn: c, pool: p, stop: context.AfterFunc(ctx, c.close)}
 	if err := ctx.Err(); err != nil {
 		r.abandon()
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,10 +46,11 @@
 	return &Pool{idle: make(map[string][]*conn), dialer: limits.Dialer()}
 }
 
-// get returns an idle connection that the peer has not closed, or a new one.
-func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
+// get returns an idle connection that the peer has not closed and that isn't in the trail, or
+// a new one.
+func (p *Pool) get(ctx context.Context, addr string, trail *Trail) (*conn, error) {
 	for {
-		c, err := p.idleConn(addr)
+		c, err := p.idleConn(addr, trail)
 		if err != nil {
 			return nil, err
 		}
@@ -62,21 +64,22 @@
 	}
 }
 
-// idleConn removes and returns the most recently used idle connection to an address, nil
-// if there is none.
-func (p *Pool) idleConn(addr string) (*conn, error) {
+// idleConn removes and returns the most recently used idle connection to an address that
+// isn't in the trail, nil if there is none.
+func (p *Pool) idleConn(addr string, trail *Trail) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, ErrClosed.New("the connection pool is closed")
 	}
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil, nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; !trail.holds(c) {
+			p.idle[addr] = slices.Delete(list, i, i+1)
+			return c, nil
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
-	return c, nil
+	return nil, nil
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 )
 
@@ -16,8 +17,24 @@
 	Body   []byte
 	// Matches reports whether an answer belongs to this request; nil accepts all.
 	Matches func(http.Header) bool
+	// Trail is set for a request that may be sent more than once. It is the same for all
+	// exchanges of the request.
+	Trail *Trail
 }
 
+// Trail holds the connections that have carried a request. None of them carries it again: the
+// upstream may repeat the answer to the earlier exchange, which matches the request as well.
+// The zero value is empty. Exchanges with the same trail must not run concurrently.
+type Trail struct{ conns []*conn }
+
+func (t *Trail) add(c *conn) {
+	if t != nil {
+		t.conns = append(t.conns, c)
+	}
+}
+
+func (t *Trail) holds(c *conn) bool { return t != nil && slices.Contains(t.conns, c) }
+
 // encode appends the request in wire form.
 func (r *Request) encode(b []byte) []byte {
 	b = append(b, r.Method...)
