exchange: a request that accepts all answers gets a new connection

What would be seen: a call without Matches takes whatever an upstream has written once more on a kept connection as its answer. No caller of the pool makes such calls today; the zero value of the field was the unsafe one.

Change: without Matches, the request goes over a new connection, which others may use afterwards.

Evidence: on the code before, TestRequestThatMatchesAllGetsItsOwnConnection finds one connection for both calls.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -42,7 +42,7 @@
 // Do sends a request and returns its answer once the header was read. The error is an
 // *Error. If ctx ends before the response is closed, the connection is closed.
 func (p *Pool) Do(ctx context.Context, addr string, req *Request) (*Response, error) {
-	c, err := p.get(ctx, addr, req.Trail)
+	c, err := p.get(ctx, addr, req)
 	if err != nil {
 		return nil, &Error{Phase: PhaseConnect, Addr: addr, Cause: err}
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -244,7 +244,7 @@
 	is.NoErr(err)
 	// The peer closes its side at the end of its script: wait until the close arrives.
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		if c, _ := pool.idleConn(p.addr(), nil); c != nil {
+		if c, _ := pool.idleConn(p.addr(), getRequest("z")); c != nil {
 			idle := c.isIdle()
 			pool.put(c, time.Second)
 			if !idle {
@@ -276,7 +276,7 @@
 	body, err := doExchange(pool, p.addr(), req)
 	is.NoErr(err)
 	is.Equal(body, "too long")
-	c, err := pool.idleConn(p.addr(), nil)
+	c, err := pool.idleConn(p.addr(), getRequest("z"))
 	is.NoErr(err)
 	is.True(c == nil)
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -46,11 +46,11 @@
 	return &Pool{idle: make(map[string][]*conn), dialer: limits.Dialer()}
 }
 
-// get returns an idle connection that the peer has not closed and that isn't in the trail, or
-// a new one.
-func (p *Pool) get(ctx context.Context, addr string, trail *Trail) (*conn, error) {
+// get returns an idle connection that the peer has not closed and that may carry the request,
+// or a new one.
+func (p *Pool) get(ctx context.Context, addr string, req *Request) (*conn, error) {
 	for {
-		c, err := p.idleConn(addr, trail)
+		c, err := p.idleConn(addr, req)
 		if err != nil {
 			return nil, err
 		}
@@ -64,9 +64,9 @@
 	}
 }
 
-// idleConn removes and returns the most recently used idle connection to an address that
-// isn't in the trail, nil if there is none.
-func (p *Pool) idleConn(addr string, trail *Trail) (*conn, error) {
+// idleConn removes and returns the most recently used idle connection to an address that may
+// carry the request, nil if there is none.
+func (p *Pool) idleConn(addr string, req *Request) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -74,7 +74,7 @@
 	}
 	list := p.idle[addr]
 	for i := len(list) - 1; i >= 0; i-- {
-		if c := list[i]; !trail.holds(c) {
+		if c := list[i]; req.mayReuse(c) {
 			p.idle[addr] = slices.Delete(list, i, i+1)
 			return c, nil
 		}
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -15,13 +15,17 @@
 	// Header holds end-to-end fields only.
 	Header http.Header
 	Body   []byte
-	// Matches reports whether an answer belongs to this request; nil accepts all.
+	// Matches reports whether an answer belongs to this request; nil accepts all, on a new
+	// connection.
 	Matches func(http.Header) bool
 	// Trail is set for a request that may be sent more than once. It is the same for all
 	// exchanges of the request.
 	Trail *Trail
 }
 
+// mayReuse reports whether a connection that has carried other requests may carry this one.
+func (r *Request) mayReuse(c *conn) bool { return r.Matches != nil && !r.Trail.holds(c) }
+
 // Trail holds the connections that have carried a request. None of them carries it again: the
 // upstream may repeat the answer to the earlier exchange, which matches the request as well.
 // The zero value is empty. Exchanges with the same trail must not run concurrently.
--- a/internal/exchange/stale_test.go
+++ b/internal/exchange/stale_test.go
@@ -29,7 +29,7 @@
 func awaitBytes(t *testing.T, pool *Pool, addr string) {
 	t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		c, err := pool.idleConn(addr, nil)
+		c, err := pool.idleConn(addr, getRequest("z"))
 		if err != nil || c == nil {
 			t.Fatal("no idle connection")
 		}
@@ -171,11 +171,33 @@
 	is.NoErr(err)
 	is.Equal(body, "silk")
 	is.Equal(p.accepted.Load(), int32(2))
-	c, err := pool.idleConn(p.addr(), req.Trail)
+	c, err := pool.idleConn(p.addr(), req)
 	is.NoErr(err)
 	is.True(c == nil) // neither connection carries the request again
-	c, err = pool.idleConn(p.addr(), new(Trail))
+	c, err = pool.idleConn(p.addr(), getRequest("b"))
 	is.NoErr(err)
 	is.True(c != nil) // but they carry others
 	c.close()
 }
+
+// Without an ID, an extra answer can't be told from the one that is due.
+func TestRequestThatMatchesAllGetsItsOwnConnection(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, func(_ *peer, conn net.Conn, read func() *http.Request) {
+		for r := read(); r != nil; r = read() {
+			_, _ = io.WriteString(conn, answerTo(r.Header.Get("X-Id"), "silk"))
+		}
+	})
+	pool := NewPool()
+	defer pool.Close()
+	for range 2 {
+		req := getRequest("a")
+		req.Matches = nil
+		_, err := doExchange(pool, p.addr(), req)
+		is.NoErr(err)
+	}
+	is.Equal(p.accepted.Load(), int32(2))
+	_, err := doExchange(pool, p.addr(), getRequest("b"))
+	is.NoErr(err)
+	is.Equal(p.accepted.Load(), int32(2)) // others may use it
+}
