gateway: test what becomes of a refusal that is written once more

Shows what callers see where an upstream writes an earlier refusal once more on a kept connection: in 8 cases the next request is at that upstream only, and its caller gets the true answer or 502, never 429 or 503.

A refusal itself ends its connection today, since its body isn't read: the copy that can meet another request is one of an answer that was read to its end, or one that bears the ID of an earlier request.

--- /dev/null
+++ b/internal/gateway/stale_answers_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/routes"
+)
+
+// An upstream that writes an earlier refusal once more may run the next request: the caller
+// must not be told otherwise, nor another upstream run it as well.
+func TestRefusalWrittenOnceMoreIsNoRefusal(t *testing.T) {
+	const refusal = "HTTP/1.1 503 X\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
+	const done = "HTTP/1.1 200 X\r\nId: b\r\nSignature: s\r\nContent-Length: 4\r\n\r\ndone"
+	cases := []struct {
+		name   string
+		extra  string // written where the answer to the second request is due
+		status int    // of the second request
+	}{
+		{"before the answer", refusal + done, http.StatusOK},
+		{"without an ID", "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull" + done, http.StatusOK},
+		{"after informational answers", "HTTP/1.1 103 X\r\nId: b\r\nNot-Run: 1\r\n\r\n" + refusal + done, http.StatusOK},
+		{"instead of the answer", refusal, http.StatusBadGateway},
+		{"without an ID instead of the answer", "HTTP/1.1 400 X\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull", http.StatusBadGateway},
+		{"without a length", "HTTP/1.1 503 X\r\nId: a\r\nNot-Run: 1\r\n\r\nfull", http.StatusBadGateway},
+		{"again and again", refusal + refusal + refusal + refusal + done, http.StatusBadGateway},
+		{"as another upstream's", "HTTP/1.1 421 X\r\nId: a\r\nElsewhere: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" + done, http.StatusOK},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			again := make(chan string, 1) // ID of the second request on the connection
+			r := newTestGateway(t, routes.Route{Kind: routes.KindOnce, MaxAttempts: 3}, func(c *conn) {
+				c.write("HTTP/1.1 200 X\r\nId: a\r\nSignature: s\r\nContent-Length: 4\r\n\r\ndone")
+				second, err := http.ReadRequest(bufio.NewReader(c.Conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, second.Body)
+				again <- second.Header.Get("Id")
+				c.write(tc.extra)
+			}, serveDone)
+			resp, body, err := r.send()
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.Equal(body, "done")
+			resp, _, err = r.send("Id", "b")
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, tc.status)
+			is.Equal(<-again, "b")
+			is.Equal(r.arrivals(), []string{"u0 a"}) // b came on the same connection, and nowhere else
+		})
+	}
+}
