gateway: an upstream's 408, 429 or 503 is a promise only where it says so

What callers would see: an upstream that answers 503, 429 or 408 without reporting that it did not run the request, and that has run it, made the router pass that status on, which callers take as a promise and retry: REFUSED for what may not be repeated, or TWICE.

Cause: relayComplete passes every answer on unchanged, also one whose status means "not run" to callers and only "failed" to the router, which counts the request as run.

Change: such an answer is not relayed. The request may have run: it is tried at another upstream if it may be repeated, and ends with 502 otherwise, without the upstream's signature, since the status isn't the upstream's.

Evidence: the three cases of TestUnmarkedRejectionIsNoPromise got the upstream's 408, 429 and 503 before.

--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -21,12 +21,31 @@
 	smallAnswerBytes = 256 << 10
 )
 
-var errTooLong = fleet.Errors.NewType("gateway_answer_too_long")
+var (
+	errTooLong  = fleet.Errors.NewType("gateway_answer_too_long")
+	errUnmarked = fleet.Errors.NewType("gateway_unmarked_rejection")
+)
+
+// promisesNotRun reports whether callers take a status as a promise that their request did not
+// run and will not.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
 
 // relayComplete reads an answer to its end before it relays it, so that a truncated one
 // never reaches the caller.
 func (f *forwarder) relayComplete(ctx context.Context, pick *balance.Pick, resp *exchange.Response, head Head) (done bool, o balance.Outcome) {
 	pick.RecordAnswerHead(f.server.cfg.Clock(), head.Load)
+	if promisesNotRun(resp.Status) { // but the upstream did not mark it
+		f.lastErr = errUnmarked.New("upstream %s answered with status %d without reporting that it did not run the request", pick.Upstream.ID, resp.Status)
+		f.logDecision("upstream's rejection not relayed: it may have run the request", "upstream", string(pick.Upstream.ID), "status", resp.Status)
+		return false, balance.OutcomeError
+	}
 	reader := &answerReader{inner: resp, buffered: &f.server.buffered}
 	defer reader.release()
 	body, err := io.ReadAll(reader)
--- a/internal/gateway/stale_answers_test.go
+++ b/internal/gateway/stale_answers_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -56,3 +57,27 @@
 		})
 	}
 }
+
+// Callers take 408, 429 and 503 as a promise that the request did not run. An upstream makes
+// it only where it says so.
+func TestUnmarkedRejectionIsNoPromise(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			is := is.New(t)
+			reject := func(c *conn) { c.writeAnswer(status, "full", "Signature: s", "Retry-After: 1") }
+			r := newTestGateway(t, routes.Route{Kind: routes.KindOnce, MaxAttempts: 3}, reject, serveDone)
+			resp, _, err := r.send()
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusBadGateway)
+			is.Equal(resp.Header.Get("Signature"), "") // the status isn't the upstream's
+			is.Equal(resp.Header.Get("Retry-After"), "")
+			is.Equal(r.arrivals(), []string{"u0 a"})
+
+			r = newTestGateway(t, routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 2, Target: time.Minute}, reject, serveDone)
+			resp, _, err = r.send()
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.Equal(r.arrivals(), []string{"u0 a", "u1 a"})
+		})
+	}
+}
