exchange: a header value from outside adds no field

What would be seen: an event's ID with a carriage return in it becomes the Last-Event-Id of the next attempt, and what follows the return a field of its own at the upstream that resumes the stream; a tenant's name or an ID of the list with CR and LF likewise, up to a whole request of their own.

Cause: values were written as they are. Those of callers are checked by net/http, the others by nobody.

Change: control characters are written as spaces, as net/http's client does. Rejecting such a request instead would count against the upstream's health.

Evidence: on the code before, the peer of TestHeaderValuesStayInTheirField receives the field X-Added, and takes the rest for a request.

--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -51,7 +51,7 @@
 		for _, value := range values {
 			b = append(b, name...)
 			b = append(b, ": "...)
-			b = append(b, value...)
+			b = appendValue(b, value)
 			b = append(b, "\r\n"...)
 		}
 	}
@@ -63,3 +63,16 @@
 	b = append(b, "\r\n"...)
 	return append(b, r.Body...)
 }
+
+// appendValue appends the value of a field, with spaces in place of control characters, which
+// would end the field.
+func appendValue(b []byte, value string) []byte {
+	start := len(b)
+	b = append(b, value...)
+	for i, c := range b[start:] {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			b[start+i] = ' '
+		}
+	}
+	return b
+}
--- a/internal/exchange/stale_test.go
+++ b/internal/exchange/stale_test.go
@@ -201,3 +201,22 @@
 	is.NoErr(err)
 	is.Equal(p.accepted.Load(), int32(2)) // others may use it
 }
+
+// A value that comes from outside must not add a field, or a request, to what is sent.
+func TestHeaderValuesStayInTheirField(t *testing.T) {
+	is := is.New(t)
+	received := make(chan http.Header, 1)
+	p := newPeer(t, func(_ *peer, conn net.Conn, read func() *http.Request) {
+		if r := read(); r != nil {
+			received <- r.Header
+			_, _ = io.WriteString(conn, answerTo("a", "silk"))
+		}
+	})
+	pool := NewPool()
+	defer pool.Close()
+	req := getRequest("a")
+	req.Header["X-Event"] = []string{"5\r\nX-Added: 1\r\n\r\nGET / HTTP/1.1\r\n\x00", "6\nX-Added: 1"}
+	_, err := doExchange(pool, p.addr(), req)
+	is.NoErr(err)
+	is.Equal(<-received, http.Header{"X-Id": {"a"}, "X-Event": {"5  X-Added: 1    GET / HTTP/1.1", "6 X-Added: 1"}})
+}
