mesh, gateway: claimed lengths are checked before memory is allocated

What would be seen: a load report, list update or note of some ten bytes that claims an array of 2^32 elements makes the receiving router allocate it before the first element is read: 8 GB for places, more for suspicions, beyond any machine's memory. Only a process that speaks the mesh can send it, which without a secret is any that reaches the port.

Cause: the generated decoders make a slice of the length in the array's header.

Change: mesh.Decode walks the message first, which fails where it ends. Calls, the list's streams and the quarantine note use it.

Open: messages between control members, and of the product's own path, are still decoded without it.

--- a/internal/gateway/list_stream.go
+++ b/internal/gateway/list_stream.go
@@ -85,14 +85,13 @@
 		return nil, err
 	}
 	u := new(ListUpdate)
-	_, err = u.UnmarshalMsg(message)
-	return u, err
+	return u, mesh.Decode(message, u)
 }
 
 // serve sends the list and its changes to a follower, and receives its load reports.
 func (l *upstreamList) serve(ctx context.Context, stream *mesh.Stream, message []byte) error {
 	var request ListRequest
-	if _, err := request.UnmarshalMsg(message); err != nil {
+	if err := mesh.Decode(message, &request); err != nil {
 		return err
 	}
 	var sent atomic.Pointer[snapshot] // the latest list sent to this follower
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -11,6 +11,7 @@
 	"github.com/wigeonflow/wigeonflow/internal/balance"
 	"github.com/wigeonflow/wigeonflow/internal/deflate"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
 )
 
 //go:generate go tool msgp -tests=false -io=false -file listing.go
@@ -211,7 +212,7 @@
 			return nil, err
 		}
 		var all ListEntries
-		if _, err := all.UnmarshalMsg(encoded); err != nil {
+		if err := mesh.Decode(encoded, &all); err != nil {
 			return nil, err
 		}
 		changed = all.Entries
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -184,7 +184,7 @@
 			return // the goroutine that sends on the stream gets the error as well
 		}
 		var r LoadReport
-		if _, err := r.UnmarshalMsg(message); err != nil {
+		if err := mesh.Decode(message, &r); err != nil {
 			l.log.Warn("cannot decode load report", "peer", stream.Peer(), "error", err)
 			return
 		}
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/balance"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
 	"github.com/wigeonflow/wigeonflow/internal/session"
 )
 
@@ -84,7 +85,7 @@
 // applyNote merges the quarantined parts of a note that was sent age ago.
 func (r *Router) applyNote(note []byte, age time.Duration) {
 	var n SuspicionNote
-	if _, err := n.UnmarshalMsg(note); err != nil {
+	if err := mesh.Decode(note, &n); err != nil {
 		r.log.Warn("cannot decode the note of quarantined prompt parts", "error", err)
 		return
 	}
--- a/internal/mesh/pool.go
+++ b/internal/mesh/pool.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return fleet.At(err, method, addr)
 	}
-	_, err = reply.UnmarshalMsg(answer)
+	err = Decode(answer, reply)
 	return fleet.At(err, "mesh.decode", addr)
 }
 
@@ -159,7 +159,7 @@
 }, R msgp.Marshaler](f func(ctx context.Context, peer string, request QP) (R, error)) Handler {
 	return func(ctx context.Context, s *Stream, message []byte) error {
 		request := QP(new(Q))
-		if _, err := request.UnmarshalMsg(message); err != nil {
+		if err := Decode(message, request); err != nil {
 			return fleet.At(err, "mesh.decode", s.Peer())
 		}
 		reply, err := f(ctx, s.Peer(), request)
