gateway: times that a peer reports are bounded

What would be seen: a peer's report of a break ms ago, or of a cold start of the longest duration, wraps: the break counts as one of the future, the cold upstream as warm. A negative age dates the list in the future, so that every newer one is taken for older and dropped.

Change: times in reports, notes and list updates are bounded from 0 to fleet.MaxDuration.

Evidence: on the code before, all cases of TestTimesOfPeersBeyondADuration fail. Only a faulty peer sends such times; none was seen.

--- a/internal/gateway/lengths_test.go
+++ b/internal/gateway/lengths_test.go
@@ -1,12 +1,17 @@
 package gateway
 
 import (
+	"math"
 	"runtime"
+	"strconv"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/wigeonflow/wigeonflow/internal/deflate"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
 )
 
@@ -38,3 +43,28 @@
 		})
 	}
 }
+
+// Times of a peer beyond a duration must not wrap to times in the past or the future.
+func TestTimesOfPeersBeyondADuration(t *testing.T) {
+	for _, ms := range []int64{math.MaxInt64, math.MaxInt64/1000 + 1, 9223372036855} {
+		t.Run(strconv.FormatInt(ms, 10), func(t *testing.T) {
+			is := is.New(t)
+			got := decodeSuspicions([]Suspicion{{SinceServed: ms, Breaks: []PromptBreak{{Age: ms}, {Age: -ms}}}})
+			is.Equal(got[0].SinceServed, fleet.MaxDuration)
+			is.Equal(got[0].Breaks[0].Age, fleet.MaxDuration)
+			is.Equal(got[0].Breaks[1].Age, time.Duration(0))
+		})
+	}
+	is := is.New(t)
+	var none *snapshot
+	entries := ListEntries{Entries: []ListEntry{
+		{Upstream: fleet.Upstream{ID: "u0"}, ColdFor: math.MaxInt64}, {Upstream: fleet.Upstream{ID: "u1"}, ColdFor: math.MinInt64},
+	}}
+	encoded, err := entries.MarshalMsg(nil)
+	is.NoErr(err)
+	list, err := none.apply(time.Hour, &ListUpdate{Age: math.MinInt64, Whole: deflate.Compress(encoded)})
+	is.NoErr(err)
+	is.Equal(list.asOf, time.Hour)
+	is.Equal(list.entries["u0"].coldUntil, time.Hour+fleet.MaxDuration)
+	is.Equal(list.entries["u1"].coldUntil, time.Hour)
+}
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -202,7 +202,7 @@
 // apply returns the snapshot that results from an update of s, which may be nil. The
 // error is errListGap if the update needs a previous list and s is nil.
 func (s *snapshot) apply(now time.Duration, u *ListUpdate) (*snapshot, error) {
-	asOf := now - u.Age
+	asOf := now - max(u.Age, 0)
 	changed := u.Changed
 	entries := make(map[fleet.UpstreamID]listedUpstream)
 	switch {
@@ -227,7 +227,7 @@
 		delete(entries, id)
 	}
 	for _, e := range changed {
-		entries[e.Upstream.ID] = listedUpstream{e.Upstream, asOf + e.ColdFor}
+		entries[e.Upstream.ID] = listedUpstream{e.Upstream, asOf + min(max(e.ColdFor, 0), fleet.MaxDuration)}
 	}
 	return newSnapshotOf(asOf, entries), nil
 }
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/balance"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
 	"github.com/wigeonflow/wigeonflow/internal/session"
 )
@@ -46,15 +47,20 @@
 func decodeSuspicions(encoded []Suspicion) []balance.Suspicion {
 	var out []balance.Suspicion
 	for _, e := range encoded {
-		s := balance.Suspicion{Part: e.Part, Served: e.SinceServed >= 0, SinceServed: time.Duration(e.SinceServed) * time.Millisecond}
+		s := balance.Suspicion{Part: e.Part, Served: e.SinceServed >= 0, SinceServed: milliseconds(e.SinceServed)}
 		for _, b := range e.Breaks {
-			s.Breaks = append(s.Breaks, balance.Break{Upstream: b.Upstream, Next: b.Next, Age: time.Duration(max(b.Age, 0)) * time.Millisecond})
+			s.Breaks = append(s.Breaks, balance.Break{Upstream: b.Upstream, Next: b.Next, Age: milliseconds(b.Age)})
 		}
 		out = append(out, s)
 	}
 	return out
 }
 
+// milliseconds returns a time that a peer reports, from 0 to fleet.MaxDuration.
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), fleet.MaxDuration.Milliseconds())) * time.Millisecond
+}
+
 // SuspicionNote is the note by which routers keep quarantines at the control leader.
 type SuspicionNote struct {
 	Suspicions []Suspicion `msg:"s"`
