--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -30,6 +31,8 @@
 	// maxDrainBytes bounds the bytes that are discarded at the end of an answer in order to
 	// reuse its connection.
 	maxDrainBytes = 64 << 10
+	// maxRetryAfter bounds the delay that an upstream asks for.
+	maxRetryAfter = 24 * time.Hour
 )
 
 // NewHTTPClient returns a client with keep-alive connections for engines, the
@@ -147,9 +150,9 @@
 
 // retryAfter returns the delay in a Retry-After header, or 0 if it holds no seconds.
 func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || seconds < 0 {
+	seconds, err := strconv.ParseInt(h.Get("Retry-After"), 10, 64) // the nearest integer if it is beyond it
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
 		return 0
 	}
-	return time.Duration(seconds) * time.Second
+	return time.Duration(min(max(seconds, 0), int64(maxRetryAfter/time.Second))) * time.Second
 }
