gateway: an answer within a stream ends the attempt

Nothing frames such a stream, and the blank line at the end of the head is that of an event.

Change: an event with a line that starts as a status line isn't relayed; the attempt ends there, and the stream is resumed after the last event, or aborted. Events before it in the same read are now relayed: acceptEvent had counted them already, so that the resumed stream would have left them out.

Evidence: on the code before, all three cases of TestAnswerWithinAStreamIsNotRelayed fail with the head in the caller's stream.

Open: a head that begins in the middle of a line isn't recognized, nor is one in a complete answer without a length; both look like content.

--- a/internal/gateway/stale_answers_test.go
+++ b/internal/gateway/stale_answers_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -81,3 +82,31 @@
 		})
 	}
 }
+
+// Only the end of the connection tells the end of such a stream, so that whatever an upstream
+// writes beside its events seems to belong to it.
+func TestAnswerWithinAStreamIsNotRelayed(t *testing.T) {
+	const refusal = "HTTP/1.1 503 X\r\nId: z\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
+	cases := []struct{ name, written string }{
+		{"behind its end", encodeEvents(1, 5) + refusal},
+		{"between two events", encodeEvents(1, 3) + refusal + encodeEvents(4, 5)},
+		{"within an event", encodeEvents(1, 3) + "id: 4\n" + refusal + "data: piece 4\n\n" + encodeEvents(5, 5)},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestGateway(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 2, Resumable: true}, func(c *conn) {
+				c.write("HTTP/1.1 200 OK\r\nId: ", c.id, "\r\nContent-Type: text/event-stream\r\n\r\n", tc.written)
+			}, func(c *conn) {
+				after, _ := strconv.Atoi(c.request.Header.Get("After")) // 0 if it isn't set
+				c.beginStream()
+				c.writeEvents(after+1, 5)
+				c.endStream()
+			})
+			resp, body, err := r.send()
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.Equal(body, encodeEvents(1, 5))
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,8 +20,9 @@
 const maxEventBytes = 1 << 20
 
 var (
-	errEventTooLong = fleet.Errors.NewType("gateway_event_too_long")
-	errEventGap     = fleet.Errors.NewType("gateway_event_gap")
+	errEventTooLong  = fleet.Errors.NewType("gateway_event_too_long")
+	errEventGap      = fleet.Errors.NewType("gateway_event_gap")
+	errForeignAnswer = fleet.Errors.NewType("gateway_foreign_answer")
 )
 
 // eventRelay writes a stream's events to the caller. One relay serves all attempts of a
@@ -122,20 +123,19 @@
 func (e *callerGoneError) Error() string { return "the caller disconnected: " + e.cause.Error() }
 func (e *callerGoneError) Unwrap() error { return e.cause }
 
-// write appends b to the pending bytes and relays all complete events among them.
+// write appends b to the pending bytes and relays all complete events among them, up to the
+// first that isn't acceptable.
 func (r *eventRelay) write(b []byte) error {
 	r.pending = append(r.pending, b...)
 	begin, out := 0, 0
-	for {
+	var rejected error
+	for rejected == nil {
 		end := eventEnd(r.pending[begin:])
 		if end < 0 {
 			break
 		}
-		keep, err := r.acceptEvent(r.pending[begin : begin+end])
-		if err != nil {
-			return err
-		}
-		if keep {
+		var keep bool
+		if keep, rejected = r.acceptEvent(r.pending[begin : begin+end]); keep {
 			out += copy(r.pending[out:], r.pending[begin:begin+end])
 		}
 		begin += end
@@ -148,6 +148,9 @@
 			return &callerGoneError{err}
 		}
 	}
+	if rejected != nil {
+		return rejected
+	}
 	r.pending = r.pending[:copy(r.pending, r.pending[begin:])]
 	if len(r.pending) > maxEventBytes {
 		return errEventTooLong.New("a stream event exceeds %d bytes", maxEventBytes)
@@ -172,6 +175,9 @@
 // acceptEvent records an event's ID and reports whether the caller still lacks the event.
 // After a resumption, the first such event must follow the last one relayed.
 func (r *eventRelay) acceptEvent(event []byte) (bool, error) {
+	if holdsAnswer(event) {
+		return false, errForeignAnswer.New("the stream holds the head of another answer")
+	}
 	text, ok := eventID(event)
 	if !ok {
 		return true, nil
@@ -193,6 +199,16 @@
 	return true, nil
 }
 
+// statusLine starts the line of an answer's status, after that before it.
+var statusLine = []byte("\nHTTP/1.")
+
+// holdsAnswer reports whether a line of an event is the status line of an HTTP answer. It then
+// belongs to another request: a stream that ends with its connection has no frame that would
+// keep it out.
+func holdsAnswer(event []byte) bool {
+	return bytes.HasPrefix(event, statusLine[1:]) || bytes.Contains(event, statusLine)
+}
+
 // eventID returns the value of an event's id field.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
