--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,8 @@
 	dialTimeout = 400 * time.Millisecond
 	// defaultIdleTimeout is the idle timeout of a connection whose peer announces none.
 	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTimeout bounds the idle timeout that a peer may announce.
+	maxIdleTimeout = 10 * time.Minute
 	// idleMargin is subtracted from the peer's idle timeout, so that no request is sent
 	// while the peer closes the connection.
 	idleMargin = 500 * time.Millisecond
@@ -43,10 +46,11 @@
 	return &Pool{idle: make(map[string][]*conn), dialer: limits.Dialer()}
 }
 
-// get returns an idle connection that the peer has not closed, or a new one.
-func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
+// get returns an idle connection that the peer has not closed and that may carry the request,
+// or a new one.
+func (p *Pool) get(ctx context.Context, addr string, req *Request) (*conn, error) {
 	for {
-		c, err := p.idleConn(addr)
+		c, err := p.idleConn(addr, req)
 		if err != nil {
 			return nil, err
 		}
@@ -60,21 +64,22 @@
 	}
 }
 
-// idleConn removes and returns the most recently used idle connection to an address, nil
-// if there is none.
-func (p *Pool) idleConn(addr string) (*conn, error) {
+// idleConn removes and returns the most recently used idle connection to an address that may
+// carry the request, nil if there is none.
+func (p *Pool) idleConn(addr string, req *Request) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, ErrClosed.New("the connection pool is closed")
 	}
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil, nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; req.mayReuse(c) {
+			p.idle[addr] = slices.Delete(list, i, i+1)
+			return c, nil
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
-	return c, nil
+	return nil, nil
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 )
 
 // Request is an HTTP request to an upstream.
@@ -14,8 +16,41 @@
 	// Header holds end-to-end fields only.
 	Header http.Header
 	Body   []byte
-	// Matches reports whether an answer belongs to this request; nil accepts all.
+	// Matches reports whether an answer belongs to this request; nil accepts all, on a new
+	// connection.
 	Matches func(http.Header) bool
+	// Trail is set for a request that may be sent more than once. It is the same for all
+	// exchanges of the request.
+	Trail *Trail
+}
+
+// mayReuse reports whether a connection that has carried other requests may carry this one.
+func (r *Request) mayReuse(c *conn) bool { return r.Matches != nil && !r.Trail.holds(c) }
+
+// Trail holds the connections that have carried a request. None of them carries it again: the
+// upstream may repeat the answer to the earlier exchange, which matches the request as well.
+// The zero value is empty. It is safe for concurrent use.
+type Trail struct {
+	mu    sync.Mutex
+	conns []*conn
+}
+
+func (t *Trail) add(c *conn) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	t.conns = append(t.conns, c)
+	t.mu.Unlock()
+}
+
+func (t *Trail) holds(c *conn) bool {
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Contains(t.conns, c)
 }
 
 // encode appends the request in wire form.
@@ -30,7 +65,7 @@
 		for _, value := range values {
 			b = append(b, name...)
 			b = append(b, ": "...)
-			b = append(b, value...)
+			b = appendValue(b, value)
 			b = append(b, "\r\n"...)
 		}
 	}
@@ -42,3 +77,16 @@
 	b = append(b, "\r\n"...)
 	return append(b, r.Body...)
 }
+
+// appendValue appends the value of a field, with spaces in place of control characters, which
+// would end the field.
+func appendValue(b []byte, value string) []byte {
+	start := len(b)
+	b = append(b, value...)
+	for i, c := range b[start:] {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			b[start+i] = ' '
+		}
+	}
+	return b
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -154,11 +154,17 @@
 	}
 	a.resp, a.body, a.sent = resp, resp, true
 	a.head = s.cfg.Protocol.Head(resp.Status, resp.Header)
-	if !a.head.NotRun {
-		a.ran = true
+	a.ran = !a.head.NotRun
+	if a.ran && !promisesNotRun(resp.Status) {
 		return
 	}
 	a.pick.RecordAnswerHead(s.cfg.Clock(), a.head.Load)
+	if a.ran { // the status says otherwise, but the upstream did not mark it
+		a.outcome = balance.OutcomeError
+		a.err = errUnmarked.New("upstream %s answered with status %d without reporting that it did not run the request", a.pick.Upstream.ID, resp.Status)
+		f.logDecision("upstream's rejection not relayed: it may have run the request", "upstream", string(a.pick.Upstream.ID), "status", resp.Status)
+		return
+	}
 	if a.head.Misdirected {
 		a.pick.MarkReplaced(s.cfg.Clock())
 	}
@@ -181,7 +187,7 @@
 	}
 	return &exchange.Request{
 		Method: f.r.Method, Target: f.r.RequestURI, Host: f.r.Host, Body: f.body,
-		Header:  fields,
+		Header: fields, Trail: &f.trail,
 		Matches: func(h http.Header) bool { return f.server.cfg.Protocol.Matches(f.call.ID, h) },
 	}
 }
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -19,7 +19,21 @@
 	smallAnswerBytes = 256 << 10
 )
 
-var errTooLong = fleet.Errors.NewType("gateway_answer_too_long")
+var (
+	errTooLong  = fleet.Errors.NewType("gateway_answer_too_long")
+	errUnmarked = fleet.Errors.NewType("gateway_unmarked_rejection")
+)
+
+// promisesNotRun reports whether callers take a status as a promise that their request did not
+// run and will not.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
 
 // relayComplete reads an answer to its end before it relays it, so that a truncated one
 // never reaches the caller.
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/wigeonflow/wigeonflow/internal/balance"
+	"github.com/wigeonflow/wigeonflow/internal/exchange"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/routes"
 )
@@ -44,6 +45,7 @@
 	deadline    time.Duration
 
 	history      history
+	trail        exchange.Trail
 	lastErr      error         // of the latest attempt
 	noAttempt    string        // why no further upstream is asked; empty as long as one may be
 	pick         *balance.Pick // of the latest attempt
