balance, gateway, platform: an upstream that says that it leaves gets no new work

Callers saw requests end at replicas that had already told the router of their drain: Server-Leaving was read nowhere, so a router went on sending until the platform's list showed the drain, up to a second and a read interval later, and without end where the list was stale, away or wrong.

Balancer.RecordNotice marks the incarnation (ID and boot; address only where the platform gives no boot) and Choose passes it over, also where an ejected or stalled upstream would be taken. A 421 speaks for the upstream listed at the address, not for the one that was asked. Load reports carry the marks, with the router that was told and their age, until the list itself shows the drain; a report names the incarnation, so one about another start changes nothing, and without a boot it counts only if it is newer than the upstream's first listing. A 503 that says so isn't counted as a failure of the upstream. Begin and end are logged, gauge gateway_upstreams_leaving.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -48,6 +48,11 @@
 	// of upstreams that broke off and of different parts that followed it. It may be nil
 	// and must not call the Balancer.
 	OnQuarantine func(part uint64, upstreams, branches int)
+	// OnTransition is called when an upstream begins or ceases to leave, and OnMalformed for
+	// an upstream whose notices have fields without a meaning, at most once a minute. Both
+	// may be nil and must not call the Balancer.
+	OnTransition func(Transition)
+	OnMalformed  func(u fleet.Upstream, fields string)
 }
 
 // Balancer chooses upstreams for one router. It is safe for concurrent use.
@@ -57,6 +62,7 @@
 	mu          sync.Mutex
 	states      map[fleet.UpstreamID]*upstreamState
 	pools       map[fleet.PoolID][]*upstreamState
+	notices     map[Incarnation]*notices
 	budgets     map[fleet.PoolID]*budget
 	parts       *partLRU
 	suspects    *suspects
@@ -71,7 +77,7 @@
 func New(cfg Config) *Balancer {
 	return &Balancer{
 		cfg: cfg, states: make(map[fleet.UpstreamID]*upstreamState), pools: make(map[fleet.PoolID][]*upstreamState),
-		budgets: make(map[fleet.PoolID]*budget), parts: newPartLRU(), suspects: newSuspects(),
+		notices: make(map[Incarnation]*notices), budgets: make(map[fleet.PoolID]*budget), parts: newPartLRU(), suspects: newSuspects(),
 	}
 }
 
@@ -84,19 +90,23 @@
 	for _, s := range b.states {
 		s.listed = false
 	}
+	var former []*upstreamState
 	for _, l := range list {
 		s := b.states[l.ID]
 		if s == nil || s.Addr != l.Addr || s.Boot != l.Boot {
-			if s != nil {
-				moved = append(moved, s.Addr)
-			}
+			replaced := s
 			s = newState(l)
 			s.firstListed = asOf
 			b.states[l.ID] = s
+			if replaced != nil {
+				moved = append(moved, replaced.Addr)
+				former = append(former, replaced)
+			}
 		}
 		s.ListedUpstream, s.listed = l, true
 		s.coldUntil = max(s.coldUntil, asOf+l.ColdFor)
 	}
+	b.updateNotices(asOf, former)
 	for id, s := range b.states {
 		if !s.listed && s.running == 0 {
 			delete(b.states, id)
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -111,11 +111,11 @@
 }
 
 // usable returns the upstreams that may get the request; with includeFailed also those that
-// are ejected or stalled.
+// are ejected or stalled, but never those that leave.
 func (b *Balancer) usable(now time.Duration, r *Request, session SessionState, includeFailed bool) []*upstreamState {
 	out := b.scratch[:0]
 	for _, s := range b.pools[r.Pool.Name] {
-		if s.Leaving || now < s.replacedUntil || slices.Contains(r.Tried, s.ID) || session.Out(s.Upstream) || s.stalled(now) && !includeFailed {
+		if s.Leaving || s.notices.bars() || now < s.replacedUntil || slices.Contains(r.Tried, s.ID) || session.Out(s.Upstream) || s.stalled(now) && !includeFailed {
 			continue
 		}
 		if s.isCold(now) && r.Pool.ColdRate > 0 && !session.Owns(s.ID) {
--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -51,6 +51,9 @@
 	reportedAt time.Duration
 
 	replacedUntil time.Duration // see Pick.MarkReplaced
+	notices       *notices      // of this incarnation; nil for none
+	announced     announced
+	malformedAt   time.Duration // time of the latest call of OnMalformed; 0 for none
 
 	lastByte time.Duration // time of the newest byte of any answer, or of the first request after idleness
 	health   health
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -43,6 +43,9 @@
 	}
 	f.failedAnswer = complete
 	f.logDecision("upstream answered with a server error", "upstream", string(pick.Upstream.ID), "status", resp.Status)
+	if head.turnsAway(resp.Status) {
+		return false, balance.OutcomeUnknown
+	}
 	return false, balance.OutcomeError
 }
 
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -61,7 +61,10 @@
 func (testProtocol) Matches(id fleet.RequestID, h http.Header) bool { return h.Get("Id") == string(id) }
 
 func (testProtocol) Head(status int, h http.Header) Head {
-	return Head{NotRun: h.Get("Not-Run") != "", Misdirected: h.Get("Elsewhere") != "", Stream: status == http.StatusOK && h.Get("Content-Type") == "text/event-stream"}
+	return Head{
+		NotRun: h.Get("Not-Run") != "", Misdirected: h.Get("Elsewhere") != "", Stream: status == http.StatusOK && h.Get("Content-Type") == "text/event-stream",
+		Leaving: h.Get("Leaving") != "",
+	}
 }
 
 func (testProtocol) CallerHeader(h http.Header) http.Header { return h.Clone() }
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -175,6 +175,7 @@
 	}
 	defer resp.Close()
 	head := s.cfg.Protocol.Head(resp.Status, resp.Header)
+	pick.RecordNotice(s.cfg.Clock(), head.notice())
 	f.sends++
 	if head.NotRun {
 		pick.RecordAnswerHead(s.cfg.Clock(), head.Load)
--- /dev/null
+++ b/internal/gateway/leaving.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/balance"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+//go:generate go tool msgp -tests=false -io=false -file leaving.go
+
+// LeavingUpstream is a balance.Leaver.
+type LeavingUpstream struct {
+	ID   fleet.UpstreamID `msg:"i"`
+	Boot fleet.BootID     `msg:"b,omitempty"`
+	Addr string           `msg:"a,omitempty"`
+	// By is the router that the upstream told.
+	By fleet.InstanceID `msg:"y"`
+	// Age is in milliseconds.
+	Age int64 `msg:"g,omitempty"`
+}
+
+// encodeLeaving returns leaving upstreams in the form of a report.
+func (l *upstreamList) encodeLeaving(leavers []balance.Leaver) []LeavingUpstream {
+	var out []LeavingUpstream
+	for _, u := range leavers {
+		if u.By == "" {
+			u.By = l.self
+		}
+		out = append(out, LeavingUpstream{ID: u.ID, Boot: u.Boot, Addr: u.Addr, By: u.By, Age: u.Age.Milliseconds()})
+	}
+	return out
+}
+
+// decodeLeaving returns the leaving upstreams of a report.
+func decodeLeaving(encoded []LeavingUpstream) []balance.Leaver {
+	var out []balance.Leaver
+	for _, e := range encoded {
+		age := min(max(e.Age, 0), maxLeavingAge.Milliseconds())
+		out = append(out, balance.Leaver{
+			Incarnation: balance.Incarnation{ID: e.ID, Boot: e.Boot, Addr: e.Addr}, By: e.By, Age: time.Duration(age) * time.Millisecond,
+		})
+	}
+	return out
+}
+
+// maxLeavingAge bounds the age of a report in a message, so that it fits a duration. No
+// upstream takes longer to leave.
+const maxLeavingAge = 24 * time.Hour
+
+// mergeLeaving adds the leaving upstreams of another router's report.
+func (l *upstreamList) mergeLeaving(r *LoadReport) {
+	if len(r.Leaving) > 0 {
+		l.loads.MergeLeavers(l.clock(), decodeLeaving(r.Leaving))
+	}
+}
--- a/internal/gateway/list_stream.go
+++ b/internal/gateway/list_stream.go
@@ -49,6 +49,7 @@
 			return fleet.At(errListStale, "gateway.follow", addr)
 		}
 		l.adopt(known)
+		l.mergeLeaving(&u.Totals) // after the list that it refers to
 		if reported, err = l.exchangeLoads(ctx, stream, known, u, reported); err != nil {
 			return fleet.At(err, "gateway.follow", addr)
 		}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -27,10 +27,12 @@
 	Failed  []uint16 `msg:"f"`
 	// Suspicions is what the sender knows of prompt parts under which upstreams broke off.
 	Suspicions []Suspicion `msg:"s,omitempty"`
+	// Leaving is what the sender knows of upstreams that have said that they leave.
+	Leaving []LeavingUpstream `msg:"l,omitempty"`
 }
 
-// Loads exchanges activities at upstreams, and suspicions of prompt parts, with the
-// balancer.
+// Loads exchanges activities at upstreams, suspicions of prompt parts, and reports of
+// leaving upstreams, with the balancer.
 type Loads interface {
 	// Activities returns this router's activities.
 	Activities(now time.Duration) balance.Activities
@@ -40,6 +42,10 @@
 	// MergeSuspicions adds what another router knows.
 	Suspicions(now time.Duration) []balance.Suspicion
 	MergeSuspicions(now time.Duration, reports []balance.Suspicion)
+	// Leavers returns what this router knows of leaving upstreams that the list doesn't
+	// show as leaving, and MergeLeavers adds what another router knows.
+	Leavers(now time.Duration) []balance.Leaver
+	MergeLeavers(now time.Duration, leavers []balance.Leaver)
 }
 
 const (
@@ -189,6 +195,7 @@
 			return
 		}
 		l.mergeSuspicions(&r)
+		l.mergeLeaving(&r)
 		list := known()
 		if list == nil {
 			continue
@@ -215,9 +222,11 @@
 	return subtree, stream.Send(ctx, message)
 }
 
-// newReport returns a report of the given activities and of this router's suspicions.
+// newReport returns a report of the given activities, of this router's suspicions and of the
+// leaving upstreams that it knows.
 func (l *upstreamList) newReport(list *snapshot, number uint64, activities balance.Activities) *LoadReport {
 	r := list.encodeReport(number, activities)
 	r.Suspicions = encodeSuspicions(l.loads.Suspicions(l.clock()))
+	r.Leaving = l.encodeLeaving(l.loads.Leavers(l.clock()))
 	return r
 }
--- a/internal/gateway/loads_gen.go
+++ b/internal/gateway/loads_gen.go
@@ -10,13 +10,17 @@
 func (z *LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.Suspicions == nil {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.Leaving == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -61,6 +65,18 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "l"
+			o = append(o, 0xa1, 0x6c)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Leaving)))
+			for za0006 := range z.Leaving {
+				o, err = z.Leaving[za0006].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Leaving", za0006)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -184,6 +200,25 @@
 					return
 				}
 			}
+		case "l":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+			if cap(z.Leaving) >= int(zb0007) {
+				z.Leaving = (z.Leaving)[:zb0007]
+			} else {
+				z.Leaving = make([]LeavingUpstream, zb0007)
+			}
+			for za0006 := range z.Leaving {
+				bts, err = z.Leaving[za0006].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Leaving", za0006)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -202,5 +237,9 @@
 	for za0005 := range z.Suspicions {
 		s += z.Suspicions[za0005].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0006 := range z.Leaving {
+		s += z.Leaving[za0006].Msgsize()
+	}
 	return
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -51,10 +51,26 @@
 	Misdirected bool
 	// Stream is set if the body is a stream of events.
 	Stream bool
+	// Leaving is set if the upstream that answers reports that it leaves.
+	Leaving bool
+	// Malformed names the fields of what the upstream says of itself that have no defined
+	// meaning, with their values; empty for none.
+	Malformed string
 	// Load is nil if the upstream reports none.
 	Load *balance.Load
 }
 
+// notice returns what the upstream says of itself.
+func (h Head) notice() balance.Notice {
+	return balance.Notice{Leaving: h.Leaving, Misdirected: h.Misdirected, Malformed: h.Malformed}
+}
+
+// turnsAway reports whether a failure with the given status is the upstream's drain, which
+// doesn't count against its health.
+func (h Head) turnsAway(status int) bool {
+	return status == http.StatusServiceUnavailable && h.Leaving
+}
+
 // Protocol translates the header fields of callers and upstreams.
 type Protocol interface {
 	// Call parses a caller's header. The text of its error is sent to the caller.
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -87,7 +87,7 @@
 		control: control.NewClient(pool, s.Control.Members),
 		pool:    exchange.NewPool(),
 	}
-	r.balancer = balance.New(balance.Config{Zone: s.Zone, Retries: cfg.Retries, OnQuarantine: r.logQuarantine})
+	r.balancer = balance.New(balance.Config{Zone: s.Zone, Retries: cfg.Retries, OnQuarantine: r.logQuarantine, OnTransition: r.logTransition, OnMalformed: r.logMalformed})
 	r.keeper = member.NewKeeper(member.Config{
 		Self:    r.self,
 		Session: session.Settings{Lease: s.Session.Lease, RenewInterval: s.Session.RenewInterval},
@@ -108,6 +108,9 @@
 	metrics.NewRegisteredFunctionalGauge(telemetry.MetricName("gateway_config_age_ms"), cfg.Metrics, func() int64 {
 		return (cfg.Clock() - r.keeper.ConfirmedAt()).Milliseconds()
 	})
+	metrics.NewRegisteredFunctionalGauge(telemetry.MetricName("gateway_upstreams_leaving"), cfg.Metrics, func() int64 {
+		return int64(r.balancer.CountLeaving())
+	})
 	return r
 }
 
@@ -116,6 +119,21 @@
 	r.log.Warn("prompt part quarantined: upstreams broke off under it", "part", strconv.FormatUint(part, 16), "upstreams", upstreams, "branches", branches)
 }
 
+// logTransition logs that an upstream begins or ceases to leave.
+func (r *Router) logTransition(t balance.Transition) {
+	fields := []any{"upstream", string(t.Upstream.ID), "boot", string(t.Upstream.Boot), "pool", string(t.Upstream.Pool), "by", t.By}
+	if t.Ended {
+		r.log.Info("upstream no longer leaves: it is gone, restarted or listed as ready", append(fields, "lasted", t.For.Round(time.Millisecond).String())...)
+		return
+	}
+	r.log.Info("upstream leaves: no new work until it is gone", fields...)
+}
+
+// logMalformed logs that an upstream says something of itself that has no defined meaning.
+func (r *Router) logMalformed(u fleet.Upstream, fields string) {
+	r.log.Warn("malformed header fields of an upstream", "upstream", string(u.ID), "boot", string(u.Boot), "fields", fields)
+}
+
 // Handler returns the callers' HTTP handler.
 func (r *Router) Handler() http.Handler { return r.server }
 
