balance, gateway, platform: an upstream that turns this router away rests for that time

Callers were sent on to replicas that had just answered 503 with Retry-After: the field was read nowhere, each refusal was forgotten with its request, and once all replicas of a service had refused, callers were told to return after 0.3 to 0.8 s whatever the replicas had asked for.

Change: Retry-After of a 503 is decoded once into Head.Rest. For that time the incarnation gets nothing from this router: no request of any route, no probe or retry, no resumed stream, and it is no source of a transfer. An ejected or stalled upstream is still better than none, a resting one is not. A shorter rest doesn't end a longer one, answers to earlier requests don't either, nor a list that moves or misses the upstream; a restart does. Other routers aren't told. If all upstreams in service rest, leave or were replaced, callers are refused at once, with a Retry-After at the end of the first rest and up to the length of that rest later (0.5 to 10 s), so that they come back at the rate at which they were refused. A 503 that rests its upstream isn't counted as its failure.

Retry-After of answers that are relayed passes on as before.

Begin and end of a rest are logged, gauge gateway_upstreams_resting.

Tests changed: TestDrainIsNoFailure is now a case of TestTurningAwayIsNoFailure; testProtocol reads a field Rest.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -48,7 +48,7 @@
 	// of upstreams that broke off and of different parts that followed it. It may be nil
 	// and must not call the Balancer.
 	OnQuarantine func(part uint64, upstreams, branches int)
-	// OnTransition is called when an upstream begins or ceases to leave, and OnMalformed for
+	// OnTransition is called when an upstream begins or ceases to leave or rest, OnMalformed for
 	// an upstream whose notices have fields without a meaning, at most once a minute. Both
 	// may be nil and must not call the Balancer.
 	OnTransition func(Transition)
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -111,11 +111,11 @@
 }
 
 // usable returns the upstreams that may get the request; with includeFailed also those that
-// are ejected or stalled, but never those that leave.
+// are ejected or stalled, but never those that leave or rest.
 func (b *Balancer) usable(now time.Duration, r *Request, session SessionState, includeFailed bool) []*upstreamState {
 	out := b.scratch[:0]
 	for _, s := range b.pools[r.Pool.Name] {
-		if s.Leaving || s.notices.bars() || now < s.replacedUntil || slices.Contains(r.Tried, s.ID) || session.Out(s.Upstream) || s.stalled(now) && !includeFailed {
+		if s.Leaving || s.notices.bars(now) || now < s.replacedUntil || slices.Contains(r.Tried, s.ID) || session.Out(s.Upstream) || s.stalled(now) && !includeFailed {
 			continue
 		}
 		if s.isCold(now) && r.Pool.ColdRate > 0 && !session.Owns(s.ID) {
@@ -299,7 +299,7 @@
 // cacheSource returns the upstream that most probably has the request's shared parts
 // cached, or nil: one that this router has sent them to, or else the first in the key's
 // ranking that has been listed for minSourceAge. It may be leaving, but isn't stalled,
-// ejected or replaced.
+// ejected, replaced or resting: a transfer is work for its source.
 func (b *Balancer) cacheSource(now time.Duration, r *Request) *upstreamState {
 	if r.Pool.Engine == nil || !r.Pool.Engine.Transfers || len(r.Parts) < 2 {
 		return nil
@@ -308,7 +308,7 @@
 	var bestScore uint64
 	key := r.rankingKey()
 	for _, s := range b.pools[r.Pool.Name] {
-		if s.stalled(now) || now < s.health.ejectedUntil || now < s.replacedUntil {
+		if s.stalled(now) || now < s.health.ejectedUntil || now < s.replacedUntil || s.notices.rests(now) {
 			continue
 		}
 		score := placement.Mix(key, s.hash) >> 1
--- a/internal/balance/notices.go
+++ b/internal/balance/notices.go
@@ -26,6 +26,9 @@
 type Notice struct {
 	// Leaving is set if the upstream leaves and wants no new work.
 	Leaving bool
+	// Rest is the time from now for which the upstream wants no work from this router; 0 for
+	// none.
+	Rest time.Duration
 	// Misdirected is set if another upstream has answered than the one that was asked.
 	Misdirected bool
 	// Malformed describes fields of the notice whose values have no meaning; empty for none.
@@ -65,6 +68,10 @@
 	// Leaving is the condition of an upstream that will stop, by its own word or by the
 	// platform's list. It ends with the incarnation.
 	Leaving Condition = iota
+	// Resting is the condition of an upstream that has turned this router away for some
+	// time. It ends with that time or with the incarnation.
+	Resting
+	conditionCount
 )
 
 // Transition is the begin or end of an upstream's condition.
@@ -75,7 +82,8 @@
 	Ended bool
 	// By is who said so: ByAnswer, ByList, or the ID of the router that the upstream told.
 	By string
-	// For is how long the condition lasted, if it has ended.
+	// For is how long the condition lasted, or how long it will last if it begins and that
+	// is known.
 	For time.Duration
 }
 
@@ -84,25 +92,32 @@
 	leaving      bool
 	leavingSince time.Duration
 	leavingBy    fleet.InstanceID // see Leaver.By
-	listed       bool             // the incarnation is in the newest list
-	unlistedAt   time.Duration    // valid unless listed
+	restSince    time.Duration
+	restUntil    time.Duration
+	listed       bool          // the incarnation is in the newest list
+	unlistedAt   time.Duration // valid unless listed
 }
 
 // bars reports whether the incarnation wants no new work.
-func (n *notices) bars() bool { return n != nil && n.leaving }
+func (n *notices) bars(now time.Duration) bool { return n != nil && (n.leaving || now < n.restUntil) }
 
-// announced is the part of an upstream's conditions that OnTransition was called for.
+func (n *notices) leaves() bool { return n != nil && n.leaving }
+
+func (n *notices) rests(now time.Duration) bool { return n != nil && now < n.restUntil }
+
+// announced is a condition of an upstream that OnTransition was called for.
 type announced struct {
-	leaving bool
-	since   time.Duration
-	by      string
+	active bool
+	since  time.Duration
+	until  time.Duration // the known end; unset for none
+	by     string
 }
 
 // RecordNotice records what an upstream says of itself in the head of an answer. A
 // misdirected answer speaks for the listed upstream at the same address, not for the one
 // that was asked.
 func (p *Pick) RecordNotice(now time.Duration, n Notice) {
-	if !n.Leaving && n.Malformed == "" {
+	if n == (Notice{Misdirected: n.Misdirected}) {
 		return
 	}
 	b := p.balancer
@@ -111,19 +126,27 @@
 	if n.Malformed != "" {
 		b.reportMalformed(now, p.state, n.Malformed)
 	}
-	switch {
-	case !n.Leaving:
-	case !n.Misdirected:
-		b.markLeaving(now, Leaver{Incarnation: incarnationOf(p.state.Upstream)})
-	default:
-		for _, s := range b.states {
-			if s.listed && s.Addr == p.state.Addr && s.ID != p.state.ID {
-				b.markLeaving(now, Leaver{Incarnation: incarnationOf(s.Upstream)})
-			}
+	if !n.Misdirected {
+		b.record(now, incarnationOf(p.state.Upstream), n)
+		return
+	}
+	for _, s := range b.states {
+		if s.listed && s.Addr == p.state.Addr && s.ID != p.state.ID {
+			b.record(now, incarnationOf(s.Upstream), n)
 		}
 	}
 }
 
+// record records the notice of an incarnation.
+func (b *Balancer) record(now time.Duration, i Incarnation, n Notice) {
+	if n.Leaving {
+		b.markLeaving(now, Leaver{Incarnation: i})
+	}
+	if n.Rest > 0 {
+		b.markResting(now, i, n.Rest)
+	}
+}
+
 // markLeaving records that an incarnation leaves. The first report of it stays. One of
 // unknown boot counts only while it is listed, since its next start looks the same.
 func (b *Balancer) markLeaving(now time.Duration, l Leaver) {
@@ -131,21 +154,42 @@
 	if s == nil && l.Boot == "" {
 		return
 	}
-	n := b.notices[l.Incarnation]
-	if n == nil {
-		n = &notices{unlistedAt: now}
-		b.notices[l.Incarnation] = n
-	}
+	n := b.noticesOf(now, l.Incarnation)
 	if n.leaving {
 		return
 	}
 	n.leaving, n.leavingSince, n.leavingBy = true, now-l.Age, l.By
 	if s != nil {
-		b.attachNotices(s)
 		b.announce(now, s)
 	}
 }
 
+// markResting records that an incarnation wants no work from this router for some time. A
+// shorter time doesn't end a longer one.
+func (b *Balancer) markResting(now time.Duration, i Incarnation, rest time.Duration) {
+	n := b.noticesOf(now, i)
+	if !n.rests(now) {
+		n.restSince = now
+	}
+	n.restUntil = max(n.restUntil, now+rest)
+	if s := b.listedIncarnation(i); s != nil {
+		b.announce(now, s)
+	}
+}
+
+// noticesOf returns the notices of an incarnation, which it adds if there are none.
+func (b *Balancer) noticesOf(now time.Duration, i Incarnation) *notices {
+	n := b.notices[i]
+	if n == nil {
+		n = &notices{unlistedAt: now}
+		b.notices[i] = n
+		if s := b.listedIncarnation(i); s != nil {
+			b.attachNotices(s)
+		}
+	}
+	return n
+}
+
 // listedIncarnation returns the state of an incarnation, or nil if it is not listed.
 func (b *Balancer) listedIncarnation(i Incarnation) *upstreamState {
 	if s := b.states[i.ID]; s != nil && s.listed && incarnationOf(s.Upstream) == i {
@@ -172,7 +216,7 @@
 		}
 	}
 	for i, n := range b.notices {
-		if !n.listed && asOf-n.unlistedAt > noticeRetention {
+		if !n.listed && asOf-n.unlistedAt > noticeRetention && !n.rests(asOf) {
 			delete(b.notices, i)
 		}
 	}
@@ -191,49 +235,104 @@
 	}
 }
 
-// detachNotices takes the notices from an upstream that is no longer listed. Those of an
-// unknown boot are deleted.
+// detachNotices takes the notices from an upstream that is no longer listed. One of unknown
+// boot no longer leaves, since its next start looks the same; a rest ends by itself.
 func (b *Balancer) detachNotices(now time.Duration, s *upstreamState) {
 	if s.notices == nil {
 		return
 	}
 	s.notices.listed, s.notices.unlistedAt = false, now
 	if s.Boot == "" {
-		delete(b.notices, incarnationOf(s.Upstream))
+		s.notices.leaving = false
 	}
 	s.notices = nil
 }
 
 // announce calls OnTransition for the conditions of an upstream that have begun or ended.
 func (b *Balancer) announce(now time.Duration, s *upstreamState) {
-	leaving := s.listed && (s.Leaving || s.notices.bars())
-	if leaving == s.announced.leaving {
-		return
+	b.announceCondition(now, s, Leaving, s.listed && (s.Leaving || s.notices.leaves()), 0)
+	rests, until := s.listed && s.notices.rests(now), time.Duration(0)
+	if rests {
+		until = s.notices.restUntil
 	}
-	t := Transition{Upstream: s.Upstream, Condition: Leaving, By: s.announced.by, Ended: !leaving, For: max(now-s.announced.since, 0)}
-	if leaving {
-		s.announced = announced{leaving: true, since: now, by: s.leavingBy()}
-		t.By, t.For = s.announced.by, 0
-	} else {
-		s.announced = announced{}
+	b.announceCondition(now, s, Resting, rests, until)
+}
+
+// announceCondition calls OnTransition if a condition has begun or ended. until is the known
+// end of an active one, 0 for none.
+func (b *Balancer) announceCondition(now time.Duration, s *upstreamState, c Condition, active bool, until time.Duration) {
+	a := &s.announced[c]
+	t := Transition{Upstream: s.Upstream, Condition: c, Ended: !active}
+	switch {
+	case active && a.active:
+		a.until = until
+		return
+	case active:
+		*a = announced{active: true, since: now, until: until, by: s.conditionBy(c)}
+		t.By, t.For = a.by, max(until-now, 0)
+	case a.active:
+		end := now
+		if a.until > 0 {
+			end = min(now, a.until)
+		}
+		t.By, t.For = a.by, max(end-a.since, 0)
+		*a = announced{}
+	default:
+		return
 	}
 	if b.cfg.OnTransition != nil {
 		b.cfg.OnTransition(t)
 	}
 }
 
-// leavingBy returns who said that the upstream leaves.
-func (s *upstreamState) leavingBy() string {
+// conditionBy returns who said that the upstream is in an active condition.
+func (s *upstreamState) conditionBy(c Condition) string {
 	switch {
-	case !s.notices.bars():
+	case c == Leaving && !s.notices.leaves():
 		return ByList
-	case s.notices.leavingBy == "":
-		return ByAnswer
-	default:
+	case c == Leaving && s.notices.leavingBy != "":
 		return string(s.notices.leavingBy)
+	default:
+		return ByAnswer
+	}
+}
+
+// UpdateConditions calls OnTransition for the rests that have ended.
+func (b *Balancer) UpdateConditions(now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.states {
+		b.announce(now, s)
 	}
 }
 
+// RestLeft returns the time until the first upstream of a pool takes work again, and the
+// length of its rest. It reports false unless all upstreams in service rest, leave or were
+// replaced, and at least one of them rests.
+func (b *Balancer) RestLeft(now time.Duration, pool fleet.PoolID, session SessionState) (left, length time.Duration, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.pools[pool] {
+		if s.Leaving || s.notices.leaves() || session.Out(s.Upstream) {
+			continue
+		}
+		until := s.replacedUntil
+		if s.notices.rests(now) {
+			ok, until = true, max(until, s.notices.restUntil)
+		}
+		if until <= now {
+			return 0, 0, false
+		}
+		if left == 0 || until-now < left {
+			left, length = until-now, until-now
+			if s.notices.rests(now) {
+				length = until - s.notices.restSince
+			}
+		}
+	}
+	return left, length, ok
+}
+
 // reportMalformed calls OnMalformed for an upstream, at most once in malformedInterval.
 func (b *Balancer) reportMalformed(now time.Duration, s *upstreamState, fields string) {
 	if b.cfg.OnMalformed == nil || s.malformedAt > 0 && now-s.malformedAt < malformedInterval {
@@ -273,15 +372,21 @@
 	}
 }
 
-// CountLeaving returns the number of listed upstreams that leave, by their own word or by
-// the list.
-func (b *Balancer) CountLeaving() (leaving int) {
+// CountConditions returns the numbers of listed upstreams that leave, by their own word or by
+// the list, and of those that rest.
+func (b *Balancer) CountConditions(now time.Duration) (leaving, resting int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, s := range b.states {
-		if s.announced.leaving {
+		if !s.listed {
+			continue
+		}
+		if s.Leaving || s.notices.leaves() {
 			leaving++
 		}
+		if s.notices.rests(now) {
+			resting++
+		}
 	}
-	return leaving
+	return leaving, resting
 }
--- a/internal/balance/notices_test.go
+++ b/internal/balance/notices_test.go
@@ -41,6 +41,11 @@
 	return p != nil
 }
 
+func leavingCount(b *Balancer) int {
+	leaving, _ := b.CountConditions(0)
+	return leaving
+}
+
 // Without the mark, an upstream that says that it leaves gets work until the list shows it,
 // and for good if the list never does.
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
@@ -124,9 +129,9 @@
 	list[1].Addr = list[0].Addr
 	b := newBalancer(list)
 	(&Pick{balancer: b, state: b.states["language-0"]}).RecordNotice(0, Notice{Leaving: true, Misdirected: true})
-	is.True(!b.states["language-0"].notices.bars())
-	is.True(b.states["language-1"].notices.bars())
-	is.True(!b.states["language-2"].notices.bars())
+	is.True(!b.states["language-0"].notices.leaves())
+	is.True(b.states["language-1"].notices.leaves())
+	is.True(!b.states["language-2"].notices.leaves())
 }
 
 // An answer that was sent before a restart must not condemn the new start.
@@ -212,7 +217,7 @@
 	tell(b, time.Second, Notice{Leaving: true})
 	b.MergeLeavers(2*time.Second, []Leaver{{Incarnation: incarnationOf(upstream), By: "router-1"}}) // known already
 	is.Equal(*seen, []Transition{{Upstream: upstream, By: ByAnswer}})
-	is.Equal(b.CountLeaving(), 1)
+	is.Equal(leavingCount(b), 1)
 
 	moved := bootedFleet(1)
 	moved[0].Addr = "10.0.9.9:80"
@@ -222,7 +227,7 @@
 	restarted[0].Boot = "2"
 	b.SetUpstreams(5*time.Second, restarted)
 	is.Equal((*seen)[1], Transition{Upstream: moved[0].Upstream, By: ByAnswer, Ended: true, For: 4 * time.Second})
-	is.Equal(b.CountLeaving(), 0)
+	is.Equal(leavingCount(b), 0)
 
 	restarted[0].Leaving = true
 	b.SetUpstreams(6*time.Second, restarted)
@@ -249,3 +254,186 @@
 	is.Equal(reports, 3)
 	is.True(chosen(b, 4*time.Minute))
 }
+
+// Without the rest, an upstream that turned this router away gets the next request at once.
+func TestRestingUpstreamGetsNothing(t *testing.T) {
+	list := func(modify func(*ListedUpstream)) func(*Balancer) {
+		return func(b *Balancer) {
+			list := bootedFleet(1)
+			modify(&list[0])
+			b.SetUpstreams(time.Second, list)
+		}
+	}
+	cases := []struct {
+		name  string
+		after func(*Balancer)
+		rests bool
+	}{
+		{"nothing happens", func(*Balancer) {}, true},
+		{"a shorter rest follows", func(b *Balancer) { b.markResting(time.Second, Incarnation{ID: "language-0", Boot: "1"}, time.Second) }, true},
+		{"an earlier request is served", func(b *Balancer) { b.states["language-0"].health.recordOutcome(time.Second, OutcomeServed) }, true},
+		{"it is ejected", func(b *Balancer) { b.states["language-0"].health.eject(time.Second) }, true},
+		{"it moves to another address", list(func(u *ListedUpstream) { u.Addr = "10.0.9.9:80" }), true},
+		{"it is missing from a read of the list", func(b *Balancer) { b.SetUpstreams(time.Second, nil); list(func(*ListedUpstream) {})(b) }, true},
+		{"it restarts", list(func(u *ListedUpstream) { u.Boot = "2" }), false},
+		{"another one gets its address", list(func(u *ListedUpstream) { u.ID = "language-x" }), false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(bootedFleet(1))
+			tell(b, 0, Notice{Rest: time.Minute})
+			tc.after(b)
+			for now := 2 * time.Second; now < time.Minute; now += 100 * time.Millisecond {
+				is.Equal(chosen(b, now), !tc.rests)
+			}
+			is.True(chosen(b, time.Minute+time.Millisecond))
+		})
+	}
+	t.Run("a longer rest follows", func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer(bootedFleet(1))
+		p, q := b.Choose(0, chat(1, 1), onlyRouterSession()), b.Choose(0, chat(1, 2), onlyRouterSession())
+		p.RecordNotice(0, Notice{Rest: time.Second})
+		q.RecordNotice(500*time.Millisecond, Notice{Rest: time.Minute})
+		is.True(!chosen(b, time.Minute))
+		is.True(chosen(b, 61*time.Second))
+	})
+	t.Run("unknown boot, missing from a read of the list", func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer(fleetOf(engines, 1))
+		tell(b, 0, Notice{Rest: time.Hour, Leaving: true})
+		b.SetUpstreams(time.Second, nil)
+		b.SetUpstreams(30*time.Minute, nil)
+		b.SetUpstreams(31*time.Minute, fleetOf(engines, 1))
+		is.True(!chosen(b, 32*time.Minute))
+		is.True(chosen(b, 61*time.Minute))
+	})
+}
+
+// A failed upstream is better than none, and may be probed; one that rests is neither.
+func TestNoneIsBetterThanARestingUpstream(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(bootedFleet(2))
+	b.states["language-0"].health.eject(0)
+	b.states["language-1"].health.eject(0)
+	b.markResting(0, Incarnation{ID: "language-0", Boot: "1"}, time.Minute)
+	probe := chat(1, 1)
+	probe.MayProbe = true
+	for _, now := range []time.Duration{time.Millisecond, 30 * time.Second} {
+		p := b.Choose(now, probe, onlyRouterSession())
+		is.Equal(p.Upstream.ID, fleet.UpstreamID("language-1"))
+		p.End(now, OutcomeUnknown)
+		probe.Tried = []fleet.UpstreamID{"language-1"}
+		is.True(b.Choose(now, probe, onlyRouterSession()) == nil)
+		probe.Tried = nil
+	}
+}
+
+// Fetching cached parts is work for the upstream that has them.
+func TestRestingUpstreamIsNoSource(t *testing.T) {
+	for _, rest := range []time.Duration{0, time.Minute} {
+		is := is.New(t)
+		b := newBalancer(bootedFleet(2))
+		const now = 20 * time.Second
+		first := b.Choose(now, chat(1, 1), onlyRouterSession())
+		first.End(now, OutcomeServed)
+		request := chat(1, 2)
+		request.Tried = []fleet.UpstreamID{first.Upstream.ID} // it moves
+		if rest > 0 {
+			first.RecordNotice(now, Notice{Rest: rest})
+		}
+		p := b.Choose(now, request, onlyRouterSession())
+		is.Equal(p.Source == first.Upstream.Addr, rest == 0)
+		is.True(rest == 0 || p.Source == "")
+	}
+}
+
+func TestRestIsNotReportedToOtherRouters(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(bootedFleet(1))
+	tell(b, 0, Notice{Rest: time.Minute})
+	is.Equal(len(b.Leavers(time.Second)), 0)
+}
+
+func TestRestLeft(t *testing.T) {
+	rest := func(b *Balancer, id string, from, length time.Duration) {
+		b.markResting(from, Incarnation{ID: fleet.UpstreamID(id), Boot: "1"}, length)
+	}
+	leave := func(b *Balancer, id string) {
+		b.markLeaving(0, Leaver{Incarnation: Incarnation{ID: fleet.UpstreamID(id), Boot: "1"}})
+	}
+	cases := []struct {
+		name         string
+		prepare      func(*Balancer)
+		left, length time.Duration
+	}{
+		{"none rests", func(*Balancer) {}, 0, 0},
+		{"one takes work", func(b *Balancer) { rest(b, "language-0", 0, time.Minute) }, 0, 0},
+		{"both rest", func(b *Balancer) {
+			rest(b, "language-0", 0, time.Minute)
+			rest(b, "language-1", 5*time.Second, 20*time.Second)
+		}, 15 * time.Second, 20 * time.Second},
+		{"one rests and one leaves", func(b *Balancer) { rest(b, "language-0", 0, time.Minute); leave(b, "language-1") }, 50 * time.Second, time.Minute},
+		{"both leave", func(b *Balancer) { leave(b, "language-0"); leave(b, "language-1") }, 0, 0},
+		{"the one that rests also leaves", func(b *Balancer) {
+			rest(b, "language-0", 0, time.Minute)
+			leave(b, "language-0")
+			leave(b, "language-1")
+		}, 0, 0},
+		{"one rests and one was replaced", func(b *Balancer) {
+			rest(b, "language-0", 0, time.Minute)
+			(&Pick{balancer: b, state: b.states["language-1"]}).MarkReplaced(8 * time.Second)
+		}, 3 * time.Second, 3 * time.Second},
+		{"one rest has ended", func(b *Balancer) {
+			rest(b, "language-0", 0, time.Minute)
+			rest(b, "language-1", 0, 9*time.Second)
+		}, 0, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(bootedFleet(2))
+			tc.prepare(b)
+			left, length, ok := b.RestLeft(10*time.Second, engines.Name, onlyRouterSession())
+			is.Equal(left, tc.left)
+			is.Equal(length, tc.length)
+			is.Equal(ok, tc.left > 0)
+		})
+	}
+	t.Run("one rests and one is out of service", func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer(bootedFleet(2))
+		rest(b, "language-0", 0, time.Minute)
+		session := onlyRouterSession()
+		session.Out = func(u fleet.Upstream) bool { return u.ID == "language-1" }
+		left, _, ok := b.RestLeft(10*time.Second, engines.Name, session)
+		is.True(ok)
+		is.Equal(left, 50*time.Second)
+	})
+}
+
+func TestTransitionsOfRestingUpstreams(t *testing.T) {
+	is := is.New(t)
+	b, seen := observedBalancer(bootedFleet(1))
+	upstream := bootedFleet(1)[0].Upstream
+	i := incarnationOf(upstream)
+	tell(b, time.Second, Notice{Rest: 10 * time.Second})
+	b.markResting(5*time.Second, i, 10*time.Second)
+	b.UpdateConditions(14 * time.Second)
+	begin := Transition{Upstream: upstream, Condition: Resting, By: ByAnswer, For: 10 * time.Second}
+	is.Equal(*seen, []Transition{begin})
+	_, resting := b.CountConditions(14 * time.Second)
+	is.Equal(resting, 1)
+
+	b.UpdateConditions(15900 * time.Millisecond)
+	is.Equal((*seen)[1], Transition{Upstream: upstream, Condition: Resting, By: ByAnswer, Ended: true, For: 14 * time.Second})
+	_, resting = b.CountConditions(15900 * time.Millisecond)
+	is.Equal(resting, 0)
+
+	b.markResting(20*time.Second, i, time.Hour)
+	b.SetUpstreams(25*time.Second, nil) // the upstream is gone
+	b.UpdateConditions(26 * time.Second)
+	is.Equal(len(*seen), 4)
+	is.Equal((*seen)[3].For, 5*time.Second)
+}
--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -52,7 +52,7 @@
 
 	replacedUntil time.Duration // see Pick.MarkReplaced
 	notices       *notices      // of this incarnation; nil for none
-	announced     announced
+	announced     [conditionCount]announced
 	malformedAt   time.Duration // time of the latest call of OnMalformed; 0 for none
 
 	lastByte time.Duration // time of the newest byte of any answer, or of the first request after idleness
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -61,9 +61,10 @@
 func (testProtocol) Matches(id fleet.RequestID, h http.Header) bool { return h.Get("Id") == string(id) }
 
 func (testProtocol) Head(status int, h http.Header) Head {
+	rest, _ := time.ParseDuration(h.Get("Rest")) // missing means none
 	return Head{
 		NotRun: h.Get("Not-Run") != "", Misdirected: h.Get("Elsewhere") != "", Stream: status == http.StatusOK && h.Get("Content-Type") == "text/event-stream",
-		Leaving: h.Get("Leaving") != "",
+		Leaving: h.Get("Leaving") != "", Rest: rest,
 	}
 }
 
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -337,7 +337,7 @@
 	case f.runs == 0 && f.quarantineLeft > 0:
 		f.reject(&rejection{status: http.StatusServiceUnavailable, reason: f.failureReason(), base: f.quarantineLeft})
 	case f.runs == 0:
-		f.reject(unavailable(f.failureReason()))
+		f.reject(f.unserved())
 	case errors.Is(f.lastErr, errDeadline):
 		f.reject(&rejection{status: http.StatusGatewayTimeout, reason: f.failureReason()})
 	default:
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -47,20 +47,24 @@
 				}
 			}
 			is.Equal(reached, 1)
-			is.Equal(r.balancer.CountLeaving(), 1)
+			leaving, _ := r.balancer.CountConditions(0)
+			is.Equal(leaving, 1)
 		})
 	}
 }
 
-// Without this, the drain of an upstream raises the failure rate of its start for all routers.
-func TestDrainIsNoFailure(t *testing.T) {
-	is := is.New(t)
-	drained := func(c *conn) { c.writeAnswer(http.StatusServiceUnavailable, "text", "Leaving: 1") }
-	r := newTestGateway(t, routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 2}, drained, serveDone)
-	_, _, err := r.send()
-	is.NoErr(err)
-	is.Equal(r.arrivals(), []string{"u0 a", "u1 a"})
-	is.Equal(r.balancer.Activities(r.server.cfg.Clock())["u0"], balance.Activity{})
+// Without this, the drain or full queue of an upstream raises its failure rate at all routers.
+func TestTurningAwayIsNoFailure(t *testing.T) {
+	for _, field := range []string{"Leaving: 1", "Rest: 1m"} {
+		is := is.New(t)
+		r := newTestGateway(t, routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 2}, func(c *conn) {
+			c.writeAnswer(http.StatusServiceUnavailable, "text", field)
+		}, serveDone)
+		_, _, err := r.send()
+		is.NoErr(err)
+		is.Equal(r.arrivals(), []string{"u0 a", "u1 a"})
+		is.Equal(r.balancer.Activities(r.server.cfg.Clock())["u0"], balance.Activity{})
+	}
 }
 
 // What one router is told reaches all others before the platform lists it, and the stream of
@@ -79,7 +83,7 @@
 	}
 	routers[4].MergeLeavers(time.Second, []balance.Leaver{{Incarnation: balance.Incarnation{ID: "a", Boot: "7"}}})
 	for _, r := range routers {
-		await(func() bool { return r.CountLeaving() == 1 })
+		await(func() bool { leaving, _ := r.CountConditions(0); return leaving == 1 })
 	}
 	for i, r := range routers {
 		leavers := r.Leavers(2 * time.Second)
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -53,6 +53,9 @@
 	Stream bool
 	// Leaving is set if the upstream that answers reports that it leaves.
 	Leaving bool
+	// Rest is the time for which the upstream, which has turned the request away, wants no
+	// further one from this router; 0 for none.
+	Rest time.Duration
 	// Malformed names the fields of what the upstream says of itself that have no defined
 	// meaning, with their values; empty for none.
 	Malformed string
@@ -62,13 +65,13 @@
 
 // notice returns what the upstream says of itself.
 func (h Head) notice() balance.Notice {
-	return balance.Notice{Leaving: h.Leaving, Misdirected: h.Misdirected, Malformed: h.Malformed}
+	return balance.Notice{Leaving: h.Leaving, Rest: h.Rest, Misdirected: h.Misdirected, Malformed: h.Malformed}
 }
 
-// turnsAway reports whether a failure with the given status is the upstream's drain, which
-// doesn't count against its health.
+// turnsAway reports whether a failure with the given status is the upstream's drain or full
+// queue, which doesn't count against its health.
 func (h Head) turnsAway(status int) bool {
-	return status == http.StatusServiceUnavailable && h.Leaving
+	return status == http.StatusServiceUnavailable && (h.Leaving || h.Rest > 0)
 }
 
 // Protocol translates the header fields of callers and upstreams.
--- a/internal/gateway/rejection.go
+++ b/internal/gateway/rejection.go
@@ -16,6 +16,9 @@
 	// callers retry after an election, which takes about a second.
 	controlBase   = 1200 * time.Millisecond
 	controlSpread = time.Second
+	// maxRestSpread bounds the time over which the callers return that were refused while all
+	// upstreams of a pool rested. Few callers wait longer.
+	maxRestSpread = 10 * time.Second
 )
 
 // rejection is an answer that the router itself gives in place of an upstream.
@@ -33,6 +36,17 @@
 	return &rejection{status: http.StatusServiceUnavailable, reason: reason, base: retryBase, spread: retrySpread}
 }
 
+// unserved returns the rejection of a request that has not run since no upstream may get it. If
+// all of the pool rest, callers return when the first one takes work again, spread over as
+// long as it rested: they then come at the rate at which they were refused.
+func (f *forwarder) unserved() *rejection {
+	rejected := unavailable(f.failureReason())
+	if left, length, ok := f.server.cfg.Balancer.RestLeft(f.server.cfg.Clock(), f.pool.Name, f.server.cfg.SessionState()); ok {
+		rejected.base, rejected.spread = left, min(max(length, retrySpread), maxRestSpread)
+	}
+	return rejected
+}
+
 // controlUnavailable returns the rejection of a request that can't be decided until the
 // control group answers.
 func controlUnavailable(reason string) *rejection {
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -30,7 +30,8 @@
 	// the time at which it was requested, and an accepted request takes some time to
 	// reach an upstream.
 	keysMargin = 400 * time.Millisecond
-	// trimInterval is the interval at which idle connections to upstreams are closed.
+	// trimInterval is the interval at which idle connections to upstreams are closed and ended
+	// rests are logged.
 	trimInterval = time.Second
 	// stopPoll is the interval at which a stopping router checks for running requests.
 	stopPoll = 25 * time.Millisecond
@@ -109,7 +110,12 @@
 		return (cfg.Clock() - r.keeper.ConfirmedAt()).Milliseconds()
 	})
 	metrics.NewRegisteredFunctionalGauge(telemetry.MetricName("gateway_upstreams_leaving"), cfg.Metrics, func() int64 {
-		return int64(r.balancer.CountLeaving())
+		leaving, _ := r.balancer.CountConditions(cfg.Clock())
+		return int64(leaving)
+	})
+	metrics.NewRegisteredFunctionalGauge(telemetry.MetricName("gateway_upstreams_resting"), cfg.Metrics, func() int64 {
+		_, resting := r.balancer.CountConditions(cfg.Clock())
+		return int64(resting)
 	})
 	return r
 }
@@ -119,14 +125,20 @@
 	r.log.Warn("prompt part quarantined: upstreams broke off under it", "part", strconv.FormatUint(part, 16), "upstreams", upstreams, "branches", branches)
 }
 
-// logTransition logs that an upstream begins or ceases to leave.
+// logTransition logs that an upstream begins or ceases to leave or rest.
 func (r *Router) logTransition(t balance.Transition) {
 	fields := []any{"upstream", string(t.Upstream.ID), "boot", string(t.Upstream.Boot), "pool", string(t.Upstream.Pool), "by", t.By}
-	if t.Ended {
-		r.log.Info("upstream no longer leaves: it is gone, restarted or listed as ready", append(fields, "lasted", t.For.Round(time.Millisecond).String())...)
-		return
+	length := t.For.Round(time.Millisecond).String()
+	switch {
+	case t.Condition == balance.Resting && t.Ended:
+		r.log.Info("upstream no longer rests", append(fields, "lasted", length)...)
+	case t.Condition == balance.Resting:
+		r.log.Info("upstream rests: it has turned this router away", append(fields, "for", length)...)
+	case t.Ended:
+		r.log.Info("upstream no longer leaves: it is gone, restarted or listed as ready", append(fields, "lasted", length)...)
+	default:
+		r.log.Info("upstream leaves: no new work until it is gone", fields...)
 	}
-	r.log.Info("upstream leaves: no new work until it is gone", fields...)
 }
 
 // logMalformed logs that an upstream says something of itself that has no defined meaning.
@@ -144,7 +156,12 @@
 	r.cancel = cancel
 	r.wg.Go(func() { r.keeper.Run(ctx) })
 	r.wg.Go(func() { r.list.run(ctx) })
-	r.wg.Go(func() { fleet.Every(ctx, trimInterval, func(context.Context) { r.pool.Trim() }) })
+	r.wg.Go(func() {
+		fleet.Every(ctx, trimInterval, func(context.Context) {
+			r.pool.Trim()
+			r.balancer.UpdateConditions(r.cfg.Clock())
+		})
+	})
 }
 
 // SetControl replaces the addresses of the control members that the router asks first.
