balance: a leaving upstream of unknown boot stays marked through a gap in the list

The users' list tells no boot so far. The mark of such an upstream ended with the first read of the list that missed it, and with another address: a read of many pages may miss an entry while the list changes, after which the upstream got work again, though it had said that it leaves.

Change: an incarnation is the ID and the boot, without the address. A mark of unknown boot is kept for up to 3 s in which the list misses the upstream, two reads; a longer gap counts as a restart. One that is said in the gap counts. Reports of other routers don't carry the address any more.

Evidence: TestLeavingUpstreamOfUnknownBoot fails with no retention.

--- a/internal/balance/notices.go
+++ b/internal/balance/notices.go
@@ -10,6 +10,9 @@
 	// noticeRetention is how long a notice of an incarnation that is no longer listed is
 	// kept: a list may lack an upstream for some reads and show the same incarnation again.
 	noticeRetention = 10 * time.Minute
+	// unbootedRetention is the same for an incarnation of unknown boot, whose next start looks
+	// the same: it allows for two reads of the list that lack the upstream.
+	unbootedRetention = 3 * time.Second
 	// malformedInterval is the shortest time between two reports of malformed notices of
 	// one upstream, which may come with each of its answers.
 	malformedInterval = time.Minute
@@ -38,17 +41,18 @@
 // Incarnation identifies one start of an upstream.
 type Incarnation struct {
 	ID   fleet.UpstreamID
-	Boot fleet.BootID
-	// Addr stands in for an unknown boot; empty if the boot is known.
-	Addr string
+	Boot fleet.BootID // empty if the platform tells none
 }
 
 // incarnationOf returns the incarnation that a list entry describes.
-func incarnationOf(u fleet.Upstream) Incarnation {
-	if u.Boot == "" {
-		return Incarnation{ID: u.ID, Addr: u.Addr}
+func incarnationOf(u fleet.Upstream) Incarnation { return Incarnation{u.ID, u.Boot} }
+
+// retention returns how long notices are kept while the incarnation is not listed.
+func (i Incarnation) retention() time.Duration {
+	if i.Boot == "" {
+		return unbootedRetention
 	}
-	return Incarnation{ID: u.ID, Boot: u.Boot}
+	return noticeRetention
 }
 
 // Leaver is an incarnation of an upstream that has said that it leaves.
@@ -147,19 +151,14 @@
 	}
 }
 
-// markLeaving records that an incarnation leaves. The first report of it stays. One of
-// unknown boot counts only while it is listed, since its next start looks the same.
+// markLeaving records that an incarnation leaves. The first report of it stays.
 func (b *Balancer) markLeaving(now time.Duration, l Leaver) {
-	s := b.listedIncarnation(l.Incarnation)
-	if s == nil && l.Boot == "" {
-		return
-	}
 	n := b.noticesOf(now, l.Incarnation)
 	if n.leaving {
 		return
 	}
 	n.leaving, n.leavingSince, n.leavingBy = true, now-l.Age, l.By
-	if s != nil {
+	if s := b.listedIncarnation(l.Incarnation); s != nil {
 		b.announce(now, s)
 	}
 }
@@ -216,7 +215,10 @@
 		}
 	}
 	for i, n := range b.notices {
-		if !n.listed && asOf-n.unlistedAt > noticeRetention && !n.rests(asOf) {
+		if n.listed || asOf-n.unlistedAt <= i.retention() {
+			continue
+		}
+		if n.leaving = false; !n.rests(asOf) {
 			delete(b.notices, i)
 		}
 	}
@@ -235,16 +237,12 @@
 	}
 }
 
-// detachNotices takes the notices from an upstream that is no longer listed. One of unknown
-// boot no longer leaves, since its next start looks the same; a rest ends by itself.
+// detachNotices takes the notices from an upstream that is no longer listed.
 func (b *Balancer) detachNotices(now time.Duration, s *upstreamState) {
 	if s.notices == nil {
 		return
 	}
 	s.notices.listed, s.notices.unlistedAt = false, now
-	if s.Boot == "" {
-		s.notices.leaving = false
-	}
 	s.notices = nil
 }
 
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -13,7 +13,6 @@
 type LeavingUpstream struct {
 	ID   fleet.UpstreamID `msg:"i"`
 	Boot fleet.BootID     `msg:"b,omitempty"`
-	Addr string           `msg:"a,omitempty"`
 	// By is the router that the upstream told.
 	By fleet.InstanceID `msg:"y"`
 	// Age is in milliseconds.
@@ -27,7 +26,7 @@
 		if u.By == "" {
 			u.By = l.self
 		}
-		out = append(out, LeavingUpstream{ID: u.ID, Boot: u.Boot, Addr: u.Addr, By: u.By, Age: u.Age.Milliseconds()})
+		out = append(out, LeavingUpstream{ID: u.ID, Boot: u.Boot, By: u.By, Age: u.Age.Milliseconds()})
 	}
 	return out
 }
@@ -38,7 +37,7 @@
 	for _, e := range encoded {
 		age := min(max(e.Age, 0), maxLeavingAge.Milliseconds())
 		out = append(out, balance.Leaver{
-			Incarnation: balance.Incarnation{ID: e.ID, Boot: e.Boot, Addr: e.Addr}, By: e.By, Age: time.Duration(age) * time.Millisecond,
+			Incarnation: balance.Incarnation{ID: e.ID, Boot: e.Boot}, By: e.By, Age: time.Duration(age) * time.Millisecond,
 		})
 	}
 	return out
--- a/internal/gateway/leaving_gen.go
+++ b/internal/gateway/leaving_gen.go
@@ -10,16 +10,12 @@
 func (z *LeavingUpstream) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
-	if z.Addr == "" {
-		zb0001Len--
-		zb0001Mask |= 0x4
-	}
 	if z.Age == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x10
+		zb0001Mask |= 0x8
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -40,11 +36,6 @@
 			err = msgp.WrapError(err, "Boot")
 			return
 		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// string "a"
-			o = append(o, 0xa1, 0x61)
-			o = msgp.AppendString(o, z.Addr)
-		}
 		// string "y"
 		o = append(o, 0xa1, 0x79)
 		o, err = z.By.MarshalMsg(o)
@@ -52,7 +43,7 @@
 			err = msgp.WrapError(err, "By")
 			return
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// string "g"
 			o = append(o, 0xa1, 0x67)
 			o = msgp.AppendInt64(o, z.Age)
@@ -91,12 +82,6 @@
 				err = msgp.WrapError(err, "Boot")
 				return
 			}
-		case "a":
-			z.Addr, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Addr")
-				return
-			}
 		case "y":
 			bts, err = z.By.UnmarshalMsg(bts)
 			if err != nil {
@@ -123,6 +108,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LeavingUpstream) Msgsize() (s int) {
-	s = 1 + 2 + z.ID.Msgsize() + 2 + z.Boot.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + z.By.Msgsize() + 2 + msgp.Int64Size
+	s = 1 + 2 + z.ID.Msgsize() + 2 + z.Boot.Msgsize() + 2 + z.By.Msgsize() + 2 + msgp.Int64Size
 	return
 }
