--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -25,6 +25,8 @@
 	// MayProbe is set if the request may be repeated. It may then serve as the probe of an
 	// ejected upstream.
 	MayProbe bool
+	// SoundOnly excludes ejected and stalled upstreams even if there are no others.
+	SoundOnly bool
 	// Tried lists the upstreams that the request was sent to before.
 	Tried []fleet.UpstreamID
 }
@@ -38,6 +40,9 @@
 	Routers int
 	// Out reports whether operators have taken an upstream out of service.
 	Out func(fleet.Upstream) bool
+	// ListAsOf is the time at which the newest upstream list was requested, whether it has
+	// changed or not.
+	ListAsOf time.Duration
 }
 
 // Config configures a Balancer.
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -132,6 +133,8 @@
 	contact    bool // with the control group
 	superseded bool // a newer configuration is known
 	tracer     *telemetry.Tracer
+	upstreams  []fleet.Upstream             // one for each script
+	index      atomic.Pointer[routes.Index] // of the table in force
 
 	mu   sync.Mutex
 	runs []string // "UPSTREAM REQUEST-ID" of each request, in order of arrival
@@ -161,20 +164,28 @@
 	r.balancer = balance.New(balance.Config{
 		Zone: routerZone, Retries: balance.RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
 	})
-	var list []balance.ListedUpstream
 	for i, script := range scripts {
 		u := fleet.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("u%d", i)), Pool: poolName, Zone: "elsewhere"}
 		if i == 0 {
 			u.Zone = routerZone
 		}
 		u.Addr = r.startUpstream(string(u.ID), script)
-		list = append(list, balance.ListedUpstream{Upstream: u})
+		r.upstreams = append(r.upstreams, u)
 	}
-	r.balancer.SetUpstreams(0, list)
+	r.listUpstreams(r.upstreams)
 	r.startServer()
 	return r
 }
 
+// listUpstreams replaces the upstream list.
+func (r *testGateway) listUpstreams(upstreams []fleet.Upstream) {
+	list := make([]balance.ListedUpstream, 0, len(upstreams))
+	for _, u := range upstreams {
+		list = append(list, balance.ListedUpstream{Upstream: u})
+	}
+	r.balancer.SetUpstreams(0, list)
+}
+
 func (r *testGateway) startUpstream(name string, script func(*conn)) string {
 	if script == nil {
 		return testnet.RefusingAddr(r.t)
@@ -219,10 +230,10 @@
 
 func (r *testGateway) startServer() {
 	clock := fleet.MonotonicClock()
-	index := routes.NewIndex(r.table)
+	r.index.Store(routes.NewIndex(r.table))
 	pool := exchange.NewPool()
 	r.server = NewServer(ServerConfig{
-		Clock: clock, Protocol: testProtocol{}, Table: func() *routes.Index { return index },
+		Clock: clock, Protocol: testProtocol{}, Table: r.index.Load,
 		SessionState: func() balance.SessionState { return r.session }, KeysUntil: func() time.Duration { return clock() + r.keys },
 		ConfirmedAt: func() time.Duration { return clock() - r.configAge }, MaxConfigAge: ConfigAgeLimits{Rejection: 2 * time.Second, Service: 3 * time.Second},
 		InContact: func() bool { return r.contact }, IsSuperseded: func() bool { return r.superseded },
@@ -265,6 +276,21 @@
 	return resp, string(text), err
 }
 
+// awaitIdle waits until no upstream counts a request in flight.
+func (r *testGateway) awaitIdle() {
+	r.t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		running := 0
+		for _, a := range r.balancer.Activities(time.Hour) {
+			running += a.Running
+		}
+		if running == 0 {
+			return
+		}
+	}
+	r.t.Error("upstreams still count requests in flight")
+}
+
 func (r *testGateway) arrivals() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -198,9 +198,10 @@
 	index := r.keeper.View().Index()
 	now := r.cfg.Clock()
 	return balance.SessionState{
-		Owns:    func(id fleet.UpstreamID) bool { return authority.Owns(now, string(id)) },
-		Routers: len(authority.Membership().Members),
-		Out:     func(u fleet.Upstream) bool { return index.ZoneOut(u.Zone) || index.UpstreamOut(u.ID) },
+		ListAsOf: now - r.listAge(),
+		Owns:     func(id fleet.UpstreamID) bool { return authority.Owns(now, string(id)) },
+		Routers:  len(authority.Membership().Members),
+		Out:      func(u fleet.Upstream) bool { return index.ZoneOut(u.Zone) || index.UpstreamOut(u.ID) },
 	}
 }
 
@@ -273,6 +274,9 @@
 func (r *Router) Stop(ctx context.Context) error {
 	r.keeper.SetDraining(true)
 	err := r.await(ctx, func() bool { return r.server.Running() == 0 })
+	if err != nil {
+		r.server.logCut()
+	}
 	r.keeper.Leave()
 	if err == nil {
 		err = r.await(ctx, r.keeper.HasLeft)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -71,6 +71,7 @@
 type Server struct {
 	cfg      ServerConfig
 	running  atomic.Int64
+	inFlight sync.Map     // time.Duration by *http.Request: when each running request started
 	buffered atomic.Int64 // bytes of the answers being read, see answerReader
 	draw     atomic.Uint64
 	counts   sync.Map // of *requestCount by requestLabels
@@ -100,7 +101,10 @@
 	if s.cfg.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	f := &forwarder{server: s, w: w, r: r, start: s.cfg.Clock()}
+	answer := &answerWriter{ResponseWriter: w}
+	f := &forwarder{server: s, w: answer, r: r, start: s.cfg.Clock()}
+	s.inFlight.Store(r, f.start)
+	defer s.inFlight.Delete(r)
 	span, trace := s.cfg.Tracer.Start("gateway.request", r.Header.Get(telemetry.HeaderTraceparent))
 	f.trace = trace
 	defer func() { // runs also if abort panics
@@ -108,7 +112,17 @@
 		span.SetInt("sends", f.sends)
 		span.End(f.failure)
 	}()
+	defer func() {
+		if value := recover(); value == http.ErrAbortHandler {
+			panic(value)
+		} else if value != nil {
+			f.answerPanic(value, answer)
+		}
+	}()
 	f.forward()
+	if !answer.begun {
+		panic(http.ErrAbortHandler) // otherwise net/http answers 200 with an empty body
+	}
 }
 
 // admit reads the request and finds its route, pool and workspace. It returns a
