balance: an entry that tells no boot doesn't end a leaving upstream's mark

Entries of other writers may lack fields. One without the start time of a listed replica made a new incarnation of it, and a replica that had said that it leaves got work again.

Change: such an entry at the same address keeps the boot that is known.

Evidence: the case 'listed without a boot from now on' of TestLeavingUpstreamGetsNoNewWork fails without it.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -98,6 +98,9 @@
 	var former []*upstreamState
 	for _, l := range list {
 		s := b.states[l.ID]
+		if s != nil && l.Boot == "" && l.Addr == s.Addr {
+			l.Boot = s.Boot // an entry that tells no boot tells of no restart
+		}
 		if s == nil || s.Addr != l.Addr || s.Boot != l.Boot {
 			replaced := s
 			s = newState(l)
--- a/internal/balance/notices_test.go
+++ b/internal/balance/notices_test.go
@@ -77,6 +77,11 @@
 		}, time.Hour, false},
 		{"the same start at another address", listed(func(u *ListedUpstream) { u.Addr = "10.0.9.9:80" }), time.Hour, false},
 		{"missing from some reads of the list", unlisted(time.Minute), time.Hour, false},
+		{"listed without a boot", func(b *Balancer) {
+			listed(func(u *ListedUpstream) { u.Boot = "" })(b)
+			listed(func(*ListedUpstream) {})(b)
+		}, time.Hour, false},
+		{"listed without a boot from now on", listed(func(u *ListedUpstream) { u.Boot = "" }), time.Hour, false},
 		{"restarted under its ID and address", listed(func(u *ListedUpstream) { u.Boot = "2" }), time.Hour, true},
 		{"another upstream at its address", listed(func(u *ListedUpstream) { u.ID = "language-x" }), time.Hour, true},
 		{"forgotten long after it was gone", unlisted(noticeRetention + time.Second), time.Hour, true},
