--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -42,10 +42,11 @@
 // Do sends a request and returns its answer once the header was read. The error is an
 // *Error. If ctx ends before the response is closed, the connection is closed.
 func (p *Pool) Do(ctx context.Context, addr string, req *Request) (*Response, error) {
-	c, err := p.get(ctx, addr)
+	c, err := p.get(ctx, addr, req)
 	if err != nil {
 		return nil, &Error{Phase: PhaseConnect, Addr: addr, Cause: err}
 	}
+	req.Trail.add(c)
 	r := &Response{conn: c, pool: p, stop: context.AfterFunc(ctx, c.close)}
 	if err := ctx.Err(); err != nil {
 		r.abandon()
@@ -161,8 +162,10 @@
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
-		if seconds, err := strconv.Atoi(value); err == nil {
-			return time.Duration(seconds)*time.Second - idleMargin
+		seconds, err := strconv.ParseInt(value, 10, 64) // the nearest integer if value is beyond it
+		if err == nil || errors.Is(err, strconv.ErrRange) {
+			const most = int64(maxIdleTimeout / time.Second)
+			return time.Duration(min(max(seconds, -most), most))*time.Second - idleMargin
 		}
 	}
 	return defaultIdleTimeout
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -244,7 +244,7 @@
 	is.NoErr(err)
 	// The peer closes its side at the end of its script: wait until the close arrives.
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		if c, _ := pool.idleConn(p.addr()); c != nil {
+		if c, _ := pool.idleConn(p.addr(), getRequest("z")); c != nil {
 			idle := c.isIdle()
 			pool.put(c, time.Second)
 			if !idle {
@@ -276,7 +276,7 @@
 	body, err := doExchange(pool, p.addr(), req)
 	is.NoErr(err)
 	is.Equal(body, "too long")
-	c, err := pool.idleConn(p.addr())
+	c, err := pool.idleConn(p.addr(), getRequest("z"))
 	is.NoErr(err)
 	is.True(c == nil)
 }
@@ -321,6 +321,13 @@
 		"max=9, Timeout=2": 2*time.Second - idleMargin,
 		"timeout=x":        defaultIdleTimeout,
 		"timeout=0":        -idleMargin,
+		"timeout=-1":       -time.Second - idleMargin,
+		// A number of seconds beyond a duration must not wrap to a time in the past.
+		"timeout=9223372037":           maxIdleTimeout - idleMargin,
+		"timeout=18446744075":          maxIdleTimeout - idleMargin,
+		"timeout=9223372036854775807":  maxIdleTimeout - idleMargin,
+		"timeout=99999999999999999999": maxIdleTimeout - idleMargin,
+		"timeout=-9223372037":          -maxIdleTimeout - idleMargin,
 	}
 	for field, want := range cases {
 		t.Run(field, func(t *testing.T) {
--- a/internal/gateway/forwarder_test.go
+++ b/internal/gateway/forwarder_test.go
@@ -313,6 +313,9 @@
 			c.writeAnswer(http.StatusBadGateway, encodeEvent(3), "Content-Type: text/event-stream")
 		}},
 		{"an answer's head as a chunk", func(c *conn) { cut(c); c.writeChunk(head + "\n\n"); c.endStream() }, answerError},
+		{"text as a chunk", func(c *conn) { cut(c); c.writeChunk("failed\n\n"); c.endStream() }, answerError},
+		{"a field that no event has", func(c *conn) { cut(c); c.writeChunk("error: overloaded\n\n"); c.endStream() }, answerError},
+		{"an answer's head inside an event", func(c *conn) { cut(c); c.writeChunk("id: 3\ndata: pi" + head + "\n\n"); c.endStream() }, answerError},
 		{"an answer in place of a chunk", func(c *conn) { cut(c); c.write(head) }, answerError},
 		{"an answer in a stream without a length", func(c *conn) {
 			c.write("HTTP/1.1 200 OK\r\nId: ", c.id, "\r\nConnection: close\r\nContent-Type: text/event-stream\r\n\r\n", encodeEvents(1, 2), head)
@@ -354,9 +357,7 @@
 			defer raw.Close()
 			_, err = io.WriteString(raw, "POST /x HTTP/1.1\r\nHost: "+testHost+"\r\nId: a\r\nContent-Length: 0\r\n\r\n")
 			is.NoErr(err)
-			for len(r.arrivals()) == 0 {
-				time.Sleep(time.Millisecond)
-			}
+			r.awaitArrivals(1)
 			is.NoErr(raw.(*net.TCPConn).CloseWrite())
 			resp, err := http.ReadResponse(bufio.NewReader(raw), nil)
 			if err == nil {
@@ -366,3 +367,17 @@
 		})
 	}
 }
+
+// Without a length, the end of the connection may be a crash.
+func TestStreamWithoutLengthAndEventsCompletesNothing(t *testing.T) {
+	is := is.New(t)
+	r := newTestGateway(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 2, Resumable: true}, func(c *conn) {
+		c.beginStream()
+		c.writeEvents(1, 2)
+	}, func(c *conn) {
+		c.write("HTTP/1.1 200 OK\r\nId: ", c.id, "\r\nConnection: close\r\nContent-Type: text/event-stream\r\n\r\n")
+	})
+	_, body, err := r.send()
+	is.Equal(body, encodeEvents(1, 2))
+	is.True(err != nil) // events 3 and later may be missing
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,13 +28,18 @@
 // eventRelay writes a stream's events to the caller. One relay serves all attempts of a
 // request.
 type eventRelay struct {
+	eventSequence
 	w       http.ResponseWriter
 	flusher *http.ResponseController
-	last    *streamPosition // the last event relayed
+}
+
+// eventSequence splits a stream into events and checks that they follow each other.
+type eventSequence struct {
+	last    *streamPosition // of the newest event
 	lastID  int64           // its ID as a number, -1 if it is none
-	pending []byte          // the start of an incomplete event
+	pending []byte          // bytes that don't yet make an event
 	resumed bool            // the next new event must have the ID lastID+1
-	events  int
+	events  int             // accepted events with data
 }
 
 // streamPosition is the ID of a stream event. It is safe for concurrent use.
@@ -71,7 +76,10 @@
 				a.pick.RecordBytes(now)
 			}
 			f.beginStream(a.resp)
-			if relayErr := f.stream.write(buffer[:n]); relayErr != nil {
+			a.writing.Store(true)
+			relayErr := f.stream.write(buffer[:n])
+			a.writing.Store(false)
+			if relayErr != nil {
 				return f.recordStreamFailure(a, relayErr)
 			}
 			if !proven && f.attemptEvents() >= provenEvents {
@@ -98,18 +106,17 @@
 		h[name] = values
 	}
 	h.Del("Content-Length") // events of several upstreams may follow
-	f.stream = &eventRelay{w: f.w, flusher: http.NewResponseController(f.w), last: &f.position, lastID: -1}
-	if id, err := strconv.ParseInt(f.call.After, 10, 64); err == nil {
-		f.stream.lastID = id
-	}
+	f.stream = &eventRelay{w: f.w, flusher: http.NewResponseController(f.w), eventSequence: eventSequence{last: &f.position, lastID: eventNumber(f.call.After)}}
 	f.w.WriteHeader(resp.Status)
 }
 
 // endStream ends the answer after the upstream has ended its stream. The stream is
 // incomplete if it ended inside an event, or without any event at the end of a connection
-// that alone would tell that it is complete.
+// that alone would tell that it is complete. Only a caller that resumes a stream itself may
+// lack no event.
 func (f *forwarder) endStream(a *attempt) (bool, balance.Outcome) {
-	if !a.resp.Delimited && f.stream == nil && f.call.After == "" {
+	callerResumes := f.stream == nil && f.call.After != ""
+	if !a.resp.Delimited && f.attemptEvents() == 0 && !callerResumes {
 		return f.recordStreamFailure(a, io.ErrUnexpectedEOF)
 	}
 	f.beginStream(a.resp)
@@ -188,20 +195,52 @@
 	}
 }
 
+// eventNumber returns an event's ID as a number, or -1 if it is none.
+func eventNumber(id string) int64 {
+	if number, err := strconv.ParseInt(id, 10, 64); err == nil {
+		return number
+	}
+	return -1
+}
+
+// findNew reports whether the pending bytes contain an event with data that is new, and removes
+// the events before it. It returns readErr, or the error of an invalid event.
+func (r *eventSequence) findNew(readErr error) (bool, error) {
+	for {
+		end := eventEnd(r.pending)
+		if end < 0 {
+			if len(r.pending) > maxEventBytes {
+				return false, errEventTooLong.New("a stream event exceeds %d bytes", maxEventBytes)
+			}
+			return false, readErr
+		}
+		event := r.pending[:end]
+		isNew, err := r.acceptEvent(event)
+		if err != nil || isNew && hasData(event) {
+			return err == nil, err
+		}
+		r.pending = r.pending[end:]
+	}
+}
+
 // acceptEvent records an event's ID and reports whether the caller still lacks the event.
 // After a resumption, the first such event must follow the last one relayed.
-func (r *eventRelay) acceptEvent(event []byte) (bool, error) {
+func (r *eventSequence) acceptEvent(event []byte) (bool, error) {
 	if line, ok := invalidLine(event); ok {
 		return false, errInvalidEvent.New("the stream contains the line %.80q, which is no field of an event", line)
 	}
 	text, ok := eventID(event)
 	if !ok {
+		if hasData(event) {
+			r.events++
+		}
 		return true, nil
 	}
-	id, err := strconv.ParseInt(text, 10, 64)
-	if err != nil {
+	id := eventNumber(text)
+	if id < 0 {
 		r.last.set(text)
 		r.lastID = -1
+		r.events++
 		return true, nil
 	}
 	if r.lastID >= 0 && id <= r.lastID {
@@ -217,16 +256,39 @@
 	return true, nil
 }
 
-// invalidLine returns the first line of an event that is neither a field nor a comment. Names of
-// fields are in lower case, unlike a status line that an upstream writes into its stream.
+// Names of the fields of an event (HTML, section 9.2.6).
+var eventFields = map[string]bool{"data": true, "event": true, "id": true, "retry": true}
+
+// invalidLine returns a line that shows that a block of lines is no event. An event consists of
+// comments and fields, at least one of them known unless all are comments. Other fields have a
+// value and a name in lower case, unlike the head of an answer.
 func invalidLine(event []byte) (line []byte, ok bool) {
+	var unknown []byte
+	known := false
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		name, _, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
-		if bytes.ContainsFunc(name, func(r rune) bool { return !isFieldNameRune(r) }) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		name, _, hasValue := bytes.Cut(line, []byte(":"))
+		switch {
+		case eventFields[string(name)]:
+			known = true
+		case len(name) == 0: // a comment, or the end of the event
+		case !hasValue, bytes.ContainsFunc(name, func(r rune) bool { return !isFieldNameRune(r) }):
 			return line, true
+		default:
+			unknown = line
+		}
+	}
+	return unknown, unknown != nil && !known
+}
+
+// hasData reports whether an event has a data or id field.
+func hasData(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if bytes.HasPrefix(line, []byte("data")) || bytes.HasPrefix(line, []byte("id")) {
+			return true
 		}
 	}
-	return nil, false
+	return false
 }
 
 func isFieldNameRune(r rune) bool {
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/balance"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
 	"github.com/wigeonflow/wigeonflow/internal/session"
 )
 
@@ -45,15 +47,20 @@
 func decodeSuspicions(encoded []Suspicion) []balance.Suspicion {
 	var out []balance.Suspicion
 	for _, e := range encoded {
-		s := balance.Suspicion{Part: e.Part, Served: e.SinceServed >= 0, SinceServed: time.Duration(e.SinceServed) * time.Millisecond}
+		s := balance.Suspicion{Part: e.Part, Served: e.SinceServed >= 0, SinceServed: milliseconds(e.SinceServed)}
 		for _, b := range e.Breaks {
-			s.Breaks = append(s.Breaks, balance.Break{Upstream: b.Upstream, Next: b.Next, Age: time.Duration(max(b.Age, 0)) * time.Millisecond})
+			s.Breaks = append(s.Breaks, balance.Break{Upstream: b.Upstream, Next: b.Next, Age: milliseconds(b.Age)})
 		}
 		out = append(out, s)
 	}
 	return out
 }
 
+// milliseconds returns a time that a peer reports, from 0 to fleet.MaxDuration.
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), fleet.MaxDuration.Milliseconds())) * time.Millisecond
+}
+
 // SuspicionNote is the note by which routers keep quarantines at the control leader.
 type SuspicionNote struct {
 	Suspicions []Suspicion `msg:"s"`
@@ -84,7 +91,7 @@
 // applyNote merges the quarantined parts of a note that was sent age ago.
 func (r *Router) applyNote(note []byte, age time.Duration) {
 	var n SuspicionNote
-	if _, err := n.UnmarshalMsg(note); err != nil {
+	if err := mesh.Decode(note, &n); err != nil {
 		r.log.Warn("cannot decode the note of quarantined prompt parts", "error", err)
 		return
 	}
