--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/wigeonflow/wigeonflow/internal/balance"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
@@ -35,18 +33,11 @@
 func decodeLeaving(encoded []LeavingUpstream) []balance.Leaver {
 	var out []balance.Leaver
 	for _, e := range encoded {
-		age := min(max(e.Age, 0), maxLeavingAge.Milliseconds())
-		out = append(out, balance.Leaver{
-			Incarnation: balance.Incarnation{ID: e.ID, Boot: e.Boot}, By: e.By, Age: time.Duration(age) * time.Millisecond,
-		})
+		out = append(out, balance.Leaver{Incarnation: balance.Incarnation{ID: e.ID, Boot: e.Boot}, By: e.By, Age: milliseconds(e.Age)})
 	}
 	return out
 }
 
-// maxLeavingAge bounds the age of a report in a message, so that it fits a duration. No
-// upstream takes longer to leave.
-const maxLeavingAge = 24 * time.Hour
-
 // mergeLeaving adds the leaving upstreams of another router's report.
 func (l *upstreamList) mergeLeaving(r *LoadReport) {
 	if len(r.Leaving) > 0 {
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/wigeonflow/wigeonflow/internal/balance"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/routes"
 )
 
@@ -108,7 +109,7 @@
 	is.NoErr(err)
 	is.Equal(decodeLeaving(r.Leaving), want)
 
-	for age, decoded := range map[int64]time.Duration{-5: 0, 1<<63 - 1: maxLeavingAge} {
+	for age, decoded := range map[int64]time.Duration{-5: 0, 1<<63 - 1: fleet.MaxDuration} {
 		is.Equal(decodeLeaving([]LeavingUpstream{{Age: age}})[0].Age, decoded)
 	}
 }
