--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -56,6 +56,9 @@
 
 	replacedUntil time.Duration // see Pick.MarkReplaced
 	outAt         time.Duration // when operators were last seen to have the upstream out of service; 0 for never
+	notices       *notices      // of this incarnation; nil for none
+	announced     [conditionCount]announced
+	malformedAt   time.Duration // time of the latest call of OnMalformed; 0 for none
 
 	lastByte time.Duration // time of the newest byte of any answer, or of the first request after idleness
 	health   health
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -154,13 +154,16 @@
 	}
 	a.resp, a.body, a.sent = resp, resp, true
 	a.head = s.cfg.Protocol.Head(resp.Status, resp.Header)
+	a.pick.RecordNotice(s.cfg.Clock(), a.head.notice())
 	a.ran = !a.head.NotRun
 	if a.ran && !promisesNotRun(resp.Status) {
 		return
 	}
 	a.pick.RecordAnswerHead(s.cfg.Clock(), a.head.Load)
 	if a.ran { // the status says otherwise, but the upstream did not mark it
-		a.outcome = balance.OutcomeError
+		if !a.head.turnsAway(resp.Status) {
+			a.outcome = balance.OutcomeError
+		}
 		a.err = errUnmarked.New("upstream %s answered with status %d without reporting that it did not run the request", a.pick.Upstream.ID, resp.Status)
 		f.logDecision("upstream's rejection not relayed: it may have run the request", "upstream", string(a.pick.Upstream.ID), "status", resp.Status)
 		return
