gateway: name a request by what it asks for in attempt failed

The log could not tell whether one request broke off at several upstreams: an ID is new with each arrival, and lookups and bookings have no prompt. attempt failed now has the request's fingerprint (a hash of method, host, target, workspace and body), the upstream with its boot and whether the connection was reused. No logic changes.

--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -56,6 +56,7 @@
 	workspace   *routes.Workspace
 	priority    int
 	body        []byte
+	fingerprint uint64 // see the function
 	draw        uint64 // the random number that newDraw has set
 	deadline    time.Duration
 
@@ -198,10 +199,7 @@
 func (f *forwarder) upstreamRequest(pick *balance.Pick, trace string) *exchange.Request {
 	attempt := AttemptHeader{
 		Upstream: pick.Upstream, Remaining: f.deadline - f.server.cfg.Clock(), Priority: f.priority,
-		Source: pick.Source, After: f.call.After,
-	}
-	if f.workspace != nil {
-		attempt.Workspace = f.workspace.ID
+		Source: pick.Source, After: f.call.After, Workspace: f.workspaceID(),
 	}
 	if f.stream != nil && f.stream.last != "" {
 		attempt.After = f.stream.last
@@ -247,7 +245,8 @@
 	default:
 		f.lastErr = err
 	}
-	f.logDecision("attempt failed", "error", f.lastErr, "events", f.attemptEvents(), "parts", formatParts(f.call.Parts))
+	f.logDecision("attempt failed", "error", f.lastErr, "upstream", string(f.pick.Upstream.ID), "boot", string(f.pick.Upstream.Boot),
+		"reused", onIdleConnection(err), "events", f.attemptEvents(), "fingerprint", formatHash(f.fingerprint), "parts", formatParts(f.call.Parts))
 	if errors.Is(cause, errDeadline) {
 		return balance.OutcomeError
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -138,6 +138,7 @@
 	if rejected := f.readBody(); rejected != nil {
 		return rejected
 	}
+	f.fingerprint = fingerprint(f.r, f.workspaceID(), f.body)
 	f.pool = table.Pool(f.route.Pick(f.newDraw()))
 	f.priority = f.route.Priority
 	if f.workspace != nil && f.workspace.Priority != nil {
