gateway, balance: quarantine a whole request under which upstreams break off

Cause: evidence was kept by upstream and by prompt part. The last part of a prompt is never blamed and a request to a plain service has none, so nothing connected the ends under one request, which has a new ID each time.

Change: what a suspicion is about is its key, a prompt part or a whole request by its fingerprint. A request is quarantined for ten minutes when three upstreams have broken off under it, at any point before the complete answer and on reused connections too, and none has served it in the 10 s before or since. Of requests that break off together, the one with the most upstreams explains the breaks of the others; of two with the same three, the next end decides. Breaks of a request count for ten minutes, for it may come rarely.

An end breaks off as many sound requests as the engine has slots. Reports between routers held the 24 suspects with the most breaks, again and again; they now hold what has changed since the last report on the same stream, up to 128. 4,096 suspects are kept, those with one break are dropped first. Only ends of connections count as breaks: an answer over the router's limits is none.

The message between routers and the note at the leader have one field more; an older router takes a request for a part that nothing follows, and never quarantines it.

Existing tests call the same checks by the new signatures.

Tried and dropped: counting upstreams that end within 50 ms as one, against a blackout under equal requests: a request that ends upstreams within milliseconds then took six in a row.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -20,6 +20,8 @@
 	Parts []PromptPart
 	// PromptTokens is the length of the whole prompt.
 	PromptTokens int
+	// Fingerprint is the same each time that the request arrives; 0 if it has none.
+	Fingerprint uint64
 	// Draw is random; it breaks ties differently for each request.
 	Draw uint64
 	// MayProbe is set if the request may be repeated. It may then serve as the probe of an
@@ -44,10 +46,10 @@
 type Config struct {
 	Zone    fleet.AvailabilityZone // of the router
 	Retries RetryLimits            // at each pool
-	// OnQuarantine is called when the quarantine of a prompt part begins, with the number
-	// of upstreams that broke off and of different parts that followed it. It may be nil
-	// and must not call the Balancer.
-	OnQuarantine func(part uint64, upstreams, branches int)
+	// OnQuarantine is called when the quarantine of a prompt part or a request begins, with
+	// the number of upstreams that broke off and of different parts that followed it. It may
+	// be nil and must not call the Balancer.
+	OnQuarantine func(key SuspectKey, upstreams, branches int)
 }
 
 // Balancer chooses upstreams for one router. It is safe for concurrent use.
@@ -60,6 +62,7 @@
 	budgets     map[fleet.PoolID]*budget
 	parts       *partLRU
 	suspects    *suspects
+	served      *servedRequests
 	scratch     []*upstreamState // result of usable, reused by the next choice
 	cachedParts []*cachedPart    // cached parts of the current request, set by lookUpParts
 
@@ -71,7 +74,7 @@
 func New(cfg Config) *Balancer {
 	return &Balancer{
 		cfg: cfg, states: make(map[fleet.UpstreamID]*upstreamState), pools: make(map[fleet.PoolID][]*upstreamState),
-		budgets: make(map[fleet.PoolID]*budget), parts: newPartLRU(), suspects: newSuspects(),
+		budgets: make(map[fleet.PoolID]*budget), parts: newPartLRU(), suspects: newSuspects(cfg.OnQuarantine), served: new(servedRequests),
 	}
 }
 
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -71,11 +71,12 @@
 	Load int
 	Mean float64
 
-	balancer *Balancer
-	state    *upstreamState
-	parts    []PromptPart // of a request to an engine
-	prefill  int
-	ended    bool
+	balancer    *Balancer
+	state       *upstreamState
+	parts       []PromptPart // of a request to an engine
+	fingerprint uint64       // of the request
+	prefill     int32
+	ended       bool
 }
 
 // Choose takes a slot at the cheapest upstream of the request's pool. It returns nil if no
@@ -349,14 +350,14 @@
 		s.lastByte = now
 	}
 	s.running++
-	p := &Pick{Upstream: s.Upstream, Load: s.load(now) - 1, balancer: b, state: s}
+	p := &Pick{Upstream: s.Upstream, Load: s.load(now) - 1, balancer: b, state: s, fingerprint: r.Fingerprint}
 	if r.Pool.Engine != nil {
 		p.parts = r.Parts
 		if source != nil && source != s && !b.keyPart().heldBy(now, s) {
 			p.Source = source.Addr
 		}
-		p.prefill = int(b.uncachedTokens(now, r, s, 0))
-		s.prefill += p.prefill
+		p.prefill = int32(min(b.uncachedTokens(now, r, s, 0), math.MaxInt32))
+		s.prefill += int(p.prefill)
 		for _, part := range r.Parts {
 			b.parts.recordUse(now, part.ID, s.ID)
 		}
@@ -378,7 +379,7 @@
 	defer p.balancer.mu.Unlock()
 	s := p.state
 	s.lastByte = max(s.lastByte, now)
-	s.prefill -= p.prefill
+	s.prefill -= int(p.prefill)
 	p.prefill = 0
 	if load != nil {
 		s.reported, s.reportedAt = true, now
@@ -411,8 +412,11 @@
 	}
 	p.ended = true
 	p.state.running--
-	p.state.prefill -= p.prefill
+	p.state.prefill -= int(p.prefill)
 	p.state.health.recordOutcome(now, o)
+	if o == OutcomeServed {
+		p.balancer.recordRequestServed(now, p.fingerprint)
+	}
 	if o != OutcomeUnknown {
 		p.state.outcomes.record(now, o != OutcomeServed)
 	}
--- a/internal/balance/suspects_test.go
+++ b/internal/balance/suspects_test.go
@@ -52,11 +52,17 @@
 	return b
 }
 
+// suspicions returns the first report of all that a router knows.
+func suspicions(b *Balancer, now time.Duration) []Suspicion {
+	all, _ := b.Suspicions(now, 0)
+	return all
+}
+
 // exchange lets all routers merge what each other one knows.
 func (f *promptFleet) exchange(now time.Duration) {
 	for _, from := range f.routers {
 		for _, to := range f.routers {
-			to.MergeSuspicions(now, from.Suspicions(now))
+			to.MergeSuspicions(now, suspicions(from, now))
 		}
 	}
 }
@@ -199,7 +205,7 @@
 	}
 	is.True(!f.quarantined(quarantineFor+time.Second, 0, partGuide, partDeadly, 103)) // reports don't prolong it
 	f.exchange(quarantineFor + time.Second)
-	is.Equal(len(f.routers[0].Suspicions(quarantineFor+2*time.Second)), 0)
+	is.Equal(len(suspicions(f.routers[0], quarantineFor+2*time.Second)), 0)
 }
 
 // Routers merge reports in any order, several times and late, and must come to the same verdict.
@@ -220,10 +226,10 @@
 				f.serve(t, router, now, prompt(partGuide, sound, 100+i))
 			}
 			from, to := rng.IntN(len(f.routers)), rng.IntN(len(f.routers))
-			f.routers[to].MergeSuspicions(now, f.routers[from].Suspicions(now))
+			f.routers[to].MergeSuspicions(now, suspicions(f.routers[from], now))
 		}
 		for sound := range uint64(6) { // a request that was in flight all the time
-			f.routers[rng.IntN(len(f.routers))].suspects.merge(now, []Suspicion{{Part: 10 + sound, Served: true}}, func(uint64) (time.Duration, bool) { return 0, false })
+			f.routers[rng.IntN(len(f.routers))].suspects.merge(now, []Suspicion{{Key: PartKey(10 + sound), Served: true}}, func(SuspectKey) (time.Duration, bool) { return 0, false })
 		}
 		now += time.Second
 		f.exchange(now)
@@ -246,7 +252,257 @@
 	for i := range uint64(3 * maxSuspects) {
 		f.end(f.send(t, 0, time.Second, prompt(1000+i, 1)), time.Second)
 	}
-	is.True(len(f.routers[0].suspects.parts) <= maxSuspects)
-	is.True(len(f.routers[0].Suspicions(time.Second)) <= maxReported)
+	is.True(len(f.routers[0].suspects.byKey) <= maxSuspects)
+	is.True(len(suspicions(f.routers[0], time.Second)) <= maxReported)
 	is.True(f.quarantined(time.Second, 0, partGuide, partDeadly, 102))
 }
+
+// Fingerprints of requests.
+const (
+	requestDeadly = uint64(0xdead)
+	requestSound  = uint64(0x50d)
+)
+
+// newServiceFleet is newPromptFleet with instances of a plain service.
+func newServiceFleet(routers, instances int) *promptFleet {
+	f := &promptFleet{pool: &routes.Pool{Name: "instances"}}
+	for range routers {
+		f.routers = append(f.routers, f.newRouter(instances))
+	}
+	return f
+}
+
+// sendRequest sends a request through one router to an upstream other than those tried.
+func (f *promptFleet) sendRequest(t *testing.T, router int, now time.Duration, fingerprint uint64, tried ...fleet.UpstreamID) *Pick {
+	t.Helper()
+	f.draw++
+	session := SessionState{Owns: func(fleet.UpstreamID) bool { return true }, Routers: len(f.routers), Out: func(fleet.Upstream) bool { return false }}
+	p := f.routers[router].Choose(now, &Request{Pool: f.pool, Fingerprint: fingerprint, Draw: f.draw, MayProbe: true, Tried: tried}, session)
+	if p == nil {
+		t.Fatal("no upstream for the request")
+	}
+	return p
+}
+
+// endUnder ends the upstream with the given boot under requests at several routers.
+func (f *promptFleet) endUnder(t *testing.T, now time.Duration, boot string, requests map[uint64]int) {
+	t.Helper()
+	for fingerprint, router := range requests {
+		p := f.sendRequest(t, router, now, fingerprint)
+		p.Upstream.ID, p.Upstream.Boot = "e0", fleet.BootID(boot)
+		p.RecordLateBreak(now)
+		p.End(now, OutcomeBroken)
+	}
+}
+
+func (f *promptFleet) serveRequest(t *testing.T, router int, now time.Duration, fingerprint uint64) {
+	t.Helper()
+	f.sendRequest(t, router, now, fingerprint).End(now, OutcomeServed)
+}
+
+func (f *promptFleet) requestQuarantined(now time.Duration, router int, fingerprint uint64) bool {
+	_, ok := f.routers[router].RequestQuarantined(now, fingerprint)
+	return ok
+}
+
+// Without it, each end only moves the request's next arrival to another upstream.
+func TestDeadlyRequestIsQuarantinedAtAllRouters(t *testing.T) {
+	for name, f := range map[string]*promptFleet{"engines": newPromptFleet(7, 12), "a service": newServiceFleet(7, 12)} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f.serveRequest(t, 0, 0, requestSound)
+			for i, router := range []int{1, 2, 5} {
+				now := time.Duration(i+1) * time.Second
+				f.exchange(now)
+				is.True(!f.requestQuarantined(now, router, requestDeadly))
+				f.endUnder(t, now, fmt.Sprint(i), map[uint64]int{requestDeadly: router})
+			}
+			f.exchange(3500 * time.Millisecond)
+			for router := range f.routers {
+				is.True(f.requestQuarantined(4*time.Second, router, requestDeadly))
+				is.True(!f.requestQuarantined(4*time.Second, router, requestSound))
+			}
+		})
+	}
+}
+
+func TestRequestQuarantineBlamesNothingElse(t *testing.T) {
+	second := time.Second
+	cases := []struct {
+		name   string
+		events func(f *promptFleet, t *testing.T)
+	}{
+		{"an upstream ends again and again before the list shows its new boot", func(f *promptFleet, t *testing.T) {
+			for i := range 5 {
+				f.endUnder(t, time.Duration(i)*second/10, "same", map[uint64]int{requestSound: i})
+			}
+		}},
+		{"it is dragged along by a request that ends more upstreams", func(f *promptFleet, t *testing.T) {
+			for i := range 4 {
+				requests := map[uint64]int{requestDeadly: i}
+				if i != 2 {
+					requests[requestSound] = i + 1
+				}
+				f.endUnder(t, time.Duration(i)*second/10, fmt.Sprint(i), requests)
+			}
+		}},
+		{"two requests stand in the same three ends", func(f *promptFleet, t *testing.T) {
+			for i := range 3 {
+				f.endUnder(t, time.Duration(i)*second/10, fmt.Sprint(i), map[uint64]int{requestDeadly: i, requestSound: i + 1})
+			}
+		}},
+		{"it was served shortly before", func(f *promptFleet, t *testing.T) {
+			f.serveRequest(t, 2, 0, requestSound)
+			for i := range 4 {
+				f.endUnder(t, time.Duration(i+1)*second/10, fmt.Sprint(i), map[uint64]int{requestSound: i})
+			}
+		}},
+		{"it is served afterwards", func(f *promptFleet, t *testing.T) {
+			for i := range 4 {
+				f.endUnder(t, time.Duration(i)*second/10, fmt.Sprint(i), map[uint64]int{requestSound: i})
+			}
+			f.serveRequest(t, 4, second/2, requestSound)
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newServiceFleet(5, 4)
+			tc.events(f, t)
+			f.exchange(second)
+			f.exchange(second)
+			for router := range f.routers {
+				is.True(!f.requestQuarantined(second, router, requestSound))
+			}
+		})
+	}
+}
+
+// A request that is dragged along must not keep the one that ends upstreams from its quarantine.
+func TestNextEndTellsDeadlyRequestFromDraggedOne(t *testing.T) {
+	is := is.New(t)
+	f := newServiceFleet(5, 4)
+	for i := range 3 {
+		f.endUnder(t, time.Duration(i)*time.Second, fmt.Sprint(i), map[uint64]int{requestDeadly: i, requestSound: 4})
+	}
+	f.endUnder(t, 3*time.Second, "next", map[uint64]int{requestDeadly: 1})
+	f.exchange(4 * time.Second)
+	for router := range f.routers {
+		is.True(f.requestQuarantined(4*time.Second, router, requestDeadly))
+		is.True(!f.requestQuarantined(4*time.Second, router, requestSound))
+	}
+}
+
+func TestTwoDeadlyRequestsThatRunTogetherAreQuarantined(t *testing.T) {
+	is := is.New(t)
+	f := newServiceFleet(5, 4)
+	for i := range 4 {
+		f.endUnder(t, time.Duration(i)*time.Second, fmt.Sprint(i), map[uint64]int{requestDeadly: i, requestSound: 4})
+	}
+	f.exchange(4 * time.Second)
+	is.True(f.requestQuarantined(4*time.Second, 0, requestDeadly))
+	is.True(f.requestQuarantined(4*time.Second, 0, requestSound))
+}
+
+// Each end also breaks off many sound requests, whose evidence must not crowd that of the deadly one out.
+func TestRareDeadlyRequestIsFoundAmongManyBroken(t *testing.T) {
+	is := is.New(t)
+	f := newServiceFleet(6, 4)
+	known := make(map[[2]int]uint64) // what a router has reported to another one
+	now, sound := time.Duration(0), uint64(1<<20)
+	for i := range 3 {
+		for other := range 40 { // upstreams end for reasons of their own as well
+			requests := make(map[uint64]int)
+			if other == 10 {
+				requests[requestDeadly] = i
+			}
+			for range 64 {
+				sound++
+				requests[sound] = int(sound) % len(f.routers)
+			}
+			f.endUnder(t, now, fmt.Sprint(i, " ", other), requests)
+			now += 5 * time.Second
+			for range 3 { // heartbeats
+				for to := range f.routers { // a star around router 0
+					for _, edge := range [][2]int{{to, 0}, {0, to}} {
+						reports, upTo := f.routers[edge[0]].Suspicions(now, known[edge])
+						is.True(len(reports) <= maxReported)
+						known[edge] = upTo
+						f.routers[edge[1]].MergeSuspicions(now, reports)
+					}
+				}
+			}
+		}
+	}
+	for router, b := range f.routers {
+		is.True(len(b.suspects.byKey) <= maxSuspects)
+		is.True(f.requestQuarantined(now, router, requestDeadly))
+	}
+}
+
+func TestReportsHoldWhatHasChanged(t *testing.T) {
+	is := is.New(t)
+	f := newServiceFleet(2, 4)
+	for i := range uint64(3 * maxReported) {
+		f.endUnder(t, 0, "same", map[uint64]int{1000 + i: 0})
+	}
+	reported, since := 0, uint64(0)
+	for range 3 {
+		reports, upTo := f.routers[0].Suspicions(time.Second, since)
+		f.routers[1].MergeSuspicions(time.Second, reports)
+		reported, since = reported+len(reports), upTo
+	}
+	is.Equal(reported, 3*maxReported)
+	is.Equal(len(f.routers[1].suspects.byKey), 3*maxReported)
+	reports, _ := f.routers[0].Suspicions(time.Second, since)
+	is.Equal(len(reports), 0)
+	f.endUnder(t, 2*time.Second, "another", map[uint64]int{1005: 0})
+	reports, _ = f.routers[0].Suspicions(2*time.Second, since)
+	is.Equal(len(reports), 1)
+	is.Equal(reports[0].Key, RequestKey(1005))
+	is.Equal(len(reports[0].Breaks), 2)
+}
+
+// Routers merge reports in any order, several times and late, and must come to the same verdict.
+func TestMergedRequestSuspicionsAgree(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		f := newServiceFleet(6, 8)
+		known := make(map[[2]int]uint64)
+		now := time.Second
+		gossip := func(from, to int) {
+			reports, upTo := f.routers[from].Suspicions(now, known[[2]int{from, to}])
+			known[[2]int{from, to}] = upTo
+			f.routers[to].MergeSuspicions(now, reports)
+		}
+		for i := range 40 {
+			now += time.Duration(rng.IntN(400)) * time.Millisecond
+			sound := 10 + rng.Uint64N(6)
+			switch rng.IntN(4) {
+			case 0:
+				f.endUnder(t, now, fmt.Sprint(i), map[uint64]int{requestDeadly: rng.IntN(6), sound: rng.IntN(6)})
+			case 1:
+				f.endUnder(t, now, fmt.Sprint(i), map[uint64]int{sound: rng.IntN(6), sound + 100: rng.IntN(6)})
+			default:
+				f.serveRequest(t, rng.IntN(6), now, sound)
+			}
+			gossip(rng.IntN(6), rng.IntN(6))
+		}
+		for i := range 5 { // more ends by the deadly one alone
+			now += 100 * time.Millisecond
+			f.endUnder(t, now, fmt.Sprint("alone ", i), map[uint64]int{requestDeadly: rng.IntN(6)})
+		}
+		for range 2 * len(f.routers) {
+			for from := range f.routers {
+				gossip(from, (from+1)%len(f.routers))
+			}
+		}
+		is := is.New(t)
+		for key := range f.routers[0].suspects.byKey {
+			for router := range f.routers {
+				is.Equal(f.requestQuarantined(now, router, key.ID), f.requestQuarantined(now, 0, key.ID))
+			}
+		}
+		is.True(f.requestQuarantined(now, 0, requestDeadly))
+	}
+}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -118,6 +118,7 @@
 type testGateway struct {
 	t        *testing.T
 	balancer *balance.Balancer
+	list     []balance.ListedUpstream
 	server   *Server
 	url      string
 	session  balance.SessionState
@@ -154,23 +155,26 @@
 	r.session = balance.SessionState{
 		Owns: func(fleet.UpstreamID) bool { return true }, Routers: 1, Out: func(fleet.Upstream) bool { return false },
 	}
-	r.balancer = balance.New(balance.Config{
-		Zone: routerZone, Retries: balance.RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
-	})
-	var list []balance.ListedUpstream
+	r.balancer = newTestBalancer()
 	for i, script := range scripts {
 		u := fleet.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("u%d", i)), Pool: poolName, Zone: "elsewhere"}
 		if i == 0 {
 			u.Zone = routerZone
 		}
 		u.Addr = r.startUpstream(string(u.ID), script)
-		list = append(list, balance.ListedUpstream{Upstream: u})
+		r.list = append(r.list, balance.ListedUpstream{Upstream: u})
 	}
-	r.balancer.SetUpstreams(0, list)
+	r.balancer.SetUpstreams(0, r.list)
 	r.startServer()
 	return r
 }
 
+func newTestBalancer() *balance.Balancer {
+	return balance.New(balance.Config{
+		Zone: routerZone, Retries: balance.RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
+	})
+}
+
 func (r *testGateway) startUpstream(name string, script func(*conn)) string {
 	if script == nil {
 		return testnet.RefusingAddr(r.t)
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/balance"
@@ -70,7 +72,7 @@
 	stream       *eventRelay // set once the answer's header was written
 	eventsBefore int         // events that earlier attempts have relayed
 
-	quarantineLeft time.Duration // until the end of the quarantine of a prompt part; 0 for none
+	quarantineLeft time.Duration // until the end of the quarantine of the request or a part of its prompt; 0 for none
 
 	trace   string // traceparent of the request's span
 	failure error  // with which the span ends; nil if the caller was served
@@ -114,7 +116,8 @@
 // errNotRun is the type of errors of attempts that the upstream reports as not run.
 var errNotRun = fleet.Errors.NewType("gateway_not_run")
 
-// errQuarantined is the type of errors of requests with a quarantined prompt part.
+// errQuarantined is the type of errors of requests that are quarantined or have a quarantined
+// prompt part.
 var errQuarantined = fleet.Errors.NewType("gateway_quarantined")
 
 var errNoUpstream = fleet.Errors.NewType("gateway_no_upstream").New("no upstream of the pool is available for the request")
@@ -130,23 +133,31 @@
 	return f.route.Repeatable() && f.runs < max(f.route.MaxAttempts, 1)
 }
 
-// isQuarantined reports whether a part of the prompt is quarantined, because upstreams break
-// off under it. The request is then not sent to any further one.
+// isQuarantined reports whether the request or a part of its prompt is quarantined, because
+// upstreams break off under it. The request is then not sent to any further one.
 func (f *forwarder) isQuarantined() bool {
-	now := f.server.cfg.Clock()
-	part, until, ok := f.server.cfg.Balancer.Quarantined(now, f.call.Parts)
-	if !ok {
-		return false
+	b, now := f.server.cfg.Balancer, f.server.cfg.Clock()
+	if until, ok := b.RequestQuarantined(now, f.fingerprint); ok {
+		f.recordQuarantine("the request", until-now)
+		return true
+	}
+	part, until, ok := b.Quarantined(now, f.call.Parts)
+	if ok {
+		f.recordQuarantine("prompt part "+formatHash(part), until-now)
 	}
-	f.quarantineLeft = until - now
-	f.lastErr = errQuarantined.New("prompt part %x is quarantined for %v: upstreams break off under it", part, f.quarantineLeft.Round(time.Second))
-	return true
+	return ok
+}
+
+// recordQuarantine records that the request isn't sent because of a quarantine.
+func (f *forwarder) recordQuarantine(of string, left time.Duration) {
+	f.quarantineLeft = left
+	f.lastErr = errQuarantined.New("%s is quarantined for %v: upstreams break off under it", of, left.Round(time.Second))
 }
 
 // balancerRequest describes the request for the choice of an upstream.
 func (f *forwarder) balancerRequest() *balance.Request {
 	return &balance.Request{
-		Pool: f.pool, Parts: f.call.Parts, PromptTokens: f.call.PromptTokens, Draw: f.draw,
+		Pool: f.pool, Parts: f.call.Parts, PromptTokens: f.call.PromptTokens, Fingerprint: f.fingerprint, Draw: f.draw,
 		MayProbe: f.route.Repeatable(), Tried: f.tried,
 	}
 }
@@ -250,12 +261,28 @@
 	if errors.Is(cause, errDeadline) {
 		return balance.OutcomeError
 	}
-	if cause == nil && f.attemptEvents() < provenEvents && !onIdleConnection(err) {
-		f.pick.RecordBreak(f.server.cfg.Clock())
+	if cause == nil && endedConnection(err) {
+		f.recordBreak(err)
 	}
 	return balance.OutcomeBroken
 }
 
+// recordBreak records that the upstream broke off.
+func (f *forwarder) recordBreak(err error) {
+	now := f.server.cfg.Clock()
+	if f.attemptEvents() < provenEvents && !onIdleConnection(err) {
+		f.pick.RecordBreak(now)
+		return
+	}
+	f.pick.RecordLateBreak(now)
+}
+
+// endedConnection reports whether an exchange failed because the upstream ended the
+// connection.
+func endedConnection(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // onIdleConnection reports whether an exchange failed without an answer on a connection that
 // had been idle. The upstream may have closed it before the request arrived.
 func onIdleConnection(err error) bool {
--- a/internal/gateway/list_stream.go
+++ b/internal/gateway/list_stream.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/wigeonflow/wigeonflow/internal/balance"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
 )
@@ -34,7 +33,7 @@
 	if known == nil {
 		timeout = firstIdleTimeout
 	}
-	var reported balance.Activities
+	var last lastReport
 	for {
 		u, err := receiveUpdate(ctx, stream, timeout)
 		if err != nil {
@@ -49,7 +48,7 @@
 			return fleet.At(errListStale, "gateway.follow", addr)
 		}
 		l.adopt(known)
-		if reported, err = l.exchangeLoads(ctx, stream, known, u, reported); err != nil {
+		if err = l.exchangeLoads(ctx, stream, known, u, &last); err != nil {
 			return fleet.At(err, "gateway.follow", addr)
 		}
 		if source, ok := l.source(); !ok || source.Addr != addr {
@@ -107,9 +106,10 @@
 		<-received
 		l.loadTotals.setReport(stream, nil)
 	}()
+	var last lastReport
 	for {
 		current, changed := l.newest()
-		if err := l.sendUpdate(ctx, stream, current, &sent, request.Digest); err != nil {
+		if err := l.sendUpdate(ctx, stream, current, &sent, request.Digest, &last); err != nil {
 			return err
 		}
 		if err := awaitChange(ctx, changed); err != nil {
@@ -120,13 +120,13 @@
 
 // sendUpdate sends the changes that the follower lacks. A stale list is not sent, so
 // that the follower switches to another source.
-func (l *upstreamList) sendUpdate(ctx context.Context, stream *mesh.Stream, current *snapshot, sent *atomic.Pointer[snapshot], followerDigest uint64) error {
+func (l *upstreamList) sendUpdate(ctx context.Context, stream *mesh.Stream, current *snapshot, sent *atomic.Pointer[snapshot], followerDigest uint64, last *lastReport) error {
 	now := l.clock()
 	if current == nil || now-current.asOf > maxListAge {
 		return nil
 	}
 	u := current.update(sent.Load(), followerDigest, now)
-	u.Totals = *l.newReport(current, current.number, l.loadTotals.fleetActivities(now))
+	u.Totals = *l.newReport(current, current.number, l.loadTotals.fleetActivities(now), last)
 	message, err := u.MarshalMsg(nil)
 	if err != nil {
 		return err
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -25,20 +25,21 @@
 	Running []uint16 `msg:"c"`
 	Ended   []uint16 `msg:"e"`
 	Failed  []uint16 `msg:"f"`
-	// Suspicions is what the sender knows of prompt parts under which upstreams broke off.
+	// Suspicions is what has become known to the sender, since its last report on the same
+	// stream, of prompt parts and requests under which upstreams broke off.
 	Suspicions []Suspicion `msg:"s,omitempty"`
 }
 
-// Loads exchanges activities at upstreams, and suspicions of prompt parts, with the
-// balancer.
+// Loads exchanges activities at upstreams, and suspicions of prompt parts and requests, with
+// the balancer.
 type Loads interface {
 	// Activities returns this router's activities.
 	Activities(now time.Duration) balance.Activities
 	// SetPeerActivities replaces the activities of all other routers.
 	SetPeerActivities(now time.Duration, others balance.Activities)
-	// Suspicions returns what this router knows of suspected prompt parts, and
-	// MergeSuspicions adds what another router knows.
-	Suspicions(now time.Duration) []balance.Suspicion
+	// Suspicions returns what has become known since the given change, and the change to ask
+	// from next time; MergeSuspicions adds what another router knows.
+	Suspicions(now time.Duration, since uint64) (suspicions []balance.Suspicion, upTo uint64)
 	MergeSuspicions(now time.Duration, reports []balance.Suspicion)
 }
 
@@ -201,23 +202,32 @@
 }
 
 // exchangeLoads applies the totals of an update and replies with a report of this
-// router's subtree. reported is the previous report; the new one is returned.
-func (l *upstreamList) exchangeLoads(ctx context.Context, stream *mesh.Stream, list *snapshot, u *ListUpdate, reported balance.Activities) (balance.Activities, error) {
+// router's subtree. last is what was reported before on the stream, and is updated.
+func (l *upstreamList) exchangeLoads(ctx context.Context, stream *mesh.Stream, list *snapshot, u *ListUpdate, last *lastReport) error {
 	if totals := list.decodeReport(u.Number, &u.Totals); totals != nil {
-		l.loadTotals.setTotals(totals, reported)
+		l.loadTotals.setTotals(totals, last.activities)
 		l.loads.SetPeerActivities(l.clock(), l.loadTotals.peerActivities())
 	}
 	subtree := l.loadTotals.subtreeActivities(l.clock())
-	message, err := l.newReport(list, u.Number, subtree).MarshalMsg(nil)
+	message, err := l.newReport(list, u.Number, subtree, last).MarshalMsg(nil)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return subtree, stream.Send(ctx, message)
+	return stream.Send(ctx, message)
 }
 
-// newReport returns a report of the given activities and of this router's suspicions.
-func (l *upstreamList) newReport(list *snapshot, number uint64, activities balance.Activities) *LoadReport {
+// lastReport is what a router reported last on one stream.
+type lastReport struct {
+	activities   balance.Activities
+	suspicionsTo uint64 // see Loads.Suspicions
+}
+
+// newReport returns a report of the given activities, and of what has become known of suspects
+// since the last report, which it updates.
+func (l *upstreamList) newReport(list *snapshot, number uint64, activities balance.Activities, last *lastReport) *LoadReport {
 	r := list.encodeReport(number, activities)
-	r.Suspicions = encodeSuspicions(l.loads.Suspicions(l.clock()))
+	suspicions, upTo := l.loads.Suspicions(l.clock(), last.suspicionsTo)
+	r.Suspicions = encodeSuspicions(suspicions)
+	last.activities, last.suspicionsTo = activities, upTo
 	return r
 }
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -111,9 +110,13 @@
 	return r
 }
 
-// logQuarantine logs that a prompt part is quarantined.
-func (r *Router) logQuarantine(part uint64, upstreams, branches int) {
-	r.log.Warn("prompt part quarantined: upstreams broke off under it", "part", strconv.FormatUint(part, 16), "upstreams", upstreams, "branches", branches)
+// logQuarantine logs that a prompt part or a request is quarantined.
+func (r *Router) logQuarantine(key balance.SuspectKey, upstreams, branches int) {
+	if key.Kind == balance.SuspectRequest {
+		r.log.Warn("request quarantined: upstreams broke off under it", "fingerprint", formatHash(key.ID), "upstreams", upstreams)
+		return
+	}
+	r.log.Warn("prompt part quarantined: upstreams broke off under it", "part", formatHash(key.ID), "upstreams", upstreams, "branches", branches)
 }
 
 // Handler returns the callers' HTTP handler.
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -11,16 +11,18 @@
 
 // Suspicion is a balance.Suspicion.
 type Suspicion struct {
-	Part uint64 `msg:"p"`
-	// SinceServed is in milliseconds; -1 if the part was not served.
-	SinceServed int64         `msg:"s"`
-	Breaks      []PromptBreak `msg:"b,omitempty"`
+	// ID is that of a prompt part or, if Request is set, the fingerprint of a request.
+	ID      uint64 `msg:"p"`
+	Request bool   `msg:"r,omitempty"`
+	// SinceServed is in milliseconds; -1 if the suspect was not served.
+	SinceServed int64          `msg:"s"`
+	Breaks      []RequestBreak `msg:"b,omitempty"`
 }
 
-// PromptBreak is a balance.Break.
-type PromptBreak struct {
+// RequestBreak is a balance.Break.
+type RequestBreak struct {
 	Upstream uint64 `msg:"u"`
-	Next     uint64 `msg:"n"`
+	Next     uint64 `msg:"n,omitempty"`
 	// Age is in milliseconds.
 	Age int64 `msg:"a"`
 }
@@ -29,12 +31,12 @@
 func encodeSuspicions(suspicions []balance.Suspicion) []Suspicion {
 	var out []Suspicion
 	for _, s := range suspicions {
-		e := Suspicion{Part: s.Part, SinceServed: -1}
+		e := Suspicion{ID: s.Key.ID, Request: s.Key.Kind == balance.SuspectRequest, SinceServed: -1}
 		if s.Served {
-			e.SinceServed = s.SinceServed.Milliseconds()
+			e.SinceServed = max(s.SinceServed.Milliseconds(), 0)
 		}
 		for _, b := range s.Breaks {
-			e.Breaks = append(e.Breaks, PromptBreak{Upstream: b.Upstream, Next: b.Next, Age: b.Age.Milliseconds()})
+			e.Breaks = append(e.Breaks, RequestBreak{Upstream: b.Upstream, Next: b.Next, Age: b.Age.Milliseconds()})
 		}
 		out = append(out, e)
 	}
@@ -45,7 +47,11 @@
 func decodeSuspicions(encoded []Suspicion) []balance.Suspicion {
 	var out []balance.Suspicion
 	for _, e := range encoded {
-		s := balance.Suspicion{Part: e.Part, Served: e.SinceServed >= 0, SinceServed: time.Duration(e.SinceServed) * time.Millisecond}
+		key := balance.PartKey(e.ID)
+		if e.Request {
+			key = balance.RequestKey(e.ID)
+		}
+		s := balance.Suspicion{Key: key, Served: e.SinceServed >= 0, SinceServed: time.Duration(e.SinceServed) * time.Millisecond}
 		for _, b := range e.Breaks {
 			s.Breaks = append(s.Breaks, balance.Break{Upstream: b.Upstream, Next: b.Next, Age: time.Duration(max(b.Age, 0)) * time.Millisecond})
 		}
@@ -67,7 +73,7 @@
 	}
 }
 
-// quarantineNote returns the note with the quarantined parts, or nil if there are none. The
+// quarantineNote returns the note with the quarantined parts and requests, or nil if there are none. The
 // control leader keeps it for routers that restart while no other router can tell them.
 func (r *Router) quarantineNote() []byte {
 	suspicions := r.balancer.QuarantinedSuspicions(r.cfg.Clock())
@@ -81,11 +87,11 @@
 	return nil
 }
 
-// applyNote merges the quarantined parts of a note that was sent age ago.
+// applyNote merges the quarantined parts and requests of a note that was sent age ago.
 func (r *Router) applyNote(note []byte, age time.Duration) {
 	var n SuspicionNote
 	if _, err := n.UnmarshalMsg(note); err != nil {
-		r.log.Warn("cannot decode the note of quarantined prompt parts", "error", err)
+		r.log.Warn("cannot decode the note of quarantined prompt parts and requests", "error", err)
 		return
 	}
 	suspicions := decodeSuspicions(n.Suspicions)
--- a/internal/gateway/suspicions_gen.go
+++ b/internal/gateway/suspicions_gen.go
@@ -7,23 +7,38 @@
 )
 
 // MarshalMsg implements msgp.Marshaler
-func (z PromptBreak) MarshalMsg(b []byte) (o []byte, err error) {
+func (z RequestBreak) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "u"
-	o = append(o, 0x83, 0xa1, 0x75)
-	o = msgp.AppendUint64(o, z.Upstream)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Next)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendInt64(o, z.Age)
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Next == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o = msgp.AppendUint64(o, z.Upstream)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "n"
+			o = append(o, 0xa1, 0x6e)
+			o = msgp.AppendUint64(o, z.Next)
+		}
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendInt64(o, z.Age)
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *PromptBreak) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *RequestBreak) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -71,7 +86,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z PromptBreak) Msgsize() (s int) {
+func (z RequestBreak) Msgsize() (s int) {
 	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
 	return
 }
@@ -80,12 +95,16 @@
 func (z *Suspicion) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
+	if z.Request == false {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
 	if z.Breaks == nil {
 		zb0001Len--
-		zb0001Mask |= 0x4
+		zb0001Mask |= 0x8
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -94,25 +113,45 @@
 	if zb0001Len != 0 {
 		// string "p"
 		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendUint64(o, z.Part)
+		o = msgp.AppendUint64(o, z.ID)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendBool(o, z.Request)
+		}
 		// string "s"
 		o = append(o, 0xa1, 0x73)
 		o = msgp.AppendInt64(o, z.SinceServed)
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// string "b"
 			o = append(o, 0xa1, 0x62)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Breaks)))
 			for za0001 := range z.Breaks {
-				// map header, size 3
-				// string "u"
-				o = append(o, 0x83, 0xa1, 0x75)
-				o = msgp.AppendUint64(o, z.Breaks[za0001].Upstream)
-				// string "n"
-				o = append(o, 0xa1, 0x6e)
-				o = msgp.AppendUint64(o, z.Breaks[za0001].Next)
-				// string "a"
-				o = append(o, 0xa1, 0x61)
-				o = msgp.AppendInt64(o, z.Breaks[za0001].Age)
+				// check for omitted fields
+				zb0002Len := uint32(3)
+				var zb0002Mask uint8 /* 3 bits */
+				_ = zb0002Mask
+				if z.Breaks[za0001].Next == 0 {
+					zb0002Len--
+					zb0002Mask |= 0x2
+				}
+				// variable map header, size zb0002Len
+				o = append(o, 0x80|uint8(zb0002Len))
+
+				// skip if no fields are to be emitted
+				if zb0002Len != 0 {
+					// string "u"
+					o = append(o, 0xa1, 0x75)
+					o = msgp.AppendUint64(o, z.Breaks[za0001].Upstream)
+					if (zb0002Mask & 0x2) == 0 { // if not omitted
+						// string "n"
+						o = append(o, 0xa1, 0x6e)
+						o = msgp.AppendUint64(o, z.Breaks[za0001].Next)
+					}
+					// string "a"
+					o = append(o, 0xa1, 0x61)
+					o = msgp.AppendInt64(o, z.Breaks[za0001].Age)
+				}
 			}
 		}
 	}
@@ -138,9 +177,15 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, bts, err = msgp.ReadUint64Bytes(bts)
+			z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "r":
+			z.Request, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Request")
 				return
 			}
 		case "s":
@@ -159,7 +204,7 @@
 			if cap(z.Breaks) >= int(zb0002) {
 				z.Breaks = (z.Breaks)[:zb0002]
 			} else {
-				z.Breaks = make([]PromptBreak, zb0002)
+				z.Breaks = make([]RequestBreak, zb0002)
 			}
 			for za0001 := range z.Breaks {
 				var zb0003 uint32
@@ -217,7 +262,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Suspicion) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.Breaks) * (7 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size))
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.Breaks) * (7 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size))
 	return
 }
 
