gateway, balance: a request that got further is the weaker suspect

Change: a break after three events is reported as late. Of requests with as many breaks, the one with fewer late ones explains the other's. A request whose breaks are all late is still quarantined at the third.

TestLateBreakTellsDeadlyRequestFromDraggedOne fails without the comparison.

--- a/internal/balance/suspects.go
+++ b/internal/balance/suspects.go
@@ -75,7 +75,10 @@
 type Break struct {
 	Upstream uint64 // hash of the upstream's ID and boot
 	Next     uint64 // ID of the part that followed in the prompt; 0 for a whole request
-	Age      time.Duration
+	// Late is set if the upstream had written enough of the answer to show that beginning
+	// with the request does it no harm.
+	Late bool
+	Age  time.Duration
 }
 
 // Suspicion is what routers know about a suspect: a prompt part or a request under which
@@ -122,6 +125,7 @@
 
 type upstreamBreak struct {
 	upstream, next uint64
+	late           bool
 	at             time.Duration
 }
 
@@ -231,7 +235,7 @@
 func (x *suspect) blames(b upstreamBreak) bool { return !x.served || b.at >= x.servedAt+soundFor }
 
 // addBreak adds a break unless the suspect isn't to blame for it. Of the same break, the
-// earlier time wins. If there is no room, the newest break of a pair with the same next part
+// earlier time wins, and one that isn't late. If there is no room, the newest break of a pair with the same next part
 // is dropped, so that upstreams and next parts stay different.
 func (s *suspects) addBreak(x *suspect, b upstreamBreak) {
 	if !x.blames(b) {
@@ -240,6 +244,10 @@
 	for i := range x.breaks {
 		if known := &x.breaks[i]; known.upstream == b.upstream && known.next == b.next {
 			known.at = min(known.at, b.at)
+			if known.late && !b.late {
+				known.late = false
+				s.recordChange(x, len(x.breaks))
+			}
 			return
 		}
 	}
@@ -356,9 +364,9 @@
 	return x.latest() + quarantineFor
 }
 
-// rivals holds the two requests with the most breaks that broke off at each upstream. A
-// request that ends upstreams takes sound ones with it, which are retried as it is, at times
-// beside it; but it stands at all of these upstreams, and they don't.
+// rivals holds the two strongest suspects among the requests that broke off at each upstream.
+// A request that ends upstreams takes sound ones with it, which are retried as it is, at times
+// beside it. But it stands at all of these upstreams, and never gets further with its answer.
 type rivals map[uint64][2]*suspect
 
 // rivals returns the rivals among the requests that have enough breaks for a quarantine.
@@ -371,9 +379,9 @@
 		for _, b := range x.breaks {
 			top := out[b.upstream]
 			switch {
-			case top[0] == nil || len(x.breaks) > len(top[0].breaks):
+			case top[0] == nil || x.compare(top[0]) > 0:
 				top = [2]*suspect{x, top[0]}
-			case top[1] == nil || len(x.breaks) > len(top[1].breaks):
+			case top[1] == nil || x.compare(top[1]) > 0:
 				top[1] = x
 			}
 			out[b.upstream] = top
@@ -382,18 +390,34 @@
 	return out
 }
 
-// explain reports whether another request explains the break of x at an upstream: one with
-// more breaks, or with as many while these are the fewest that count. Of such a pair, the one
-// that stands in the next break is to blame.
+// explain reports whether another request explains the break of x at an upstream: a stronger
+// suspect, or one as strong while its breaks are the fewest that count. Of such a pair, the
+// one that stands in the next break is to blame.
 func (r rivals) explain(upstream uint64, x *suspect) bool {
 	for _, other := range r[upstream] {
 		if other != nil && other != x {
-			return len(other.breaks) > len(x.breaks) || len(other.breaks) == len(x.breaks) && len(x.breaks) == quarantineUpstreams
+			order := other.compare(x)
+			return order > 0 || order == 0 && len(x.breaks) == quarantineUpstreams
 		}
 	}
 	return false
 }
 
+// compare compares two requests by the number of their breaks, and by that of late ones, which
+// speak for a request. The result is above 0 if x is the stronger suspect.
+func (x *suspect) compare(other *suspect) int {
+	return cmp.Or(cmp.Compare(len(x.breaks), len(other.breaks)), cmp.Compare(other.lateBreaks(), x.lateBreaks()))
+}
+
+func (x *suspect) lateBreaks() (n int) {
+	for _, b := range x.breaks {
+		if b.late {
+			n++
+		}
+	}
+	return n
+}
+
 // expire drops the breaks that no longer count, and the suspects that have none, unless it has
 // done so within expireInterval.
 func (s *suspects) expire(now time.Duration) {
@@ -479,7 +503,7 @@
 func (x *suspect) report(now time.Duration) Suspicion {
 	r := Suspicion{Key: x.key, Served: x.served, SinceServed: now - x.servedAt}
 	for _, b := range x.breaks {
-		r.Breaks = append(r.Breaks, Break{Upstream: b.upstream, Next: b.next, Age: now - b.at})
+		r.Breaks = append(r.Breaks, Break{Upstream: b.upstream, Next: b.next, Late: b.late, Age: now - b.at})
 	}
 	return r
 }
@@ -503,7 +527,7 @@
 			s.setServed(x, at)
 		}
 		for _, b := range r.Breaks {
-			s.addBreak(x, upstreamBreak{upstream: b.Upstream, next: b.Next, at: now - b.Age})
+			s.addBreak(x, upstreamBreak{upstream: b.Upstream, next: b.Next, late: b.Late, at: now - b.Age})
 		}
 	}
 }
@@ -532,16 +556,16 @@
 // RecordBreak records that the upstream broke off before it had written the start of the
 // answer. The parts of the prompt and the request as a whole are suspected.
 func (p *Pick) RecordBreak(now time.Duration) {
-	p.balancer.recordBreak(now, p, p.parts)
+	p.balancer.recordBreak(now, p, p.parts, false)
 }
 
-// RecordLateBreak records that the upstream broke off later, or on a connection that had been
-// idle. Only the request as a whole is suspected.
-func (p *Pick) RecordLateBreak(now time.Duration) {
-	p.balancer.recordBreak(now, p, nil)
+// RecordRequestBreak records that the upstream broke off on a connection that had been idle,
+// or late, see Break. Only the request as a whole is suspected.
+func (p *Pick) RecordRequestBreak(now time.Duration, late bool) {
+	p.balancer.recordBreak(now, p, nil, late)
 }
 
-func (b *Balancer) recordBreak(now time.Duration, p *Pick, parts []PromptPart) {
+func (b *Balancer) recordBreak(now time.Duration, p *Pick, parts []PromptPart, late bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	upstream := xxhash.Sum64String(string(p.Upstream.ID) + "/" + string(p.Upstream.Boot))
@@ -549,7 +573,7 @@
 		b.suspects.recordPartBreaks(now, upstream, parts, b.servedAt)
 	}
 	if p.fingerprint != 0 {
-		b.suspects.recordBreak(now, RequestKey(p.fingerprint), upstreamBreak{upstream: upstream, at: now}, b.servedAt)
+		b.suspects.recordBreak(now, RequestKey(p.fingerprint), upstreamBreak{upstream: upstream, late: late, at: now}, b.servedAt)
 	}
 	b.suspects.judge(now)
 }
--- a/internal/balance/suspects_test.go
+++ b/internal/balance/suspects_test.go
@@ -286,11 +286,17 @@
 
 // endUnder ends the upstream with the given boot under requests at several routers.
 func (f *promptFleet) endUnder(t *testing.T, now time.Duration, boot string, requests map[uint64]int) {
+	t.Helper()
+	f.endWith(t, now, boot, requests, false)
+}
+
+// endWith is endUnder with breaks that may be late.
+func (f *promptFleet) endWith(t *testing.T, now time.Duration, boot string, requests map[uint64]int, late bool) {
 	t.Helper()
 	for fingerprint, router := range requests {
 		p := f.sendRequest(t, router, now, fingerprint)
 		p.Upstream.ID, p.Upstream.Boot = "e0", fleet.BootID(boot)
-		p.RecordLateBreak(now)
+		p.RecordRequestBreak(now, late)
 		p.End(now, OutcomeBroken)
 	}
 }
@@ -351,6 +357,13 @@
 				f.endUnder(t, time.Duration(i)*second/10, fmt.Sprint(i), map[uint64]int{requestDeadly: i, requestSound: i + 1})
 			}
 		}},
+		{"it stands in the same ends as a request that never got further", func(f *promptFleet, t *testing.T) {
+			for i := range 5 {
+				now := time.Duration(i) * second / 10
+				f.endUnder(t, now, fmt.Sprint(i), map[uint64]int{requestDeadly: i})
+				f.endWith(t, now, fmt.Sprint(i), map[uint64]int{requestSound: 4 - i}, i == 0)
+			}
+		}},
 		{"it was served shortly before", func(f *promptFleet, t *testing.T) {
 			f.serveRequest(t, 2, 0, requestSound)
 			for i := range 4 {
@@ -461,6 +474,23 @@
 	is.Equal(len(reports), 1)
 	is.Equal(reports[0].Key, RequestKey(1005))
 	is.Equal(len(reports[0].Breaks), 2)
+	reports, _ = f.routers[0].Suspicions(2*time.Second+loneBreakAge, 0) // to a new stream
+	is.Equal(len(reports), 1)
+}
+
+// A request breaks off under several IDs, and further on under one of them.
+func TestEarlyBreakWins(t *testing.T) {
+	is := is.New(t)
+	for _, order := range [][]bool{{false, true}, {true, false}} {
+		f := newPromptFleet(2, 4)
+		for router, late := range order {
+			f.endWith(t, 0, "same", map[uint64]int{requestDeadly: router}, late)
+		}
+		f.exchange(time.Second)
+		for _, b := range f.routers {
+			is.Equal(b.suspects.byKey[RequestKey(requestDeadly)].lateBreaks(), 0)
+		}
+	}
 }
 
 // Routers merge reports in any order, several times and late, and must come to the same verdict.
@@ -480,9 +510,10 @@
 			sound := 10 + rng.Uint64N(6)
 			switch rng.IntN(4) {
 			case 0:
-				f.endUnder(t, now, fmt.Sprint(i), map[uint64]int{requestDeadly: rng.IntN(6), sound: rng.IntN(6)})
+				f.endWith(t, now, fmt.Sprint(i), map[uint64]int{requestDeadly: rng.IntN(6), sound: rng.IntN(6)}, rng.IntN(2) == 0)
+				f.endWith(t, now, fmt.Sprint(i), map[uint64]int{requestDeadly: rng.IntN(6)}, rng.IntN(2) == 0)
 			case 1:
-				f.endUnder(t, now, fmt.Sprint(i), map[uint64]int{sound: rng.IntN(6), sound + 100: rng.IntN(6)})
+				f.endWith(t, now, fmt.Sprint(i), map[uint64]int{sound: rng.IntN(6), sound + 100: rng.IntN(6)}, rng.IntN(2) == 0)
 			default:
 				f.serveRequest(t, rng.IntN(6), now, sound)
 			}
@@ -506,3 +537,30 @@
 		is.True(f.requestQuarantined(now, 0, requestDeadly))
 	}
 }
+
+// A stream may end upstreams at a later token: its breaks are all late.
+func TestRequestThatEndsUpstreamsLateIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	f := newPromptFleet(3, 4)
+	for i := range 3 {
+		f.endWith(t, time.Duration(i)*time.Second, fmt.Sprint(i), map[uint64]int{requestDeadly: i}, true)
+	}
+	f.exchange(3 * time.Second)
+	is.True(f.requestQuarantined(3*time.Second, 0, requestDeadly))
+}
+
+// A request that got further at one upstream doesn't make the other one wait for the next end.
+func TestLateBreakTellsDeadlyRequestFromDraggedOne(t *testing.T) {
+	is := is.New(t)
+	f := newPromptFleet(5, 4)
+	for i := range 3 {
+		now := time.Duration(i) * time.Second
+		f.endUnder(t, now, fmt.Sprint(i), map[uint64]int{requestDeadly: i})
+		f.endWith(t, now, fmt.Sprint(i), map[uint64]int{requestSound: 4}, i == 0)
+	}
+	f.exchange(3 * time.Second)
+	for router := range f.routers {
+		is.True(f.requestQuarantined(3*time.Second, router, requestDeadly))
+		is.True(!f.requestQuarantined(3*time.Second, router, requestSound))
+	}
+}
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -31,7 +31,8 @@
 	// idempotent request is retried on another upstream.
 	slowTargetFactor = 2
 	// provenEvents is the number of events after which a prompt counts as served for the
-	// quarantine of its parts. An upstream that breaks off before them may have ended by it.
+	// quarantine of its parts, and a break under the request as late. An upstream that breaks
+	// off before them may have ended by the prompt.
 	provenEvents = 3
 )
 
@@ -269,12 +270,12 @@
 
 // recordBreak records that the upstream broke off.
 func (f *forwarder) recordBreak(err error) {
-	now := f.server.cfg.Clock()
-	if f.attemptEvents() < provenEvents && !onIdleConnection(err) {
-		f.pick.RecordBreak(now)
+	now, late := f.server.cfg.Clock(), f.attemptEvents() >= provenEvents
+	if late || onIdleConnection(err) {
+		f.pick.RecordRequestBreak(now, late)
 		return
 	}
-	f.pick.RecordLateBreak(now)
+	f.pick.RecordBreak(now)
 }
 
 // endedConnection reports whether an exchange failed because the upstream ended the
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -368,3 +368,17 @@
 		seen[other] = true
 	}
 }
+
+func TestRequestSuspicionsSurviveEncoding(t *testing.T) {
+	is := is.New(t)
+	want := []balance.Suspicion{{
+		Key: balance.RequestKey(1<<64 - 1), Served: true, SinceServed: time.Second,
+		Breaks: []balance.Break{{Upstream: 1 << 63, Late: true, Age: 1500 * time.Millisecond}, {Upstream: 3}},
+	}}
+	encoded, err := (&LoadReport{Suspicions: encodeSuspicions(want)}).MarshalMsg(nil)
+	is.NoErr(err)
+	var r LoadReport
+	_, err = r.UnmarshalMsg(encoded)
+	is.NoErr(err)
+	is.Equal(decodeSuspicions(r.Suspicions), want)
+}
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -23,6 +23,7 @@
 type RequestBreak struct {
 	Upstream uint64 `msg:"u"`
 	Next     uint64 `msg:"n,omitempty"`
+	Late     bool   `msg:"l,omitempty"`
 	// Age is in milliseconds.
 	Age int64 `msg:"a"`
 }
@@ -36,7 +37,7 @@
 			e.SinceServed = max(s.SinceServed.Milliseconds(), 0)
 		}
 		for _, b := range s.Breaks {
-			e.Breaks = append(e.Breaks, RequestBreak{Upstream: b.Upstream, Next: b.Next, Age: b.Age.Milliseconds()})
+			e.Breaks = append(e.Breaks, RequestBreak{Upstream: b.Upstream, Next: b.Next, Late: b.Late, Age: b.Age.Milliseconds()})
 		}
 		out = append(out, e)
 	}
@@ -53,7 +54,7 @@
 		}
 		s := balance.Suspicion{Key: key, Served: e.SinceServed >= 0, SinceServed: time.Duration(e.SinceServed) * time.Millisecond}
 		for _, b := range e.Breaks {
-			s.Breaks = append(s.Breaks, balance.Break{Upstream: b.Upstream, Next: b.Next, Age: time.Duration(max(b.Age, 0)) * time.Millisecond})
+			s.Breaks = append(s.Breaks, balance.Break{Upstream: b.Upstream, Next: b.Next, Late: b.Late, Age: time.Duration(max(b.Age, 0)) * time.Millisecond})
 		}
 		out = append(out, s)
 	}
--- a/internal/gateway/suspicions_gen.go
+++ b/internal/gateway/suspicions_gen.go
@@ -7,16 +7,20 @@
 )
 
 // MarshalMsg implements msgp.Marshaler
-func (z RequestBreak) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *RequestBreak) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
 	if z.Next == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
+	if z.Late == false {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -30,6 +34,11 @@
 			o = append(o, 0xa1, 0x6e)
 			o = msgp.AppendUint64(o, z.Next)
 		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "l"
+			o = append(o, 0xa1, 0x6c)
+			o = msgp.AppendBool(o, z.Late)
+		}
 		// string "a"
 		o = append(o, 0xa1, 0x61)
 		o = msgp.AppendInt64(o, z.Age)
@@ -67,6 +76,12 @@
 				err = msgp.WrapError(err, "Next")
 				return
 			}
+		case "l":
+			z.Late, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Late")
+				return
+			}
 		case "a":
 			z.Age, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -86,8 +101,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z RequestBreak) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
+func (z *RequestBreak) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size
 	return
 }
 
@@ -127,30 +142,10 @@
 			o = append(o, 0xa1, 0x62)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Breaks)))
 			for za0001 := range z.Breaks {
-				// check for omitted fields
-				zb0002Len := uint32(3)
-				var zb0002Mask uint8 /* 3 bits */
-				_ = zb0002Mask
-				if z.Breaks[za0001].Next == 0 {
-					zb0002Len--
-					zb0002Mask |= 0x2
-				}
-				// variable map header, size zb0002Len
-				o = append(o, 0x80|uint8(zb0002Len))
-
-				// skip if no fields are to be emitted
-				if zb0002Len != 0 {
-					// string "u"
-					o = append(o, 0xa1, 0x75)
-					o = msgp.AppendUint64(o, z.Breaks[za0001].Upstream)
-					if (zb0002Mask & 0x2) == 0 { // if not omitted
-						// string "n"
-						o = append(o, 0xa1, 0x6e)
-						o = msgp.AppendUint64(o, z.Breaks[za0001].Next)
-					}
-					// string "a"
-					o = append(o, 0xa1, 0x61)
-					o = msgp.AppendInt64(o, z.Breaks[za0001].Age)
+				o, err = z.Breaks[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Breaks", za0001)
+					return
 				}
 			}
 		}
@@ -207,46 +202,11 @@
 				z.Breaks = make([]RequestBreak, zb0002)
 			}
 			for za0001 := range z.Breaks {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Breaks[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Breaks", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Breaks", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "u":
-						z.Breaks[za0001].Upstream, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Breaks", za0001, "Upstream")
-							return
-						}
-					case "n":
-						z.Breaks[za0001].Next, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Breaks", za0001, "Next")
-							return
-						}
-					case "a":
-						z.Breaks[za0001].Age, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Breaks", za0001, "Age")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Breaks", za0001)
-							return
-						}
-					}
-				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -262,7 +222,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Suspicion) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.Breaks) * (7 + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size))
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Breaks {
+		s += z.Breaks[za0001].Msgsize()
+	}
 	return
 }
 
