balance: a report without evidence hid what had changed before it

Found by reading: a suspect that was added without evidence stood at the end of the order of changes with number 0, and report, which walks back from the end, took everything before it for reported. No router sends such a suspicion today; one of another release might. TestEmptyReportHidesNoChange failed before (0 suspicions reported, 2 expected).

--- a/internal/balance/suspects.go
+++ b/internal/balance/suspects.go
@@ -177,6 +177,7 @@
 	x := &suspect{key: key}
 	x.element = s.order.PushBack(x)
 	s.byKey[key] = x
+	s.recordChange(x, 0) // keeps order sorted
 	return x
 }
 
@@ -235,8 +236,8 @@
 func (x *suspect) blames(b upstreamBreak) bool { return !x.served || b.at >= x.servedAt+soundFor }
 
 // addBreak adds a break unless the suspect isn't to blame for it. Of the same break, the
-// earlier time wins, and one that isn't late. If there is no room, the newest break of a pair with the same next part
-// is dropped, so that upstreams and next parts stay different.
+// earlier time wins, and one that isn't late. If there is no room, the newest break of a pair
+// with the same next part is dropped, so that upstreams and next parts stay different.
 func (s *suspects) addBreak(x *suspect, b upstreamBreak) {
 	if !x.blames(b) {
 		return
--- a/internal/balance/suspects_test.go
+++ b/internal/balance/suspects_test.go
@@ -478,6 +478,17 @@
 	is.Equal(len(reports), 1)
 }
 
+// A report without evidence must not hide what changed before it.
+func TestEmptyReportHidesNoChange(t *testing.T) {
+	is := is.New(t)
+	f := newServiceFleet(2, 4)
+	f.endUnder(t, 0, "same", map[uint64]int{requestDeadly: 0})
+	f.routers[0].MergeSuspicions(0, []Suspicion{{Key: RequestKey(requestSound)}})
+	reports, _ := f.routers[0].Suspicions(0, 0)
+	is.Equal(len(reports), 2)
+	is.Equal(reports[0].Key, RequestKey(requestDeadly))
+}
+
 // A request breaks off under several IDs, and further on under one of them.
 func TestEarlyBreakWins(t *testing.T) {
 	is := is.New(t)
