--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/balance"
@@ -179,10 +180,7 @@
 func (f *forwarder) upstreamRequest(a *attempt) *exchange.Request {
 	header := AttemptHeader{
 		Upstream: a.pick.Upstream, Remaining: f.deadline - f.server.cfg.Clock(), Priority: f.priority,
-		Source: a.pick.Source, After: a.after,
-	}
-	if f.workspace != nil {
-		header.Workspace = f.workspace.ID
+		Source: a.pick.Source, After: a.after, Workspace: f.workspaceID(),
 	}
 	fields := f.server.cfg.Protocol.UpstreamHeader(f.r.Header, header)
 	if a.trace != "" {
@@ -225,16 +223,33 @@
 	case errors.Is(cause, errDeadline), errors.Is(cause, errIdleTimeout), errors.Is(cause, errSlow):
 		a.err = cause
 	}
-	f.logDecision("attempt failed", "upstream", string(a.pick.Upstream.ID), "error", a.err, "events", events, "parts", formatParts(f.call.Parts))
+	f.logDecision("attempt failed", "error", a.err, "upstream", string(a.pick.Upstream.ID), "boot", string(a.pick.Upstream.Boot),
+		"reused", onIdleConnection(err), "events", events, "fingerprint", formatHash(f.fingerprint), "parts", formatParts(f.call.Parts))
 	if errors.Is(cause, errDeadline) {
 		return balance.OutcomeError
 	}
-	if cause == nil && events < provenEvents && !onIdleConnection(err) {
-		a.pick.RecordBreak(f.server.cfg.Clock())
+	if cause == nil && endedConnection(err) {
+		a.recordBreak(f.server.cfg.Clock(), err, events)
 	}
 	return balance.OutcomeBroken
 }
 
+// recordBreak records that the upstream broke off after the given number of events.
+func (a *attempt) recordBreak(now time.Duration, err error, events int) {
+	late := events >= provenEvents
+	if late || onIdleConnection(err) {
+		a.pick.RecordRequestBreak(now, late)
+		return
+	}
+	a.pick.RecordBreak(now)
+}
+
+// endedConnection reports whether an exchange failed because the upstream ended the
+// connection.
+func endedConnection(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // onIdleConnection reports whether an exchange failed without an answer on a connection that
 // had been idle. The upstream may have closed it before the request arrived.
 func onIdleConnection(err error) bool {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -161,9 +161,7 @@
 	r.session = balance.SessionState{
 		Owns: func(fleet.UpstreamID) bool { return true }, Routers: 1, Out: func(fleet.Upstream) bool { return false },
 	}
-	r.balancer = balance.New(balance.Config{
-		Zone: routerZone, Retries: balance.RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
-	})
+	r.balancer = newTestBalancer()
 	for i, script := range scripts {
 		u := fleet.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("u%d", i)), Pool: poolName, Zone: "elsewhere"}
 		if i == 0 {
@@ -192,6 +190,12 @@
 	r.balancer.SetUpstreams(0, list)
 }
 
+func newTestBalancer() *balance.Balancer {
+	return balance.New(balance.Config{
+		Zone: routerZone, Retries: balance.RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
+	})
+}
+
 func (r *testGateway) startUpstream(name string, script func(*conn)) string {
 	if script == nil {
 		return testnet.RefusingAddr(r.t)
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -21,7 +21,8 @@
 	// connections don't count.
 	maxSends = 6
 	// provenEvents is the number of events after which a prompt counts as served for the
-	// quarantine of its parts. An upstream that breaks off before them may have ended by it.
+	// quarantine of its parts, and a break under the request as late. An upstream that breaks
+	// off before them may have ended by the prompt.
 	provenEvents = 3
 )
 
@@ -41,6 +42,7 @@
 	workspace   *routes.Workspace
 	priority    int
 	body        []byte
+	fingerprint uint64 // see the function
 	draw        uint64 // the random number that newDraw has set
 	deadline    time.Duration
 
@@ -58,7 +60,7 @@
 	callerGone   bool           // writing the answer has failed
 	eventsBefore int            // events that earlier attempts have relayed
 
-	quarantineLeft time.Duration // until the end of the quarantine of a prompt part; 0 for none
+	quarantineLeft time.Duration // until the end of the quarantine of the request or a part of its prompt; 0 for none
 
 	trace   string // traceparent of the request's span
 	failure error  // with which the span ends; nil if the caller was served
@@ -125,7 +127,8 @@
 // errNotRun is the type of errors of attempts that the upstream reports as not run.
 var errNotRun = fleet.Errors.NewType("gateway_not_run")
 
-// errQuarantined is the type of errors of requests with a quarantined prompt part.
+// errQuarantined is the type of errors of requests that are quarantined or have a quarantined
+// prompt part.
 var errQuarantined = fleet.Errors.NewType("gateway_quarantined")
 
 var errNoUpstream = fleet.Errors.NewType("gateway_no_upstream").New("no upstream of the pool is available for the request")
@@ -143,34 +146,40 @@
 	return f.noAttempt == ""
 }
 
-// isQuarantined reports whether a part of the prompt is quarantined, because upstreams break
-// off under it. The request is then not sent to any further one.
+// isQuarantined reports whether the request or a part of its prompt is quarantined, because
+// upstreams break off under it. The request is then not sent to any further one.
 func (f *forwarder) isQuarantined() bool {
 	left, err := f.quarantine()
 	if err == nil {
 		return false
 	}
 	f.quarantineLeft, f.lastErr = left, err
-	f.noAttempt = "prompt part quarantined"
+	f.noAttempt = "quarantined"
 	return true
 }
 
-// quarantine returns an error if a part of the prompt is quarantined, and for how much longer.
+// quarantine returns an error if the request or a part of its prompt is quarantined, and for how
+// much longer.
 func (f *forwarder) quarantine() (left time.Duration, err error) {
-	now := f.server.cfg.Clock()
-	part, until, ok := f.server.cfg.Balancer.Quarantined(now, f.call.Parts)
+	b, now := f.server.cfg.Balancer, f.server.cfg.Clock()
+	of := "the request"
+	until, ok := b.RequestQuarantined(now, f.fingerprint)
 	if !ok {
-		return 0, nil
+		var part uint64
+		if part, until, ok = b.Quarantined(now, f.call.Parts); !ok {
+			return 0, nil
+		}
+		of = "prompt part " + formatHash(part)
 	}
 	left = until - now
-	return left, errQuarantined.New("prompt part %x is quarantined for %v: upstreams break off under it", part, left.Round(time.Second))
+	return left, errQuarantined.New("%s is quarantined for %v: upstreams break off under it", of, left.Round(time.Second))
 }
 
 // balancerRequest describes the request for the choice of an upstream.
 func (f *forwarder) balancerRequest() *balance.Request {
 	tried, only := f.history.candidates(f.route)
 	return &balance.Request{
-		Pool: f.pool, Parts: f.call.Parts, PromptTokens: f.call.PromptTokens, Draw: f.draw,
+		Pool: f.pool, Parts: f.call.Parts, PromptTokens: f.call.PromptTokens, Fingerprint: f.fingerprint, Draw: f.draw,
 		MayProbe: f.route.Repeatable(), Tried: tried, Only: only,
 	}
 }
--- a/internal/gateway/lengths_test.go
+++ b/internal/gateway/lengths_test.go
@@ -49,7 +49,7 @@
 	for _, ms := range []int64{math.MaxInt64, math.MaxInt64/1000 + 1, 9223372036855} {
 		t.Run(strconv.FormatInt(ms, 10), func(t *testing.T) {
 			is := is.New(t)
-			got := decodeSuspicions([]Suspicion{{SinceServed: ms, Breaks: []PromptBreak{{Age: ms}, {Age: -ms}}}})
+			got := decodeSuspicions([]Suspicion{{SinceServed: ms, Breaks: []RequestBreak{{Age: ms}, {Age: -ms}}}})
 			is.Equal(got[0].SinceServed, fleet.MaxDuration)
 			is.Equal(got[0].Breaks[0].Age, fleet.MaxDuration)
 			is.Equal(got[0].Breaks[1].Age, time.Duration(0))
--- a/internal/gateway/replacement_test.go
+++ b/internal/gateway/replacement_test.go
@@ -261,7 +261,8 @@
 			_, body, err := r.send("Parts", "a,b")
 			is.Equal(body, encodeEvents(1, 2))
 			if name == "blame" {
-				is.Equal(len(r.balancer.Suspicions(r.server.cfg.Clock())), 0)
+				suspicions, _ := r.balancer.Suspicions(r.server.cfg.Clock(), 0)
+				is.Equal(len(suspicions), 0)
 				return
 			}
 			is.NoErr(err)
