balance: the order of upstreams of equal cost depends on the router, not on a map

The idle engine got more than twice the mean and three, which is what the test guards against.

Cause: the upstreams of a pool stood in the order in which a map was iterated, which differs from run to run, and the random sample that a request considers counts in that order. So the verdict depended on chance, and nothing in the code on what the test feeds it.

Change: upstreams are ordered by a hash of the router's seed and their own ID.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -1,10 +1,13 @@
 package balance
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/placement"
 	"github.com/wigeonflow/wigeonflow/internal/routes"
 )
 
@@ -52,7 +55,10 @@
 
 // Config configures a Balancer.
 type Config struct {
-	Zone    fleet.AvailabilityZone // of the router
+	Zone fleet.AvailabilityZone // of the router
+	// Seed determines the order in which upstreams of equal cost are preferred. It should
+	// differ between routers, so that they don't prefer the same one.
+	Seed    uint64
 	Retries RetryLimits            // at each pool
 	// OnQuarantine is called when the quarantine of a prompt part or a request begins, with
 	// the number of upstreams that broke off and of different parts that followed it. It may
@@ -132,7 +138,7 @@
 	return moved
 }
 
-// groupByPool groups the listed upstreams by pool.
+// groupByPool groups the listed upstreams by pool, in an order that depends on Config.Seed.
 func (b *Balancer) groupByPool() {
 	b.pools = make(map[fleet.PoolID][]*upstreamState, len(b.pools))
 	for _, s := range b.states {
@@ -140,6 +146,11 @@
 			b.pools[s.Pool] = append(b.pools[s.Pool], s)
 		}
 	}
+	for _, pool := range b.pools {
+		slices.SortFunc(pool, func(s, t *upstreamState) int {
+			return cmp.Or(cmp.Compare(placement.Mix(b.cfg.Seed, s.hash), placement.Mix(b.cfg.Seed, t.hash)), cmp.Compare(s.ID, t.ID))
+		})
+	}
 }
 
 // CountRequest counts a request for a pool towards the pool's retry budget, whether the
--- a/internal/balance/bound_test.go
+++ b/internal/balance/bound_test.go
@@ -126,7 +126,7 @@
 			sessionState.Routers = routers
 			var balancers []*Balancer
 			for i := range routers {
-				b := New(Config{Zone: fleet.AvailabilityZone(fmt.Sprintf("zone-%d", i%3))})
+				b := New(Config{Zone: fleet.AvailabilityZone(fmt.Sprintf("zone-%d", i%3)), Seed: uint64(i)})
 				b.SetUpstreams(0, list)
 				b.SetPeerActivities(now, others)
 				balancers = append(balancers, b)
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 
@@ -87,7 +88,10 @@
 		control: control.NewClient(pool, s.Control.Members),
 		pool:    exchange.NewPool(),
 	}
-	r.balancer = balance.New(balance.Config{Zone: s.Zone, Retries: cfg.Retries, OnQuarantine: r.logQuarantine, OnTransition: r.logTransition, OnMalformed: r.logMalformed})
+	r.balancer = balance.New(balance.Config{
+		Zone: s.Zone, Seed: xxhash.Sum64String(string(s.Instance)), Retries: cfg.Retries,
+		OnQuarantine: r.logQuarantine, OnTransition: r.logTransition, OnMalformed: r.logMalformed,
+	})
 	r.keeper = member.NewKeeper(member.Config{
 		Self:    r.self,
 		Session: session.Settings{Lease: s.Session.Lease, RenewInterval: s.Session.RenewInterval},
