consensus, control: a removed member votes again with its disk

Cause: only a member without a log announced itself. One with a log asked for pre-votes, which nobody took as a sign of life.

Change: a pre-vote from a member that isn't listed makes its store a waiting one, and the leader adds it again as a learner, with the log that it has, and promotes it: it is an ordinary member that is behind. The process goes on, and no copy of the log is thrown away. A member that waits isn't told that it was removed. The former way remains for a store that the group lists with another one, after the disk was replaced.

Evidence: TestRemovedMemberIsAddedAgainWithItsDisk finds no waiting store before.

Existing test: TestNewAndRemovedMembersJoin required the removed member to clear its disk. It now requires that it votes again with the same store, and reaches the clearing in the case that still needs it: another disk has taken the store's place, and the former one returns.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -250,6 +250,9 @@
 		c.dropped++
 		return
 	}
+	if m.Type == MessagePreVote {
+		c.recordRemoved(now, m)
+	}
 	switch {
 	case m.Type == MessageHello:
 		c.handleHello(now, m)
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -308,3 +308,33 @@
 	is.NoErr(sim.check.err)
 	is.True(!pending(sim.leader()))
 }
+
+// A member that was removed while it was cut off had to clear its disk before it could vote again.
+func TestRemovedMemberIsAddedAgainWithItsDisk(t *testing.T) {
+	is := is.New(t)
+	sim, lead := simulationWithLeader(t)
+	removed := sim.others(lead)[0]
+	store := removed.replica.store.id
+	for _, o := range sim.others(removed) {
+		sim.cut(removed.id, o.id, 0)
+	}
+	o := lead.proposeChange(Change{Kind: ChangeRemove, ID: removed.id})
+	sim.run(sim.now + 2*time.Second)
+	is.NoErr(o.err)
+	lead.exec(func() { lead.replica.propose(lead.localTime(), []byte("while removed"), func([]byte, error) {}) })
+	clear(sim.blocked)
+	sim.run(sim.now + DefaultElectionTimeout)
+	waiting := sim.leader().replica.core.Status(sim.leader().localTime()).Waiting
+	is.Equal(len(waiting), 1)
+	is.Equal(waiting[0].Store, store)
+
+	for _, kind := range []ChangeKind{ChangeAddLearner, ChangePromote} {
+		o := sim.leader().proposeChange(Change{Kind: kind, ID: removed.id}) // store and address as announced
+		sim.run(sim.now + time.Second)
+		is.NoErr(o.err)
+	}
+	is.NoErr(sim.check.err)
+	is.True(removed.replica.core.membership().Voter(removed.id, store))
+	is.Equal(removed.replica.core.log.applied, sim.leader().replica.core.log.applied)
+	is.Equal(len(sim.leader().replica.core.Status(sim.leader().localTime()).Waiting), 0)
+}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -52,7 +52,7 @@
 	}
 	c.role = RolePreCandidate
 	c.votes = map[MemberID]bool{c.opts.ID: true}
-	c.requestVotes(Message{Type: MessagePreVote, Term: c.hard.Term + 1})
+	c.requestVotes(Message{Type: MessagePreVote, Term: c.hard.Term + 1, Addr: c.opts.Addr})
 	c.countVotes(now)
 }
 
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -34,13 +34,14 @@
 	term  uint64
 }
 
-// WaitingStore is a data directory whose member waits to be added to the group.
+// WaitingStore is a data directory whose member waits to be added to the group: it has no
+// log, or it was removed and hasn't learned of it.
 type WaitingStore struct {
 	ID    MemberID
 	Addr  string
 	Store StoreID
 
-	lastHello time.Duration // time of the last hello
+	lastHello time.Duration // time of the last hello or pre-vote
 }
 
 // peers returns the initial members of the group, ordered by ID.
@@ -99,6 +100,15 @@
 	return w, ok && now-w.lastHello < waitingTimeout
 }
 
+// recordRemoved records the sender of a pre-vote as waiting if it isn't a member. Its log is
+// that of the group up to some entry, so that it can be added again with it.
+func (c *Core) recordRemoved(now time.Duration, m Message) {
+	if c.uninitialized() || c.membership().Find(m.From) != nil {
+		return
+	}
+	c.waiting[m.From] = WaitingStore{ID: m.From, Addr: m.Addr, Store: m.FromStore, lastHello: now}
+}
+
 // handleHello responds to a member without a log. A member that has a log records
 // it as waiting.
 func (c *Core) handleHello(now time.Duration, m Message) {
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -70,7 +70,8 @@
 type MessageType uint8
 
 const (
-	// MessagePreVote asks whether a vote at Term would be granted (thesis §9.6).
+	// MessagePreVote asks whether a vote at Term would be granted (thesis §9.6). It carries
+	// the sender's address, because a member that was removed sends it, too.
 	MessagePreVote MessageType = iota + 1
 	// MessagePreVoteResponse answers MessagePreVote.
 	MessagePreVoteResponse
--- a/internal/control/join_test.go
+++ b/internal/control/join_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"path/filepath"
 	"slices"
 	"testing"
@@ -92,6 +93,28 @@
 	return nil
 }
 
+// storeOf returns the member's store ID.
+func storeOf(t *testing.T, j *seededMember) consensus.StoreID {
+	t.Helper()
+	status, err := j.member.group.Status(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return status.Store
+}
+
+// isVoter reports whether the member finds itself a voter with its store.
+func isVoter(t *testing.T, j *seededMember) bool {
+	t.Helper()
+	status, err := j.member.group.Status(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return slices.ContainsFunc(status.Members, func(m consensus.MemberStatus) bool {
+		return m.ID == status.ID && m.Store == status.Store && !m.Learner
+	})
+}
+
 func awaitVoters(want []string, members ...*seededMember) {
 	for !slices.Equal(voters(members...), want) {
 		time.Sleep(20 * time.Millisecond)
@@ -99,8 +122,9 @@
 }
 
 // Three seeds form the group, and a fourth member that knows only them joins. A
-// member that was removed while it was stopped must detect that, clear its data
-// directory and join again. No committed change may be lost.
+// member that was removed while it was stopped must vote again with its data
+// directory. If its disk was replaced meanwhile and the former one returns, it must
+// detect that, clear the directory and join again. No committed change may be lost.
 func TestNewAndRemovedMembersJoin(t *testing.T) {
 	is := is.New(t)
 	var seeds, all []string
@@ -157,6 +181,21 @@
 	commit("alatau")
 
 	fourth.start() // with its old data directory
+	store := storeOf(t, fourth)
+	awaitVoters(sorted, members...)
+	is.Equal(storeOf(t, fourth), store)
+	fourth.stop()
+
+	former := fourth.dir + "-former"
+	is.NoErr(os.Rename(fourth.dir, former))
+	fourth.start() // with another, empty disk
+	for storeOf(t, fourth) == store || !isVoter(t, fourth) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	fourth.stop()
+	is.NoErr(os.RemoveAll(fourth.dir))
+	is.NoErr(os.Rename(former, fourth.dir))
+	fourth.start() // with the former disk
 	<-fourth.member.Done()
 	is.True(errorx.IsOfType(fourth.member.Err(), ErrRemoved))
 	fourth.stop()
--- a/internal/control/standing.go
+++ b/internal/control/standing.go
@@ -38,8 +38,9 @@
 )
 
 // ErrRemoved is the failure of a member that was removed from the group while it
-// was stopped or disconnected. Its data directory is cleared, so that it joins as a
-// new member after a restart.
+// was stopped or disconnected, and can't be added again with its data directory, because
+// the group lists it with another one. The directory is cleared, so that the member joins
+// as a new one after a restart.
 var ErrRemoved = fleet.Errors.NewType("control_removed")
 
 // membership answers MethodMembership.
@@ -54,13 +55,17 @@
 	return &MembershipReply{Removed: removed(status, req)}, nil
 }
 
-// removed reports whether the member is certainly no longer listed with its store. A
-// removal that isn't committed may be reverted, and the member's data is needed then.
+// removed reports whether the member is certainly no longer listed with its store, and
+// isn't about to be added again with it. A removal that isn't committed may be reverted,
+// and the member's data is needed then.
 func removed(status consensus.Status, req *MembershipRequest) bool {
+	waiting := slices.ContainsFunc(status.Waiting, func(w consensus.WaitingStore) bool {
+		return string(w.ID) == req.Member && uint64(w.Store) == req.Store
+	})
 	listed := slices.ContainsFunc(status.Members, func(m consensus.MemberStatus) bool {
 		return string(m.ID) == req.Member && uint64(m.Store) == req.Store
 	})
-	return !listed && !status.ChangePending
+	return !listed && !waiting && !status.ChangePending
 }
 
 // membershipLoop asks the group whether it still lists this member while this
--- a/internal/control/standing_test.go
+++ b/internal/control/standing_test.go
@@ -19,10 +19,14 @@
 		{"listed", 1, false, false},
 		{"listed with another store", 2, false, true},
 		{"not listed, but not committed", 2, true, false},
+		{"not listed, but about to be added", 9, false, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			status := consensus.Status{Members: []consensus.MemberStatus{voter("a", true), voter("b", true)}, ChangePending: tc.pending}
+			status := consensus.Status{
+				Members: []consensus.MemberStatus{voter("a", true), voter("b", true)}, ChangePending: tc.pending,
+				Waiting: []consensus.WaitingStore{waitingStore("b")},
+			}
 			is.New(t).Equal(removed(status, &MembershipRequest{Member: "b", Store: tc.store}), tc.want)
 		})
 	}
