control: a learner that is behind doesn't hold up the repair of others

Cause: the leader makes one change of the membership at a time, and a promotion counted as one change from its start: it waited, for up to 30 s, until the learner had every committed entry. A learner that is slow, or that fails while it waits, held up the repair of the others.

Change: a promotion starts when the learner lacks at most 256 entries, and waits one second.

Evidence: TestLearnerThatIsBehindDoesNotHoldUpRepair fails before (promotes d, doesn't add e).

--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -12,9 +12,14 @@
 	// repairInterval is the time between the leader's checks for a due change of the
 	// membership.
 	repairInterval = 250 * time.Millisecond
-	// changeTimeout bounds one change of the membership, including the wait for a
-	// learner to catch up.
+	// changeTimeout bounds one change of the membership.
 	changeTimeout = 30 * time.Second
+	// promoteTimeout bounds the promotion of a learner, including the wait for its last
+	// entries: if it fails meanwhile, another member may need repair.
+	promoteTimeout = time.Second
+	// promoteBacklog is the number of entries that a learner may lack when its promotion
+	// is started.
+	promoteBacklog = 256
 	// silentTimeout is how long the leader must receive nothing from a member before
 	// it removes the member. It is longer than a restart or a freeze; a member that
 	// comes back later joins the group again.
@@ -48,7 +53,7 @@
 
 // nextChange returns the change that is due now; ok is false if there is none. In order
 // of priority: add a member whose disk was replaced as a learner, promote a
-// learner to a voter, add a new member as a learner, remove a member from which
+// learner that has nearly caught up to a voter, add a new member as a learner, remove a member from which
 // nothing was received for silentTimeout, or replacedTimeout if another one has joined
 // in its place, see removableMember.
 func (r *repairPlanner) nextChange(now time.Duration, status consensus.Status) (change consensus.Change, ok bool) {
@@ -57,7 +62,7 @@
 		return consensus.Change{Kind: consensus.ChangeAddLearner, ID: w.ID, Addr: w.Addr, Store: w.Store}, true
 	}
 	for _, m := range status.Members {
-		if m.Learner && m.Active {
+		if m.Learner && m.Active && m.Match+promoteBacklog >= status.Commit {
 			return consensus.Change{Kind: consensus.ChangePromote, ID: m.ID}, true
 		}
 	}
@@ -207,6 +212,8 @@
 		err = s.group.AddLearner(ctx, change.ID, change.Addr, change.Store)
 		s.log.Info("membership change of the control group ended: add learner", "peer", peer, "store", uint64(change.Store), "error", err)
 	case consensus.ChangePromote:
+		ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+		defer cancel()
 		err = s.group.Promote(ctx, change.ID)
 		s.log.Info("membership change of the control group ended: promote learner to voter", "peer", peer, "error", err)
 	case consensus.ChangeRemove:
--- a/internal/control/repair_test.go
+++ b/internal/control/repair_test.go
@@ -146,3 +146,19 @@
 	_, ok = r.nextChange(6*time.Second, group(true))
 	is.True(!ok)
 }
+
+// A learner that was still far behind held up the repair of all other members for up to 30 s.
+func TestLearnerThatIsBehindDoesNotHoldUpRepair(t *testing.T) {
+	is := is.New(t)
+	status := consensus.Status{
+		Members: []consensus.MemberStatus{voter("a", true), voter("b", true), voter("c", true), learner("d", true)},
+		Waiting: []consensus.WaitingStore{waitingStore("e")}, Commit: 10 * promoteBacklog,
+	}
+	change, ok := newRepairPlanner(true).nextChange(0, status)
+	is.True(ok)
+	is.Equal(change.ID, consensus.MemberID("e"))
+	status.Members[3].Match = status.Commit - 1
+	change, ok = newRepairPlanner(true).nextChange(0, status)
+	is.True(ok)
+	is.Equal(change.Kind, consensus.ChangePromote)
+}
