control: a leader without a lease doesn't redirect operators to itself

What operators saw: a member that leads, but holds no lease or has not committed an entry of its term yet, answered "307: another control member leads" with its own address. Callers on the users' platform follow a redirect twice, so that each such call costs three requests before they move on, and none of the three can succeed.

Change: Backend.Leader names nobody then, and the call gets 503 with a time to come back.

Evidence: TestLeaderRedirectsToItself returns the member's own address before.

--- a/internal/control/join_test.go
+++ b/internal/control/join_test.go
@@ -208,3 +208,14 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// A leader without a lease redirected operators to itself.
+func TestLeaderRedirectsToItself(t *testing.T) {
+	is := is.New(t)
+	addr := unusedAddr(t)
+	j := &seededMember{t: t, addr: addr, seeds: []string{addr}, dir: filepath.Join(t.TempDir(), "data")}
+	j.start()
+	defer j.stop()
+	awaitVoters([]string{addr}, j)
+	is.Equal(j.member.Backend().Leader(), "")
+}
--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -122,12 +122,13 @@
 	return out, nil
 }
 
-// Leader implements operator.Backend.
+// Leader implements operator.Backend. A member that leads, but holds no lease or has not
+// committed an entry of its term yet, names nobody.
 func (b backend) Leader() string {
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
 	status, err := b.server.group.Status(ctx)
-	if err != nil || status.LeaderAddr == "" {
+	if err != nil || status.LeaderAddr == "" || status.Leader == status.ID {
 		return ""
 	}
 	return b.server.operatorAddr(ctx, status.LeaderAddr)
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -23,7 +23,7 @@
 	// Upstreams returns the upstreams, sorted by ID, or the errors of Committed.
 	Upstreams(ctx context.Context) ([]UpstreamStatus, error)
 	// Leader returns the IP:port at which operators reach the leader, or "" if it
-	// is unknown.
+	// is unknown or this member itself.
 	Leader() string
 	// Leads reports whether this member leads, as far as it knows.
 	Leads() bool
