operator: redirects don't use up the client's attempts

What was seen (KNOWN-RED.txt): TestEmptiedMemberDoesNotVote, first call: "no control member accepted the call within 2.9 s, status 307: another control member leads", though the client had 100 attempts 50 ms apart, that is 5 s.

Cause: a redirect is followed without a pause, but counted as an attempt. While a leader is known and not ready yet, every second attempt is a redirect, and 100 attempts last 50 pauses, 2.5 s, and the calls themselves. The three processes had not formed a group within that time on a busy machine; why that took longer than 2.9 s is not known.

Change: a redirect belongs to the attempt that it continues, so the client goes on for as long as its settings say.

Evidence: TestRedirectsUseUpAttempts fails before. It removes the reason for which the call ended early; the entry in KNOWN-RED.txt stays until the test has run beside load on the final code.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -201,7 +201,7 @@
 	var last error
 	mayHaveRun, redirected := false, false
 	addr := c.settings.Addrs[0]
-	for attempt := range c.settings.Attempts {
+	for attempt := 0; attempt < c.settings.Attempts; {
 		r, err := c.sendOnce(ctx, addr, spec)
 		next, ended := c.nextAddr(r, err, attempt, mayHaveRun)
 		if ended {
@@ -212,9 +212,12 @@
 		c.settings.Log.Debug("control call failed", "addr", addr, "error", last)
 		addr = next
 		// Only the first of several consecutive redirects is followed without a
-		// pause: during an election members may redirect to each other.
-		redirected = !redirected && r != nil && r.status == http.StatusTemporaryRedirect
-		if !redirected && !c.pause(ctx) {
+		// pause: during an election members may redirect to each other. It belongs to
+		// the same attempt.
+		if redirected = !redirected && r != nil && r.status == http.StatusTemporaryRedirect; redirected {
+			continue
+		}
+		if attempt++; !c.pause(ctx) {
 			break
 		}
 	}
--- a/internal/operator/handler_test.go
+++ b/internal/operator/handler_test.go
@@ -225,6 +225,26 @@
 	is.True(errorx.IsOfType(err, ErrUnreachable))
 }
 
+// The redirects of followers used up half of the client's attempts while the leader was not ready.
+func TestRedirectsUseUpAttempts(t *testing.T) {
+	is := is.New(t)
+	leader := newBackend()
+	calls := 0
+	leader.beforeApply = func() error {
+		if calls++; calls < 3 {
+			return ErrUnavailable.New("not ready")
+		}
+		return nil
+	}
+	follower := &fakeBackend{mu: &sync.Mutex{}, config: leader.config, leader: startServer(t, leader)}
+	follower.beforeApply = func() error { return ErrNotLeader.New("follower") }
+	client := NewClient(ClientSettings{
+		Addrs: []string{startServer(t, follower)}, Token: testToken, RetryInterval: time.Millisecond, Attempts: 3,
+	})
+	_, err := client.SetZone(context.Background(), Expect{}, "op", "medeu", true)
+	is.NoErr(err)
+}
+
 func TestClientKeepsViolationsOfLists(t *testing.T) {
 	is := is.New(t)
 	_, err := newTestClient(startServer(t, newBackend())).Apply(context.Background(), Expect{}, "a",
