agent, cli, platform: requests are answered before a process ends after a failure

What callers would see: all requests of a router are cut when one of its listeners fails, or the control member in the same process does.

Cause: a failure made the process return at once. net/http's Serve returns on each error of Accept that isn't temporary, such as a lack of buffers (ENOBUFS).

Change: after a failure a process that serves callers stops as after SIGTERM, within the grace period: it reports that it isn't ready, answers what runs and ends. A control member alone ends at once, as before.

Evidence: TestFailureCutsRunningRequests is new, with the method that it tests; before, the process returned without a stop.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -217,6 +217,18 @@
 // Failed returns the channel that receives failures after which the process must end.
 func (a *Agent) Failed() <-chan error { return a.failed }
 
+// StopAfterFailure stops a process after a failure. If it serves callers, it is stopped like
+// by Stop, so that their requests are answered; otherwise the process may end at once.
+func (a *Agent) StopAfterFailure(ctx context.Context, cause error) {
+	a.log.Error("process failed", "error", cause)
+	if a.router == nil {
+		return
+	}
+	if err := a.Stop(ctx); err != nil {
+		a.log.Warn("process not stopped gracefully after its failure", "error", err)
+	}
+}
+
 // Stop stops the process gracefully: it drains the router and waits for in-flight requests.
 // If ctx ends first, it cuts the remaining requests and returns an error.
 func (a *Agent) Stop(ctx context.Context) error {
--- a/internal/agent/stop_test.go
+++ b/internal/agent/stop_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
@@ -15,38 +17,40 @@
 	"github.com/wigeonflow/wigeonflow/internal/settings"
 )
 
-// plainRouter answers 200 to each request and stops at once.
-type plainRouter struct{}
+// plainRouter passes each request to its handler and stops at once.
+type plainRouter struct{ handler http.Handler }
 
-func (plainRouter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	_, _ = io.WriteString(w, "served")
-}
-
-func (r plainRouter) Handler() http.Handler    { return r }
+func (r plainRouter) Handler() http.Handler    { return r.handler }
 func (plainRouter) Ready() error               { return nil }
 func (plainRouter) Start()                     {}
 func (plainRouter) Drain(context.Context)      {}
 func (plainRouter) Stop(context.Context) error { return nil }
 
-// freeAddr returns a loopback address that no process listens on.
-func freeAddr(t *testing.T) string {
+var serveAll = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
+
+// freeAddrs returns n different loopback addresses that no process listens on.
+func freeAddrs(t *testing.T, n int) (addrs []string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close() // after all were chosen
+		addrs = append(addrs, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addrs
 }
 
 // startRouter starts a process with the router role and returns it with its callers' address.
-func startRouter(t *testing.T) (*Agent, string) {
+func startRouter(t *testing.T, handler http.Handler) (*Agent, string) {
 	t.Helper()
 	s := settings.Settings{Instance: "i", Roles: []settings.Role{settings.RoleRouter}}
-	s.Listen.Mesh, s.Listen.Callers = freeAddr(t), freeAddr(t)
+	addrs := freeAddrs(t, 2)
+	s.Listen.Mesh, s.Listen.Callers = addrs[0], addrs[1]
 	s = s.WithDefaults()
 	a, err := StartWith(t.Context(), s, io.Discard, Extension{
-		Router: func(Parts, settings.Settings) Router { return plainRouter{} },
+		Router: func(Parts, settings.Settings) Router { return plainRouter{handler} },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -75,7 +79,7 @@
 // The first request of an accepted connection arrives after the router has stopped listening.
 func TestStopDropsRequestOfAcceptedConnection(t *testing.T) {
 	is := is.New(t)
-	a, addr := startRouter(t)
+	a, addr := startRouter(t, serveAll)
 	c, err := net.Dial("tcp", addr)
 	is.NoErr(err)
 	defer c.Close()
@@ -135,7 +139,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	paused := &pausedListener{Listener: l, paused: new(atomic.Bool), arrived: make(chan struct{}, 1), resume: make(chan struct{})}
-	server := newCallerServer(&http.Server{Handler: plainRouter{}, ReadHeaderTimeout: headerTimeout})
+	server := newCallerServer(&http.Server{Handler: serveAll, ReadHeaderTimeout: headerTimeout})
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(paused) }()
 	c, err := net.Dial("tcp", l.Addr().String())
@@ -182,3 +186,35 @@
 	close(end)
 	is.NoErr(server.drain(t.Context()))
 }
+
+// A failure of a listener ended the process at once, and all requests with it.
+func TestFailureCutsRunningRequests(t *testing.T) {
+	is := is.New(t)
+	started, end := make(chan struct{}), make(chan struct{})
+	a, addr := startRouter(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-end
+		serveAll(w, r)
+	}))
+	c, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	defer c.Close()
+	send(t, c)
+	<-started
+	a.reportFailure(errors.New("accept: no buffer space available"))
+	stopped := make(chan struct{})
+	go func() {
+		a.StopAfterFailure(t.Context(), <-a.Failed())
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+		t.Error("the process ended while a request ran")
+	case <-time.After(4 * drainPoll):
+	}
+	close(end)
+	status, err := readAnswer(c)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	<-stopped
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -46,8 +46,7 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	select {
-	case err := <-a.Failed():
-		return err
+	case err = <-a.Failed():
 	case <-signals:
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.GracePeriod)
@@ -56,6 +55,10 @@
 		<-signals // a second signal ends the grace period at once
 		cancel()
 	}()
+	if err != nil {
+		a.StopAfterFailure(ctx, err)
+		return err
+	}
 	return a.Stop(ctx)
 }
 
