gateway: answers that begin during a stop tell the caller to close

What callers saw: the caller of a request that ran as the stop began was not told to close its connection, unlike those of later requests; it kept it, and its next request could cross the closing of the idle connection at the end of the drain notice.

Cause: whether the router stops was looked at when a request arrived, not when its answer began.

Change: it is looked at when the answer's header is written.

Evidence: TestStoppingRouterKeepsConnection fails before.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -127,6 +128,7 @@
 	configAge  time.Duration
 	contact    bool // with the control group
 	superseded bool // a newer configuration is known
+	stopping   atomic.Bool
 	tracer     *telemetry.Tracer
 
 	mu   sync.Mutex
@@ -223,7 +225,7 @@
 		ConfirmedAt: func() time.Duration { return clock() - r.configAge }, MaxConfigAge: ConfigAgeLimits{Rejection: 2 * time.Second, Service: 3 * time.Second},
 		InContact: func() bool { return r.contact }, IsSuperseded: func() bool { return r.superseded },
 		ListAge:  func() time.Duration { return 0 },
-		Stopping: func() bool { return false }, Balancer: r.balancer, Pool: pool,
+		Stopping: r.stopping.Load, Balancer: r.balancer, Pool: pool,
 		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(), Tracer: r.tracer,
 	})
 	front := httptest.NewServer(r.server)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -98,10 +98,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	if s.cfg.Stopping() {
-		w.Header().Set("Connection", "close")
-	}
-	answer := &answerWriter{ResponseWriter: w}
+	answer := &answerWriter{ResponseWriter: w, stopping: s.cfg.Stopping}
 	f := &forwarder{server: s, w: answer, r: r, start: s.cfg.Clock()}
 	s.inFlight.Store(r, f.start)
 	defer s.inFlight.Delete(r)
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -22,21 +22,30 @@
 	metrics.GetOrRegisterCounter(telemetry.MetricName("gateway_unanswered", "cause", cause), s.cfg.Metrics).Inc(1)
 }
 
-// answerWriter is a ResponseWriter that knows whether the answer has begun.
+// answerWriter is a ResponseWriter that knows whether the answer has begun. An answer that
+// begins while the router is stopping tells the caller to close the connection.
 type answerWriter struct {
 	http.ResponseWriter
-	begun bool
+	stopping func() bool
+	begun    bool
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *answerWriter) WriteHeader(status int) {
-	w.begun = w.begun || status >= http.StatusOK
+	if status >= http.StatusOK && !w.begun {
+		w.begun = true
+		if w.stopping() {
+			w.Header().Set("Connection", "close")
+		}
+	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
 func (w *answerWriter) Write(b []byte) (int, error) {
-	w.begun = true
+	if !w.begun {
+		w.WriteHeader(http.StatusOK)
+	}
 	return w.ResponseWriter.Write(b)
 }
 
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"log/slog"
@@ -87,19 +88,41 @@
 	is.Equal(r.unanswered(causeGracePeriod), int64(1)) // none is left
 }
 
-// sendHalfClosed sends a request, closes the sending side of the connection and returns all
-// that comes back.
-func (r *testGateway) sendHalfClosed() string {
+// The caller of a request that ran when the stop began kept its connection, and sent the next request as it was closed.
+func TestStoppingRouterKeepsConnection(t *testing.T) {
+	is := is.New(t)
+	var r *testGateway
+	r = newTestGateway(t, routes.Route{Kind: routes.KindOnce, MaxAttempts: 1}, func(c *conn) {
+		r.stopping.Store(true)
+		c.write("HTTP/1.1 200 OK\r\nId: ", c.id, "\r\nContent-Length: 4\r\n\r\ndone")
+	})
+	c := r.sendRaw()
+	defer c.Close()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.True(resp.Close)
+}
+
+// sendRaw sends a request on a new connection and returns the connection.
+func (r *testGateway) sendRaw() *net.TCPConn {
 	r.t.Helper()
 	c, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	defer c.Close()
 	if _, err := io.WriteString(c, "POST /x HTTP/1.1\r\nHost: "+testHost+"\r\nId: a\r\nContent-Length: 5\r\n\r\norder"); err != nil {
 		r.t.Fatal(err)
 	}
-	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+	return c.(*net.TCPConn)
+}
+
+// sendHalfClosed sends a request, closes the sending side of the connection and returns all
+// that comes back.
+func (r *testGateway) sendHalfClosed() string {
+	r.t.Helper()
+	c := r.sendRaw()
+	defer c.Close()
+	if err := c.CloseWrite(); err != nil {
 		r.t.Fatal(err)
 	}
 	answer, err := io.ReadAll(c)
