control: test the loss of a disk while all members are killed

The operators' calls must stay linearizable when all three processes are killed and one restarts with an empty data directory, the one that formed the group.

A first form of the test didn't wait until the member that the fault before had emptied voted again, and hung without a leader; its data directories showed two of three logs empty, so that the test itself had lost a majority of the disks. It now waits.

--- a/internal/control/process_test.go
+++ b/internal/control/process_test.go
@@ -199,7 +199,7 @@
 
 // TestCallsAreLinearizableUnderProcessFaults applies configurations while control
 // members are killed and restarted, frozen for longer than their lease, or lose their
-// data directory. The operators' calls must be linearizable, and no router's version may
+// data directory, one of them while all are killed. The operators' calls must be linearizable, and no router's version may
 // decrease.
 func TestCallsAreLinearizableUnderProcessFaults(t *testing.T) {
 	faults := []struct {
@@ -234,6 +234,19 @@
 			}
 			f.start(i)
 		}},
+		{"a member loses its data directory while all are killed", func(f *processFleet) {
+			f.awaitAllVote() // the one that was emptied before
+			for i := range f.processes {
+				f.kill(i)
+			}
+			if err := os.RemoveAll(f.dirs[0]); err != nil { // the one that formed the group, or not
+				f.t.Error(err)
+			}
+			for i := range f.processes {
+				f.start(i)
+			}
+			f.awaitAllVote()
+		}},
 	}
 	f := newProcessFleet(t, 3, 3)
 	f.awaitVersion(readConfig(f.client()).version)
@@ -313,6 +326,25 @@
 	is.Equal(len(config.Plans.Plans), 0)
 }
 
+// awaitAllVote waits until every member votes and has every committed entry.
+func (f *processFleet) awaitAllVote() {
+	for ; ; time.Sleep(50 * time.Millisecond) {
+		status, err := f.client().Status(context.Background())
+		if err != nil {
+			continue
+		}
+		voting := 0
+		for _, c := range status.Control {
+			if c.Role == "leader" || c.Role == "voter" && c.Reachable && c.Behind == 0 {
+				voting++
+			}
+		}
+		if voting == len(f.addrs) {
+			return
+		}
+	}
+}
+
 // awaitRepair waits until a member is a voter that has every committed entry.
 func (f *processFleet) awaitRepair(i int) {
 	for ; ; time.Sleep(50 * time.Millisecond) {
