consensus: a restarted voter without a log waits out the lease that it renewed

What operators would see: two control members hold the leader's lease at the same time, for up to an election timeout: a configuration could be read back in an older state, and sessions be renewed by a leader that is superseded.

Trace: three voters; member 3 votes, but its log is still empty. It answers heartbeats of leader 1 and so renews its lease; member 2 is cut off from 1. At 8.459 s member 3 is killed, at 9.141 s it restarts, and at 9.160 s it votes for member 2, which leads term 5 from 9.161 s, while the lease of member 1 runs.

Cause: a restarted member grants no vote for an election timeout, because it may have acknowledged a heartbeat before, but only if it has a log. A voter of a new group acknowledges heartbeats before its first entry, and its term, which it syncs first, shows that it may have.

Change: the wait applies to every member that has been in a term.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -128,8 +128,9 @@
 }
 
 // NewCore returns a Core that continues from the state of the data directory. A
-// member that has a log may have acknowledged a leader's heartbeat just before it
-// stopped, so it grants no vote within the first election timeout.
+// member that has been in a term may have acknowledged a leader's heartbeat just before
+// it stopped, even if it had no log yet, so it grants no vote within the first election
+// timeout.
 func NewCore(now time.Duration, opts Options, st State) *Core {
 	if opts.ElectionTimeout == 0 {
 		opts.ElectionTimeout = DefaultElectionTimeout
@@ -153,7 +154,7 @@
 			c.applyMembership(e)
 		}
 	}
-	if !c.uninitialized() {
+	if !c.uninitialized() || c.hard.Term > 0 {
 		c.leaderContacted, c.lastLeaderContact = true, now
 	}
 	c.resetElection(now)
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -338,3 +338,22 @@
 	is.Equal(removed.replica.core.log.applied, sim.leader().replica.core.log.applied)
 	is.Equal(len(sim.leader().replica.core.Status(sim.leader().localTime()).Waiting), 0)
 }
+
+// A voter that had acknowledged heartbeats without a log yet voted as soon as it had restarted.
+func TestRestartedVoterWithoutLogBreaksLease(t *testing.T) {
+	is := is.New(t)
+	opts := Options{ID: "c", Store: 3, Peers: []Peer{{ID: "a"}, {ID: "b"}, {ID: "c"}}, Bootstrap: true, Rand: testRand()}
+	heartbeat := Message{Type: MessageHeartbeat, From: "a", FromStore: 1, ToStore: 3, Term: 4, Round: 7}
+	vote := Message{Type: MessageVote, From: "b", FromStore: 2, ToStore: 3, Term: 5, Index: 9, LogTerm: 4}
+
+	c := NewCore(0, opts, State{})
+	c.Step(time.Second, heartbeat)
+	rd := c.Ready()
+	is.Equal(rd.Messages[len(rd.Messages)-1].Type, MessageHeartbeatResponse) // counts for the leader's lease
+	restarted := time.Second + time.Millisecond
+	c = NewCore(restarted, opts, State{Hard: *rd.HardState})
+	c.Step(restarted, vote)
+	is.Equal(c.hard.Vote, MemberID(""))
+	c.Step(restarted+DefaultElectionTimeout, vote)
+	is.Equal(c.hard.Vote, MemberID("b"))
+}
--- a/internal/consensus/schedules_test.go
+++ b/internal/consensus/schedules_test.go
@@ -288,6 +288,7 @@
 		{"the same, and a commit was lost", 4727},
 		{"a voter without a log dropped the messages of a repaired founder", 56167},
 		{"the same, after a late hello of the founder's former store", 56275},
+		{"a restarted voter without a log voted within a lease that it had renewed", 907566},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
