--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -308,3 +308,52 @@
 	is.NoErr(sim.check.err)
 	is.True(!pending(sim.leader()))
 }
+
+// A member that was removed while it was cut off had to clear its disk before it could vote again.
+func TestRemovedMemberIsAddedAgainWithItsDisk(t *testing.T) {
+	is := is.New(t)
+	sim, lead := simulationWithLeader(t)
+	removed := sim.others(lead)[0]
+	store := removed.replica.store.id
+	for _, o := range sim.others(removed) {
+		sim.cut(removed.id, o.id, 0)
+	}
+	o := lead.proposeChange(Change{Kind: ChangeRemove, ID: removed.id})
+	sim.run(sim.now + 2*time.Second)
+	is.NoErr(o.err)
+	lead.exec(func() { lead.replica.propose(lead.localTime(), []byte("while removed"), func([]byte, error) {}) })
+	clear(sim.blocked)
+	sim.run(sim.now + DefaultElectionTimeout)
+	waiting := sim.leader().replica.core.Status(sim.leader().localTime()).Waiting
+	is.Equal(len(waiting), 1)
+	is.Equal(waiting[0].Store, store)
+
+	for _, kind := range []ChangeKind{ChangeAddLearner, ChangePromote} {
+		o := sim.leader().proposeChange(Change{Kind: kind, ID: removed.id}) // store and address as announced
+		sim.run(sim.now + time.Second)
+		is.NoErr(o.err)
+	}
+	is.NoErr(sim.check.err)
+	is.True(removed.replica.core.membership().Voter(removed.id, store))
+	is.Equal(removed.replica.core.log.applied, sim.leader().replica.core.log.applied)
+	is.Equal(len(sim.leader().replica.core.Status(sim.leader().localTime()).Waiting), 0)
+}
+
+// A voter that had acknowledged heartbeats without a log yet voted as soon as it had restarted.
+func TestRestartedVoterWithoutLogBreaksLease(t *testing.T) {
+	is := is.New(t)
+	opts := Options{ID: "c", Store: 3, Peers: []Peer{{ID: "a"}, {ID: "b"}, {ID: "c"}}, Bootstrap: true, Rand: testRand()}
+	heartbeat := Message{Type: MessageHeartbeat, From: "a", FromStore: 1, ToStore: 3, Term: 4, Round: 7}
+	vote := Message{Type: MessageVote, From: "b", FromStore: 2, ToStore: 3, Term: 5, Index: 9, LogTerm: 4}
+
+	c := NewCore(0, opts, State{})
+	c.Step(time.Second, heartbeat)
+	rd := c.Ready()
+	is.Equal(rd.Messages[len(rd.Messages)-1].Type, MessageHeartbeatResponse) // counts for the leader's lease
+	restarted := time.Second + time.Millisecond
+	c = NewCore(restarted, opts, State{Hard: *rd.HardState})
+	c.Step(restarted, vote)
+	is.Equal(c.hard.Vote, MemberID(""))
+	c.Step(restarted+DefaultElectionTimeout, vote)
+	is.Equal(c.hard.Vote, MemberID("b"))
+}
