--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -59,7 +59,7 @@
 	// Seed determines the order in which upstreams of equal cost are preferred. It should
 	// differ between routers, so that they don't prefer the same one.
 	Seed    uint64
-	Retries RetryLimits            // at each pool
+	Retries RetryLimits // at each pool
 	// OnQuarantine is called when the quarantine of a prompt part or a request begins, with
 	// the number of upstreams that broke off and of different parts that followed it. It may
 	// be nil and must not call the Balancer.
