gateway: the limit on overlapping attempts ends with the first of them

What callers would see: a stream cut although its second upstream is sound. The first upstream had stalled and then broke off, the second had sent its head and paused for over 250 ms: the router canceled the only attempt that was left. Or it had canceled a replacement for that limit, and when the first upstream broke off there was no attempt left.

Cause: the limit for two upstreams that run a request went on when only one was left, and a replacement that ended by it used up one of the route's attempts.

Evidence: TestReplacementOfBrokenUpstreamMayPause and TestReplacementWithoutEventMayBeAskedAgain failed before.

Change: the limit ends when the replacement becomes the request's attempt, and its upstream may be asked again if the limit has ended it. The upstreams of the gateway's tests say that they have begun to run a request, as those of the platform do. limitReached is named for what it returns.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -46,7 +47,8 @@
 	again   bool // the upstream may have run the request before
 
 	answering atomic.Bool // the answer has begun
-	writing   atomic.Bool // a part of the answer is being written to the caller
+	writing   atomic.Bool // the answer, or a part of it, is being written to the caller
+	overlap   overlapTimer
 
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
@@ -108,11 +110,12 @@
 		a.end(f.server.cfg.Clock())
 	}()
 	if a.opened != nil {
+		a.overlap.stop()
 		<-a.opened
 	} else {
 		f.open(a)
 	}
-	f.history.settle(a, true)
+	f.history.settle(a, a.wasNeeded())
 	if f.lastErr = a.err; a.err != nil {
 		return false
 	}
@@ -131,6 +134,12 @@
 	return done
 }
 
+// wasNeeded reports whether an attempt that was opened has failed or answered, rather than been
+// canceled in favor of another one.
+func (a *attempt) wasNeeded() bool {
+	return !errors.Is(a.err, errNotNeeded) && !errors.Is(a.err, errNoEvent)
+}
+
 // hasMovedOn reports whether events were relayed since a replacement was opened that can't be
 // told from those it will send, because their IDs aren't numbers.
 func (f *forwarder) hasMovedOn(a *attempt) bool {
@@ -275,8 +284,8 @@
 // readStart reads a stream until its first event that the caller lacks.
 func (f *forwarder) readStart(a *attempt) {
 	if a.head.Started {
-		timer := time.AfterFunc(maxOverlap, func() { a.cancel(errNoEvent) })
-		defer timer.Stop()
+		a.overlap.start(func() { a.cancel(errNoEvent) })
+		defer a.overlap.stop()
 	}
 	sequence := eventSequence{last: new(streamPosition), lastID: eventNumber(a.after), resumed: a.resumes}
 	var start []byte
@@ -298,6 +307,36 @@
 		}
 	}
 	a.body = io.MultiReader(bytes.NewReader(start), a.body)
+	if a.overlap.stop(); a.ctx.Err() != nil { // canceled at the last moment
+		a.outcome = f.recordIncomplete(a, a.ctx.Err(), 0)
+	}
+}
+
+// overlapTimer limits the time for which two upstreams run a request. It is safe for concurrent
+// use.
+type overlapTimer struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
+// start calls expired after maxOverlap unless stop was called before.
+func (t *overlapTimer) start(expired func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.stopped {
+		t.timer = time.AfterFunc(maxOverlap, expired)
+	}
+}
+
+// stop ends the limit, since only one upstream is left or is to be chosen.
+func (t *overlapTimer) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	if t.timer != nil {
+		t.timer.Stop()
+	}
 }
 
 // readComplete reads a complete answer. One that is a failure, or that isn't a stream although
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -64,7 +65,7 @@
 func (testProtocol) Head(status int, h http.Header) Head {
 	rest, _ := time.ParseDuration(h.Get("Rest")) // missing means none
 	return Head{
-		NotRun: h.Get("Not-Run") != "", Misdirected: h.Get("Elsewhere") != "", Stream: status == http.StatusOK && h.Get("Content-Type") == "text/event-stream",
+		NotRun: h.Get("Not-Run") != "", Started: h.Get("Not-Run") == "", Misdirected: h.Get("Elsewhere") != "", Stream: status == http.StatusOK && h.Get("Content-Type") == "text/event-stream",
 		Leaving: h.Get("Leaving") != "", Rest: rest,
 	}
 }
@@ -130,8 +131,9 @@
 	keys     time.Duration // time from now for which keys are accepted
 	// configAge is the age of the newest confirmation of the configuration.
 	configAge  time.Duration
-	contact    bool // with the control group
-	superseded bool // a newer configuration is known
+	log        *slog.Logger // nil for none
+	contact    bool         // with the control group
+	superseded bool         // a newer configuration is known
 	stopping   atomic.Bool
 	tracer     *telemetry.Tracer
 	upstreams  []fleet.Upstream             // one for each script
@@ -250,7 +252,7 @@
 		InContact: func() bool { return r.contact }, IsSuperseded: func() bool { return r.superseded },
 		ListAge:  func() time.Duration { return 0 },
 		Stopping: r.stopping.Load, Balancer: r.balancer, Pool: pool,
-		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(), Tracer: r.tracer,
+		Log: cmp.Or(r.log, slog.New(slog.DiscardHandler)), Metrics: metrics.NewRegistry(), Tracer: r.tracer,
 	})
 	front := httptest.NewServer(r.server)
 	front.Config.ErrorLog = nil
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -141,7 +141,7 @@
 	case f.server.cfg.Clock() >= f.deadline:
 		f.noAttempt = "deadline reached"
 	default:
-		f.noAttempt = f.history.mayAsk(f.route)
+		f.noAttempt = f.history.limitReached(f.route)
 	}
 	return f.noAttempt == ""
 }
--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -56,9 +56,9 @@
 	}
 }
 
-// mayAsk returns the reason for which the request may not be sent to a further upstream, or ""
-// if it may.
-func (h *history) mayAsk(route *routes.Route) (refusal string) {
+// limitReached returns the limit for which the request may not be sent to a further upstream, or
+// "" if it may.
+func (h *history) limitReached(route *routes.Route) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -43,7 +43,7 @@
 // are left of the attempt before it. It returns nil if the request may not be sent to a further
 // upstream even if this one has run it.
 func (f *forwarder) watch(a *attempt) *watcher {
-	if len(f.replacements) == 0 && (!f.route.Repeatable() || f.history.mayAsk(f.route) != "") {
+	if len(f.replacements) == 0 && (!f.route.Repeatable() || f.history.limitReached(f.route) != "") {
 		return nil
 	}
 	w := &watcher{
@@ -105,7 +105,7 @@
 		return false // abandoned
 	}
 	if next.err != nil {
-		w.drop(next, true)
+		w.drop(next, next.wasNeeded())
 		return false
 	}
 	if cause := w.f.replaceCause(w.attempt); cause == nil && w.attempt.answering.Load() {
@@ -133,7 +133,7 @@
 		return
 	}
 	w.cause = cause
-	if w.attempt.ctx.Err() == nil && f.history.mayAsk(f.route) == "" {
+	if w.attempt.ctx.Err() == nil && f.history.limitReached(f.route) == "" {
 		w.open()
 	}
 }
--- a/internal/gateway/replacement_test.go
+++ b/internal/gateway/replacement_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -370,3 +371,53 @@
 	is.Equal(body, encodeEvents(1, 5))
 	is.Equal(r.arrivals(), []string{"u1 b", "u1 c", "u0 a"})
 }
+
+func TestReplacementOfBrokenUpstreamMayPause(t *testing.T) {
+	is := is.New(t)
+	begun := make(chan struct{})
+	r := newTestGateway(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 2, Resumable: true},
+		func(c *conn) {
+			c.beginStream()
+			c.writeEvents(1, 2)
+			<-begun
+			time.Sleep(50 * time.Millisecond)
+		},
+		func(c *conn) {
+			c.beginStream()
+			close(begun)
+			time.Sleep(600 * time.Millisecond)
+			c.writeEvents(3, 5)
+			c.endStream()
+		})
+	_, body, err := r.send()
+	is.NoErr(err)
+	is.Equal(body, encodeEvents(1, 5))
+	is.Equal(r.arrivals(), []string{"u0 a", "u1 a"})
+}
+
+func TestReplacementWithoutEventMayBeAskedAgain(t *testing.T) {
+	is := is.New(t)
+	canceled := make(chan struct{})
+	var asked atomic.Int32
+	r := newTestGateway(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 2, Resumable: true},
+		func(c *conn) {
+			c.beginStream()
+			c.writeEvents(1, 2)
+			<-canceled
+			time.Sleep(50 * time.Millisecond)
+		},
+		func(c *conn) {
+			c.beginStream()
+			if asked.Add(1) == 1 {
+				awaitClose(c)
+				close(canceled)
+				return
+			}
+			c.writeEvents(3, 5)
+			c.endStream()
+		})
+	_, body, err := r.send()
+	is.NoErr(err)
+	is.Equal(body, encodeEvents(1, 5))
+	is.Equal(r.arrivals(), []string{"u0 a", "u1 a", "u1 a"})
+}
