gateway: an answer that waits for its caller to read it isn't slow

What callers would see: nothing; operators pay for requests that run twice. A complete answer that had arrived was being written to a caller that reads slowly, and the request ran at a second upstream and took a retry from the budget.

Cause: the time after which an answer counts as slow went on while it was being written.

Change: an attempt that writes to its caller is replaced for no cause.

--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -53,6 +53,7 @@
 	if complete.status < http.StatusBadRequest {
 		a.pick.RecordServed(f.server.cfg.Clock())
 	}
+	a.writing.Store(true)
 	f.writeAnswer(complete)
 	return true, balance.OutcomeServed
 }
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -204,8 +204,11 @@
 // replaceCause returns the cause for which an attempt should be replaced, or nil. An attempt
 // that waits for its caller to read is not to be replaced.
 func (f *forwarder) replaceCause(a *attempt) error {
+	if a.writing.Load() {
+		return nil
+	}
 	now := f.server.cfg.Clock()
-	if a.pick.Stalled(now) && !a.writing.Load() {
+	if a.pick.Stalled(now) {
 		return errIdleTimeout
 	}
 	if f.route.Kind == routes.KindIdempotent && now-a.began > max(slowTargetFactor*f.route.Target, minSlowTimeout) {
--- a/internal/gateway/replacement_test.go
+++ b/internal/gateway/replacement_test.go
@@ -421,3 +421,22 @@
 	is.Equal(body, encodeEvents(1, 5))
 	is.Equal(r.arrivals(), []string{"u0 a", "u1 a", "u1 a"})
 }
+
+func TestSlowCallerOfCompleteAnswerIsNoReasonToAskAnother(t *testing.T) {
+	is := is.New(t)
+	const size = 12 << 20
+	large := func(c *conn) { c.writeAnswer(http.StatusOK, strings.Repeat("x", size)) }
+	r := newTestGateway(t, routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 2, Target: 500 * time.Millisecond}, large, large)
+	req, err := http.NewRequest("POST", r.url+"/x", strings.NewReader("order"))
+	is.NoErr(err)
+	req.Host = testHost
+	req.Header.Set("Id", "a")
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	time.Sleep(2 * time.Second)
+	n, err := io.Copy(io.Discard, resp.Body)
+	is.NoErr(err)
+	is.Equal(n, int64(size))
+	is.Equal(r.arrivals(), []string{"u0 a"})
+}
