gateway: an attempt that a later one overtakes isn't a failure of its upstream

What operators would see: 'request moved' with no cause, 'attempt failed' with a canceled context, and a sound upstream that counts as broken off.

Cause: of two replacements that are left when the first attempt fails, the older one becomes the request's attempt, and its watcher inherits the other one. If that one answers first, the attempt was canceled with the watcher's cause, which is unset as long as the attempt itself isn't stalled or slow.

Change: it is canceled as not needed.

--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -112,6 +112,9 @@
 		w.abandon()
 		return false
 	}
+	if w.cause == nil { // next was opened for the attempt before
+		w.cause = errNotNeeded
+	}
 	w.f.logDecision("request moved to another upstream", "from", string(w.attempt.pick.Upstream.ID), "to", string(next.pick.Upstream.ID), "cause", w.cause)
 	w.pending = slices.DeleteFunc(w.pending, func(a *attempt) bool { return a == next })
 	w.abandon()
--- a/internal/gateway/replacement_test.go
+++ b/internal/gateway/replacement_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -422,6 +425,57 @@
 	is.Equal(r.arrivals(), []string{"u0 a", "u1 a", "u1 a"})
 }
 
+// syncBuffer is a buffer that is safe for concurrent use.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+func TestSlowerReplacementIsNotChargedWithAFailure(t *testing.T) {
+	is := is.New(t)
+	var r *testGateway
+	log := new(syncBuffer)
+	end := make(chan struct{})
+	var others atomic.Int32
+	other := func(c *conn) {
+		if others.Add(1) == 1 {
+			<-end
+		} else {
+			time.Sleep(150 * time.Millisecond)
+		}
+		serveDone(c)
+	}
+	r = newTestGateway(t, routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 3, Target: 100 * time.Millisecond, Timeout: 4 * time.Second},
+		func(c *conn) { // slow, then broken off
+			r.awaitArrivals(3)
+			time.Sleep(30 * time.Millisecond)
+		}, other, other)
+	r.log = slog.New(slog.NewTextHandler(log, nil))
+	r.startServer()
+	resp, body, err := r.send()
+	close(end)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	is.Equal(body, "done")
+	for line := range strings.SplitSeq(log.String(), "\n") {
+		if strings.Contains(line, "cause=<nil>") || strings.Contains(line, "attempt failed") && strings.Contains(line, "context canceled") {
+			t.Error(line)
+		}
+	}
+}
+
 func TestSlowCallerOfCompleteAnswerIsNoReasonToAskAnother(t *testing.T) {
 	is := is.New(t)
 	const size = 12 << 20
