consensus: a pre-vote without an address adds no removed member again

What operators would see: during a rolling upgrade, a removed member that still runs the earlier release comes back, and the leader of the new release adds it with an empty address, which nobody can reach.

Cause: the pre-vote of a removed member has carried its address since it counts as a sign of life; an earlier release sends none.

Evidence: TestRemovedMemberOfEarlierReleaseIsNotAddedWithoutAddress failed before (found in reading the change).

Change: without an address the member isn't recorded as waiting; it finds out that it was removed and joins anew, as before.

--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -357,3 +357,17 @@
 	c.Step(restarted+DefaultElectionTimeout, vote)
 	is.Equal(c.hard.Vote, MemberID("b"))
 }
+
+func TestRemovedMemberOfEarlierReleaseIsNotAddedWithoutAddress(t *testing.T) {
+	is := is.New(t)
+	sim, lead := simulationWithLeader(t)
+	status := func(m Message) Status {
+		lead.exec(func() { lead.replica.core.Step(lead.localTime(), m) })
+		return lead.replica.core.Status(lead.localTime())
+	}
+	preVote := Message{Type: MessagePreVote, From: "removed", FromStore: 99, ToStore: lead.replica.store.id, Term: 1}
+	is.Equal(len(status(preVote).Waiting), 0)
+	preVote.Addr = "127.0.0.1:1"
+	is.Equal(len(status(preVote).Waiting), 1)
+	is.NoErr(sim.check.err)
+}
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -101,9 +101,10 @@
 }
 
 // recordRemoved records the sender of a pre-vote as waiting if it isn't a member. Its log is
-// that of the group up to some entry, so that it can be added again with it.
+// that of the group up to some entry, so that it can be added again with it. A member of an
+// earlier release tells no address and can't be reached.
 func (c *Core) recordRemoved(now time.Duration, m Message) {
-	if c.uninitialized() || c.membership().Find(m.From) != nil {
+	if c.uninitialized() || m.Addr == "" || c.membership().Find(m.From) != nil {
 		return
 	}
 	c.waiting[m.From] = WaitingStore{ID: m.From, Addr: m.Addr, Store: m.FromStore, lastHello: now}
