--- a/internal/exchange/fuzz_test.go
+++ b/internal/exchange/fuzz_test.go
@@ -13,8 +13,8 @@
 // only after the answer's end.
 func FuzzAnswer(f *testing.F) {
 	f.Add([]byte(answerTo("a", "silk")))
-	f.Add([]byte(refusalOf("z") + answerTo("a", "silk")))
-	f.Add([]byte("HTTP/1.1 103 X\r\n\r\n" + refusalOf("") + answerTo("a", "") + "more"))
+	f.Add([]byte(rejectionOf("z") + answerTo("a", "silk")))
+	f.Add([]byte("HTTP/1.1 103 X\r\n\r\n" + rejectionOf("") + answerTo("a", "") + "more"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nsilk\r\n0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: a\r\nKeep-Alive: timeout=9223372037\r\nContent-Length: 9223372036854775807\r\n\r\nsilk"))
 	f.Fuzz(func(t *testing.T, written []byte) {
--- a/internal/exchange/stale_test.go
+++ b/internal/exchange/stale_test.go
@@ -15,9 +15,9 @@
 	"github.com/matryer/is"
 )
 
-// refusalOf returns a complete answer that says that a request was not run; without an ID if
+// rejectionOf returns a complete answer that says that a request was not run; without an ID if
 // id is empty.
-func refusalOf(id string) string {
+func rejectionOf(id string) string {
 	head := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n"
 	if id != "" {
 		head += "X-Id: " + id + "\r\n"
@@ -42,31 +42,31 @@
 	t.Fatal("no bytes received")
 }
 
-// An upstream writes an earlier refusal, or another answer, once more where the answer to the
+// An upstream writes an earlier rejection, or another answer, once more where the answer to the
 // next request is due. It must not be taken for that one.
-func TestEarlierRefusalOnceMore(t *testing.T) {
+func TestEarlierRejectionOnceMore(t *testing.T) {
 	const answer = "HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 4\r\n\r\nsilk"
 	cases := []struct {
 		name  string
 		extra string // written before the answer to the second request
 		body  string // of the second exchange; empty if it fails
 	}{
-		{"with its ID", refusalOf("a") + answer, "silk"},
-		{"without an ID", refusalOf("") + answer, "silk"},
-		{"with an empty ID", strings.Replace(refusalOf("a"), "X-Id: a", "X-Id:", 1) + answer, "silk"},
-		{"twice", refusalOf("a") + refusalOf("a") + answer, "silk"},
-		{"more often than is skipped", strings.Repeat(refusalOf("a"), maxMisdelivered) + answer, ""},
+		{"with its ID", rejectionOf("a") + answer, "silk"},
+		{"without an ID", rejectionOf("") + answer, "silk"},
+		{"with an empty ID", strings.Replace(rejectionOf("a"), "X-Id: a", "X-Id:", 1) + answer, "silk"},
+		{"twice", rejectionOf("a") + rejectionOf("a") + answer, "silk"},
+		{"more often than is skipped", strings.Repeat(rejectionOf("a"), maxMisdelivered) + answer, ""},
 		{"in chunks", "HTTP/1.1 503 X\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\nX-Id: b\r\n\r\n" + answer, "silk"},
 		{"without a length", "HTTP/1.1 503 X\r\nX-Id: a\r\n\r\nfull" + answer, ""},
 		{"without a length or an ID", "HTTP/1.0 400 X\r\n\r\nfull" + answer, ""},
 		{"longer than is skipped", "HTTP/1.1 503 X\r\nX-Id: a\r\nContent-Length: 2000000\r\n\r\n" + strings.Repeat("x", 2000000) + answer, ""},
-		{"cut", refusalOf("a")[:len(refusalOf("a"))-2], ""},
-		{"after informational answers", "HTTP/1.1 103 Early Hints\r\nX-Id: b\r\n\r\n" + refusalOf("a") + "HTTP/1.1 100 Continue\r\nX-Id: a\r\n\r\n" + answer, "silk"},
+		{"cut", rejectionOf("a")[:len(rejectionOf("a"))-2], ""},
+		{"after informational answers", "HTTP/1.1 103 Early Hints\r\nX-Id: b\r\n\r\n" + rejectionOf("a") + "HTTP/1.1 100 Continue\r\nX-Id: a\r\n\r\n" + answer, "silk"},
 		{"without a body", "HTTP/1.1 204 X\r\nX-Id: a\r\n\r\nHTTP/1.1 304 X\r\nX-Id: a\r\nContent-Length: 9\r\n\r\n" + answer, "silk"},
 		{"as to a request without a body", "HTTP/1.1 503 X\r\nX-Id: a\r\nContent-Length: 4\r\n\r\n" + answer, ""},
-		{"alone", refusalOf("a"), ""},
-		{"alone, without an ID", refusalOf(""), ""},
-		{"in the middle of a body in chunks", "HTTP/1.1 200 OK\r\nX-Id: b\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nsi\r\n" + refusalOf("a") + "2\r\nlk\r\n0\r\n\r\n", ""},
+		{"alone", rejectionOf("a"), ""},
+		{"alone, without an ID", rejectionOf(""), ""},
+		{"in the middle of a body in chunks", "HTTP/1.1 200 OK\r\nX-Id: b\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nsi\r\n" + rejectionOf("a") + "2\r\nlk\r\n0\r\n\r\n", ""},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -75,7 +75,7 @@
 				if read() == nil {
 					return
 				}
-				_, _ = io.WriteString(conn, refusalOf("a"))
+				_, _ = io.WriteString(conn, rejectionOf("a"))
 				if read() != nil {
 					_, _ = io.WriteString(conn, tc.extra)
 				}
@@ -87,7 +87,7 @@
 			resp, err := pool.Do(context.Background(), p.addr(), getRequest("b"))
 			var body []byte
 			if err == nil {
-				is.Equal(resp.Status, http.StatusOK) // the refusal isn't the answer
+				is.Equal(resp.Status, http.StatusOK) // the rejection isn't the answer
 				body, err = io.ReadAll(resp)
 				resp.Close()
 			} else {
@@ -110,7 +110,7 @@
 	is := is.New(t)
 	p := newPeer(t, func(_ *peer, conn net.Conn, read func() *http.Request) {
 		for read() != nil {
-			_, _ = io.WriteString(conn, strings.Repeat(refusalOf("z"), maxMisdelivered))
+			_, _ = io.WriteString(conn, strings.Repeat(rejectionOf("z"), maxMisdelivered))
 		}
 	})
 	pool := NewPool()
@@ -124,13 +124,13 @@
 }
 
 // Where the extra answer arrives before the next request, the connection isn't used for it.
-func TestEarlierRefusalBeforeTheNextRequest(t *testing.T) {
+func TestEarlierRejectionBeforeTheNextRequest(t *testing.T) {
 	is := is.New(t)
 	p := newPeer(t, func(_ *peer, conn net.Conn, read func() *http.Request) {
 		for r := read(); r != nil; r = read() {
-			_, _ = io.WriteString(conn, refusalOf(r.Header.Get("X-Id")))
+			_, _ = io.WriteString(conn, rejectionOf(r.Header.Get("X-Id")))
 			time.Sleep(20 * time.Millisecond)
-			_, _ = io.WriteString(conn, refusalOf(r.Header.Get("X-Id")))
+			_, _ = io.WriteString(conn, rejectionOf(r.Header.Get("X-Id")))
 		}
 	})
 	pool := NewPool()
@@ -143,7 +143,7 @@
 	is.Equal(p.accepted.Load(), int32(3))
 }
 
-// A request that returns to an upstream must not get the refusal of its first visit once more.
+// A request that returns to an upstream must not get the rejection of its first visit once more.
 func TestRequestReturnsOnAnotherConnection(t *testing.T) {
 	is := is.New(t)
 	p := newPeer(t, func(p *peer, conn net.Conn, read func() *http.Request) {
@@ -151,9 +151,9 @@
 			return
 		}
 		if p.accepted.Load() == 1 {
-			_, _ = io.WriteString(conn, refusalOf("a"))
+			_, _ = io.WriteString(conn, rejectionOf("a"))
 			if r := read(); r != nil {
-				_, _ = io.WriteString(conn, refusalOf("a")+answerTo(r.Header.Get("X-Id"), "second"))
+				_, _ = io.WriteString(conn, rejectionOf("a")+answerTo(r.Header.Get("X-Id"), "second"))
 			}
 			return
 		}
--- a/internal/gateway/stale_answers_test.go
+++ b/internal/gateway/stale_answers_test.go
@@ -13,23 +13,23 @@
 	"github.com/wigeonflow/wigeonflow/internal/routes"
 )
 
-// An upstream that writes an earlier refusal once more may run the next request: the caller
+// An upstream that writes an earlier rejection once more may run the next request: the caller
 // must not be told otherwise, nor another upstream run it as well.
-func TestRefusalWrittenOnceMoreIsNoRefusal(t *testing.T) {
-	const refusal = "HTTP/1.1 503 X\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
+func TestRejectionWrittenOnceMoreIsNoRejection(t *testing.T) {
+	const rejection = "HTTP/1.1 503 X\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
 	const done = "HTTP/1.1 200 X\r\nId: b\r\nSignature: s\r\nContent-Length: 4\r\n\r\ndone"
 	cases := []struct {
 		name   string
 		extra  string // written where the answer to the second request is due
 		status int    // of the second request
 	}{
-		{"before the answer", refusal + done, http.StatusOK},
+		{"before the answer", rejection + done, http.StatusOK},
 		{"without an ID", "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull" + done, http.StatusOK},
-		{"after informational answers", "HTTP/1.1 103 X\r\nId: b\r\nNot-Run: 1\r\n\r\n" + refusal + done, http.StatusOK},
-		{"instead of the answer", refusal, http.StatusBadGateway},
+		{"after informational answers", "HTTP/1.1 103 X\r\nId: b\r\nNot-Run: 1\r\n\r\n" + rejection + done, http.StatusOK},
+		{"instead of the answer", rejection, http.StatusBadGateway},
 		{"without an ID instead of the answer", "HTTP/1.1 400 X\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull", http.StatusBadGateway},
 		{"without a length", "HTTP/1.1 503 X\r\nId: a\r\nNot-Run: 1\r\n\r\nfull", http.StatusBadGateway},
-		{"again and again", refusal + refusal + refusal + refusal + done, http.StatusBadGateway},
+		{"again and again", rejection + rejection + rejection + rejection + done, http.StatusBadGateway},
 		{"as another upstream's", "HTTP/1.1 421 X\r\nId: a\r\nElsewhere: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" + done, http.StatusOK},
 	}
 	for _, tc := range cases {
@@ -86,11 +86,11 @@
 // Only the end of the connection tells the end of such a stream, so that whatever an upstream
 // writes beside its events seems to belong to it.
 func TestAnswerWithinAStreamIsNotRelayed(t *testing.T) {
-	const refusal = "HTTP/1.1 503 X\r\nId: z\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
+	const rejection = "HTTP/1.1 503 X\r\nId: z\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
 	cases := []struct{ name, written string }{
-		{"behind its end", encodeEvents(1, 5) + refusal},
-		{"between two events", encodeEvents(1, 3) + refusal + encodeEvents(4, 5)},
-		{"within an event", encodeEvents(1, 3) + "id: 4\n" + refusal + "data: piece 4\n\n" + encodeEvents(5, 5)},
+		{"behind its end", encodeEvents(1, 5) + rejection},
+		{"between two events", encodeEvents(1, 3) + rejection + encodeEvents(4, 5)},
+		{"within an event", encodeEvents(1, 3) + "id: 4\n" + rejection + "data: piece 4\n\n" + encodeEvents(5, 5)},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
