gateway: routers go on sharing loads and evidence while the platform's list can't be read

What callers would see: while the platform's list was away for more than 2 s, a prompt part or request that ends upstreams was quarantined only where one router saw three ends itself, requests went on to upstreams that had told another router that they leave, and each router chose by loads of before.

Cause: loads, suspicions and leaving upstreams travel on the list streams. A source sent nothing once its list was older than maxListAge, its followers left it after sourceIdleTimeout although no other list was fresher, and the totals of the lost source were dropped before there was another one.

Change: a source sends its list however old it is, with its age. A follower leaves it only once it has a fresh list of another origin which the source had 1 s to get as well. The totals stay until the next source tells others or the router has none. A source that had failed is asked beside the followed one before it is followed again. A router without any list takes an old one. If all sources have failed lately, a router pauses before the next one; refused connections made it try without a pause.

A follower says in its request that it accepts stale lists. One of the former release doesn't, is sent none and leaves, as before; sent one, it would open streams without a pause.

Changes to existing tests: startRouters has a part that starts one router and counts streams; the comment of TestSourceWithoutPlatform no longer says that nothing stale is sent. No check has changed.

--- /dev/null
+++ b/internal/gateway/list_search.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+const (
+	// catchUpTime is the time that a followed source has to get a list as fresh as its
+	// follower's: the source reads the platform's list each second.
+	catchUpTime = time.Second
+	// listTimeError bounds how much newer than it is a list appears to a follower, because
+	// its update was delayed on the way.
+	listTimeError = 500 * time.Millisecond
+	// firstSearchPause is the pause after the first search for a fresh list. It doubles
+	// with each search up to sourceBackoff, so that all routers together stay within the
+	// platform's rate limit.
+	firstSearchPause = time.Second
+)
+
+// isStale reports whether a list exceeds maxListAge.
+func isStale(now, asOf time.Duration) bool { return now-asOf > maxListAge }
+
+// isOutdated reports whether a source's list is stale while the follower has a fresh one
+// of another origin, which the source had the given time to get as well.
+func isOutdated(now, sourceAsOf, ownAsOf, patience time.Duration) bool {
+	return isStale(now, sourceAsOf) && !isStale(now, ownAsOf) && ownAsOf-sourceAsOf > listTimeError && now-ownAsOf >= patience
+}
+
+// searchPace paces the searches for a fresh list while the source's list is stale.
+type searchPace struct {
+	next  time.Duration // time of the next search
+	pause time.Duration // after the latest search; 0 if there was none
+}
+
+// due reports whether a search is due, and expects the next one after a longer pause. The
+// first one is due as soon as the list is stale.
+func (p *searchPace) due(now time.Duration, stale bool) bool {
+	if !stale {
+		*p = searchPace{}
+		return false
+	}
+	if p.pause > 0 && now < p.next {
+		return false
+	}
+	p.pause = min(max(2*p.pause, firstSearchPause), sourceBackoff)
+	p.next = now + p.pause + rand.N(p.pause/2)
+	return true
+}
+
+// searchOnce runs f in the background unless an earlier search still runs.
+func (l *upstreamList) searchOnce(f func()) {
+	if !l.searching.CompareAndSwap(false, true) {
+		return
+	}
+	l.searches.Go(func() {
+		defer l.searching.Store(false)
+		f()
+	})
+}
+
+// search reads the list from the platform in the background, if this router may, and
+// otherwise or if that fails asks another source than the followed one for a fresh list.
+func (l *upstreamList) search(ctx context.Context, followed string) {
+	l.searchOnce(func() {
+		sources, reads := sourcesOf(l.self, l.relays())
+		if reads {
+			l.readFromPlatform(ctx)
+		}
+		if current, _ := l.newest(); isStale(l.clock(), current.asOf) {
+			l.peekNext(ctx, sources, followed)
+		}
+	})
+}
+
+// retry asks a source that had failed for its list in the background, and records whether
+// it may be followed again.
+func (l *upstreamList) retry(ctx context.Context, source fleet.Member) {
+	l.searchOnce(func() { l.setFailed(source.ID, l.peek(ctx, source.Addr) != nil) })
+}
+
+// peekNext asks the next of the given routers, in turn, for its list. This router and
+// the followed one are left out.
+func (l *upstreamList) peekNext(ctx context.Context, routers []fleet.Member, followed string) {
+	var others []fleet.Member
+	for _, m := range routers {
+		if m.ID != l.self && m.Addr != followed {
+			others = append(others, m)
+		}
+	}
+	if len(others) == 0 {
+		return
+	}
+	m := others[(l.peeks.Add(1)-1)%uint64(len(others))]
+	if err := l.peek(ctx, m.Addr); err != nil {
+		l.log.Debug("cannot get the upstream list of another source", "peer", string(m.ID), "error", err)
+	}
+}
+
+// peek adopts a router's list, if it is fresh or this router has none, without following
+// that router. The error is errListStale if that list is stale and this router's is fresh.
+func (l *upstreamList) peek(ctx context.Context, addr string) error {
+	stream, known, err := l.openList(ctx, addr)
+	if err != nil {
+		return fleet.At(err, "gateway.peek", addr)
+	}
+	defer stream.Close()
+	u, err := receiveUpdate(ctx, stream, idleTimeout(known))
+	if err != nil {
+		return fleet.At(err, "gateway.peek", addr)
+	}
+	l.mergeSuspicions(&u.Totals) // before new upstreams may get requests
+	now := l.clock()
+	s, err := known.apply(now, u)
+	if err != nil {
+		return fleet.At(err, "gateway.peek", addr)
+	}
+	current, _ := l.newest()
+	if current == nil || !isStale(now, s.asOf) {
+		l.adopt(s)
+	}
+	l.mergeLeaving(&u.Totals)
+	if current != nil && isOutdated(now, s.asOf, current.asOf, 0) {
+		return fleet.At(errListStale, "gateway.peek", addr)
+	}
+	return nil
+}
--- a/internal/gateway/list_source.go
+++ b/internal/gateway/list_source.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,9 +31,8 @@
 	// firstIdleTimeout is the idle timeout until a router has received its first list, which
 	// may be long and sent to all followers of the source at once.
 	firstIdleTimeout = 2 * time.Second
-	// maxListAge is the age up to which a list is sent to followers and accepted by them:
-	// it allows for a read each second, some tenths of a second to transfer a long list,
-	// and two routers on the path.
+	// maxListAge is the age up to which a list is fresh: it allows for a read each second,
+	// some tenths of a second to transfer a long list, and two routers on the path.
 	maxListAge = 2 * time.Second
 	// maxSources is the number of routers a relay tries to follow before it reads the
 	// list itself. The other routers of a large fleet never read it: together they would
@@ -40,6 +40,9 @@
 	maxSources = 2
 	// sourceBackoff is the backoff before a failed source is tried again.
 	sourceBackoff = 5 * time.Second
+	// sourceRetryPause is the pause before a source is tried again within sourceBackoff,
+	// because all others have failed as well.
+	sourceRetryPause = 400 * time.Millisecond
 	// openTimeout bounds opening a stream.
 	openTimeout = 500 * time.Millisecond
 	// relayWait is the time that a router which knows no other routers waits for
@@ -76,10 +79,15 @@
 	upstreamListConfig
 	loadTotals *loadAggregator // of the followers
 
-	mu      sync.Mutex
-	current *snapshot
-	changed chan struct{}                      // closed when there is a newer list
-	failed  map[fleet.InstanceID]time.Duration // time of each source's latest failure
+	searching atomic.Bool    // a search for a fresh list runs
+	searches  sync.WaitGroup // of the running search
+	peeks     atomic.Uint64  // selects the source that is peeked at next
+
+	adopting sync.Mutex // held until onChange has returned, so that lists are passed on in order
+	mu       sync.Mutex
+	current  *snapshot
+	changed  chan struct{}                      // closed when there is a newer list
+	failed   map[fleet.InstanceID]time.Duration // time of each source's latest failure
 }
 
 func newUpstreamList(cfg upstreamListConfig) *upstreamList {
@@ -92,25 +100,30 @@
 // run keeps the list up to date until ctx ends.
 func (l *upstreamList) run(ctx context.Context) {
 	l.awaitRelays(ctx)
+	defer l.searches.Wait()
 	for ctx.Err() == nil {
 		source, ok := l.source()
 		if !ok {
+			l.loadTotals.setTotals(nil, nil)
 			l.readFromPlatform(ctx)
+			if current, _ := l.newest(); current == nil {
+				l.peekNext(ctx, l.relays(), "") // an old list serves until the platform answers
+			}
 			fleet.Pause(ctx, l.interval)
 			continue
 		}
+		if l.failedLately(source.ID) && !fleet.Pause(ctx, sourceRetryPause) {
+			return
+		}
 		err := l.follow(ctx, source.Addr)
 		if ctx.Err() != nil {
 			return
 		}
-		l.loadTotals.setTotals(nil, nil)
 		if errors.Is(err, errSourceChanged) {
 			continue
 		}
 		l.log.Info("lost the source of the upstream list", "peer", string(source.ID), "error", err)
-		l.mu.Lock()
-		l.failed[source.ID] = l.clock()
-		l.mu.Unlock()
+		l.setFailed(source.ID, true)
 		if _, reads := sourcesOf(l.self, l.relays()); reads {
 			l.readFromPlatform(ctx) // the next source may have lost its own as well
 		}
@@ -138,17 +151,54 @@
 	now := l.clock()
 	oldest := now
 	for _, c := range candidates {
-		at, failed := l.failed[c.ID]
-		if !failed || now-at > sourceBackoff {
+		if !l.isBackedOff(c.ID, now) {
 			return c, true
 		}
-		if at < oldest {
+		if at := l.failed[c.ID]; at < oldest {
 			source, oldest = c, at
 		}
 	}
 	return source, !reads && source.ID != ""
 }
 
+// isBackedOff reports whether a source has failed within sourceBackoff. l.mu must be held.
+func (l *upstreamList) isBackedOff(id fleet.InstanceID, now time.Duration) bool {
+	at, failed := l.failed[id]
+	return failed && now-at <= sourceBackoff
+}
+
+// failedLately reports whether a source has failed within sourceBackoff.
+func (l *upstreamList) failedLately(id fleet.InstanceID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isBackedOff(id, l.clock())
+}
+
+// hasFailed reports whether a source has failed and not answered since.
+func (l *upstreamList) hasFailed(id fleet.InstanceID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, failed := l.failed[id]
+	return failed
+}
+
+// setFailed records the failure of a source, or that it has answered.
+func (l *upstreamList) setFailed(id fleet.InstanceID, failed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if failed {
+		l.failed[id] = l.clock()
+	} else {
+		delete(l.failed, id)
+	}
+}
+
+// mayFollow reports whether this router may follow the router at addr.
+func (l *upstreamList) mayFollow(addr string) bool {
+	sources, _ := sourcesOf(l.self, l.relays())
+	return slices.ContainsFunc(sources, func(m fleet.Member) bool { return m.Addr == addr })
+}
+
 // sourcesOf returns the routers that self may follow, in order of preference, and
 // whether it reads the list itself if these fail. A relay only follows relays that
 // precede it, so that no two follow each other. In a large fleet, a router that is not a
@@ -185,6 +235,8 @@
 // adopt adopts a list that is at least as recent as the current one, and calls onChange if
 // its contents have changed.
 func (l *upstreamList) adopt(s *snapshot) {
+	l.adopting.Lock()
+	defer l.adopting.Unlock()
 	l.mu.Lock()
 	former := l.current
 	if former != nil && former.asOf > s.asOf {
--- a/internal/gateway/list_source_test.go
+++ b/internal/gateway/list_source_test.go
@@ -58,6 +58,7 @@
 	pool   *mesh.Pool
 	cancel context.CancelFunc
 	done   chan struct{}
+	opened atomic.Int64 // streams that other routers have opened
 
 	mu      sync.Mutex
 	latest  *snapshot
@@ -125,32 +126,39 @@
 	}
 	var routers []*testRouter
 	for i, m := range membership.Members {
-		cfg := mesh.Config{Instance: m.ID}
-		r := &testRouter{Balancer: balance.New(balance.Config{}), lister: &fakeLister{}, server: mesh.NewServer(cfg), pool: mesh.NewPool(cfg), done: make(chan struct{})}
-		r.list = newUpstreamList(upstreamListConfig{
-			log: hclog.NewNullLogger(), clock: fleet.MonotonicClock(), self: m.ID, lister: r.lister, interval: 50 * time.Millisecond,
-			pool: r.pool, loads: r, relays: func() []fleet.Member { return placement.Relays(membership) },
-			needed: func() bool { return true },
-			onChange: func(_ time.Duration, s *snapshot) {
-				r.mu.Lock()
-				r.latest = s
-				r.mu.Unlock()
-			},
-		})
-		r.server.HandleBackground(MethodList, r.list.serve)
-		go func() { _ = r.server.Serve(listeners[i]) }()
-		ctx, cancel := context.WithCancel(context.Background())
-		r.cancel = cancel
-		go func() {
-			defer close(r.done)
-			r.list.run(ctx)
-		}()
-		routers = append(routers, r)
-		t.Cleanup(func() { r.stop(t) })
+		routers = append(routers, startRouter(t, m, membership, listeners[i], &fakeLister{}))
 	}
 	return routers, membership
 }
 
+func startRouter(t *testing.T, self fleet.Member, membership fleet.Membership, listener net.Listener, lister *fakeLister) *testRouter {
+	cfg := mesh.Config{Instance: self.ID}
+	r := &testRouter{Balancer: balance.New(balance.Config{}), lister: lister, server: mesh.NewServer(cfg), pool: mesh.NewPool(cfg), done: make(chan struct{})}
+	r.list = newUpstreamList(upstreamListConfig{
+		log: hclog.NewNullLogger(), clock: fleet.MonotonicClock(), self: self.ID, lister: r.lister, interval: 50 * time.Millisecond,
+		pool: r.pool, loads: r, relays: func() []fleet.Member { return placement.Relays(membership) },
+		needed: func() bool { return true },
+		onChange: func(_ time.Duration, s *snapshot) {
+			r.mu.Lock()
+			r.latest = s
+			r.mu.Unlock()
+		},
+	})
+	r.server.HandleBackground(MethodList, func(ctx context.Context, s *mesh.Stream, message []byte) error {
+		r.opened.Add(1)
+		return r.list.serve(ctx, s, message)
+	})
+	go func() { _ = r.server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	go func() {
+		defer close(r.done)
+		r.list.run(ctx)
+	}()
+	t.Cleanup(func() { r.stop(t) })
+	return r
+}
+
 func (r *testRouter) stop(t *testing.T) {
 	r.cancel()
 	<-r.done
@@ -215,8 +223,7 @@
 	}
 }
 
-// A source that can't read the list from the platform sends no stale one, so that its
-// followers read the list themselves.
+// The followers of a source that can't read the list from the platform read it themselves.
 func TestSourceWithoutPlatform(t *testing.T) {
 	routers, membership := startRouters(t, 3)
 	source := placement.Relays(membership)[0].ID
--- a/internal/gateway/list_stream.go
+++ b/internal/gateway/list_stream.go
@@ -13,27 +13,24 @@
 
 var (
 	errListGap       = errors.New("the first update does not hold the complete upstream list")
-	errListStale     = errors.New("the source's upstream list exceeds the maximum age")
+	errListStale     = errors.New("the source's upstream list exceeds the maximum age, and this router has a newer one")
 	errSourceChanged = errors.New("the membership assigns another source")
 )
 
 // follow applies a source's updates until the stream fails, the source exceeds its idle
-// timeout or sends a stale list, or another router is to be followed. The error is
+// timeout or sends a stale list while this router has a fresh one, or another router is
+// to be followed. While the list is stale, fresher ones are searched for. The error is
 // never nil.
 func (l *upstreamList) follow(ctx context.Context, addr string) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	known, _ := l.newest() // the list that the source's next update is relative to
-	stream, err := l.openList(ctx, addr, known)
+	stream, known, err := l.openList(ctx, addr)
 	if err != nil {
 		return fleet.At(err, "gateway.follow", addr)
 	}
 	defer stream.Close()
-	timeout := sourceIdleTimeout
-	if known == nil {
-		timeout = firstIdleTimeout
-	}
+	timeout := idleTimeout(known)
+	patience := time.Duration(0)
 	var last lastReport
+	var pace searchPace
 	for {
 		u, err := receiveUpdate(ctx, stream, timeout)
 		if err != nil {
@@ -41,36 +38,56 @@
 		}
 		timeout = sourceIdleTimeout
 		l.mergeSuspicions(&u.Totals) // before new upstreams may get requests
-		if known, err = known.apply(l.clock(), u); err != nil {
+		now := l.clock()
+		if known, err = known.apply(now, u); err != nil {
 			return fleet.At(err, "gateway.follow", addr)
 		}
-		if u.Age > maxListAge {
+		if current, _ := l.newest(); current != nil && isOutdated(now, known.asOf, current.asOf, patience) {
 			return fleet.At(errListStale, "gateway.follow", addr)
 		}
+		patience = catchUpTime
 		l.adopt(known)
 		l.mergeLeaving(&u.Totals) // after the list that it refers to
 		if err = l.exchangeLoads(ctx, stream, known, u, &last); err != nil {
 			return fleet.At(err, "gateway.follow", addr)
 		}
-		if source, ok := l.source(); !ok || source.Addr != addr {
+		if pace.due(now, isStale(now, known.asOf)) {
+			l.search(ctx, addr)
+		}
+		switch source, ok := l.source(); {
+		case ok && source.Addr == addr:
+		case ok && l.hasFailed(source.ID) && l.mayFollow(addr):
+			l.retry(ctx, source) // this one serves until that one does
+		default:
 			return errSourceChanged
 		}
 	}
 }
 
-// openList opens a stream at a source and sends it the digest of the known list.
-func (l *upstreamList) openList(ctx context.Context, addr string, known *snapshot) (*mesh.Stream, error) {
-	var request ListRequest
+// openList opens a stream at a source, sends it the digest of the current list, and
+// returns that list, to which the source's next update is relative.
+func (l *upstreamList) openList(ctx context.Context, addr string) (*mesh.Stream, *snapshot, error) {
+	request := ListRequest{AcceptsStale: true}
+	known, _ := l.newest()
 	if known != nil {
 		request.Digest = known.digest
 	}
 	message, err := request.MarshalMsg(nil)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	return l.pool.Open(ctx, addr, MethodList, message)
+	stream, err := l.pool.Open(ctx, addr, MethodList, message)
+	return stream, known, err
+}
+
+// idleTimeout returns the idle timeout for the first update of a router with the given list.
+func idleTimeout(known *snapshot) time.Duration {
+	if known == nil {
+		return firstIdleTimeout
+	}
+	return sourceIdleTimeout
 }
 
 // receiveUpdate receives the next update. The end of the stream is an error as well.
@@ -109,7 +126,7 @@
 	var last lastReport
 	for {
 		current, changed := l.newest()
-		if err := l.sendUpdate(ctx, stream, current, &sent, request.Digest, &last); err != nil {
+		if err := l.sendUpdate(ctx, stream, current, &sent, &request, &last); err != nil {
 			return err
 		}
 		if err := awaitChange(ctx, changed); err != nil {
@@ -118,14 +135,15 @@
 	}
 }
 
-// sendUpdate sends the changes that the follower lacks. A stale list is not sent, so
-// that the follower switches to another source.
-func (l *upstreamList) sendUpdate(ctx context.Context, stream *mesh.Stream, current *snapshot, sent *atomic.Pointer[snapshot], followerDigest uint64, last *lastReport) error {
+// sendUpdate sends the changes that the follower lacks. A stale list is only sent to
+// followers that accept it: those of earlier releases would otherwise open streams
+// without a pause.
+func (l *upstreamList) sendUpdate(ctx context.Context, stream *mesh.Stream, current *snapshot, sent *atomic.Pointer[snapshot], request *ListRequest, last *lastReport) error {
 	now := l.clock()
-	if current == nil || now-current.asOf > maxListAge {
+	if current == nil || isStale(now, current.asOf) && !request.AcceptsStale {
 		return nil
 	}
-	u := current.update(sent.Load(), followerDigest, now)
+	u := current.update(sent.Load(), request.Digest, now)
 	u.Totals = *l.newReport(current, current.number, l.loadTotals.fleetActivities(now), last)
 	message, err := u.MarshalMsg(nil)
 	if err != nil {
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -22,6 +22,9 @@
 	// Digest is the digest of the follower's list; 0 if it has none. A source with the
 	// same digest doesn't send the complete list.
 	Digest uint64 `msg:"d,omitempty"`
+	// AcceptsStale is set if the follower stays with a source whose list is older than
+	// maxListAge. Followers of earlier releases leave it.
+	AcceptsStale bool `msg:"s,omitempty"`
 }
 
 // ListEntry is one upstream of the upstream list.
--- a/internal/gateway/listing_gen.go
+++ b/internal/gateway/listing_gen.go
@@ -216,19 +216,32 @@
 func (z ListRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(1)
-	var zb0001Mask uint8 /* 1 bits */
+	zb0001Len := uint32(2)
+	var zb0001Mask uint8 /* 2 bits */
 	_ = zb0001Mask
 	if z.Digest == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x1
 	}
+	if z.AcceptsStale == false {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
-	if (zb0001Mask & 0x1) == 0 { // if not omitted
-		// string "d"
-		o = append(o, 0xa1, 0x64)
-		o = msgp.AppendUint64(o, z.Digest)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "d"
+			o = append(o, 0xa1, 0x64)
+			o = msgp.AppendUint64(o, z.Digest)
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			o = msgp.AppendBool(o, z.AcceptsStale)
+		}
 	}
 	return
 }
@@ -257,6 +270,12 @@
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+		case "s":
+			z.AcceptsStale, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AcceptsStale")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -271,7 +290,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z ListRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
 	return
 }
 
