gateway: a long list that is being read is not searched for

Cause: the search of the commit before began as soon as the source's list was older than 2 s. A list that takes 0.5 s and more to read gets as old as that between two reads that succeed, so that up to 16 relays would read it as well, at a platform that takes 42 calls a second of all. Before, a follower left a source 1 s after the last update that was sent, which is 2.6 to 3 s after the list's time.

Change: a search begins at 2.6 s, hence with the next heartbeat within the same 3 s. TestListUnderwayIsNotSearchedFor (0.7 s for a read) fails with 2 s.

--- a/internal/gateway/list_outage_test.go
+++ b/internal/gateway/list_outage_test.go
@@ -130,16 +130,17 @@
 func TestSearchesStayWithinThePlatformsRate(t *testing.T) {
 	is := is.New(t)
 	const (
+		stale    = time.Duration(-searchAge - 1) // time of the list
 		step     = 50 * time.Millisecond
 		maxCalls = 42 // a second
 	)
 	calls := make(map[int]int)
 	for range placement.MaxRelays - 1 {
 		var p searchPace
-		is.True(!p.due(0, false))
+		is.True(!p.due(0, 0))
 		var searches []time.Duration
 		for now := time.Duration(0); now < time.Minute; now += step {
-			if p.due(now, true) {
+			if p.due(now, stale) {
 				searches = append(searches, now)
 				calls[int(now/time.Second)]++
 			}
@@ -150,14 +151,28 @@
 			is.True(at-searches[i] <= sourceBackoff*3/2+step)
 		}
 		is.True(len(searches) <= 14)
-		is.True(!p.due(time.Minute, false))
-		is.True(p.due(time.Minute, true)) // the next outage begins as the first
+		is.True(!p.due(time.Minute, time.Minute))
+		is.True(p.due(time.Minute, time.Minute+stale)) // the next outage begins as the first
 	}
 	for _, n := range calls {
 		is.True(n+1 <= maxCalls) // and the reader's
 	}
 }
 
+// All relays read a list that takes long to read, and exhaust the platform's rate, if a search
+// begins between two reads that succeed.
+func TestListUnderwayIsNotSearchedFor(t *testing.T) {
+	const readTime, readPause = 700 * time.Millisecond, time.Second
+	var p searchPace
+	asOf := time.Duration(0)
+	for now := readTime; now < time.Minute; now += heartbeatInterval {
+		for asOf+2*readTime+readPause <= now { // the next read has ended
+			asOf += readTime + readPause
+		}
+		is.New(t).True(!p.due(now, asOf))
+	}
+}
+
 // A follower leaves a source only for a list that is fresh and newer than the source's.
 func TestSourceIsLeftOnlyForAFresherList(t *testing.T) {
 	const now = time.Minute
--- a/internal/gateway/list_search.go
+++ b/internal/gateway/list_search.go
@@ -15,6 +15,10 @@
 	// listTimeError bounds how much newer than it is a list appears to a follower, because
 	// its update was delayed on the way.
 	listTimeError = 500 * time.Millisecond
+	// searchAge is the age of the followed source's list from which a fresh one is searched
+	// for. With a heartbeat more it is the age at which a follower leaves a source that has
+	// fallen silent; a long list reaches maxListAge between two reads that succeed.
+	searchAge = maxListAge + sourceIdleTimeout - heartbeatInterval
 	// firstSearchPause is the pause after the first search for a fresh list. It doubles
 	// with each search up to sourceBackoff, so that all routers together stay within the
 	// platform's rate limit.
@@ -30,16 +34,16 @@
 	return isStale(now, sourceAsOf) && !isStale(now, ownAsOf) && ownAsOf-sourceAsOf > listTimeError && now-ownAsOf >= patience
 }
 
-// searchPace paces the searches for a fresh list while the source's list is stale.
+// searchPace paces the searches for a fresh list while the source's exceeds searchAge.
 type searchPace struct {
 	next  time.Duration // time of the next search
 	pause time.Duration // after the latest search; 0 if there was none
 }
 
 // due reports whether a search is due, and expects the next one after a longer pause. The
-// first one is due as soon as the list is stale.
-func (p *searchPace) due(now time.Duration, stale bool) bool {
-	if !stale {
+// first one is due as soon as the source's list exceeds searchAge.
+func (p *searchPace) due(now, sourceAsOf time.Duration) bool {
+	if now-sourceAsOf <= searchAge {
 		*p = searchPace{}
 		return false
 	}
--- a/internal/gateway/list_stream.go
+++ b/internal/gateway/list_stream.go
@@ -19,8 +19,8 @@
 
 // follow applies a source's updates until the stream fails, the source exceeds its idle
 // timeout or sends a stale list while this router has a fresh one, or another router is
-// to be followed. While the list is stale, fresher ones are searched for. The error is
-// never nil.
+// to be followed. While its list exceeds searchAge, a fresh one is searched for. The error
+// is never nil.
 func (l *upstreamList) follow(ctx context.Context, addr string) error {
 	stream, known, err := l.openList(ctx, addr)
 	if err != nil {
@@ -51,7 +51,7 @@
 		if err = l.exchangeLoads(ctx, stream, known, u, &last); err != nil {
 			return fleet.At(err, "gateway.follow", addr)
 		}
-		if pace.due(now, isStale(now, known.asOf)) {
+		if pace.due(now, known.asOf) {
 			l.search(ctx, addr)
 		}
 		switch source, ok := l.source(); {
