gateway: the failure of a replacement that becomes the last attempt reaches its caller

What callers would see: 502 without a signature where their upstream had answered 500, if the first upstream broke off while the second was being asked.

Cause: a replacement's complete failure was kept only if the replacement ended beside the first attempt, not if it became the request's attempt.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -116,6 +116,9 @@
 		f.open(a)
 	}
 	f.history.settle(a, a.wasNeeded())
+	if a.failedAnswer != nil {
+		f.keepFailedAnswer(a.failedAnswer)
+	}
 	if f.lastErr = a.err; a.err != nil {
 		return false
 	}
--- a/internal/gateway/replacement_test.go
+++ b/internal/gateway/replacement_test.go
@@ -353,6 +353,18 @@
 	is.Equal(r.arrivals(), []string{"u0 a"})
 }
 
+func TestFailureOfLastReplacementReachesCaller(t *testing.T) {
+	is := is.New(t)
+	var r *testGateway
+	r = newTestGateway(t, routes.Route{Kind: routes.KindIdempotent, MaxAttempts: 2, Target: 100 * time.Millisecond},
+		func(*conn) { r.awaitArrivals(2) }, // and breaks off
+		func(c *conn) { time.Sleep(100 * time.Millisecond); answerError(c) })
+	resp, body, err := r.send()
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusInternalServerError)
+	is.Equal(body, "failed")
+}
+
 func TestReplacementIsNoProbe(t *testing.T) {
 	is := is.New(t)
 	r := newTestGateway(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 2, Resumable: true}, func(c *conn) {
