consensus: a founder asks in two rounds, so that a disk lost meanwhile neither blocks nor doubles a group

The founder of seven and a second member lose their disks while the group forms; the founder keeps the second member's rejection in mind, and no group forms.

Cause: a rejection was kept for good, because the responses of other peers could be out of date by the time at which the rejecting peer, emptied, answers that it has no log. The same age of responses has a worse side, found by reading: if the rejection itself is lost on its way, the founder forms a second group on them.

Change: the founder numbers its hellos by rounds, and forms the group once all peers have confirmed in two consecutive rounds from the same data directories. A directory doesn't lose its log, so at the end of the first round no peer had one. A rejection starts a new round. A peer's log that lists members outside Peers still ends the formation.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -83,6 +83,7 @@
 	skipSync            bool // acknowledge before the disk has synced
 	ignoreExistingGroup bool // form a group although a peer has a log
 	reuseTerm           bool // respond to a founder without raising the term
+	singleRound         bool // form a group after one round of responses
 }
 
 // Core is the Raft state machine of one member. It does no I/O and isn't safe for
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -9,9 +10,12 @@
 // formation is the state with which members without a log form a group or wait to
 // be added.
 //
-// The peer with the lowest ID, the founder, writes the first entry once every
-// other peer has confirmed that it has no log. The entry's term is above the terms
-// of all responses.
+// The peer with the lowest ID, the founder, asks in rounds and writes the first entry once
+// every other peer has confirmed in two consecutive rounds, from the same data directory,
+// that it has no log. The entry's term is above the terms of all responses. A data directory
+// never loses its log, so when the first of the two rounds ended, no peer had one: a peer
+// that had a log between the responses of others and lost its disk can't be missed. A
+// rejection ends a round, but not the formation: the disk with that log may be lost too.
 //
 // A founder whose disk is emptied in the meantime starts over with a new store ID
 // while messages of the former store may still be in flight. A peer therefore
@@ -20,9 +24,13 @@
 // in which the former store formed a group or led, and nothing that a peer voted
 // for before its response can be committed with that vote afterwards.
 type formation struct {
-	nextHello   time.Duration
-	ready       map[MemberID]readyPeer // peers that confirmed that they have no log
-	groupExists bool                   // a peer has a log: wait to be added instead
+	nextHello time.Duration
+	round     uint64                 // number of the founder's hellos, repeated by responses
+	ready     map[MemberID]readyPeer // peers that confirmed in this round that they have no log
+	previous  map[MemberID]StoreID   // data directories of the round before, if all peers confirmed
+	// groupExists is set once a peer's log listed a member that isn't in Peers and that
+	// isn't asked therefore: wait to be added instead.
+	groupExists bool
 	// known are members that responses listed in addition to Peers: the Peers of a
 	// member that joins late may all be removed or cut off from the leader.
 	known []MemberID
@@ -57,16 +65,30 @@
 func (c *Core) founder() MemberID { return c.peers()[0].ID }
 
 func (c *Core) startFormation(now time.Duration) {
-	c.formation.ready = map[MemberID]readyPeer{}
+	// A random first round sets apart responses to an earlier process of this member.
+	c.formation.round = c.opts.Rand.Uint64()
+	c.nextRound(nil)
 	if c.uninitialized() {
 		c.createGroupIfReady(now)
 	}
 }
 
+// nextRound discards the responses of the present round. previous are the data directories
+// that confirmed in it, nil if not all peers did.
+func (c *Core) nextRound(previous map[MemberID]StoreID) {
+	c.formation.round++
+	c.formation.ready = map[MemberID]readyPeer{}
+	c.formation.previous = previous
+}
+
 func (c *Core) tickFormation(now time.Duration) {
 	if now < c.formation.nextHello {
 		return
 	}
+	c.sendHellos(now)
+}
+
+func (c *Core) sendHellos(now time.Duration) {
 	c.formation.nextHello = now + helloInterval
 	for _, p := range c.opts.Peers {
 		c.sendHello(p.ID)
@@ -80,7 +102,7 @@
 
 func (c *Core) sendHello(to MemberID) {
 	if to != c.opts.ID {
-		c.messages = append(c.messages, c.withSender(Message{Type: MessageHello, To: to, Addr: c.opts.Addr}))
+		c.messages = append(c.messages, c.withSender(Message{Type: MessageHello, To: to, Addr: c.opts.Addr, Round: c.formation.round}))
 	}
 }
 
@@ -128,7 +150,7 @@
 		c.setTerm(c.hard.Term + 1)
 		c.hard.Founder, c.hard.FounderTerm = m.FromStore, c.hard.Term
 	}
-	c.reply(m, Message{Type: MessageHelloResponse})
+	c.reply(m, Message{Type: MessageHelloResponse, Round: m.Round})
 }
 
 func (c *Core) handleHelloResponse(now time.Duration, m Message) {
@@ -136,23 +158,36 @@
 		return
 	}
 	if m.Reject && !c.opts.faults.ignoreExistingGroup {
-		c.formation.groupExists = true
-		if len(m.Known) > 0 {
-			c.formation.known = m.Known
-		}
+		c.handleExistingLog(m)
+		return
+	}
+	if m.Round != c.formation.round && !m.Reject {
 		return
 	}
 	c.formation.ready[m.From] = readyPeer{m.FromStore, m.Term}
 	c.createGroupIfReady(now)
 }
 
+// handleExistingLog handles the response of a peer that has a log.
+func (c *Core) handleExistingLog(m Message) {
+	if len(m.Known) > 0 {
+		c.formation.known = m.Known
+	}
+	for _, id := range m.Known {
+		if !slices.ContainsFunc(c.peers(), func(p Peer) bool { return p.ID == id }) {
+			c.formation.groupExists = true
+		}
+	}
+	c.nextRound(nil)
+}
+
 // createGroupIfReady creates the group, if this member is its founder, once every peer has
-// confirmed that it has no log.
+// confirmed in two consecutive rounds that it has no log.
 func (c *Core) createGroupIfReady(now time.Duration) {
 	if !c.opts.Bootstrap || c.formation.groupExists || c.founder() != c.opts.ID {
 		return
 	}
-	set, term := MemberSet{}, c.hard.Term
+	set, term, stores := MemberSet{}, c.hard.Term, map[MemberID]StoreID{}
 	for _, p := range c.peers() {
 		peer, ok := c.formation.ready[p.ID]
 		if p.ID == c.opts.ID {
@@ -162,8 +197,14 @@
 			return
 		}
 		set.Members = append(set.Members, Member{ID: p.ID, Addr: p.Addr, Store: peer.store})
+		stores[p.ID] = peer.store
 		term = max(term, peer.term)
 	}
+	if len(set.Members) > 1 && !maps.Equal(stores, c.formation.previous) && !c.opts.faults.singleRound {
+		c.nextRound(stores)
+		c.sendHellos(now)
+		return
+	}
 	c.createGroup(now, set, term+1)
 }
 
--- a/internal/consensus/schedules_test.go
+++ b/internal/consensus/schedules_test.go
@@ -289,6 +289,7 @@
 		{"a voter without a log dropped the messages of a repaired founder", 56167},
 		{"the same, after a late hello of the founder's former store", 56275},
 		{"a restarted voter without a log voted within a lease that it had renewed", 907566},
+		{"the founder and another member lost their disks, and none formed the group", 5046704},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -307,12 +308,12 @@
 		seed   uint64
 		want   string
 	}{
-		{"votes granted within the lease of a live leader", faults{grantWithinLease: true}, 94, "lease overlap"},
-		{"acknowledged before the disk has synced", faults{skipSync: true}, 6, "leader completeness"},
-		{"an emptied disk votes as the former member, and two lead", faults{ignoreStores: true}, 77, "election safety"},
-		{"an emptied disk votes as the former member, and a commit is lost", faults{ignoreStores: true}, 4, "leader completeness"},
+		{"votes granted within the lease of a live leader", faults{grantWithinLease: true}, 320, "lease overlap"},
+		{"acknowledged before the disk has synced", faults{skipSync: true}, 9, "leader completeness"},
+		{"an emptied disk votes as the former member, and two lead", faults{ignoreStores: true}, 122, "election safety"},
+		{"an emptied disk votes as the former member, and a commit is lost", faults{ignoreStores: true}, 22, "leader completeness"},
 		{"an emptied founder forms the group again", faults{ignoreExistingGroup: true}, 8, "leader completeness"},
-		{"two founders' first terms are equal", faults{reuseTerm: true}, 94, "log matching"},
+		{"two founders' first terms are equal", faults{reuseTerm: true}, 183, "log matching"},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -113,7 +113,7 @@
 	Index   uint64
 	LogTerm uint64 // term of the entry at Index
 	Commit  uint64
-	// Round numbers the heartbeats of one term.
+	// Round numbers the heartbeats of one term, and the hellos of a founder.
 	Round  uint64
 	Reject bool
 	// Hint is the last index at which a rejecting follower's log may match.
