consensus: after a joint restart the former leader campaigns at once, and its voters don't wait for its lease

Change: HardState records the store of the leader that a member last followed (msgp vartuple, so that records of earlier releases are read; they have none, and the wait is as before). A member that finds its own store there campaigns at its start; voters that last followed it grant at once.

Ruled out: a shorter election timeout (processor quotas hold a heartbeat up for 100 ms); to drop the wait once all known voters say that they restarted (a voter that lags behind doesn't know all who may lead).

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -84,6 +84,7 @@
 	ignoreExistingGroup bool // form a group although a peer has a log
 	reuseTerm           bool // respond to a founder without raising the term
 	singleRound         bool // form a group after one round of responses
+	forgetLeader        bool // take any candidate for the leader that was last followed
 }
 
 // Core is the Raft state machine of one member. It does no I/O and isn't safe for
@@ -106,6 +107,7 @@
 	leaderContacted   bool          // whether lastLeaderContact is set
 	lastLeaderContact time.Duration // last message from a leader, or last heartbeat sent as leader
 	electionDeadline  time.Duration
+	returningUntil    time.Duration // until then, the former leader repeats its campaign quickly
 
 	votes map[MemberID]bool // granted in the current election or pre-vote
 
@@ -159,6 +161,7 @@
 		c.leaderContacted, c.lastLeaderContact = true, now
 	}
 	c.resetElection(now)
+	c.resumeLeadership(now)
 	c.electSoleVoter(now)
 	c.startFormation(now)
 	return c
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -14,9 +14,24 @@
 // delay resolves split votes.
 func (c *Core) retryElection(now time.Duration) {
 	e := c.opts.ElectionTimeout
+	if now < c.returningUntil {
+		c.electionDeadline = now + e/16
+		return
+	}
 	c.electionDeadline = now + e/8 + c.randomDuration(e/4)
 }
 
+// resumeLeadership makes a member that led when its process ended campaign at once, and
+// repeatedly for an election timeout, within which other members may start. Its lease ended with
+// its process, so voters needn't wait for it (see withinLease).
+func (c *Core) resumeLeadership(now time.Duration) {
+	if c.hard.Leader != c.opts.Store || !c.membership().Voter(c.opts.ID, c.opts.Store) {
+		return
+	}
+	c.returningUntil = now + c.opts.ElectionTimeout
+	c.electionDeadline = now
+}
+
 func (c *Core) randomDuration(limit time.Duration) time.Duration {
 	return time.Duration(c.opts.Rand.Int64N(int64(limit) + 1))
 }
@@ -32,6 +47,7 @@
 
 func (c *Core) becomeFollower(now time.Duration, term uint64, leader MemberID) {
 	c.setTerm(term)
+	c.returningUntil = 0
 	c.role, c.leader = RoleFollower, leader
 	c.leadership = leadership{}
 	c.votes = nil
@@ -81,13 +97,23 @@
 // withinLease reports whether a vote must be rejected because a leader may still
 // hold a lease that this member acknowledged (thesis §6.4.1). A leader's own
 // heartbeats count as contact with a leader.
+//
+// The lease that this member's responses support is that of the leader which it last
+// followed. A candidate is no leader, and never leads its former term again: a request of that
+// very data directory shows that its lease has ended.
 func (c *Core) withinLease(now time.Duration, m Message) bool {
-	if m.Forced || !c.leaderContacted || c.opts.faults.grantWithinLease {
+	if m.Forced || !c.leaderContacted || c.opts.faults.grantWithinLease || c.isFormerLeader(m.FromStore) {
 		return false
 	}
 	return now-c.lastLeaderContact < c.opts.ElectionTimeout
 }
 
+// isFormerLeader reports whether the data directory is that of the leader that this member
+// last followed, or led as itself.
+func (c *Core) isFormerLeader(store StoreID) bool {
+	return store == c.hard.Leader || c.opts.faults.forgetLeader
+}
+
 func (c *Core) handlePreVote(now time.Duration, m Message) {
 	grant := m.Term > c.hard.Term && !c.withinLease(now, m) && c.log.upToDate(m.Index, m.LogTerm)
 	r := Message{Type: MessagePreVoteResponse, Reject: !grant}
@@ -155,4 +181,13 @@
 	}
 	c.becomeFollower(now, m.Term, m.From)
 	c.leaderContacted, c.lastLeaderContact = true, now
+	c.recordLeader(m.FromStore)
+}
+
+// recordLeader records the store of the leader that this member follows from now on. It is synced
+// before the first response to that leader is sent.
+func (c *Core) recordLeader(store StoreID) {
+	if c.hard.Leader != store {
+		c.hard.Leader, c.hardChanged = store, true
+	}
 }
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -46,6 +46,7 @@
 
 func (c *Core) becomeLeader(now time.Duration) {
 	c.role, c.leader, c.votes = RoleLeader, c.opts.ID, nil
+	c.recordLeader(c.opts.Store)
 	c.leadership = leadership{progress: map[MemberID]*progress{}, termStart: c.log.last() + 1}
 	c.syncProgress(now)
 	c.appendOwn(Entry{Kind: EntryNoop})
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -22,7 +22,8 @@
 	EntryMembers
 )
 
-//msgp:tuple Entry Member MemberSet Snapshot SnapshotChunk Message HardState
+//msgp:tuple Entry Member MemberSet Snapshot SnapshotChunk Message
+//msgp:vartuple HardState
 
 // Entry is one entry of the log.
 type Entry struct {
@@ -137,4 +138,8 @@
 	// had no log. FounderTerm is the term of that response.
 	Founder     StoreID
 	FounderTerm uint64
+	// Leader is the store of the leader that this member last followed, or its own if it has
+	// led since. No other leader may hold a lease by this member's responses. It is 0 in data
+	// of earlier releases.
+	Leader StoreID
 }
--- a/internal/consensus/types_gen.go
+++ b/internal/consensus/types_gen.go
@@ -95,13 +95,14 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *HardState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint64(o, z.Term)
 	o = msgp.AppendString(o, string(z.Vote))
 	o = msgp.AppendUint64(o, uint64(z.VoteStore))
 	o = msgp.AppendUint64(o, uint64(z.Founder))
 	o = msgp.AppendUint64(o, z.FounderTerm)
+	o = msgp.AppendUint64(o, uint64(z.Leader))
 	return
 }
 
@@ -113,46 +114,78 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
-		return
-	}
-	z.Term, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Term")
-		return
-	}
-	{
-		var zb0002 string
-		zb0002, bts, err = msgp.ReadStringBytes(bts)
+	for zb0001 > 0 {
+		z.Term, bts, err = msgp.ReadUint64Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Vote")
+			err = msgp.WrapError(err, "Term")
 			return
 		}
-		z.Vote = MemberID(zb0002)
-	}
-	{
-		var zb0003 uint64
-		zb0003, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "VoteStore")
-			return
+		if zb0001--; zb0001 == 0 {
+			break
 		}
-		z.VoteStore = StoreID(zb0003)
-	}
-	{
-		var zb0004 uint64
-		zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+		{
+			var zb0002 string
+			zb0002, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Vote")
+				return
+			}
+			z.Vote = MemberID(zb0002)
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		{
+			var zb0003 uint64
+			zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "VoteStore")
+				return
+			}
+			z.VoteStore = StoreID(zb0003)
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		{
+			var zb0004 uint64
+			zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Founder")
+				return
+			}
+			z.Founder = StoreID(zb0004)
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.FounderTerm, bts, err = msgp.ReadUint64Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Founder")
+			err = msgp.WrapError(err, "FounderTerm")
 			return
 		}
-		z.Founder = StoreID(zb0004)
-	}
-	z.FounderTerm, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "FounderTerm")
-		return
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		{
+			var zb0005 uint64
+			zb0005, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leader")
+				return
+			}
+			z.Leader = StoreID(zb0005)
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		for ; zb0001 > 0; zb0001-- {
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -160,7 +193,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *HardState) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(string(z.Vote)) + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(string(z.Vote)) + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
