gateway: requests wait for the start of a router, and the upstream list is read beside the configuration

What callers saw: after all processes were killed, each request that reached a router before the first confirmation was answered 503 with a Retry-After of 1.2 to 2.2 s.

Change: internal/gateway/startup.go holds the decision (startupWait): within 1.5 s of its start a router holds a request for up to a second, and a quarter of the caller's time at most, until the table is confirmed and a list is known; up to 512 requests with bodies of up to 64 KiB, which are read first. Callers rejected within the window return after 0.3 to 0.8 s. After the window all is as before: what can't be decided is rejected at once. The leader names relays in each reply without a lease, and a router reads the list as soon as it knows them.

--- a/internal/control/session_endpoint.go
+++ b/internal/control/session_endpoint.go
@@ -20,7 +20,7 @@
 	if members := s.members.Load(); members != nil {
 		reply.Control = *members
 	}
-	if reply.Status == session.StatusJoining {
+	if reply.Status != session.StatusGranted { // the router has no membership to compute them from
 		var membership fleet.Membership
 		s.stateMachine.withReadLock(func() { membership = s.roster.Membership() })
 		reply.Relays = s.relays.Relays(membership)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -135,6 +135,7 @@
 	contact    bool         // with the control group
 	superseded bool         // a newer configuration is known
 	stopping   atomic.Bool
+	started    chan struct{} // see ServerConfig.Started
 	tracer     *telemetry.Tracer
 	upstreams  []fleet.Upstream             // one for each script
 	index      atomic.Pointer[routes.Index] // of the table in force
@@ -250,7 +251,7 @@
 		SessionState: func() balance.SessionState { return r.session }, KeysUntil: func() time.Duration { return clock() + r.keys },
 		ConfirmedAt: func() time.Duration { return clock() - r.configAge }, MaxConfigAge: ConfigAgeLimits{Rejection: 2 * time.Second, Service: 3 * time.Second},
 		InContact: func() bool { return r.contact }, IsSuperseded: func() bool { return r.superseded },
-		ListAge:  func() time.Duration { return 0 },
+		ListAge: func() time.Duration { return 0 }, Started: r.started,
 		Stopping: r.stopping.Load, Balancer: r.balancer, Pool: pool,
 		Log: cmp.Or(r.log, slog.New(slog.DiscardHandler)), Metrics: metrics.NewRegistry(), Tracer: r.tracer,
 	})
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -33,6 +33,7 @@
 	w      http.ResponseWriter
 	r      *http.Request
 	start  time.Duration
+	held   time.Duration // for which the request has waited, see awaitStartup
 
 	call        Call
 	table       *routes.Index
--- a/internal/gateway/list_source.go
+++ b/internal/gateway/list_source.go
@@ -50,7 +50,7 @@
 	// length is added, so that the routers of a starting fleet don't read at once.
 	relayWait = 2 * time.Second
 	// relayPoll is the interval at which the membership is checked during relayWait.
-	relayPoll = 50 * time.Millisecond
+	relayPoll = 10 * time.Millisecond
 )
 
 // upstreamListConfig configures an upstreamList.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -42,6 +42,9 @@
 	f.server.countRequest(kind, outcome, f.server.cfg.Clock()-f.start)
 	sends, runs := f.history.counts()
 	args := []any{"status", status, "kind", kind, "sends", sends, "runs", runs}
+	if f.held > 0 {
+		args = append(args, "held", f.held.Round(time.Millisecond).String())
+	}
 	if f.pick != nil {
 		args = append(args, "upstream", string(f.pick.Upstream.ID), "load", f.pick.Load, "mean", math.Round(f.pick.Mean))
 	}
--- a/internal/gateway/rejection.go
+++ b/internal/gateway/rejection.go
@@ -49,8 +49,9 @@
 
 // controlUnavailable returns the rejection of a request that can't be decided until the
 // control group answers.
-func controlUnavailable(reason string) *rejection {
-	return &rejection{status: http.StatusServiceUnavailable, reason: reason, base: controlBase, spread: controlSpread}
+func (s *Server) controlUnavailable(reason string) *rejection {
+	base, spread := s.startup.wait.retryDelay(s.cfg.Clock())
+	return &rejection{status: http.StatusServiceUnavailable, reason: reason, base: base, spread: spread}
 }
 
 // reject answers the caller with the rejection and logs it.
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -74,6 +74,10 @@
 	table    atomic.Pointer[routes.Index]
 	inForce  atomic.Uint64 // version of the configuration in force
 	stopping atomic.Bool
+	// started is closed once the configuration has been confirmed and the upstream list read for
+	// the first time.
+	started     chan struct{}
+	startedOnce sync.Once
 
 	wg     sync.WaitGroup
 	cancel context.CancelFunc
@@ -86,7 +90,7 @@
 		cfg: cfg, log: cfg.Logger.Named("router"),
 		self:    fleet.Member{ID: s.Instance, Boot: fleet.NewBootID(), Addr: s.Listen.Mesh, Zone: s.Zone},
 		control: control.NewClient(pool, s.Control.Members),
-		pool:    exchange.NewPool(),
+		pool:    exchange.NewPool(), started: make(chan struct{}),
 	}
 	r.balancer = balance.New(balance.Config{
 		Zone: s.Zone, Seed: xxhash.Sum64String(string(s.Instance)), Retries: cfg.Retries,
@@ -97,16 +101,16 @@
 		Session: session.Settings{Lease: s.Session.Lease, RenewInterval: s.Session.RenewInterval},
 		Clock:   cfg.Clock, Control: r.control, Server: server, Pool: pool, Logger: r.log, Owner: placement.NewRings().Owner,
 		InForce:  func() fleet.ConfigVersion { return fleet.ConfigVersion(r.inForce.Load()) },
-		OnConfig: r.applyConfig, Note: r.quarantineNote, OnNote: r.applyNote,
+		OnConfig: r.applyConfig, OnConfirmed: r.checkStarted, Note: r.quarantineNote, OnNote: r.applyNote,
 	})
 	r.server = NewServer(ServerConfig{
 		Clock: cfg.Clock, Protocol: cfg.Protocol, Table: r.table.Load, SessionState: r.sessionState, KeysUntil: r.keysUntil, ListAge: r.listAge,
-		ConfirmedAt: r.keeper.ConfirmedAt, MaxConfigAge: cfg.MaxConfigAge, InContact: r.inContact, IsSuperseded: r.isSuperseded,
+		ConfirmedAt: r.keeper.ConfirmedAt, Started: r.started, MaxConfigAge: cfg.MaxConfigAge, InContact: r.inContact, IsSuperseded: r.isSuperseded,
 		Stopping: r.stopping.Load, Balancer: r.balancer, Pool: r.pool, Log: cfg.Requests, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	})
 	r.list = newUpstreamList(upstreamListConfig{
 		log: r.log.Named("list"), clock: cfg.Clock, self: r.self.ID, lister: cfg.Lister, interval: cfg.ListInterval,
-		pool: pool, relays: r.keeper.Relays, needed: func() bool { return r.table.Load() != nil }, loads: r.balancer, onChange: r.applyList,
+		pool: pool, relays: r.keeper.Relays, needed: r.needsList, loads: r.balancer, onChange: r.applyList,
 	})
 	server.HandleBackground(MethodList, r.list.serve)
 	metrics.NewRegisteredFunctionalGauge(telemetry.MetricName("gateway_config_age_ms"), cfg.Metrics, func() int64 {
@@ -191,6 +195,18 @@
 	r.log.Info("configuration in force", "version", uint64(index.Version()), "table", r.tableVersion())
 }
 
+// needsList reports whether the router uses the upstream list, or soon will: with the leader's first
+// reply it begins to read both the list and the configuration.
+func (r *Router) needsList() bool { return r.table.Load() != nil || len(r.keeper.Relays()) > 0 }
+
+// checkStarted ends the wait of requests for the router's start once it can serve them.
+func (r *Router) checkStarted() {
+	if list, _ := r.list.newest(); list == nil || r.keeper.ConfirmedAt() < 0 {
+		return
+	}
+	r.startedOnce.Do(func() { close(r.started) })
+}
+
 // tableVersion returns the version of the routing table in force; 0 before the first.
 func (r *Router) tableVersion() uint64 {
 	if t := r.table.Load(); t != nil {
@@ -266,6 +282,7 @@
 	for _, addr := range r.balancer.SetUpstreams(asOf, s.upstreams()) {
 		r.pool.CloseIdle(addr)
 	}
+	r.checkStarted()
 }
 
 // Drain makes the router report itself as not ready, and returns after the drain notice or
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -37,6 +37,9 @@
 	ConfirmedAt func() time.Duration
 	// MaxConfigAge bounds the age of ConfirmedAt.
 	MaxConfigAge ConfigAgeLimits
+	// Started is closed once the control group has confirmed the table, and an upstream list is
+	// known, for the first time; nil means from the start.
+	Started <-chan struct{}
 	// InContact reports whether a control member has answered lately, as a leader or not.
 	InContact func() bool
 	// IsSuperseded reports whether a newer configuration than the one in force is known to
@@ -75,6 +78,7 @@
 	buffered atomic.Int64 // bytes of the answers being read, see answerReader
 	draw     atomic.Uint64
 	counts   sync.Map // of *requestCount by requestLabels
+	startup  startupGate
 }
 
 // requestLabels are the labels of the request metrics.
@@ -88,7 +92,15 @@
 
 // NewServer returns a server with the given configuration.
 func NewServer(cfg ServerConfig) *Server {
-	return &Server{cfg: cfg}
+	s := &Server{cfg: cfg}
+	s.startup.wait = startupWait{start: cfg.Clock()}
+	s.startup.started = cfg.Started
+	if cfg.Started == nil {
+		started := make(chan struct{})
+		close(started)
+		s.startup.started = started
+	}
+	return s
 }
 
 // Running returns the number of callers' requests in flight.
@@ -131,14 +143,17 @@
 	if f.call, err = s.cfg.Protocol.Call(f.r.Header); err != nil {
 		return &rejection{status: http.StatusBadRequest, reason: err.Error()}
 	}
+	if err := f.awaitStartup(); err != nil {
+		return bodyMissing(err)
+	}
 	f.confirmedAt = s.cfg.ConfirmedAt() // before the table: a newer one holds what is confirmed as well
 	table := s.cfg.Table()
 	if table == nil {
-		return controlUnavailable("no routing table is in force yet")
+		return s.controlUnavailable("no routing table is in force yet")
 	}
 	f.table = table
 	if !s.isConfirmed(f.configAge()) {
-		return controlUnavailable("the control group hasn't confirmed the configuration lately")
+		return s.controlUnavailable("the control group hasn't confirmed the configuration lately")
 	}
 	path, _, _ := strings.Cut(f.r.RequestURI, "?")
 	if f.route = table.Route(f.r.Host, path); f.route == nil {
@@ -172,7 +187,7 @@
 		return nil
 	}
 	if f.server.cfg.Clock() >= f.server.cfg.KeysUntil() {
-		return controlUnavailable("the control group hasn't confirmed the keys lately")
+		return f.server.controlUnavailable("the control group hasn't confirmed the keys lately")
 	}
 	if f.workspace = f.table.Workspace(f.call.Key); f.workspace == nil {
 		return f.rejectByTable(http.StatusUnauthorized, "unknown key")
@@ -197,7 +212,7 @@
 // retry. If a newer table may be in force elsewhere, callers are told to retry instead.
 func (f *forwarder) rejectByTable(status int, reason string) *rejection {
 	if exceeds(f.configAge(), f.server.cfg.MaxConfigAge.Rejection) {
-		return controlUnavailable(reason + " in a routing table that the control group hasn't confirmed lately")
+		return f.server.controlUnavailable(reason + " in a routing table that the control group hasn't confirmed lately")
 	}
 	return &rejection{status: status, reason: reason}
 }
@@ -214,12 +229,17 @@
 	case errors.As(err, &tooLarge):
 		return f.rejectByTable(http.StatusRequestEntityTooLarge, "the body is too long")
 	case err != nil:
-		return &rejection{status: http.StatusBadRequest, reason: "the body did not arrive: " + err.Error()}
+		return bodyMissing(err)
 	}
 	f.body = body
 	return nil
 }
 
+// bodyMissing returns the rejection of a request whose body can't be read.
+func bodyMissing(err error) *rejection {
+	return &rejection{status: http.StatusBadRequest, reason: "the body did not arrive: " + err.Error()}
+}
+
 // configAge returns the time since the configuration that the request was admitted by was
 // last confirmed to be the newest.
 func (f *forwarder) configAge() time.Duration { return f.server.cfg.Clock() - f.confirmedAt }
--- a/internal/member/keeper.go
+++ b/internal/member/keeper.go
@@ -57,6 +57,8 @@
 	OnPoolMeans func(means []session.PoolMean, own []session.PoolLoad)
 	// OnConfig is called after the View's version has increased.
 	OnConfig func()
+	// OnConfirmed is called after each increase of ConfirmedAt; it may be nil.
+	OnConfirmed func()
 	// Note returns the note to send with a renewal, see session.RenewRequest; nil means
 	// none.
 	Note func() []byte
@@ -270,6 +272,9 @@
 	// restarted gets such replies.
 	if k.cfg.InForce() >= reply.Version {
 		k.confirmed.Store(int64(sent))
+		if k.cfg.OnConfirmed != nil {
+			k.cfg.OnConfirmed()
+		}
 	}
 }
 
