consensus: the schedules' repair trusts no former leader

Trace: 10.0.0.3 leads term 4 and removes itself, committed. The simulation's repair asks the leader with the highest term that runs: 10.0.0.1, still leading term 3 without a lease, lists 10.0.0.3 as a voter in a committed membership, so that the simulation forgets that it is to be added again. No member errs; a removed member that nobody adds stays removed.

Change: only a leader with a lease ends a repair, so the simulation repairs longer than before.

--- a/internal/consensus/schedules_test.go
+++ b/internal/consensus/schedules_test.go
@@ -228,7 +228,9 @@
 	if known := core.membership().Find(broken.id); known != nil && known.Store == store {
 		if !known.Learner {
 			settled := max(core.lastChangeIndex(), core.leadership.termStart)
-			broken.needsRepair = core.log.commit < settled
+			// Without a lease it may be a former leader that doesn't know of the removal.
+			until, leased := core.LeaseUntil()
+			broken.needsRepair = core.log.commit < settled || !leased || m.localTime() >= until
 			return
 		}
 		change = Change{Kind: ChangePromote, ID: broken.id}
@@ -290,6 +292,7 @@
 		{"the same, after a late hello of the founder's former store", 56275},
 		{"a restarted voter without a log voted within a lease that it had renewed", 907566},
 		{"the founder and another member lost their disks, and none formed the group", 5046704},
+		{"a former leader without a lease vouched for a member that had removed itself", 7027508},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
