gateway: a stopping router rejects what its grace period would cut

Report of another operator: in a planned stop in calm, requests that came late in the grace were passed on and cut at its end, among them some that may not be repeated. It can happen here: a router that drains passes on whatever it reads, also a request whose time limit lies beyond the end of the grace period.

Change: PlannedStop decides. From the stop's begin on, a request that may not be repeated is accepted only if its time limit ends before the grace period; after the drain notice (2.5 s on the users' platform), others too. What isn't accepted is answered 503 before any upstream is chosen, with a Retry-After of 0.05 to 0.2 s: the caller's next connection leads to another router.

Test: TestStoppingRouterPassesOnWhatItWillCut, eight cases; the four rejections fail without the call of admits (200).

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -136,6 +136,7 @@
 	superseded bool         // a newer configuration is known
 	stopping   atomic.Bool
 	started    chan struct{} // see ServerConfig.Started
+	stop       atomic.Pointer[PlannedStop]
 	tracer     *telemetry.Tracer
 	upstreams  []fleet.Upstream             // one for each script
 	index      atomic.Pointer[routes.Index] // of the table in force
@@ -252,7 +253,7 @@
 		ConfirmedAt: func() time.Duration { return clock() - r.configAge }, MaxConfigAge: ConfigAgeLimits{Rejection: 2 * time.Second, Service: 3 * time.Second},
 		InContact: func() bool { return r.contact }, IsSuperseded: func() bool { return r.superseded },
 		ListAge: func() time.Duration { return 0 }, Started: r.started,
-		Stopping: r.stopping.Load, Balancer: r.balancer, Pool: pool,
+		Stopping: r.stopping.Load, Stop: r.stop.Load, Balancer: r.balancer, Pool: pool,
 		Log: cmp.Or(r.log, slog.New(slog.DiscardHandler)), Metrics: metrics.NewRegistry(), Tracer: r.tracer,
 	})
 	front := httptest.NewServer(r.server)
--- /dev/null
+++ b/internal/gateway/planned_stop_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/routes"
+)
+
+// A request that came late in the grace period was passed on and cut at its end.
+func TestStoppingRouterPassesOnWhatItWillCut(t *testing.T) {
+	const notice = 2500 * time.Millisecond
+	cases := []struct {
+		name    string
+		kind    routes.Kind
+		after   time.Duration // since the stop began
+		grace   time.Duration
+		timeout time.Duration
+		status  int
+	}{
+		{"once, ends in time", routes.KindOnce, 0, 8 * time.Second, 4 * time.Second, http.StatusOK},
+		{"once, may be cut", routes.KindOnce, 0, 8 * time.Second, 9 * time.Second, http.StatusServiceUnavailable},
+		{"once, late but in time", routes.KindOnce, 6 * time.Second, 8 * time.Second, time.Second, http.StatusOK},
+		{"once, too late", routes.KindOnce, 7 * time.Second, 8 * time.Second, 1500 * time.Millisecond, http.StatusServiceUnavailable},
+		{"repeatable, within the notice", routes.KindIdempotent, time.Second, 8 * time.Second, 15 * time.Second, http.StatusOK},
+		{"repeatable, after the notice", routes.KindIdempotent, 3 * time.Second, 8 * time.Second, 15 * time.Second, http.StatusServiceUnavailable},
+		{"repeatable, after the notice, ends in time", routes.KindIdempotent, 3 * time.Second, 8 * time.Second, 2 * time.Second, http.StatusOK},
+		{"no grace period", routes.KindOnce, time.Hour, 0, 15 * time.Second, http.StatusOK},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newTestGateway(t, routes.Route{Kind: tc.kind, MaxAttempts: 1, Timeout: tc.timeout}, serveDone)
+			r.stopping.Store(true)
+			now := r.server.cfg.Clock()
+			stop := &PlannedStop{noticeEnd: now - tc.after + notice}
+			if tc.grace > 0 {
+				stop.graceEnd = now - tc.after + tc.grace
+			}
+			r.stop.Store(stop)
+			resp, _, err := r.send()
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, tc.status)
+			is.True(resp.Close)
+			is.Equal(len(r.arrivals()) > 0, tc.status == http.StatusOK)
+			is.Equal(resp.Header.Get("Retry-After") != "", tc.status != http.StatusOK)
+		})
+	}
+}
+
+func TestPlannedStopEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	s := newPlannedStop(ctx, time.Hour, time.Second)
+	is.Equal(s.noticeEnd, time.Hour+time.Second)
+	is.True(s.graceEnd > time.Hour+59*time.Second && s.graceEnd <= time.Hour+time.Minute)
+	is.Equal(newPlannedStop(t.Context(), time.Hour, time.Second).graceEnd, time.Duration(0))
+}
--- a/internal/gateway/rejection.go
+++ b/internal/gateway/rejection.go
@@ -16,6 +16,10 @@
 	// callers retry after an election, which takes about a second.
 	controlBase   = 1200 * time.Millisecond
 	controlSpread = time.Second
+	// stopBase and stopSpread apply at a router that stops: the caller's next connection leads to
+	// another one.
+	stopBase   = 50 * time.Millisecond
+	stopSpread = 150 * time.Millisecond
 	// maxRestSpread bounds the time over which the callers return that were refused while all
 	// upstreams of a pool rested. Few callers wait longer.
 	maxRestSpread = 10 * time.Second
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -74,6 +74,7 @@
 	table    atomic.Pointer[routes.Index]
 	inForce  atomic.Uint64 // version of the configuration in force
 	stopping atomic.Bool
+	stop     atomic.Pointer[PlannedStop]
 	// started is closed once the configuration has been confirmed and the upstream list read for
 	// the first time.
 	started     chan struct{}
@@ -106,7 +107,7 @@
 	r.server = NewServer(ServerConfig{
 		Clock: cfg.Clock, Protocol: cfg.Protocol, Table: r.table.Load, SessionState: r.sessionState, KeysUntil: r.keysUntil, ListAge: r.listAge,
 		ConfirmedAt: r.keeper.ConfirmedAt, Started: r.started, MaxConfigAge: cfg.MaxConfigAge, InContact: r.inContact, IsSuperseded: r.isSuperseded,
-		Stopping: r.stopping.Load, Balancer: r.balancer, Pool: r.pool, Log: cfg.Requests, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
+		Stopping: r.stopping.Load, Stop: r.stop.Load, Balancer: r.balancer, Pool: r.pool, Log: cfg.Requests, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	})
 	r.list = newUpstreamList(upstreamListConfig{
 		log: r.log.Named("list"), clock: cfg.Clock, self: r.self.ID, lister: cfg.Lister, interval: cfg.ListInterval,
@@ -289,6 +290,7 @@
 // when ctx ends. The router keeps serving meanwhile.
 func (r *Router) Drain(ctx context.Context) {
 	r.log.Info("draining", "running", r.server.Running())
+	r.stop.Store(newPlannedStop(ctx, r.cfg.Clock(), r.cfg.Settings.DrainNotice))
 	r.stopping.Store(true)
 	fleet.Pause(ctx, r.cfg.Settings.DrainNotice)
 }
