control: calls wait at a member for the next leader, and don't go round the members

Cause, first part: while no leader is known, each router asks member after member, for renewals and for notices, 20 times a second each; each answer takes a status request through the goroutine that runs the election, at 0.08 of a core.

Change: a member that knows no leader, or leads without a proof yet, holds the call for up to 0.4 s and answers as soon as it knows (KnownLeader, published by the group). A member that lacks a version that a router names waits 0.2 s for it.

--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -75,6 +75,7 @@
 	leadership chan Leadership
 	published  Leadership
 	lease      atomic.Pointer[Lease] // nil without a lease
+	leader     atomic.Pointer[knownLeader]
 	stop       chan struct{}
 	stopOnce   sync.Once
 	done       chan struct{}
@@ -111,6 +112,7 @@
 	r.snapshotThreshold = cfg.SnapshotThreshold
 	r.beforeSend = g.publishLease
 	g.replica = r
+	g.leader.Store(&knownLeader{changed: make(chan struct{})})
 	g.log.Info("member started", "member", cfg.ID, "store", r.store.id, "term", r.core.hard.Term, "last", r.core.log.last())
 	go g.run()
 	return g, nil
@@ -227,6 +229,7 @@
 	core := g.replica.core
 	g.publishLease()
 	g.meters.recordState(g.replica)
+	defer g.publishLeader()
 	leads := core.role == RoleLeader && core.log.applied >= core.leadership.termStart
 	next := Leadership{Leading: leads, Term: core.hard.Term}
 	if next == g.published || (!leads && !g.published.Leading) {
@@ -292,6 +295,34 @@
 // newest change; a slow reader misses the ones in between.
 func (g *Group) LeadershipChanges() <-chan Leadership { return g.leadership }
 
+// knownLeader is the address of the leader that a member knows.
+type knownLeader struct {
+	addr    string        // empty for none
+	changed chan struct{} // closed once another one is known
+}
+
+// KnownLeader returns the address of the leader that this member knows, and a channel that is
+// closed when that changes. It is empty while there is none, or while it is this member but has
+// not applied the entries of earlier terms.
+func (g *Group) KnownLeader() (addr string, changed <-chan struct{}) {
+	known := g.leader.Load()
+	return known.addr, known.changed
+}
+
+// publishLeader publishes a change of the known leader.
+func (g *Group) publishLeader() {
+	core, known := g.replica.core, g.leader.Load()
+	addr := core.memberAddr(core.leader)
+	if core.role == RoleLeader && !g.published.Leading {
+		addr = ""
+	}
+	if addr == known.addr {
+		return
+	}
+	g.leader.Store(&knownLeader{addr: addr, changed: make(chan struct{})})
+	close(known.changed)
+}
+
 // Done is closed when the member has stopped, by Close or by a failure.
 func (g *Group) Done() <-chan struct{} { return g.done }
 
--- a/internal/control/config_endpoint.go
+++ b/internal/control/config_endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/deflate"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
@@ -43,12 +44,20 @@
 	Page   []byte              `msg:"p,omitempty"`
 }
 
+const (
+	// appliedWait is how long a member that doesn't lead waits for the version that a request
+	// names. The leader tells it of the commit soon after a router.
+	appliedWait = 200 * time.Millisecond
+	// appliedPoll is the interval at which it checks for that version.
+	appliedPoll = 10 * time.Millisecond
+)
+
 // fetch answers MethodFetch.
 func (s *Server) fetch(ctx context.Context, _ string, req *FetchRequest) (*FetchReply, error) {
-	committed := s.config.Committed()
-	if _, leading := s.group.LeaderLease(); !leading && (req.AtLeast == 0 || committed.State.Version < req.AtLeast) {
-		return nil, s.notLeader(ctx, MethodFetch)
+	if !s.mayServe(ctx, req) {
+		return nil, s.notLeader(MethodFetch)
 	}
+	committed := s.config.Committed()
 	reply, err := s.copies.reply(committed, req)
 	if err == nil {
 		err = s.copyPacer.reserveAndWait(ctx, reply.Msgsize())
@@ -56,6 +65,17 @@
 	return reply, fleet.At(err, MethodFetch, s.cfg.Addr)
 }
 
+// mayServe reports whether this member may answer the request: as the leader, or once it has applied
+// the version that the request names, for which it waits up to appliedWait.
+func (s *Server) mayServe(ctx context.Context, req *FetchRequest) bool {
+	if _, leading := s.group.LeaderLease(); leading || req.AtLeast == 0 {
+		return leading
+	}
+	ctx, cancel := context.WithTimeout(ctx, appliedWait)
+	defer cancel()
+	return fleet.Await(ctx, appliedPoll, func() bool { return s.config.Committed().State.Version >= req.AtLeast })
+}
+
 // keptCopies is the number of versions whose full copies are kept, so that routers
 // can finish reading one after a change.
 const keptCopies = 2
--- a/internal/control/ledger_endpoint.go
+++ b/internal/control/ledger_endpoint.go
@@ -74,5 +74,5 @@
 	if errors.As(err, &notLeading) {
 		return notLeader(step, notLeading.Addr)
 	}
-	return s.notLeader(ctx, step)
+	return s.notLeader(step)
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -138,16 +138,48 @@
 // statusTimeout bounds a status request to the local member, or to one peer.
 const statusTimeout = time.Second
 
+const (
+	// leaderWait is how long a call waits at a member that knows no leader. It is less than
+	// callTimeout, after which a router takes the member for frozen.
+	leaderWait = 400 * time.Millisecond
+	// leaseCheckInterval is the time between two attempts of a waiting call at a member that
+	// leads but can't prove it yet.
+	leaseCheckInterval = 10 * time.Millisecond
+)
+
 // notLeader returns a CodeNotLeader error that names the leader, as far as this
 // member knows it.
-func (s *Server) notLeader(ctx context.Context, step string) error {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+func (s *Server) notLeader(step string) error {
+	addr, _ := s.group.KnownLeader()
+	return notLeader(step, addr)
+}
+
+// callAsLeader calls f until it succeeds, which it does only on a leader. While this member knows
+// no leader, or leads and f fails, it tries again for up to leaderWait: in an election the
+// routers' calls wait here, and don't go round the members. The error names the leader.
+func (s *Server) callAsLeader(ctx context.Context, step string, f func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, leaderWait)
 	defer cancel()
-	status, err := s.group.Status(ctx)
-	if err != nil {
-		return notLeader(step, "")
+	for {
+		addr, changed := s.group.KnownLeader() // before f, so that no change is missed
+		if f() {
+			return nil
+		}
+		var retry <-chan time.Time
+		switch addr {
+		case "":
+		case s.cfg.Addr:
+			retry = time.After(leaseCheckInterval)
+		default:
+			return s.notLeader(step)
+		}
+		select {
+		case <-ctx.Done():
+			return s.notLeader(step)
+		case <-changed:
+		case <-retry:
+		}
 	}
-	return notLeader(step, status.LeaderAddr)
 }
 
 // Backend returns this member's backend of the operators' HTTP API.
--- a/internal/control/session_endpoint.go
+++ b/internal/control/session_endpoint.go
@@ -13,9 +13,13 @@
 
 // renew answers MethodRenew.
 func (s *Server) renew(ctx context.Context, _ string, req *session.RenewRequest) (*session.RenewReply, error) {
-	reply := s.leader.renew(req)
-	if reply == nil || reply.Status == session.StatusNotLeader {
-		return nil, s.notLeader(ctx, MethodRenew)
+	var reply *session.RenewReply
+	err := s.callAsLeader(ctx, MethodRenew, func() bool {
+		reply = s.leader.renew(req)
+		return reply != nil && reply.Status != session.StatusNotLeader
+	})
+	if err != nil {
+		return nil, err
 	}
 	if members := s.members.Load(); members != nil {
 		reply.Control = *members
--- a/internal/control/standing.go
+++ b/internal/control/standing.go
@@ -46,7 +46,7 @@
 // membership answers MethodMembership.
 func (s *Server) membership(ctx context.Context, _ string, req *MembershipRequest) (*MembershipReply, error) {
 	if _, leading := s.group.LeaderLease(); !leading {
-		return nil, s.notLeader(ctx, MethodMembership)
+		return nil, s.notLeader(MethodMembership)
 	}
 	status, err := s.group.Status(ctx)
 	if err != nil {
--- a/internal/control/watch_endpoint.go
+++ b/internal/control/watch_endpoint.go
@@ -46,10 +46,17 @@
 
 // watch answers MethodWatch.
 func (s *Server) watch(ctx context.Context, stream *mesh.Stream, _ []byte) error {
+	err := s.callAsLeader(ctx, MethodWatch, func() bool {
+		_, leading, _ := s.leader.notices.current()
+		return leading
+	})
+	if err != nil {
+		return err
+	}
 	for {
 		notice, leading, changed := s.leader.notices.current()
 		if !leading {
-			return s.notLeader(ctx, MethodWatch)
+			return s.notLeader(MethodWatch)
 		}
 		message, err := notice.MarshalMsg(nil)
 		if err != nil {
