member: starting routers of a large fleet read the configuration from relays

Change: the leader names the relays to a router without a lease already; those 17 read from the control group, the others one of them, which holds the request until it has its own copy. A router that has run long and dropped changes says so at once, and the reader turns to the control group.

Evidence: TestControlMembersSendACopyToEachStartingRouter, TestRelaySendsCompleteConfiguration, TestRelayWaitsForItsOwnCopy. Left: renewals wait 1.5 s for the leader, which all routers connect to.

--- a/internal/member/relay.go
+++ b/internal/member/relay.go
@@ -7,16 +7,18 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wigeonflow/wigeonflow/internal/control"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/placement"
 )
 
-// MethodRelay returns the configuration changes that a router has applied: a
-// control.FetchRequest is answered by a control.FetchReply. A router that has not
-// applied the requested version yet waits for it, for up to relayWait, and then fails
-// with errBehind.
+// MethodRelay returns the configuration changes that a router has applied, or for a reader
+// without any the complete configuration: a control.FetchRequest is answered by a
+// control.FetchReply. A router that has not applied the requested version yet waits for it,
+// for up to relayWait, and then fails with errBehind.
 const MethodRelay = "config.relay"
 
 const (
@@ -54,6 +56,7 @@
 // concurrent use.
 type relay struct {
 	mu      sync.Mutex
+	full    *operator.State  // to which the kept changes lead; nil once one of them was dropped
 	changes []operator.Delta // consecutive versions, newest last
 	bytes   int              // estimated encoded size of changes
 	changed chan struct{}    // closed at the next change
@@ -67,7 +70,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if u.Full != nil {
-		r.changes, r.bytes = nil, 0
+		r.full, r.changes, r.bytes = u.Full, nil, 0
 	}
 	for i := range u.Deltas {
 		d := &u.Deltas[i]
@@ -80,6 +83,7 @@
 	for len(r.changes) > keptChanges || r.bytes > keptChangeBytes && len(r.changes) > 1 {
 		r.bytes -= r.changes[0].Msgsize()
 		r.changes = slices.Delete(r.changes, 0, 1)
+		r.full = nil
 	}
 	close(r.changed)
 	r.changed = make(chan struct{})
@@ -99,15 +103,57 @@
 	return slices.Clone(r.changes[first:]), r.changed
 }
 
+// complete returns the complete configuration of the version atLeast or a later one, as a copy
+// and the changes since, or nil if it isn't kept. It also returns a channel like changesAfter.
+func (r *relay) complete(atLeast fleet.ConfigVersion) (*operator.Update, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.full == nil {
+		return nil, r.changed
+	}
+	u := &operator.Update{Full: r.full, Deltas: slices.Clone(r.changes)}
+	if newest := u.Full.Version + fleet.ConfigVersion(len(u.Deltas)); newest < atLeast {
+		return nil, r.changed
+	}
+	return u, r.changed
+}
+
+// hasDropped reports whether this router has applied the requested version, but can't answer the
+// request, now or later.
+func (r *relay) hasDropped(req *control.FetchRequest) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := len(r.changes)
+	return n > 0 && r.changes[n-1].Version >= req.AtLeast && r.changes[0].Version > req.After+1 && r.full == nil
+}
+
+// updateFor returns the update that answers a request, or nil if it isn't kept, and a channel
+// like changesAfter.
+func (r *relay) updateFor(req *control.FetchRequest) (*operator.Update, <-chan struct{}) {
+	if req.After == 0 {
+		if u, changed := r.complete(req.AtLeast); u != nil {
+			return u, changed
+		}
+	}
+	deltas, changed := r.changesAfter(req.After, req.AtLeast)
+	if deltas == nil {
+		return nil, changed
+	}
+	return &operator.Update{Deltas: deltas}, changed
+}
+
 // serve answers MethodRelay once it has the changes up to the requested version, or
 // returns errBehind after relayWait.
 func (r *relay) serve(ctx context.Context, _ string, req *control.FetchRequest) (*control.FetchReply, error) {
 	timeout := time.NewTimer(relayWait)
 	defer timeout.Stop()
 	for {
-		deltas, changed := r.changesAfter(req.After, req.AtLeast)
-		if deltas != nil {
-			return &control.FetchReply{Update: operator.Update{Deltas: deltas}}, nil
+		update, changed := r.updateFor(req)
+		if update != nil {
+			return &control.FetchReply{Update: *update}, nil
+		}
+		if r.hasDropped(req) {
+			return nil, errBehind.New("this router no longer keeps the changes that lead from configuration version %d to %d", req.After, req.AtLeast)
 		}
 		select {
 		case <-ctx.Done():
@@ -154,6 +200,18 @@
 	return fallback, fallback.ID != self
 }
 
+// copySource returns the router from which self reads the complete configuration when it starts; ok
+// is false if it reads it from the control group. After a joint restart the links of the
+// control members don't carry a copy for each router of a large fleet: its relays read
+// theirs there, and the other routers one of the relays.
+func copySource(relays []fleet.Member, self fleet.InstanceID) (source fleet.Member, ok bool) {
+	isSelf := func(m fleet.Member) bool { return m.ID == self }
+	if len(relays) < placement.MaxRelays || slices.ContainsFunc(relays, isSelf) {
+		return fleet.Member{}, false
+	}
+	return relays[xxhash.Sum64String(string(self))%uint64(len(relays))], true
+}
+
 // fetch brings the view up to date. In a large fleet it reads from the router's relay
 // source or, if it has none, from the control group, and then from the fallback
 // router. If these fail, or there are none, it reads from the control group. atLeast
@@ -161,6 +219,11 @@
 func (k *Keeper) fetch(ctx context.Context, atLeast fleet.ConfigVersion) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	if source, ok := copySource(k.Relays(), k.cfg.Self.ID); ok && k.cfg.Pool != nil && k.view.Version() == 0 {
+		if k.fetchRelayed(ctx, source, atLeast) {
+			return
+		}
+	}
 	membership := k.Authority().Membership()
 	fallback, hasFallback := relayFallback(membership, k.cfg.Self.ID, rand.IntN(directRouters))
 	if hasFallback && k.cfg.Pool != nil && k.view.Version() > 0 {
--- a/internal/member/relay_test.go
+++ b/internal/member/relay_test.go
@@ -6,11 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
 
 	"github.com/wigeonflow/wigeonflow/internal/control"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
+	"github.com/wigeonflow/wigeonflow/internal/placement"
 )
 
 func membershipOfSize(n int) fleet.Membership {
@@ -137,3 +139,61 @@
 	got, _ := r.changesAfter(5*keptChanges-1, 5*keptChanges)
 	is.Equal(len(got), 1)
 }
+
+// A starting router has no changes to which others could lead, so it gets the complete configuration.
+func TestRelaySendsCompleteConfiguration(t *testing.T) {
+	is := is.New(t)
+	r := newRelay()
+	r.add(&operator.Update{Full: &operator.State{Version: 7}})
+	r.add(emptyDeltas(8, 9))
+	reply, err := r.serve(t.Context(), "", &control.FetchRequest{AtLeast: 9})
+	is.NoErr(err)
+	view := operator.NewView()
+	changed, err := view.Apply(&reply.Update)
+	is.NoErr(err)
+	is.True(changed)
+	is.Equal(view.Version(), fleet.ConfigVersion(9))
+
+	r.add(emptyDeltas(10, 9+keptChanges)) // one change more than is kept
+	began := time.Now()
+	_, err = r.serve(t.Context(), "", &control.FetchRequest{AtLeast: 9 + keptChanges})
+	is.True(errorx.IsOfType(err, errBehind))
+	is.True(time.Since(began) < relayWait) // it says so at once
+}
+
+// After a joint restart the relay and its readers start together.
+func TestRelayWaitsForItsOwnCopy(t *testing.T) {
+	is := is.New(t)
+	r := newRelay()
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		r.add(&operator.Update{Full: &operator.State{Version: 7}})
+	}()
+	reply, err := r.serve(t.Context(), "", &control.FetchRequest{AtLeast: 7})
+	is.NoErr(err)
+	is.Equal(reply.Update.Full.Version, fleet.ConfigVersion(7))
+}
+
+// All copies came from the control members, whose links didn't carry them.
+func TestControlMembersSendACopyToEachStartingRouter(t *testing.T) {
+	for _, size := range []int{1, 7, 16, 81, 300, 410} {
+		is := is.New(t)
+		m := membershipOfSize(size)
+		relays := placement.Relays(m)
+		fromControl, readers := 0, map[fleet.InstanceID]int{}
+		for _, member := range m.Members {
+			source, ok := copySource(relays, member.ID)
+			if !ok {
+				fromControl++
+				continue
+			}
+			_, reads := copySource(relays, source.ID)
+			is.True(!reads) // it reads from the control group
+			readers[source.ID]++
+		}
+		is.True(fromControl <= placement.MaxRelays)
+		for _, n := range readers {
+			is.True(n <= 3*size/placement.MaxRelays)
+		}
+	}
+}
