control: memberships of starting routers leave the link to heartbeats

If it would wait for more than 0.3 s, the router is told to go on joining; the reply still confirms the version, so it serves, and the lease comes with a later renewal.

Evidence: TestMembershipsOfStartingRoutersFillTheLink fails without the pacing (it did not compile; the pacer knew copies of the configuration only).

--- a/internal/control/pacer.go
+++ b/internal/control/pacer.go
@@ -28,8 +28,8 @@
 }
 
 // reserve reserves the transfer of size bytes and returns how long to wait before
-// it. If the wait would exceed maxPacerWait it reserves nothing and returns errBusy.
-func (p *pacer) reserve(size int) (wait time.Duration, err error) {
+// it. If the wait would exceed limit it reserves nothing and returns errBusy.
+func (p *pacer) reserve(size int, limit time.Duration) (wait time.Duration, err error) {
 	if p.rate <= 0 {
 		return 0, nil
 	}
@@ -37,8 +37,8 @@
 	defer p.mu.Unlock()
 	now := p.clock()
 	start := max(p.free, now)
-	if wait = start - now; wait > maxPacerWait {
-		return 0, errBusy.New("the link is busy with other copies for %v, longer than a reply may wait (%v)", wait.Round(time.Millisecond), maxPacerWait)
+	if wait = start - now; wait > limit {
+		return 0, errBusy.New("the link is busy with other copies for %v, longer than a reply may wait (%v)", wait.Round(time.Millisecond), limit)
 	}
 	p.free = start + time.Duration(float64(size)/float64(p.rate)*float64(time.Second))
 	return wait, nil
@@ -46,7 +46,7 @@
 
 // reserveAndWait reserves the transfer of a reply and waits until it may start.
 func (p *pacer) reserveAndWait(ctx context.Context, size int) error {
-	wait, err := p.reserve(size)
+	wait, err := p.reserve(size, maxPacerWait)
 	if err != nil || wait == 0 {
 		return err
 	}
--- a/internal/control/pacer_test.go
+++ b/internal/control/pacer_test.go
@@ -19,7 +19,7 @@
 	rejected := 0
 	for range 10_000 { // 1000 requests per second for 10 s
 		now += time.Millisecond
-		wait, err := p.reserve(size)
+		wait, err := p.reserve(size, maxPacerWait)
 		if err != nil {
 			is.True(errorx.IsOfType(err, errBusy))
 			rejected++
@@ -40,7 +40,7 @@
 func TestPacerWithoutALimit(t *testing.T) {
 	is := is.New(t)
 	var p pacer
-	wait, err := p.reserve(1 << 30)
+	wait, err := p.reserve(1<<30, maxPacerWait)
 	is.NoErr(err)
 	is.Equal(wait, time.Duration(0))
 }
--- a/internal/control/session_endpoint.go
+++ b/internal/control/session_endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/session"
@@ -21,6 +22,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.paceMembership(ctx, reply)
 	if members := s.members.Load(); members != nil {
 		reply.Control = *members
 	}
@@ -31,3 +33,26 @@
 	}
 	return reply, nil
 }
+
+const (
+	// deflateRatio is by how much a membership shrinks when it is deflated: its boots and
+	// addresses have much in common.
+	deflateRatio = 5
+	// maxMembershipWait bounds how long a reply with a membership waits for the link. It leaves
+	// time for the transfer within callTimeout.
+	maxMembershipWait = 300 * time.Millisecond
+)
+
+// paceMembership delays a grant with a complete membership like a copy of the configuration. All
+// routers of a large fleet need one when they start together, and the heartbeats of the group
+// share the link with them. If the wait would be too long, the router is told to go on
+// joining, and gets its grant at a later renewal; the reply still confirms the version.
+func (s *Server) paceMembership(ctx context.Context, reply *session.RenewReply) {
+	if reply.Membership == nil {
+		return
+	}
+	wait, err := s.copyPacer.reserve(reply.Membership.Msgsize()/deflateRatio, maxMembershipWait)
+	if err != nil || !fleet.Pause(ctx, wait) {
+		reply.Withhold()
+	}
+}
--- a/internal/control/waiting_test.go
+++ b/internal/control/waiting_test.go
@@ -1,12 +1,15 @@
 package control
 
 import (
+	"context"
+	"fmt"
 	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/session"
 )
 
@@ -84,3 +87,40 @@
 		is.NoErr(<-done)
 	}
 }
+
+// The memberships of all starting routers filled the leader's link, heartbeats came late, and the
+// leader was deposed again and again.
+func TestMembershipsOfStartingRoutersFillTheLink(t *testing.T) {
+	is := is.New(t)
+	now := time.Duration(0)
+	s := &Server{}
+	s.copyPacer.rate, s.copyPacer.clock = 500_000, func() time.Duration { return now }
+	m := fleet.Membership{Epoch: 1}
+	for i := range 300 {
+		m.Members = append(m.Members, fleet.Member{ID: fleet.InstanceID(fmt.Sprint("router-", i)), Boot: "3f0c6a0e-7d0a-4a57-9d59-0d6c3b1f9a11", Addr: "10.20.1.1:7400"})
+	}
+	sent := 0
+	for range 300 { // at the same moment
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel() // don't wait for the link
+		wait, err := s.copyPacer.reserve(m.Msgsize()/deflateRatio, maxMembershipWait)
+		if err == nil {
+			sent += m.Msgsize() / deflateRatio
+			is.True(wait <= maxMembershipWait)
+			continue
+		}
+		reply := &session.RenewReply{Status: session.StatusGranted, Lease: time.Second, Version: 7, Membership: &m}
+		s.paceMembership(ctx, reply)
+		is.Equal(reply.Status, session.StatusJoining) // without a lease
+		is.Equal(reply.Lease, time.Duration(0))
+		is.Equal(reply.Membership, nil)
+		is.Equal(reply.Version, fleet.ConfigVersion(7)) // which is confirmed nevertheless
+	}
+	is.True(sent <= int(float64(s.copyPacer.rate)*maxMembershipWait.Seconds())+m.Msgsize()/deflateRatio)
+	is.True(sent > 0)
+
+	now = time.Minute
+	reply := &session.RenewReply{Status: session.StatusGranted, Membership: &m}
+	s.paceMembership(t.Context(), reply)
+	is.Equal(reply.Status, session.StatusGranted)
+}
--- a/internal/session/message.go
+++ b/internal/session/message.go
@@ -141,6 +141,12 @@
 // Granted reports whether the reply extends the lease.
 func (r *RenewReply) Granted() bool { return r.Status == StatusGranted }
 
+// Withhold takes back a grant that was not sent. The grantor goes on as if the router held the
+// lease, which is safe.
+func (r *RenewReply) Withhold() {
+	r.Status, r.Lease, r.Membership, r.Changes, r.Means = StatusJoining, 0, nil, nil, nil
+}
+
 // Notice announces that a renewal would return something new. The control leader
 // sends it to every router whenever it changes. It grants nothing, so losing,
 // delaying or duplicating it is harmless.
