control, member: members relay the leader's confirmation to starting routers

Change: a member that doesn't lead asks the leader once for all routers without a configuration that wait at it (batcher) and passes its confirmation on: version, relays, note and control members, no lease. The question begins after the router's request, so the confirmation is as new as one of the leader. Routers choose their first member at random, connect to the leader for a lease within 0.7 to 2 s by its pace (0.25 s in a small fleet), and follow its notices from then on.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -44,7 +44,11 @@
 
 // NewClient returns a client of the control group whose members listen at addrs.
 func NewClient(pool *mesh.Pool, addrs []string) *Client {
-	return &Client{pool: pool, addrs: addrs, silent: make(map[string]time.Time)}
+	c := &Client{pool: pool, addrs: addrs, silent: make(map[string]time.Time)}
+	if len(addrs) > 0 {
+		c.next = rand.IntN(len(addrs)) // so that starting routers spread over the members
+	}
+	return c
 }
 
 // SetAddrs sets the addresses of the group's current members. An empty list is
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -190,6 +190,19 @@
 	}
 }
 
+// confirm returns what a router without a configuration is told; it returns nil if this member
+// does not lead.
+func (l *leader) confirm() *session.RenewReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.grantor == nil {
+		return nil
+	}
+	now, proof := l.leadershipProof()
+	l.grantor.SetVersion(now, l.configVersion())
+	return l.grantor.Confirm(now, proof, new(session.RenewRequest))
+}
+
 // renew answers one router's renewal; it returns nil if this member does not lead.
 func (l *leader) renew(req *session.RenewRequest) *session.RenewReply {
 	l.mu.Lock()
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -63,7 +63,9 @@
 	relays       placement.RelayCache // of the committed membership
 	ledger       *ledger.State
 	leader       *leader
-	cancel       context.CancelFunc
+	// confirmations are the leader's, for routers that this member answers in its place.
+	confirmations batcher[*session.RenewReply]
+	cancel        context.CancelFunc
 
 	leaving atomic.Bool              // set while leave stops the member
 	done    chan struct{}            // closed once the member has stopped
@@ -107,7 +109,9 @@
 		roster: s.roster, config: s.config, ledger: s.ledger, limits: cfg.Ledger, stateMachine: s.stateMachine, wake: wake, notices: newNoticePublisher(),
 	}
 	server.HandleBackground(MethodStep, receiveHandler(group))
+	s.confirmations.call = s.askLeader
 	server.Handle(MethodRenew, mesh.Unary(s.renew))
+	server.Handle(MethodConfirm, mesh.Unary(s.confirm))
 	server.HandleBackground(MethodWatch, s.watch)
 	server.Handle(MethodFetch, mesh.Unary(s.fetch))
 	server.Handle(MethodOrder, mesh.Unary(s.applyOrder))
--- a/internal/control/session_endpoint.go
+++ b/internal/control/session_endpoint.go
@@ -20,9 +20,19 @@
 		return reply != nil && reply.Status != session.StatusNotLeader
 	})
 	if err != nil {
+		if relayed := s.relayConfirmation(ctx, req); relayed != nil {
+			return relayed, nil
+		}
 		return nil, err
 	}
 	s.paceMembership(ctx, reply)
+	s.nameMembers(reply)
+	return reply, nil
+}
+
+// nameMembers adds the addresses of the control group to a reply, and those of the relays if the
+// router has no membership to compute them from.
+func (s *Server) nameMembers(reply *session.RenewReply) {
 	if members := s.members.Load(); members != nil {
 		reply.Control = *members
 	}
@@ -31,9 +41,42 @@
 		s.stateMachine.withReadLock(func() { membership = s.roster.Membership() })
 		reply.Relays = s.relays.Relays(membership)
 	}
+}
+
+// MethodConfirm returns the confirmation that a member relays to routers without a configuration:
+// an empty session.RenewRequest is answered by a session.RenewReply that grants nothing.
+const MethodConfirm = "session.confirm"
+
+// confirm answers MethodConfirm.
+func (s *Server) confirm(ctx context.Context, _ string, _ *session.RenewRequest) (*session.RenewReply, error) {
+	var reply *session.RenewReply
+	err := s.callAsLeader(ctx, MethodConfirm, func() bool {
+		reply = s.leader.confirm()
+		return reply != nil && reply.Status != session.StatusNotLeader
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.nameMembers(reply)
 	return reply, nil
 }
 
+// relayConfirmation returns the leader's confirmation for a router that has no configuration yet,
+// or nil for any other one or if the leader doesn't answer. After a joint restart the routers
+// of a large fleet can thus serve before each of them has connected to the leader.
+func (s *Server) relayConfirmation(ctx context.Context, req *session.RenewRequest) *session.RenewReply {
+	if req.KnownVersion > 0 || req.KnownEpoch > 0 || req.Leaving {
+		return nil
+	}
+	confirmed, err := s.confirmations.get(ctx)
+	if err != nil || confirmed.Version == 0 {
+		return nil
+	}
+	reply := *confirmed
+	reply.Seq, reply.Relayed = req.Seq, true
+	return &reply
+}
+
 const (
 	// deflateRatio is by how much a membership shrinks when it is deflated: its boots and
 	// addresses have much in common.
--- a/internal/control/waiting_test.go
+++ b/internal/control/waiting_test.go
@@ -124,3 +124,43 @@
 	s.paceMembership(t.Context(), reply)
 	is.Equal(reply.Status, session.StatusGranted)
 }
+
+// Each starting router connected to the leader before it could serve.
+func TestMemberRelaysConfirmationToStartingRouter(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 3, 0)
+	version := f.putLists(1)
+	relayed := 0
+	for _, s := range f.servers {
+		reply, err := s.renew(t.Context(), "", &session.RenewRequest{Instance: "router", Boot: "b", Seq: 5})
+		is.NoErr(err)
+		is.Equal(reply.Seq, uint64(5))
+		is.Equal(reply.Version, version)
+		is.Equal(reply.Granted(), false)
+		if reply.Relayed {
+			relayed++
+		}
+		for _, req := range []*session.RenewRequest{
+			{Instance: "router", Boot: "b", Seq: 6, KnownVersion: version}, {Instance: "router", Boot: "b", Seq: 7, Leaving: true},
+		} {
+			reply, err := s.renew(t.Context(), "", req)
+			is.True(err != nil || !reply.Relayed) // only the leader grants and takes back leases
+		}
+	}
+	is.Equal(relayed, 2)
+}
+
+// A relayed confirmation is no older than the request: a version that was acknowledged before is in it.
+func TestRelayedConfirmationHoldsWhatWasAcknowledged(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 3, 0)
+	f.putLists(1)
+	for i := range 20 {
+		version := f.takeZoneOut(fmt.Sprint("operation-", i))
+		for _, s := range f.servers {
+			reply, err := s.renew(t.Context(), "", &session.RenewRequest{Instance: "router", Boot: "b", Seq: 5})
+			is.NoErr(err)
+			is.True(reply.Version >= version)
+		}
+	}
+}
--- a/internal/member/keeper.go
+++ b/internal/member/keeper.go
@@ -87,6 +87,9 @@
 	relays     atomic.Pointer[[]fleet.Member] // named by the control group, see Relays
 	relayCache placement.RelayCache           // relays of the current membership
 
+	led     chan struct{} // closed once the leader itself has answered a renewal
+	ledOnce sync.Once
+
 	woken chan struct{} // capacity 1; signals that the next renewal may be due earlier
 }
 
@@ -95,7 +98,7 @@
 	k := &Keeper{
 		cfg: cfg, log: cfg.Logger, view: operator.NewView(), relay: newRelay(),
 		holder: session.NewHolder(cfg.Session, cfg.Self, cfg.Owner),
-		woken:  make(chan struct{}, 1),
+		woken:  make(chan struct{}, 1), led: make(chan struct{}),
 	}
 	k.fetcher = control.NewFetcher(cfg.Control, k.relay.add)
 	if cfg.Server != nil {
@@ -216,8 +219,14 @@
 	}
 }
 
-// watchLoop triggers a renewal when a notice of the control leader requires one.
+// watchLoop triggers a renewal when a notice of the control leader requires one. It begins once the
+// leader has answered a renewal: after a joint restart, routers connect to it one after the other.
 func (k *Keeper) watchLoop(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-k.led:
+	}
 	k.cfg.Control.Watch(ctx, func(n session.Notice) {
 		k.mu.Lock()
 		now := k.cfg.Clock()
@@ -255,6 +264,9 @@
 		k.log.Warn("session not renewed", "error", err)
 		return
 	}
+	if !reply.Relayed {
+		k.ledOnce.Do(func() { close(k.led) })
+	}
 	k.announce(reply.Version)
 	k.cfg.Control.SetAddrs(reply.Control)
 	if len(reply.Note) > 0 && k.cfg.OnNote != nil {
--- a/internal/session/core_test.go
+++ b/internal/session/core_test.go
@@ -347,3 +347,26 @@
 		is.True(n > 0 && n < routers/4)
 	}
 }
+
+// The routers of a fleet that have started together ask the leader for leases one after the other,
+// those of a small one soon.
+func TestStartingRoutersAskForLeasesAtOnce(t *testing.T) {
+	is := is.New(t)
+	for _, tc := range []struct {
+		pace     time.Duration
+		min, max time.Duration
+	}{
+		{30 * time.Millisecond, DefaultSettleInterval, DefaultSettleInterval},
+		{3 * time.Second, DefaultRenewInterval * 2 / 3, 2 * DefaultRenewInterval},
+	} {
+		distinct := map[time.Duration]bool{}
+		for i := range 50 {
+			h := NewHolder(Settings{}, fleet.Member{ID: "i", Boot: fleet.BootID(fmt.Sprint(i))}, nil)
+			request := h.Request(0, 0, nil)
+			is.True(h.HandleReply(0, &RenewReply{Seq: request.Seq, Status: StatusJoining, Version: 1, Pace: tc.pace, Relayed: true}))
+			is.True(h.NextRenewal() >= tc.min && h.NextRenewal() <= tc.max)
+			distinct[h.NextRenewal()] = true
+		}
+		is.Equal(len(distinct) > 40, tc.min < tc.max)
+	}
+}
--- a/internal/session/grantor.go
+++ b/internal/session/grantor.go
@@ -166,10 +166,10 @@
 	g.config.recordCommit(now, version)
 }
 
-// Renew handles one renewal. It replies StatusNotLeader and grants nothing without a valid
-// proof of leadership, or if the router knows a later epoch than this Grantor.
-func (g *Grantor) Renew(now time.Duration, proof Proof, req *RenewRequest) *RenewReply {
-	reply := &RenewReply{Seq: req.Seq}
+// Confirm returns the part of a renewal's reply that grants nothing: the newest version and epoch,
+// the pace and the note. It replies StatusNotLeader like Renew.
+func (g *Grantor) Confirm(now time.Duration, proof Proof, req *RenewRequest) *RenewReply {
+	reply := &RenewReply{Seq: req.Seq, Status: StatusJoining}
 	if !g.proven(now, proof) || req.KnownEpoch > g.membership.Epoch {
 		reply.Status = StatusNotLeader
 		return reply
@@ -178,6 +178,16 @@
 	reply.Version = g.config.version
 	reply.Pace = g.pace()
 	g.exchangeNotes(now, req, reply)
+	return reply
+}
+
+// Renew handles one renewal. It replies StatusNotLeader and grants nothing without a valid
+// proof of leadership, or if the router knows a later epoch than this Grantor.
+func (g *Grantor) Renew(now time.Duration, proof Proof, req *RenewRequest) *RenewReply {
+	reply := g.Confirm(now, proof, req)
+	if reply.Status == StatusNotLeader {
+		return reply
+	}
 	s := g.sessions[sessionKey{req.Instance, req.Boot}]
 	switch {
 	case s == nil && req.Leaving:
--- a/internal/session/holder.go
+++ b/internal/session/holder.go
@@ -91,6 +91,13 @@
 	return max(h.settings.SettleInterval, min(pace, h.settings.RenewInterval))
 }
 
+// joinInterval returns the time until a router whose configuration a member other than the leader
+// has confirmed asks the leader for a lease. All routers of a fleet may have started together.
+func (h *Holder) joinInterval() time.Duration {
+	mean := min(h.pace, h.settings.RenewInterval*4/3)
+	return max(h.settings.SettleInterval, time.Duration((minPaceFraction+h.jitter())*float64(mean)))
+}
+
 // minPaceFraction is the lower bound of the time between two renewals, as a fraction of
 // the pace. The upper bound is 1.5 times the pace, so that the mean is the pace.
 const minPaceFraction = 0.5
@@ -121,6 +128,9 @@
 	if reply.Granted() {
 		h.applyGrant(now, sentAt, reply)
 	}
+	if reply.Relayed {
+		h.nextAt = now + h.joinInterval() // at the leader, which others ask as well
+	}
 	return true
 }
 
--- a/internal/session/message.go
+++ b/internal/session/message.go
@@ -133,6 +133,9 @@
 	// that they already have: after all routers were killed, every router waits until
 	// the lease of its former boot ends.
 	Relays []fleet.Member `msg:"r,omitempty"`
+	// Relayed marks the reply of a member that doesn't lead to a router without a
+	// configuration: it confirms the version and grants nothing.
+	Relayed bool `msg:"rl,omitempty"`
 	// Note is the newest note of any router, sent NoteAge ago, for a router that has none.
 	Note    []byte        `msg:"no,omitempty"`
 	NoteAge time.Duration `msg:"na,omitempty"`
--- a/internal/session/message_gen.go
+++ b/internal/session/message_gen.go
@@ -319,8 +319,8 @@
 func (z *RenewReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(14)
-	var zb0001Mask uint16 /* 14 bits */
+	zb0001Len := uint32(15)
+	var zb0001Mask uint16 /* 15 bits */
 	_ = zb0001Mask
 	if z.Lease == 0 {
 		zb0001Len--
@@ -350,14 +350,18 @@
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
-	if z.Note == nil {
+	if z.Relayed == false {
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
-	if z.NoteAge == 0 {
+	if z.Note == nil {
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
+	if z.NoteAge == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -458,11 +462,16 @@
 			}
 		}
 		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "rl"
+			o = append(o, 0xa2, 0x72, 0x6c)
+			o = msgp.AppendBool(o, z.Relayed)
+		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// string "no"
 			o = append(o, 0xa2, 0x6e, 0x6f)
 			o = msgp.AppendBytes(o, z.Note)
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// string "na"
 			o = append(o, 0xa2, 0x6e, 0x61)
 			o = msgp.AppendDuration(o, z.NoteAge)
@@ -628,6 +637,12 @@
 					return
 				}
 			}
+		case "rl":
+			z.Relayed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Relayed")
+				return
+			}
 		case "no":
 			z.Note, bts, err = msgp.ReadBytesBytes(bts, z.Note)
 			if err != nil {
@@ -676,7 +691,7 @@
 	for za0004 := range z.Relays {
 		s += z.Relays[za0004].Msgsize()
 	}
-	s += 3 + msgp.BytesPrefixSize + len(z.Note) + 3 + msgp.DurationSize
+	s += 3 + msgp.BoolSize + 3 + msgp.BytesPrefixSize + len(z.Note) + 3 + msgp.DurationSize
 	return
 }
 
