consensus, control, owner, entry: a message that claims more than it holds doesn't end the process

Report of another operator: one malformed message took a whole process down. It can happen here: a message of 41 bytes from another member that claims 3.7 billion entries makes the decoder allocate memory for all of them, and the process ends with "out of memory".

Cause: lengths are checked by mesh.Decode only; the group's messages, calls and their replies, whole copies and notices were decoded without it. The class: a decoder that trusts a length. Left as they are: the handshake and frames of the mesh, which hold no lists, and commands of the log, which members have encoded themselves.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -203,7 +203,7 @@
 		return
 	}
 	var set MemberSet
-	if _, err := set.UnmarshalMsg(e.Data); err != nil {
+	if err := decode(e.Data, &set); err != nil {
 		c.fail(ErrInvariant.Wrap(err, "entry %d can't be decoded as a membership", e.Index))
 		return
 	}
--- a/internal/control/fetcher.go
+++ b/internal/control/fetcher.go
@@ -7,6 +7,7 @@
 
 	"github.com/wigeonflow/wigeonflow/internal/deflate"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
 )
 
@@ -102,7 +103,7 @@
 		return false, fleet.At(err, "control.fetch", "")
 	}
 	var state operator.State
-	if _, err := state.UnmarshalMsg(encoded); err != nil {
+	if err := mesh.Decode(encoded, &state); err != nil {
 		return false, fleet.At(err, "control.fetch", "")
 	}
 	return f.applyUpdate(view, &operator.Update{Full: &state})
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -123,8 +123,8 @@
 			if err != nil {
 				return nil // the peer opens a new stream
 			}
-			var m consensus.Message
-			if _, err := m.UnmarshalMsg(message); err != nil {
+			m, err := consensus.DecodeMessage(message)
+			if err != nil {
 				return err
 			}
 			group.Receive(m)
--- a/internal/control/watch_endpoint.go
+++ b/internal/control/watch_endpoint.go
@@ -114,7 +114,7 @@
 			return err
 		}
 		var notice session.Notice
-		if _, err := notice.UnmarshalMsg(message); err != nil {
+		if err := mesh.Decode(message, &notice); err != nil {
 			return fleet.At(err, "control.watch", addr)
 		}
 		handle(notice)
--- a/internal/entry/chat_run.go
+++ b/internal/entry/chat_run.go
@@ -326,7 +326,7 @@
 	var verdict owner.Verdict
 	message, err := stream.Recv(ctx)
 	if err == nil {
-		_, err = verdict.UnmarshalMsg(message)
+		err = mesh.Decode(message, &verdict)
 	}
 	return verdict, fleet.At(err, "owner.verdict", stream.Peer())
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -167,7 +167,7 @@
 	var reply owner.CallReply
 	encoded, err := stream.Recv(ctx)
 	if err == nil {
-		_, err = reply.UnmarshalMsg(encoded)
+		err = mesh.Decode(encoded, &reply)
 	}
 	if err != nil {
 		r.lastErr = fleet.At(err, "owner.call", member.Addr)
--- a/internal/owner/call_endpoint.go
+++ b/internal/owner/call_endpoint.go
@@ -16,7 +16,7 @@
 // call serves MethodCall.
 func (s *Server) call(ctx context.Context, st *mesh.Stream, message []byte) error {
 	var req CallRequest
-	if _, err := req.UnmarshalMsg(message); err != nil {
+	if err := mesh.Decode(message, &req); err != nil {
 		return fleet.At(err, "owner.call", st.Peer())
 	}
 	span, trace := s.cfg.Tracer.Start("owner.call", req.Header.Trace)
--- a/internal/owner/chat_endpoint.go
+++ b/internal/owner/chat_endpoint.go
@@ -23,7 +23,7 @@
 // chat serves MethodChat.
 func (s *Server) chat(ctx context.Context, st *mesh.Stream, message []byte) error {
 	var req ChatRequest
-	if _, err := req.UnmarshalMsg(message); err != nil {
+	if err := mesh.Decode(message, &req); err != nil {
 		return fleet.At(err, "owner.chat", st.Peer())
 	}
 	span, trace := s.cfg.Tracer.Start("owner.chat", req.Header.Trace)
