--- a/internal/consensus/formation_test.go
+++ b/internal/consensus/formation_test.go
@@ -7,10 +7,7 @@
 )
 
 // foundingRound answers the founder's newest hello to each of the given peers.
-type foundingRound struct {
-	t       *testing.T
-	founder *Core
-}
+type foundingRound struct{ founder *Core }
 
 func (f foundingRound) answer(from MemberID, store StoreID, hasLog bool) {
 	rd := f.founder.Ready()
@@ -25,7 +22,7 @@
 func TestLostDiskOfRejectingPeerBlocksFormation(t *testing.T) {
 	is := is.New(t)
 	opts := Options{ID: "a", Store: 1, Peers: []Peer{{ID: "a"}, {ID: "b"}, {ID: "c"}}, Bootstrap: true, Rand: testRand()}
-	round := foundingRound{t, NewCore(0, opts, State{})}
+	round := foundingRound{NewCore(0, opts, State{})}
 
 	round.answer("b", 2, false)
 	round.answer("c", 3, true)
@@ -43,9 +40,9 @@
 // whose disk was then lost.
 func TestFounderFormsSecondGroupOnOldResponse(t *testing.T) {
 	cases := []struct {
-		name     string
-		faults   faults
-		wantLogs bool
+		name   string
+		faults faults
+		forms  bool // a group
 	}{
 		{"asked in two rounds", faults{}, false},
 		{"asked once", faults{singleRound: true}, true},
@@ -54,12 +51,12 @@
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			opts := Options{ID: "a", Store: 1, Peers: []Peer{{ID: "a"}, {ID: "b"}, {ID: "c"}}, Bootstrap: true, Rand: testRand(), faults: tc.faults}
-			round := foundingRound{t, NewCore(0, opts, State{})}
+			round := foundingRound{NewCore(0, opts, State{})}
 			round.answer("b", 2, false)
 			round.answer("c", 4, false) // since then, b has a log from the store that c lost
 			round.answer("b", 2, true)
 			round.answer("c", 4, false)
-			is.Equal(!round.founder.uninitialized(), tc.wantLogs)
+			is.Equal(!round.founder.uninitialized(), tc.forms)
 		})
 	}
 }
@@ -88,7 +85,7 @@
 func TestFounderWaitsForGroupThatHasOtherMembers(t *testing.T) {
 	is := is.New(t)
 	opts := Options{ID: "a", Store: 1, Peers: []Peer{{ID: "a"}, {ID: "b"}}, Bootstrap: true, Rand: testRand()}
-	round := foundingRound{t, NewCore(0, opts, State{})}
+	round := foundingRound{NewCore(0, opts, State{})}
 	round.founder.Step(0, Message{
 		Type: MessageHelloResponse, From: "b", FromStore: 2, ToStore: 1, Term: 1, Reject: true, Known: []MemberID{"b", "c"},
 	})
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -193,18 +193,21 @@
 // confirm returns what a router without a configuration is told; it returns nil if this member
 // does not lead.
 func (l *leader) confirm() *session.RenewReply {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.grantor == nil {
-		return nil
-	}
-	now, proof := l.leadershipProof()
-	l.grantor.SetVersion(now, l.configVersion())
-	return l.grantor.Confirm(now, proof, new(session.RenewRequest))
+	return l.ask(func(now time.Duration, proof session.Proof) *session.RenewReply {
+		return l.grantor.Confirm(now, proof, new(session.RenewRequest))
+	})
 }
 
 // renew answers one router's renewal; it returns nil if this member does not lead.
 func (l *leader) renew(req *session.RenewRequest) *session.RenewReply {
+	return l.ask(func(now time.Duration, proof session.Proof) *session.RenewReply {
+		defer l.publishNotice() // the router may be the last to acknowledge an epoch
+		return l.grantor.Renew(now, proof, req)
+	})
+}
+
+// ask returns the reply of f, which may use the grantor, or nil if this member does not lead.
+func (l *leader) ask(f func(now time.Duration, proof session.Proof) *session.RenewReply) *session.RenewReply {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.grantor == nil {
@@ -214,6 +217,5 @@
 	// An operator may have received the answer to a change before updateGrantor runs. The
 	// reply must already name that version.
 	l.grantor.SetVersion(now, l.configVersion())
-	defer l.publishNotice() // the router may be the last to acknowledge an epoch
-	return l.grantor.Renew(now, proof, req)
+	return f(now, proof)
 }
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -22,11 +22,11 @@
 	maxHeldBody = 64 << 10
 )
 
-// startupWait decides which requests wait at a router that has just started, until the control group
-// confirms the routing table and the upstream list is read for the first time, and when callers that
-// are rejected meanwhile return. A router keeps nothing over a restart, so after all processes were killed every
-// request that arrives before the next election would be rejected, and a caller that
-// returns only once is lost to a second rejection.
+// startupWait decides which requests wait at a router that has just started, until the control
+// group confirms the routing table and the upstream list is read for the first time, and when
+// callers that are rejected meanwhile return. A router keeps nothing over a restart, so after all
+// processes were killed every request that arrives before the next election would be rejected,
+// and a caller that returns only once is lost to a second rejection.
 type startupWait struct {
 	start time.Duration // when the router started
 }
--- a/internal/member/keeper.go
+++ b/internal/member/keeper.go
@@ -87,8 +87,8 @@
 	relays     atomic.Pointer[[]fleet.Member] // named by the control group, see Relays
 	relayCache placement.RelayCache           // relays of the current membership
 
-	led     chan struct{} // closed once the leader itself has answered a renewal
-	ledOnce sync.Once
+	leaderAnswered     chan struct{} // closed once the leader itself has answered a renewal
+	leaderAnsweredOnce sync.Once
 
 	woken chan struct{} // capacity 1; signals that the next renewal may be due earlier
 }
@@ -98,7 +98,7 @@
 	k := &Keeper{
 		cfg: cfg, log: cfg.Logger, view: operator.NewView(), relay: newRelay(),
 		holder: session.NewHolder(cfg.Session, cfg.Self, cfg.Owner),
-		woken:  make(chan struct{}, 1), led: make(chan struct{}),
+		woken:  make(chan struct{}, 1), leaderAnswered: make(chan struct{}),
 	}
 	k.fetcher = control.NewFetcher(cfg.Control, k.relay.add)
 	if cfg.Server != nil {
@@ -225,7 +225,7 @@
 	select {
 	case <-ctx.Done():
 		return
-	case <-k.led:
+	case <-k.leaderAnswered:
 	}
 	k.cfg.Control.Watch(ctx, func(n session.Notice) {
 		k.mu.Lock()
@@ -265,7 +265,7 @@
 		return
 	}
 	if !reply.Relayed {
-		k.ledOnce.Do(func() { close(k.led) })
+		k.leaderAnsweredOnce.Do(func() { close(k.leaderAnswered) })
 	}
 	k.announce(reply.Version)
 	k.cfg.Control.SetAddrs(reply.Control)
