agent: a planned stop no longer fails on the listener that its drain closed

An operator would have seen a planned stop end with an error though everything was answered.

Cause: callerServer.drain closes the listener; http.Server.Shutdown closes it again as long as Serve has not returned from Accept, and returns the second close's error.

Change: the listener is closed once, later calls return the first result.

Evidence: TestStopFailsOnListenerClosedByDrain plays a listener that is slow to return from Accept; it failed with the same message before the change.

--- a/internal/agent/callers.go
+++ b/internal/agent/callers.go
@@ -46,22 +46,23 @@
 // Serve serves the connections that l accepts. It returns http.ErrServerClosed once the
 // server is drained or shut down.
 func (s *callerServer) Serve(l net.Listener) error {
-	return s.serveUntilDrained(l, func() error { return s.Server.Serve(l) })
+	return s.serveUntilDrained(l, s.Server.Serve)
 }
 
 // ServeTLS is like Serve, over HTTPS.
 func (s *callerServer) ServeTLS(l net.Listener, certificateFile, keyFile string) error {
-	return s.serveUntilDrained(l, func() error { return s.Server.ServeTLS(l, certificateFile, keyFile) })
+	return s.serveUntilDrained(l, func(l net.Listener) error { return s.Server.ServeTLS(l, certificateFile, keyFile) })
 }
 
-func (s *callerServer) serveUntilDrained(l net.Listener, serve func() error) error {
+func (s *callerServer) serveUntilDrained(l net.Listener, serve func(net.Listener) error) error {
+	l = newOnceListener(l)
 	s.mu.Lock()
 	s.listener = l
 	if s.draining {
 		_ = l.Close() // drained before it served
 	}
 	s.mu.Unlock()
-	err := serve()
+	err := serve(l)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining && errors.Is(err, net.ErrClosed) {
@@ -70,6 +71,18 @@
 	return err
 }
 
+// onceListener is a listener that is closed once: each call of Close returns the result of the
+// first. It is safe for concurrent use.
+type onceListener struct {
+	net.Listener
+	close func() error
+}
+
+func newOnceListener(l net.Listener) onceListener { return onceListener{l, sync.OnceValue(l.Close)} }
+
+// Close closes the listener unless it is closed.
+func (l onceListener) Close() error { return l.close() }
+
 // trackState implements http.Server.ConnState.
 func (s *callerServer) trackState(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
@@ -99,7 +112,7 @@
 	listener := s.listener
 	s.mu.Unlock()
 	if listener != nil {
-		_ = listener.Close() // fails only if it was closed before
+		_ = listener.Close() // Shutdown returns its error
 	}
 	began := time.Now()
 	if !fleet.Await(ctx, drainPoll, func() bool { return s.expireIdle(time.Since(began) >= firstRequestWait) == 0 }) {
--- a/internal/agent/stop_test.go
+++ b/internal/agent/stop_test.go
@@ -105,6 +105,37 @@
 	is.NoErr(<-stopped)
 }
 
+// slowListener returns from Accept a while after it was closed, as on a machine that is short
+// of processor time.
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		time.Sleep(200 * time.Millisecond)
+	}
+	return c, err
+}
+
+// http.Server closes the listener again while it has not returned from Accept.
+func TestStopFailsOnListenerClosedByDrain(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := newCallerServer(&http.Server{Handler: serveAll, ReadHeaderTimeout: headerTimeout})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(slowListener{l}) }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	send(t, c)
+	_, err = readAnswer(c)
+	is.NoErr(err)
+	is.NoErr(c.Close())
+	is.NoErr(server.drain(t.Context()))
+	is.NoErr(server.Shutdown(t.Context()))
+	is.Equal(<-served, http.ErrServerClosed)
+}
+
 // pausedListener accepts connections whose reads pause between the arrival of bytes and
 // their return, as on a machine that is short of processor time.
 type pausedListener struct {
