gateway: a stream returns to the silent upstream that a replacement took it from

Cause: the first upstream stayed among those that may not be asked again, though it was only canceled.

Change: the history keeps upstreams whose attempt was replaced for silence or slowness. Once the route allows no further upstream they may be asked again: no further upstream runs the request. Until then others come first.

Evidence: TestStreamEndsWhenReplacementBreaksOff (after 1 and after 3 events) fails before, 'unexpected EOF', and passes with -race; the package passes with -race beside load.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,6 +107,9 @@
 	w := f.watch(a)
 	defer func() {
 		f.replacements = w.stop(done)
+		if errors.Is(a.err, errIdleTimeout) || errors.Is(a.err, errSlow) {
+			f.history.replace(a)
+		}
 		a.end(f.server.cfg.Clock())
 	}()
 	if a.opened != nil {
--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -20,6 +20,10 @@
 	// spare lists those of ran whose attempt was canceled because it wasn't needed. They may be
 	// asked again, which adds no further upstream that runs the request.
 	spare []fleet.UpstreamID
+	// replaced lists those of ran whose attempt was canceled in favor of another one since they
+	// were silent or slow. They may be sound, and are asked again once the route allows no
+	// further upstream.
+	replaced []fleet.UpstreamID
 }
 
 // begin records an attempt that is about to be opened. Until settle it counts as run.
@@ -29,7 +33,8 @@
 	id := a.pick.Upstream.ID
 	h.sends++
 	h.tried = append(h.tried, id)
-	h.spare = slices.DeleteFunc(h.spare, func(s fleet.UpstreamID) bool { return s == id })
+	is := func(u fleet.UpstreamID) bool { return u == id }
+	h.spare, h.replaced = slices.DeleteFunc(h.spare, is), slices.DeleteFunc(h.replaced, is)
 	if a.again = slices.Contains(h.ran, id); !a.again {
 		h.ran = append(h.ran, id)
 	}
@@ -56,6 +61,14 @@
 	}
 }
 
+// replace records that another attempt has taken the place of one whose upstream was silent or
+// slow.
+func (h *history) replace(a *attempt) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.replaced = append(h.replaced, a.pick.Upstream.ID)
+}
+
 // limitReached returns the limit for which the request may not be sent to a further upstream, or
 // "" if it may.
 func (h *history) limitReached(route *routes.Route) string {
@@ -66,7 +79,7 @@
 		return "too many upstreams asked"
 	case len(h.ran) > 0 && !route.Repeatable():
 		return "not repeatable"
-	case h.usedUp(route) && len(h.spare) == 0:
+	case h.usedUp(route) && len(h.spare)+len(h.replaced) == 0:
 		return "attempts used up"
 	}
 	return ""
@@ -82,10 +95,11 @@
 func (h *history) candidates(route *routes.Route) (tried, only []fleet.UpstreamID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.usedUp(route) {
-		only = append([]fleet.UpstreamID{}, h.spare...)
+	if !h.usedUp(route) {
+		return slices.Clone(h.tried), nil
 	}
-	return slices.Clone(h.tried), only
+	only = slices.Concat([]fleet.UpstreamID{}, h.spare, h.replaced)
+	return slices.DeleteFunc(slices.Clone(h.tried), func(u fleet.UpstreamID) bool { return slices.Contains(h.replaced, u) }), only
 }
 
 // counts returns how often the request may have been sent, and the number of different
--- a/internal/gateway/replacement_test.go
+++ b/internal/gateway/replacement_test.go
@@ -174,6 +174,38 @@
 	r.awaitIdle()
 }
 
+// The first upstream was only silent for a while.
+func TestStreamEndsWhenReplacementBreaksOff(t *testing.T) {
+	for _, sent := range []int{1, 3} {
+		t.Run(fmt.Sprintf("after %d events", sent), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var r *testGateway
+			r = newTestGateway(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 2, Resumable: true, Timeout: 8 * time.Second},
+				func(c *conn) {
+					c.beginStream()
+					if len(r.arrivals()) == 1 {
+						c.writeEvents(1, 2)
+						awaitClose(c)
+						return
+					}
+					c.writeEvents(3+sent, 6)
+					c.endStream()
+				},
+				func(c *conn) {
+					c.beginStream()
+					c.writeEvents(3, 2+sent)
+					time.Sleep(100 * time.Millisecond)
+				})
+			_, body, err := r.send()
+			is.NoErr(err)
+			is.Equal(body, encodeEvents(1, 6))
+			is.Equal(r.arrivals(), []string{"u0 a", "u1 a", "u0 a"})
+			r.awaitIdle()
+		})
+	}
+}
+
 // Both attempts end if their caller leaves.
 func TestCallerLeavesDuringReplacement(t *testing.T) {
 	is := is.New(t)
