placement, gateway, member: routers follow relays of their own availability zone

Cause: a router picked its relay by hash alone, so that with six zones five in six of these streams crossed zones; relays, too, lay where the hash put them, a zone might have none.

Change: relays are apportioned to the zones by their numbers of routers (at least one each), the others follow those of their own zone first and turn to other zones only if these fail. The copy of the configuration at the start comes from the same relays. A fleet of up to 17 routers keeps its order. The order among a zone's relays is by rendezvous hashing, so that a change of the membership moves few.

--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -22,7 +22,7 @@
 	var out []LeavingUpstream
 	for _, u := range leavers {
 		if u.By == "" {
-			u.By = l.self
+			u.By = l.self.ID
 		}
 		out = append(out, LeavingUpstream{ID: u.ID, Boot: u.Boot, By: u.By, Age: u.Age.Milliseconds()})
 	}
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -102,7 +102,7 @@
 	}
 	known := append([]balance.Leaver(nil), want...)
 	known[1].By = "" // told to this router
-	encoded, err := (&LoadReport{Leaving: (&upstreamList{upstreamListConfig: upstreamListConfig{self: "self"}}).encodeLeaving(known)}).MarshalMsg(nil)
+	encoded, err := (&LoadReport{Leaving: (&upstreamList{upstreamListConfig: upstreamListConfig{self: fleet.Member{ID: "self"}}}).encodeLeaving(known)}).MarshalMsg(nil)
 	is.NoErr(err)
 	var r LoadReport
 	_, err = r.UnmarshalMsg(encoded)
--- a/internal/gateway/list_outage_test.go
+++ b/internal/gateway/list_outage_test.go
@@ -208,7 +208,7 @@
 	}
 	var stale fleet.InstanceID
 	for _, m := range membership.Members {
-		if sources, reads := sourcesOf(m.ID, relays); !reads {
+		if sources, reads := sourcesOf(m, relays); !reads {
 			stale = sources[0].ID
 		}
 	}
@@ -300,7 +300,7 @@
 		relays = append(relays, fleet.Member{ID: fleet.InstanceID(fmt.Sprint("relay-", i)), Addr: "127.0.0.1:1"})
 	}
 	l := newUpstreamList(upstreamListConfig{
-		log: hclog.NewNullLogger(), clock: fleet.MonotonicClock(), self: "self", pool: pool, loads: new(testRouter),
+		log: hclog.NewNullLogger(), clock: fleet.MonotonicClock(), self: fleet.Member{ID: "self"}, pool: pool, loads: new(testRouter),
 		relays: func() []fleet.Member { return relays }, needed: func() bool { return true },
 	})
 	totals := activitiesOf(map[fleet.UpstreamID]int{"a": 5})
@@ -370,7 +370,7 @@
 			if own == 0 {
 				own = len(relays) + 1
 			}
-			sources, _ := sourcesOf(member.ID, relays)
+			sources, _ := sourcesOf(member, relays)
 			for _, s := range sources {
 				is.True(rank[s.ID] > 0)
 				is.True(rank[s.ID] < own)
@@ -383,7 +383,7 @@
 func TestEarlierReleaseGetsNoStaleList(t *testing.T) {
 	is := is.New(t)
 	now := time.Minute
-	l := newUpstreamList(upstreamListConfig{self: "self", clock: func() time.Duration { return now }, loads: new(testRouter)})
+	l := newUpstreamList(upstreamListConfig{self: fleet.Member{ID: "self"}, clock: func() time.Duration { return now }, loads: new(testRouter)})
 	var request ListRequest
 	_, err := request.UnmarshalMsg([]byte("\x81\xa1d\x05")) // d: 5
 	is.NoErr(err)
--- a/internal/gateway/list_search.go
+++ b/internal/gateway/list_search.go
@@ -91,7 +91,7 @@
 func (l *upstreamList) peekNext(ctx context.Context, routers []fleet.Member, followed string) {
 	var others []fleet.Member
 	for _, m := range routers {
-		if m.ID != l.self && m.Addr != followed {
+		if m.ID != l.self.ID && m.Addr != followed {
 			others = append(others, m)
 		}
 	}
--- a/internal/gateway/list_source.go
+++ b/internal/gateway/list_source.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
@@ -57,7 +56,7 @@
 type upstreamListConfig struct {
 	log      hclog.Logger
 	clock    fleet.Clock
-	self     fleet.InstanceID
+	self     fleet.Member
 	lister   Lister
 	interval time.Duration // between two reads of the list from the platform
 	pool     *mesh.Pool
@@ -202,18 +201,16 @@
 // sourcesOf returns the routers that self may follow, in order of preference, and
 // whether it reads the list itself if these fail. A relay only follows relays that
 // precede it, so that no two follow each other. In a large fleet, a router that is not a
-// relay follows the relays other than the first, starting at one chosen by its ID.
-func sourcesOf(self fleet.InstanceID, relays []fleet.Member) (sources []fleet.Member, reads bool) {
-	index := slices.IndexFunc(relays, func(m fleet.Member) bool { return m.ID == self })
+// relay follows the relays other than the first, those of its availability zone before others.
+func sourcesOf(self fleet.Member, relays []fleet.Member) (sources []fleet.Member, reads bool) {
+	index := slices.IndexFunc(relays, func(m fleet.Member) bool { return m.ID == self.ID })
 	if index >= 0 {
 		return relays[:min(index, maxSources)], true
 	}
 	if len(relays) < placement.MaxRelays {
 		return relays[:min(len(relays), maxSources)], true
 	}
-	middle := relays[1:]
-	first := int(xxhash.Sum64String(string(self)) % uint64(len(middle)))
-	return append(slices.Clone(middle[first:]), middle[:first]...), false
+	return placement.NearestFirst(relays[1:], self), false
 }
 
 // readFromPlatform reads the list from the platform. On a failure the previous list stays in use.
--- a/internal/gateway/list_source_test.go
+++ b/internal/gateway/list_source_test.go
@@ -135,7 +135,7 @@
 	cfg := mesh.Config{Instance: self.ID}
 	r := &testRouter{Balancer: balance.New(balance.Config{}), lister: lister, server: mesh.NewServer(cfg), pool: mesh.NewPool(cfg), done: make(chan struct{})}
 	r.list = newUpstreamList(upstreamListConfig{
-		log: hclog.NewNullLogger(), clock: fleet.MonotonicClock(), self: self.ID, lister: r.lister, interval: 50 * time.Millisecond,
+		log: hclog.NewNullLogger(), clock: fleet.MonotonicClock(), self: self, lister: r.lister, interval: 50 * time.Millisecond,
 		pool: r.pool, loads: r, relays: func() []fleet.Member { return placement.Relays(membership) },
 		needed: func() bool { return true },
 		onChange: func(_ time.Duration, s *snapshot) {
@@ -311,7 +311,7 @@
 			followers := map[fleet.InstanceID]int{}
 			readers := 0
 			for _, member := range m.Members {
-				sources, _ := sourcesOf(member.ID, relays)
+				sources, _ := sourcesOf(member, relays)
 				if len(sources) == 0 {
 					readers++
 					continue
@@ -327,6 +327,32 @@
 	}
 }
 
+// Each message of the list and the loads crossed zones for five in six routers.
+func TestRoutersFollowRelaysOfOtherZones(t *testing.T) {
+	is := is.New(t)
+	const zones = 6
+	var m fleet.Membership
+	for i := range 300 {
+		m.Members = append(m.Members, fleet.Member{ID: fleet.InstanceID(fmt.Sprint("front-", i)), Zone: fleet.AvailabilityZone(fmt.Sprint("zone-", i%zones))})
+	}
+	relays := placement.Relays(m)
+	followers, crossing := map[fleet.InstanceID]int{}, 0
+	for _, member := range m.Members {
+		sources, _ := sourcesOf(member, relays)
+		if len(sources) == 0 {
+			continue // the reader
+		}
+		followers[sources[0].ID]++
+		if sources[0].Zone != member.Zone {
+			crossing++
+		}
+	}
+	is.True(crossing < placement.MaxRelays) // only relays follow a router of another zone
+	for _, n := range followers {
+		is.True(n <= 45)
+	}
+}
+
 // A router of a large fleet keeps trying the relays even if all of them fail: the few
 // relays may read the list themselves, but not hundreds of routers.
 func TestRoutersOfALargeFleetDontRead(t *testing.T) {
@@ -340,7 +366,7 @@
 	for _, member := range m.Members {
 		now := time.Minute
 		l := newUpstreamList(upstreamListConfig{
-			self: member.ID, clock: func() time.Duration { return now }, loads: new(testRouter),
+			self: member, clock: func() time.Duration { return now }, loads: new(testRouter),
 			relays: func() []fleet.Member { return relays },
 		})
 		for _, r := range relays {
@@ -382,7 +408,7 @@
 	var relays atomic.Pointer[[]fleet.Member]
 	r := &testRouter{lister: &fakeLister{}}
 	l := newUpstreamList(upstreamListConfig{
-		log: hclog.NewNullLogger(), clock: fleet.MonotonicClock(), self: "router-0", lister: r.lister, interval: time.Hour, loads: r,
+		log: hclog.NewNullLogger(), clock: fleet.MonotonicClock(), self: fleet.Member{ID: "router-0"}, lister: r.lister, interval: time.Hour, loads: r,
 		needed: func() bool { return true }, onChange: func(time.Duration, *snapshot) {},
 		relays: func() []fleet.Member {
 			if known := relays.Load(); known != nil {
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -110,7 +110,7 @@
 		Stopping: r.stopping.Load, Stop: r.stop.Load, Balancer: r.balancer, Pool: r.pool, Log: cfg.Requests, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	})
 	r.list = newUpstreamList(upstreamListConfig{
-		log: r.log.Named("list"), clock: cfg.Clock, self: r.self.ID, lister: cfg.Lister, interval: cfg.ListInterval,
+		log: r.log.Named("list"), clock: cfg.Clock, self: r.self, lister: cfg.Lister, interval: cfg.ListInterval,
 		pool: pool, relays: r.keeper.Relays, needed: r.needsList, loads: r.balancer, onChange: r.applyList,
 	})
 	server.HandleBackground(MethodList, r.list.serve)
--- a/internal/member/relay.go
+++ b/internal/member/relay.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wigeonflow/wigeonflow/internal/control"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
@@ -204,12 +202,12 @@
 // is false if it reads it from the control group. After a joint restart the links of the
 // control members don't carry a copy for each router of a large fleet: its relays read
 // theirs there, and the other routers one of the relays.
-func copySource(relays []fleet.Member, self fleet.InstanceID) (source fleet.Member, ok bool) {
-	isSelf := func(m fleet.Member) bool { return m.ID == self }
+func copySource(relays []fleet.Member, self fleet.Member) (source fleet.Member, ok bool) {
+	isSelf := func(m fleet.Member) bool { return m.ID == self.ID }
 	if len(relays) < placement.MaxRelays || slices.ContainsFunc(relays, isSelf) {
 		return fleet.Member{}, false
 	}
-	return relays[xxhash.Sum64String(string(self))%uint64(len(relays))], true
+	return placement.NearestFirst(relays, self)[0], true
 }
 
 // fetch brings the view up to date. In a large fleet it reads from the router's relay
@@ -219,7 +217,7 @@
 func (k *Keeper) fetch(ctx context.Context, atLeast fleet.ConfigVersion) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	if source, ok := copySource(k.Relays(), k.cfg.Self.ID); ok && k.cfg.Pool != nil && k.view.Version() == 0 {
+	if source, ok := copySource(k.Relays(), k.cfg.Self); ok && k.cfg.Pool != nil && k.view.Version() == 0 {
 		if k.fetchRelayed(ctx, source, atLeast) {
 			return
 		}
--- a/internal/member/relay_test.go
+++ b/internal/member/relay_test.go
@@ -182,12 +182,12 @@
 		relays := placement.Relays(m)
 		fromControl, readers := 0, map[fleet.InstanceID]int{}
 		for _, member := range m.Members {
-			source, ok := copySource(relays, member.ID)
+			source, ok := copySource(relays, member)
 			if !ok {
 				fromControl++
 				continue
 			}
-			_, reads := copySource(relays, source.ID)
+			_, reads := copySource(relays, source)
 			is.True(!reads) // it reads from the control group
 			readers[source.ID]++
 		}
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"sync"
 
@@ -25,7 +26,9 @@
 const MaxRelays = 17
 
 // Relays returns the relays of a membership in order of succession; the first is the
-// reader. Draining members are left out.
+// reader. Draining members are left out. In a fleet with more members than relays, each
+// availability zone has relays in proportion to its members, and at least one as long as there
+// are enough.
 func Relays(m fleet.Membership) []fleet.Member {
 	var out []fleet.Member
 	for _, member := range m.Members {
@@ -34,7 +37,56 @@
 		}
 	}
 	SortByHash(out, "platform-list/")
-	return out[:min(len(out), MaxRelays)]
+	if len(out) <= MaxRelays {
+		return out
+	}
+	return spreadOverZones(out)[:MaxRelays]
+}
+
+// spreadOverZones returns the members in an order in which each prefix holds of each
+// availability zone about as large a share as all members do (Adams' apportionment). Members of
+// one zone stay in their order, and the first member stays the first. The zones' sizes are
+// rounded down to powers of two, so that a member that joins or leaves moves few others.
+func spreadOverZones(members []fleet.Member) []fleet.Member {
+	size := make(map[fleet.AvailabilityZone]uint)
+	for _, m := range members {
+		size[m.Zone]++
+	}
+	type seat struct {
+		fleet.Member
+		share float64 // of the zone's members that precede this one
+	}
+	seats := make([]seat, len(members))
+	taken := make(map[fleet.AvailabilityZone]int)
+	for i, m := range members {
+		seats[i] = seat{m, float64(taken[m.Zone]) / float64(uint(1)<<(bits.Len(size[m.Zone])-1))}
+		taken[m.Zone]++
+	}
+	slices.SortStableFunc(seats, func(a, b seat) int { return cmp.Compare(a.share, b.share) })
+	out := make([]fleet.Member, len(seats))
+	for i, s := range seats {
+		out[i] = s.Member
+	}
+	return out
+}
+
+// NearestFirst returns the members in the order in which self turns to them: those of its own
+// availability zone first, otherwise in an order that differs from router to router and in which
+// a change of the members moves no others.
+func NearestFirst(members []fleet.Member, self fleet.Member) []fleet.Member {
+	out := slices.Clone(members)
+	SortByHash(out, string(self.ID)+"/")
+	slices.SortStableFunc(out, func(a, b fleet.Member) int {
+		switch near := a.Zone == self.Zone; {
+		case near == (b.Zone == self.Zone):
+			return 0
+		case near:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return out
 }
 
 // RelayCache caches the relays of the membership that was last asked for, because routers
