gateway: reports of loads hold only what has changed

Change: a report holds the upstreams whose activity differs from the report before on the same stream. The first one of a stream, and the first after the list has changed, is complete; routers of earlier releases, which don't say that they accept changes, get complete reports. A receiver that lacks the report before ignores the changes.

Evidence: TestReportsRepeatWhatIsKnown (3,000 upstreams, 200 requests a second) asks for 2 kB a second; it fails without the changes. TestReportsOfChangesAddUp and TestReportOfChangesRemovesActivity check the sum over changes of the list and both kinds of receivers; the tests of shared loads over real connections pass unchanged.

--- a/internal/gateway/list_source_test.go
+++ b/internal/gateway/list_source_test.go
@@ -286,14 +286,86 @@
 func TestReportsOfAnotherList(t *testing.T) {
 	is := is.New(t)
 	s := testSnapshot(0, testUpstream("a"), testUpstream("b"))
-	r := s.encodeReport(4, activitiesOf(map[fleet.UpstreamID]int{"b": 3, "z": 1}))
-	is.Equal(s.decodeReport(4, r), activitiesOf(map[fleet.UpstreamID]int{"b": 3}))
-	is.True(s.decodeReport(5, r) == nil)
+	r := s.encodeReport(4, activitiesOf(map[fleet.UpstreamID]int{"b": 3, "z": 1}), nil)
+	is.Equal(s.decodeReport(4, r, new(decodedReport)), activitiesOf(map[fleet.UpstreamID]int{"b": 3}))
+	is.True(s.decodeReport(5, r, new(decodedReport)) == nil)
 	one := []uint16{1}
-	is.True(s.decodeReport(4, &LoadReport{Number: 4, Places: []uint16{7}, Running: one, Ended: one, Failed: one}) == nil)
-	is.True(s.decodeReport(4, &LoadReport{Number: 4, Places: one, Running: one, Ended: one}) == nil)
+	is.True(s.decodeReport(4, &LoadReport{Number: 4, Places: []uint16{7}, Running: one, Ended: one, Failed: one}, new(decodedReport)) == nil)
+	is.True(s.decodeReport(4, &LoadReport{Number: 4, Places: one, Running: one, Ended: one}, new(decodedReport)) == nil)
 	var none *snapshot
-	is.True(none.decodeReport(4, r) == nil)
+	is.True(none.decodeReport(4, r, new(decodedReport)) == nil)
+}
+
+// reportingList returns a list of 3,000 upstreams at half of which requests have ended, and a
+// function that returns the report of some requests more.
+func reportingList(t *testing.T, acceptsChanges bool) (s *snapshot, next func(number uint64, requests int) (*LoadReport, balance.Activities)) {
+	t.Helper()
+	var upstreams []fleet.Upstream
+	activities := balance.Activities{}
+	for i := range 3000 {
+		u := testUpstream(fmt.Sprintf("engine-%04d", i))
+		upstreams = append(upstreams, u)
+		if i%2 == 0 {
+			activities[u.ID] = balance.Activity{Ended: 1}
+		}
+	}
+	l := &upstreamList{upstreamListConfig: upstreamListConfig{clock: func() time.Duration { return 0 }, loads: &testRouter{Balancer: balance.New(balance.Config{})}}}
+	s = testSnapshot(0, upstreams...)
+	last, at := new(lastReport), 0
+	return s, func(number uint64, requests int) (*LoadReport, balance.Activities) {
+		activities = maps.Clone(activities)
+		for range requests {
+			id := upstreams[at%len(upstreams)].ID
+			activities[id] = activities[id].Plus(balance.Activity{Ended: 1})
+			at += 7
+		}
+		return l.newReport(s, number, activities, acceptsChanges, last), activities
+	}
+}
+
+// All of 3,000 upstreams were named in each report, several times a second.
+func TestReportsRepeatWhatIsKnown(t *testing.T) {
+	is := is.New(t)
+	_, next := reportingList(t, true)
+	next(1, 0)
+	const second = time.Second / heartbeatInterval
+	bytes := 0
+	for range second {
+		r, _ := next(1, 200/int(second))
+		message, err := r.MarshalMsg(nil)
+		is.NoErr(err)
+		bytes += len(message)
+	}
+	is.True(bytes <= 2<<10) // the aim: 2 kB a second
+}
+
+func TestReportsOfChangesAddUp(t *testing.T) {
+	for _, acceptsChanges := range []bool{true, false} {
+		is := is.New(t)
+		s, next := reportingList(t, acceptsChanges)
+		last := new(decodedReport)
+		for i, number := range []uint64{1, 1, 1, 2, 2} {
+			r, want := next(number, 100)
+			is.Equal(r.Changes, acceptsChanges && i != 0 && i != 3) // the list has changed
+			is.Equal(s.decodeReport(number, r, last), want)
+		}
+		r, _ := next(2, 100)
+		if acceptsChanges {
+			is.True(s.decodeReport(2, r, new(decodedReport)) == nil) // the receiver lacks what has changed
+		}
+	}
+}
+
+// A request that has ended long ago leaves no trace in the sum.
+func TestReportOfChangesRemovesActivity(t *testing.T) {
+	is := is.New(t)
+	s := testSnapshot(0, testUpstream("a"), testUpstream("b"))
+	last := new(decodedReport)
+	before, after := activitiesOf(map[fleet.UpstreamID]int{"a": 1, "b": 2}), activitiesOf(map[fleet.UpstreamID]int{"b": 2})
+	is.Equal(s.decodeReport(1, s.encodeReport(1, before, nil), last), before)
+	r := s.encodeReport(1, after, before)
+	is.Equal(r.Places, []uint16{0})
+	is.Equal(s.decodeReport(1, r, last), after)
 }
 
 // Only the first relay reads the list, and no router has more than a bounded number of
--- a/internal/gateway/list_stream.go
+++ b/internal/gateway/list_stream.go
@@ -29,7 +29,8 @@
 	defer stream.Close()
 	timeout := idleTimeout(known)
 	patience := time.Duration(0)
-	var last lastReport
+	var received decodedReport
+	var reported lastReport
 	var pace searchPace
 	for {
 		u, err := receiveUpdate(ctx, stream, timeout)
@@ -48,7 +49,7 @@
 		patience = catchUpTime
 		l.adopt(known)
 		l.mergeLeaving(&u.Totals) // after the list that it refers to
-		if err = l.exchangeLoads(ctx, stream, known, u, &last); err != nil {
+		if err = l.exchangeLoads(ctx, stream, known, u, &received, &reported); err != nil {
 			return fleet.At(err, "gateway.follow", addr)
 		}
 		if pace.due(now, known.asOf) {
@@ -67,7 +68,7 @@
 // openList opens a stream at a source, sends it the digest of the current list, and
 // returns that list, to which the source's next update is relative.
 func (l *upstreamList) openList(ctx context.Context, addr string) (*mesh.Stream, *snapshot, error) {
-	request := ListRequest{AcceptsStale: true}
+	request := ListRequest{AcceptsStale: true, AcceptsChanges: true}
 	known, _ := l.newest()
 	if known != nil {
 		request.Digest = known.digest
@@ -144,7 +145,8 @@
 		return nil
 	}
 	u := current.update(sent.Load(), request.Digest, now)
-	u.Totals = *l.newReport(current, current.number, l.loadTotals.fleetActivities(now), last)
+	u.Totals = *l.newReport(current, current.number, l.loadTotals.fleetActivities(now), request.AcceptsChanges, last)
+	u.AcceptsChanges = true
 	message, err := u.MarshalMsg(nil)
 	if err != nil {
 		return err
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -25,6 +25,9 @@
 	// AcceptsStale is set if the follower stays with a source whose list is older than
 	// maxListAge. Followers of earlier releases leave it.
 	AcceptsStale bool `msg:"s,omitempty"`
+	// AcceptsChanges is set if the follower decodes reports with changes. Followers of earlier
+	// releases take them for complete ones.
+	AcceptsChanges bool `msg:"c,omitempty"`
 }
 
 // ListEntry is one upstream of the upstream list.
@@ -53,6 +56,8 @@
 	Number uint64 `msg:"n"`
 	// Totals sums up the activities of all routers at upstreams.
 	Totals LoadReport `msg:"t"`
+	// AcceptsChanges is set if the sender decodes reports with changes.
+	AcceptsChanges bool `msg:"x,omitempty"`
 }
 
 const (
--- a/internal/gateway/listing_gen.go
+++ b/internal/gateway/listing_gen.go
@@ -216,8 +216,8 @@
 func (z ListRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(2)
-	var zb0001Mask uint8 /* 2 bits */
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
 	_ = zb0001Mask
 	if z.Digest == 0 {
 		zb0001Len--
@@ -227,6 +227,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
+	if z.AcceptsChanges == false {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -242,6 +246,11 @@
 			o = append(o, 0xa1, 0x73)
 			o = msgp.AppendBool(o, z.AcceptsStale)
 		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			o = msgp.AppendBool(o, z.AcceptsChanges)
+		}
 	}
 	return
 }
@@ -276,6 +285,12 @@
 				err = msgp.WrapError(err, "AcceptsStale")
 				return
 			}
+		case "c":
+			z.AcceptsChanges, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AcceptsChanges")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -290,7 +305,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z ListRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
@@ -298,8 +313,8 @@
 func (z *ListUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.Whole == nil {
 		zb0001Len--
@@ -313,6 +328,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.AcceptsChanges == false {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -381,6 +400,11 @@
 			err = msgp.WrapError(err, "Totals")
 			return
 		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "x"
+			o = append(o, 0xa1, 0x78)
+			o = msgp.AppendBool(o, z.AcceptsChanges)
+		}
 	}
 	return
 }
@@ -494,6 +518,12 @@
 				err = msgp.WrapError(err, "Totals")
 				return
 			}
+		case "x":
+			z.AcceptsChanges, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AcceptsChanges")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -516,6 +546,6 @@
 	for za0002 := range z.Removed {
 		s += z.Removed[za0002].Msgsize()
 	}
-	s += 2 + msgp.Uint64Size + 2 + z.Totals.Msgsize()
+	s += 2 + msgp.Uint64Size + 2 + z.Totals.Msgsize() + 2 + msgp.BoolSize
 	return
 }
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -14,10 +14,13 @@
 //msgp:ignore loadAggregator
 
 // LoadReport holds the activities of one or several routers at upstreams. Upstreams
-// without activity are left out.
+// without activity are left out of a report that doesn't hold changes.
 type LoadReport struct {
 	// Number is the number of the list that Places refers to.
 	Number uint64 `msg:"n"`
+	// Changes is set if the report holds only the upstreams whose activity differs from the report
+	// before on the same stream, which referred to the same list.
+	Changes bool `msg:"d,omitempty"`
 	// Places are indices into the sorted list of upstreams.
 	Places []uint16 `msg:"p"`
 	// Running, Ended and Failed are the counts of balance.Activity, in the order of
@@ -59,11 +62,12 @@
 // clampCount limits a count to the range of a report.
 func clampCount(n int) uint16 { return uint16(min(n, maxCount)) }
 
-// encodeReport encodes activities by the index of their upstream in the list.
-func (s *snapshot) encodeReport(number uint64, activities balance.Activities) *LoadReport {
-	r := &LoadReport{Number: number}
+// encodeReport encodes activities by the index of their upstream in the list: their changes
+// since former, or all of them if that is nil.
+func (s *snapshot) encodeReport(number uint64, activities, former balance.Activities) *LoadReport {
+	r := &LoadReport{Number: number, Changes: former != nil}
 	for index, id := range s.sortedIDs {
-		if a := activities[id]; a != (balance.Activity{}) && index <= maxCount {
+		if a := activities[id]; a != former[id] && index <= maxCount {
 			r.Places = append(r.Places, uint16(index))
 			r.Running = append(r.Running, clampCount(a.Running))
 			r.Ended = append(r.Ended, clampCount(a.Ended))
@@ -73,23 +77,42 @@
 	return r
 }
 
-// decodeReport returns a report's counts by upstream. It returns nil if the report is
-// malformed or refers to another list than the given number.
-func (s *snapshot) decodeReport(number uint64, r *LoadReport) balance.Activities {
+// decodeReport returns a report's counts by upstream, which become those of last. It returns nil
+// if the report is malformed, refers to another list than the given number, or holds changes of a
+// report that wasn't decoded.
+func (s *snapshot) decodeReport(number uint64, r *LoadReport, last *decodedReport) balance.Activities {
 	n := len(r.Places)
 	if s == nil || r.Number != number || len(r.Running) != n || len(r.Ended) != n || len(r.Failed) != n {
 		return nil
 	}
 	out := make(balance.Activities, n)
+	if r.Changes {
+		if last.activities == nil || last.number != number {
+			return nil
+		}
+		maps.Copy(out, last.activities)
+	}
 	for i, index := range r.Places {
 		if int(index) >= len(s.sortedIDs) {
 			return nil
 		}
-		out[s.sortedIDs[index]] = balance.Activity{Running: int(r.Running[i]), Ended: int(r.Ended[i]), Failed: int(r.Failed[i])}
+		id := s.sortedIDs[index]
+		if a := (balance.Activity{Running: int(r.Running[i]), Ended: int(r.Ended[i]), Failed: int(r.Failed[i])}); a != (balance.Activity{}) {
+			out[id] = a
+		} else {
+			delete(out, id)
+		}
 	}
+	*last = decodedReport{number, out}
 	return out
 }
 
+// decodedReport is the report that was decoded last on one stream.
+type decodedReport struct {
+	number     uint64 // of the list that it refers to
+	activities balance.Activities
+}
+
 // loadAggregator aggregates the activities of routers at upstreams along the tree by which
 // the list is distributed: each router reports the activities of its subtree to its
 // source, and sends those of the whole fleet to its followers. The subtree of a router
@@ -185,6 +208,7 @@
 // receiveReports records a follower's load reports until its stream ends. known returns
 // the list that was sent to the follower last.
 func (l *upstreamList) receiveReports(ctx context.Context, stream *mesh.Stream, known func() *snapshot) {
+	var last decodedReport
 	for {
 		message, err := stream.Recv(ctx)
 		if err != nil {
@@ -201,7 +225,7 @@
 		if list == nil {
 			continue
 		}
-		if activities := list.decodeReport(list.number, &r); activities != nil {
+		if activities := list.decodeReport(list.number, &r, &last); activities != nil {
 			l.loadTotals.setReport(stream, activities)
 			l.loads.SetPeerActivities(l.clock(), l.loadTotals.peerActivities())
 		}
@@ -209,14 +233,15 @@
 }
 
 // exchangeLoads applies the totals of an update and replies with a report of this
-// router's subtree. last is what was reported before on the stream, and is updated.
-func (l *upstreamList) exchangeLoads(ctx context.Context, stream *mesh.Stream, list *snapshot, u *ListUpdate, last *lastReport) error {
-	if totals := list.decodeReport(u.Number, &u.Totals); totals != nil {
-		l.loadTotals.setTotals(totals, last.activities)
+// router's subtree. received and sent are the latest totals and report of the stream, and are
+// updated.
+func (l *upstreamList) exchangeLoads(ctx context.Context, stream *mesh.Stream, list *snapshot, u *ListUpdate, received *decodedReport, sent *lastReport) error {
+	if totals := list.decodeReport(u.Number, &u.Totals, received); totals != nil {
+		l.loadTotals.setTotals(totals, sent.activities)
 		l.loads.SetPeerActivities(l.clock(), l.loadTotals.peerActivities())
 	}
 	subtree := l.loadTotals.subtreeActivities(l.clock())
-	message, err := l.newReport(list, u.Number, subtree, last).MarshalMsg(nil)
+	message, err := l.newReport(list, u.Number, subtree, u.AcceptsChanges, sent).MarshalMsg(nil)
 	if err != nil {
 		return err
 	}
@@ -225,17 +250,23 @@
 
 // lastReport is what a router reported last on one stream.
 type lastReport struct {
+	number       uint64 // of the list that it refers to
 	activities   balance.Activities
 	suspicionsTo uint64 // see Loads.Suspicions
 }
 
 // newReport returns a report of the given activities, of what has become known of suspects since
-// the last report, which it updates, and of the leaving upstreams that this router knows.
-func (l *upstreamList) newReport(list *snapshot, number uint64, activities balance.Activities, last *lastReport) *LoadReport {
-	r := list.encodeReport(number, activities)
+// the last report, which it updates, and of the leaving upstreams that this router knows. A
+// receiver that accepts changes gets those of the activities if the list is still the same.
+func (l *upstreamList) newReport(list *snapshot, number uint64, activities balance.Activities, acceptsChanges bool, last *lastReport) *LoadReport {
+	var former balance.Activities
+	if acceptsChanges && last.number == number {
+		former = last.activities
+	}
+	r := list.encodeReport(number, activities, former)
 	suspicions, upTo := l.loads.Suspicions(l.clock(), last.suspicionsTo)
 	r.Suspicions = encodeSuspicions(suspicions)
-	last.activities, last.suspicionsTo = activities, upTo
+	last.number, last.activities, last.suspicionsTo = number, activities, upTo
 	r.Leaving = l.encodeLeaving(l.loads.Leavers(l.clock()))
 	return r
 }
--- a/internal/gateway/loads_gen.go
+++ b/internal/gateway/loads_gen.go
@@ -10,16 +10,20 @@
 func (z *LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
+	if z.Changes == false {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
 	if z.Suspicions == nil {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x40
 	}
 	if z.Leaving == nil {
 		zb0001Len--
-		zb0001Mask |= 0x40
+		zb0001Mask |= 0x80
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -29,6 +33,11 @@
 		// string "n"
 		o = append(o, 0xa1, 0x6e)
 		o = msgp.AppendUint64(o, z.Number)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "d"
+			o = append(o, 0xa1, 0x64)
+			o = msgp.AppendBool(o, z.Changes)
+		}
 		// string "p"
 		o = append(o, 0xa1, 0x70)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Places)))
@@ -53,7 +62,7 @@
 		for za0004 := range z.Failed {
 			o = msgp.AppendUint16(o, z.Failed[za0004])
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "s"
 			o = append(o, 0xa1, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Suspicions)))
@@ -65,7 +74,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "l"
 			o = append(o, 0xa1, 0x6c)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Leaving)))
@@ -105,6 +114,12 @@
 				err = msgp.WrapError(err, "Number")
 				return
 			}
+		case "d":
+			z.Changes, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Changes")
+				return
+			}
 		case "p":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -233,7 +248,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LoadReport) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Places) * (msgp.Uint16Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Running) * (msgp.Uint16Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Ended) * (msgp.Uint16Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Failed) * (msgp.Uint16Size)) + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Places) * (msgp.Uint16Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Running) * (msgp.Uint16Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Ended) * (msgp.Uint16Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Failed) * (msgp.Uint16Size)) + 2 + msgp.ArrayHeaderSize
 	for za0005 := range z.Suspicions {
 		s += z.Suspicions[za0005].Msgsize()
 	}
