gateway: a long list of upstreams is read by one router at a time

Cause, from a test with 25 routers on such a platform (times of each read printed): four states in which all 17 relays read the list at once, so that none finishes within its 1.5 s: (1) a relay whose reader isn't up yet, or has no list within 2 s, reads itself; (2) so does each relay that loses the reader; (3) all relays search for a fresh list as soon as theirs is 2.6 s old, though with a read of 1.43 s and a pause of 1 s it is 3.9 s old before the next one can arrive: for such a list this state is permanent; (4) relays whose two sources fail.

Change: a source says that its first list is being read, and followers that accept it wait for it. A relay without a list tries its two sources for 2 s before it reads. The age of a list counts without the time of two reads, which is measured and sent along; the time limit of a read grows with it. Relays search, and read after their sources have failed, one after the other by the time of a read; the reader's successor reads at once.

TestSearchesStayWithinThePlatformsRate and TestSourceIsLeftOnlyForAFresherList check the same values through the new arguments.

--- a/internal/gateway/list_outage_test.go
+++ b/internal/gateway/list_outage_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -47,6 +48,12 @@
 	return current.asOf
 }
 
+// hasStaleList reports whether the router's list is stale.
+func (r *testRouter) hasStaleList() bool {
+	current, _ := r.list.newest()
+	return current.isStale(r.list.clock())
+}
+
 // awaitSharedLoads waits until each router knows what the others have in flight, which is
 // changed first.
 func awaitSharedLoads(routers []*testRouter, inFlight int) {
@@ -69,7 +76,7 @@
 			awaitSharedLoads(routers, 1)
 			awaitSharedLoads(routers, 3)
 			for _, r := range routers {
-				is.True(isStale(r.list.clock(), r.listAsOf()))
+				is.True(r.hasStaleList())
 				is.True(r.listAsOf() <= began+2*sourceIdleTimeout) // an update delayed for longer loses its source, on each of two hops
 			}
 		})
@@ -130,17 +137,17 @@
 func TestSearchesStayWithinThePlatformsRate(t *testing.T) {
 	is := is.New(t)
 	const (
-		stale    = time.Duration(-searchAge - 1) // time of the list
 		step     = 50 * time.Millisecond
 		maxCalls = 42 // a second
 	)
+	stale := &snapshot{asOf: -searchAge - 1}
 	calls := make(map[int]int)
 	for range placement.MaxRelays - 1 {
 		var p searchPace
-		is.True(!p.due(0, 0))
+		is.True(!p.due(0, &snapshot{}, 1))
 		var searches []time.Duration
 		for now := time.Duration(0); now < time.Minute; now += step {
-			if p.due(now, stale) {
+			if p.due(now, stale, 1) {
 				searches = append(searches, now)
 				calls[int(now/time.Second)]++
 			}
@@ -151,8 +158,8 @@
 			is.True(at-searches[i] <= sourceBackoff*3/2+step)
 		}
 		is.True(len(searches) <= 14)
-		is.True(!p.due(time.Minute, time.Minute))
-		is.True(p.due(time.Minute, time.Minute+stale)) // the next outage begins as the first
+		is.True(!p.due(time.Minute, &snapshot{asOf: time.Minute}, 1))
+		is.True(p.due(time.Minute, &snapshot{asOf: time.Minute + stale.asOf}, 1)) // the next outage begins as the first
 	}
 	for _, n := range calls {
 		is.True(n+1 <= maxCalls) // and the reader's
@@ -162,14 +169,41 @@
 // All relays read a list that takes long to read, and exhaust the platform's rate, if a search
 // begins between two reads that succeed.
 func TestListUnderwayIsNotSearchedFor(t *testing.T) {
-	const readTime, readPause = 700 * time.Millisecond, time.Second
-	var p searchPace
-	asOf := time.Duration(0)
-	for now := readTime; now < time.Minute; now += heartbeatInterval {
-		for asOf+2*readTime+readPause <= now { // the next read has ended
-			asOf += readTime + readPause
+	const readPause = time.Second
+	for _, readTime := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond, 1430 * time.Millisecond} { // 60 pages
+		t.Run(readTime.String(), func(t *testing.T) {
+			is := is.New(t)
+			var p searchPace
+			s := &snapshot{readTime: readTime}
+			for now := readTime; now < time.Minute; now += heartbeatInterval {
+				for s.asOf+2*readTime+readPause <= now { // the next read has ended
+					s.asOf += readTime + readPause
+				}
+				is.True(!p.due(now, s, 1))
+				is.True(!s.isStale(now)) // the reader's followers stay with it
+			}
+		})
+	}
+}
+
+// All relays read a long list at once when the reader couldn't, and none of them could finish.
+func TestSearchesForALongListFollowEachOther(t *testing.T) {
+	is := is.New(t)
+	const readTime = 1430 * time.Millisecond
+	stale := &snapshot{readTime: readTime}
+	var starts []time.Duration
+	for position := 1; position < placement.MaxRelays; position++ {
+		var p searchPace
+		for now := time.Duration(0); now < time.Minute; now += 50 * time.Millisecond {
+			if p.due(now, stale, position) {
+				starts = append(starts, now)
+			}
 		}
-		is.New(t).True(!p.due(now, asOf))
+	}
+	slices.Sort(starts)
+	is.True(starts[0] <= 2*readTime+searchAge+readTime+50*time.Millisecond)
+	for i := range starts[2:] {
+		is.True(starts[i+2]-starts[i] >= readTime) // two at a time, each within firstReadTimeout
 	}
 }
 
@@ -190,7 +224,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			is.New(t).Equal(isOutdated(now, now-tc.sourceAge, now-tc.age, tc.patience), tc.outdated)
+			is.New(t).Equal(isOutdated(now, &snapshot{asOf: now - tc.sourceAge}, &snapshot{asOf: now - tc.age}, tc.patience), tc.outdated)
 		})
 	}
 }
@@ -222,7 +256,7 @@
 	}
 	for i, r := range routers {
 		if membership.Members[i].ID != stale {
-			await(func() bool { return r.listsUpstream("b") && !isStale(r.list.clock(), r.listAsOf()) })
+			await(func() bool { return r.listsUpstream("b") && !r.hasStaleList() })
 		}
 	}
 }
@@ -263,7 +297,7 @@
 				r.lister.setList(nil, testUpstream("a"), testUpstream("c"))
 			}
 			for _, r := range routers {
-				await(func() bool { return r.listsUpstream("c") && !isStale(r.list.clock(), r.listAsOf()) })
+				await(func() bool { return r.listsUpstream("c") && !r.hasStaleList() })
 			}
 			awaitSharedLoads(routers, 2)
 		})
@@ -285,7 +319,7 @@
 		is.NoErr(err)
 		routers[i] = startRouter(t, m, membership, listener, routers[i].lister)
 		await(func() bool { return routers[i].listsUpstream("a") })
-		is.True(isStale(routers[i].list.clock(), routers[i].listAsOf()))
+		is.True(routers[i].hasStaleList())
 	}
 	awaitSharedLoads(routers, 5)
 }
--- a/internal/gateway/list_search.go
+++ b/internal/gateway/list_search.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/placement"
 )
 
 const (
@@ -15,9 +16,9 @@
 	// listTimeError bounds how much newer than it is a list appears to a follower, because
 	// its update was delayed on the way.
 	listTimeError = 500 * time.Millisecond
-	// searchAge is the age of the followed source's list from which a fresh one is searched
-	// for. With a heartbeat more it is the age at which a follower leaves a source that has
-	// fallen silent; a long list reaches maxListAge between two reads that succeed.
+	// searchAge is the age, see snapshot.agesFrom, of the followed source's list from which a
+	// fresh one is searched for. With a heartbeat more it is the age at which a follower leaves
+	// a source that has fallen silent.
 	searchAge = maxListAge + sourceIdleTimeout - heartbeatInterval
 	// firstSearchPause is the pause after the first search for a fresh list. It doubles
 	// with each search up to sourceBackoff, so that all routers together stay within the
@@ -25,13 +26,13 @@
 	firstSearchPause = time.Second
 )
 
-// isStale reports whether a list exceeds maxListAge.
-func isStale(now, asOf time.Duration) bool { return now-asOf > maxListAge }
+// isStale reports whether the list exceeds maxListAge.
+func (s *snapshot) isStale(now time.Duration) bool { return now-s.agesFrom() > maxListAge }
 
 // isOutdated reports whether a source's list is stale while the follower has a fresh one
 // of another origin, which the source had the given time to get as well.
-func isOutdated(now, sourceAsOf, ownAsOf, patience time.Duration) bool {
-	return isStale(now, sourceAsOf) && !isStale(now, ownAsOf) && ownAsOf-sourceAsOf > listTimeError && now-ownAsOf >= patience
+func isOutdated(now time.Duration, source, own *snapshot, patience time.Duration) bool {
+	return source.isStale(now) && !own.isStale(now) && own.asOf-source.asOf > listTimeError && now-own.asOf >= patience
 }
 
 // searchPace paces the searches for a fresh list while the source's exceeds searchAge.
@@ -41,9 +42,10 @@
 }
 
 // due reports whether a search is due, and expects the next one after a longer pause. The
-// first one is due as soon as the source's list exceeds searchAge.
-func (p *searchPace) due(now, sourceAsOf time.Duration) bool {
-	if now-sourceAsOf <= searchAge {
+// first one is due as soon as the source's list exceeds searchAge; at a relay, by as many reads
+// later as relays precede it, so that not all of them read a long list at once.
+func (p *searchPace) due(now time.Duration, source *snapshot, position int) bool {
+	if now-source.agesFrom() <= searchAge+time.Duration(position)*source.readTime {
 		*p = searchPace{}
 		return false
 	}
@@ -51,7 +53,7 @@
 		return false
 	}
 	p.pause = min(max(2*p.pause, firstSearchPause), sourceBackoff)
-	p.next = now + p.pause + rand.N(p.pause/2)
+	p.next = now + max(p.pause+rand.N(p.pause/2), placement.MaxRelays*source.readTime)
 	return true
 }
 
@@ -74,7 +76,7 @@
 		if reads {
 			l.readFromPlatform(ctx)
 		}
-		if current, _ := l.newest(); isStale(l.clock(), current.asOf) {
+		if current, _ := l.newest(); current.isStale(l.clock()) {
 			l.peekNext(ctx, sources, followed)
 		}
 	})
@@ -123,11 +125,11 @@
 		return fleet.At(err, "gateway.peek", addr)
 	}
 	current, _ := l.newest()
-	if current == nil || !isStale(now, s.asOf) {
+	if current == nil || !s.isStale(now) {
 		l.adopt(s)
 	}
 	l.mergeLeaving(&u.Totals)
-	if current != nil && isOutdated(now, s.asOf, current.asOf, 0) {
+	if current != nil && isOutdated(now, s, current, 0) {
 		return fleet.At(errListStale, "gateway.peek", addr)
 	}
 	return nil
--- a/internal/gateway/list_source.go
+++ b/internal/gateway/list_source.go
@@ -28,10 +28,12 @@
 	// a leaving upstream must get no more requests.
 	sourceIdleTimeout = time.Second
 	// firstIdleTimeout is the idle timeout until a router has received its first list, which
-	// may be long and sent to all followers of the source at once.
+	// may be long and sent to all followers of the source at once. It is also the time that a
+	// relay with two sources retries them before it reads its first list itself.
 	firstIdleTimeout = 2 * time.Second
-	// maxListAge is the age up to which a list is fresh: it allows for a read each second,
-	// some tenths of a second to transfer a long list, and two routers on the path.
+	// maxListAge is the age, see snapshot.agesFrom, up to which a list is fresh: it allows for a
+	// read each second, some tenths of a second to transfer a long list, and two routers on the
+	// path.
 	maxListAge = 2 * time.Second
 	// maxSources is the number of routers a relay tries to follow before it reads the
 	// list itself. The other routers of a large fleet never read it: together they would
@@ -50,6 +52,9 @@
 	relayWait = 2 * time.Second
 	// relayPoll is the interval at which the membership is checked during relayWait.
 	relayPoll = 10 * time.Millisecond
+	// turnPoll is the interval at which a relay that waits for its turn to read looks for a
+	// source.
+	turnPoll = 50 * time.Millisecond
 )
 
 // upstreamListConfig configures an upstreamList.
@@ -78,6 +83,7 @@
 	upstreamListConfig
 	loadTotals *loadAggregator // of the followers
 
+	pending   atomic.Bool    // the first list is being read, by this router or its source
 	searching atomic.Bool    // a search for a fresh list runs
 	searches  sync.WaitGroup // of the running search
 	peeks     atomic.Uint64  // selects the source that is peeked at next
@@ -87,6 +93,7 @@
 	current  *snapshot
 	changed  chan struct{}                      // closed when there is a newer list
 	failed   map[fleet.InstanceID]time.Duration // time of each source's latest failure
+	began    time.Duration                      // when the list began to be needed
 }
 
 func newUpstreamList(cfg upstreamListConfig) *upstreamList {
@@ -99,13 +106,17 @@
 // run keeps the list up to date until ctx ends.
 func (l *upstreamList) run(ctx context.Context) {
 	l.awaitRelays(ctx)
+	l.setBegan()
 	defer l.searches.Wait()
 	for ctx.Err() == nil {
 		source, ok := l.source()
 		if !ok {
 			l.loadTotals.setTotals(nil, nil)
+			if !l.awaitTurn(ctx) {
+				continue
+			}
 			l.readFromPlatform(ctx)
-			if current, _ := l.newest(); current == nil {
+			if !l.hasList() {
 				l.peekNext(ctx, l.relays(), "") // an old list serves until the platform answers
 			}
 			fleet.Pause(ctx, l.interval)
@@ -123,12 +134,25 @@
 		}
 		l.log.Info("lost the source of the upstream list", "peer", string(source.ID), "error", err)
 		l.setFailed(source.ID, true)
-		if _, reads := sourcesOf(l.self, l.relays()); reads {
-			l.readFromPlatform(ctx) // the next source may have lost its own as well
-		}
 	}
 }
 
+// awaitTurn waits before a read of the list by a relay whose sources have failed: the reader's
+// successor reads at once, each later relay by one read later than the one before it, so that
+// they don't use up the platform's rate together. It returns false if the relay is to follow a
+// source after all, or ctx has ended.
+func (l *upstreamList) awaitTurn(ctx context.Context) bool {
+	current, _ := l.newest()
+	if current == nil {
+		return true
+	}
+	turn := time.Duration(max(l.position()-1, 0)) * current.readTime
+	turnCtx, cancel := context.WithTimeout(ctx, turn)
+	defer cancel()
+	found := turn > 0 && fleet.Await(turnCtx, turnPoll, func() bool { _, ok := l.source(); return ok })
+	return !found && ctx.Err() == nil
+}
+
 // awaitRelays waits until the list is needed and relays are known. It stops waiting
 // for relays after relayWait and a random time of up to the same length.
 func (l *upstreamList) awaitRelays(ctx context.Context) {
@@ -140,9 +164,18 @@
 	fleet.Await(ctx, relayPoll, func() bool { return len(l.relays()) > 0 })
 }
 
+// setBegan records that the list is needed from now on.
+func (l *upstreamList) setBegan() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.began = l.clock()
+}
+
 // source returns the router to follow; ok is false if this router reads the list
 // itself. If all sources have failed recently, a router that must not read the list
-// retries the one that failed first.
+// retries the one that failed first. So does a relay that has no list, while its source says
+// that one is being read, and for firstIdleTimeout if it has two sources: if all relays of a
+// starting fleet read, the platform's rate limit lets none of them finish.
 func (l *upstreamList) source() (source fleet.Member, ok bool) {
 	candidates, reads := sourcesOf(l.self, l.relays())
 	l.mu.Lock()
@@ -157,7 +190,8 @@
 			source, oldest = c, at
 		}
 	}
-	return source, !reads && source.ID != ""
+	awaitsFirst := l.current == nil && (l.pending.Load() || len(candidates) == maxSources && now < l.began+firstIdleTimeout)
+	return source, (!reads || awaitsFirst) && source.ID != ""
 }
 
 // isBackedOff reports whether a source has failed within sourceBackoff. l.mu must be held.
@@ -213,9 +247,23 @@
 	return placement.NearestFirst(relays[1:], self), false
 }
 
+// position returns the number of relays that precede this router; 0 for a router that isn't a
+// relay, which doesn't read the list.
+func (l *upstreamList) position() int {
+	isSelf := func(m fleet.Member) bool { return m.ID == l.self.ID }
+	return max(slices.IndexFunc(l.relays(), isSelf), 0)
+}
+
 // readFromPlatform reads the list from the platform. On a failure the previous list stays in use.
 func (l *upstreamList) readFromPlatform(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	timeout := firstReadTimeout
+	if current, _ := l.newest(); current != nil {
+		timeout = min(minReadTimeout+2*current.readTime, firstReadTimeout)
+	} else {
+		l.pending.Store(true)
+		defer l.pending.Store(false)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	asOf := l.clock()
 	list, err := l.lister.List(ctx)
@@ -223,11 +271,19 @@
 		l.log.Warn("cannot read the upstream list; keeping the previous one", "error", err)
 		return
 	}
-	l.adopt(newSnapshot(asOf, list))
+	s := newSnapshot(asOf, list)
+	s.readTime = l.clock() - asOf
+	l.adopt(s)
 }
 
-// readTimeout bounds one read of the list: sixty pages at the platform's rate.
-const readTimeout = 1500 * time.Millisecond
+const (
+	// minReadTimeout bounds one read of a list of a few pages. A longer one gets twice the time
+	// of the read before, too.
+	minReadTimeout = 1500 * time.Millisecond
+	// firstReadTimeout bounds the read of the first list, which has no other one to fall back
+	// on: sixty pages while two more routers read. It is the longest time of any read.
+	firstReadTimeout = 5 * time.Second
+)
 
 // adopt adopts a list that is at least as recent as the current one, and calls onChange if
 // its contents have changed.
@@ -250,6 +306,12 @@
 	}
 }
 
+// hasList reports whether there is a list.
+func (l *upstreamList) hasList() bool {
+	current, _ := l.newest()
+	return current != nil
+}
+
 // newest returns the current list, or nil if there is none, and a channel that is closed
 // when a newer one is adopted.
 func (l *upstreamList) newest() (*snapshot, <-chan struct{}) {
--- a/internal/gateway/list_source_test.go
+++ b/internal/gateway/list_source_test.go
@@ -132,10 +132,16 @@
 }
 
 func startRouter(t *testing.T, self fleet.Member, membership fleet.Membership, listener net.Listener, lister *fakeLister) *testRouter {
+	r := startListRouter(t, self, membership, listener, lister, 50*time.Millisecond)
+	r.lister = lister
+	return r
+}
+
+func startListRouter(t *testing.T, self fleet.Member, membership fleet.Membership, listener net.Listener, lister Lister, interval time.Duration) *testRouter {
 	cfg := mesh.Config{Instance: self.ID}
-	r := &testRouter{Balancer: balance.New(balance.Config{}), lister: lister, server: mesh.NewServer(cfg), pool: mesh.NewPool(cfg), done: make(chan struct{})}
+	r := &testRouter{Balancer: balance.New(balance.Config{}), server: mesh.NewServer(cfg), pool: mesh.NewPool(cfg), done: make(chan struct{})}
 	r.list = newUpstreamList(upstreamListConfig{
-		log: hclog.NewNullLogger(), clock: fleet.MonotonicClock(), self: self, lister: r.lister, interval: 50 * time.Millisecond,
+		log: hclog.NewNullLogger(), clock: fleet.MonotonicClock(), self: self, lister: lister, interval: interval,
 		pool: r.pool, loads: r, relays: func() []fleet.Member { return placement.Relays(membership) },
 		needed: func() bool { return true },
 		onChange: func(_ time.Duration, s *snapshot) {
--- a/internal/gateway/list_stream.go
+++ b/internal/gateway/list_stream.go
@@ -27,6 +27,7 @@
 		return fleet.At(err, "gateway.follow", addr)
 	}
 	defer stream.Close()
+	defer l.pending.Store(false)
 	timeout := idleTimeout(known)
 	patience := time.Duration(0)
 	var received decodedReport
@@ -37,13 +38,20 @@
 		if err != nil {
 			return fleet.At(err, "gateway.follow", addr)
 		}
+		if u.Pending {
+			l.pending.Store(true)
+			if err := l.checkSource(ctx, addr); err != nil {
+				return err
+			}
+			continue
+		}
 		timeout = sourceIdleTimeout
 		l.mergeSuspicions(&u.Totals) // before new upstreams may get requests
 		now := l.clock()
 		if known, err = known.apply(now, u); err != nil {
 			return fleet.At(err, "gateway.follow", addr)
 		}
-		if current, _ := l.newest(); current != nil && isOutdated(now, known.asOf, current.asOf, patience) {
+		if current, _ := l.newest(); current != nil && isOutdated(now, known, current, patience) {
 			return fleet.At(errListStale, "gateway.follow", addr)
 		}
 		patience = catchUpTime
@@ -52,23 +60,32 @@
 		if err = l.exchangeLoads(ctx, stream, known, u, &received, &reported); err != nil {
 			return fleet.At(err, "gateway.follow", addr)
 		}
-		if pace.due(now, known.asOf) {
+		if pace.due(now, known, l.position()) {
 			l.search(ctx, addr)
 		}
-		switch source, ok := l.source(); {
-		case ok && source.Addr == addr:
-		case ok && l.hasFailed(source.ID) && l.mayFollow(addr):
-			l.retry(ctx, source) // this one serves until that one does
-		default:
-			return errSourceChanged
+		if err := l.checkSource(ctx, addr); err != nil {
+			return err
 		}
 	}
 }
 
+// checkSource returns errSourceChanged if another router than the one at addr is to be followed.
+// If that one had failed, it is tried in the background meanwhile.
+func (l *upstreamList) checkSource(ctx context.Context, addr string) error {
+	switch source, ok := l.source(); {
+	case ok && source.Addr == addr:
+	case ok && l.hasFailed(source.ID) && l.mayFollow(addr):
+		l.retry(ctx, source) // this one serves until that one does
+	default:
+		return errSourceChanged
+	}
+	return nil
+}
+
 // openList opens a stream at a source, sends it the digest of the current list, and
 // returns that list, to which the source's next update is relative.
 func (l *upstreamList) openList(ctx context.Context, addr string) (*mesh.Stream, *snapshot, error) {
-	request := ListRequest{AcceptsStale: true, AcceptsChanges: true}
+	request := ListRequest{AcceptsStale: true, AcceptsChanges: true, AcceptsPending: true}
 	known, _ := l.newest()
 	if known != nil {
 		request.Digest = known.digest
@@ -141,7 +158,10 @@
 // without a pause.
 func (l *upstreamList) sendUpdate(ctx context.Context, stream *mesh.Stream, current *snapshot, sent *atomic.Pointer[snapshot], request *ListRequest, last *lastReport) error {
 	now := l.clock()
-	if current == nil || isStale(now, current.asOf) && !request.AcceptsStale {
+	if current == nil {
+		return l.sendPending(ctx, stream, request)
+	}
+	if current.isStale(now) && !request.AcceptsStale {
 		return nil
 	}
 	u := current.update(sent.Load(), request.Digest, now)
@@ -155,6 +175,18 @@
 	return stream.Send(ctx, message)
 }
 
+// sendPending tells a follower that accepts it that the first list is being read.
+func (l *upstreamList) sendPending(ctx context.Context, stream *mesh.Stream, request *ListRequest) error {
+	if !request.AcceptsPending || !l.pending.Load() {
+		return nil
+	}
+	message, err := (&ListUpdate{Pending: true}).MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	return stream.Send(ctx, message)
+}
+
 // awaitChange waits for a newer list, or for the next heartbeat.
 func awaitChange(ctx context.Context, changed <-chan struct{}) error {
 	beat := time.NewTimer(heartbeatInterval)
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -28,6 +28,9 @@
 	// AcceptsChanges is set if the follower decodes reports with changes. Followers of earlier
 	// releases take them for complete ones.
 	AcceptsChanges bool `msg:"c,omitempty"`
+	// AcceptsPending is set if the follower takes a pending update as a sign that it will get a
+	// list. Those of earlier releases need a list in the first update.
+	AcceptsPending bool `msg:"p,omitempty"`
 }
 
 // ListEntry is one upstream of the upstream list.
@@ -47,6 +50,11 @@
 type ListUpdate struct {
 	// Age is the time since the platform was asked for the list.
 	Age time.Duration `msg:"a"`
+	// ReadTime is how long the list took to read from the platform.
+	ReadTime time.Duration `msg:"rt,omitempty"`
+	// Pending is set if the source has no list yet and one is being read. The update holds
+	// nothing else.
+	Pending bool `msg:"p,omitempty"`
 	// Whole holds the complete list as deflated ListEntries, if the update can't be
 	// expressed as changes of the follower's list.
 	Whole   []byte             `msg:"w,omitempty"`
@@ -72,6 +80,7 @@
 type snapshot struct {
 	number    uint64 // counts the changes of the list at this router
 	asOf      time.Duration
+	readTime  time.Duration // how long the list took to read
 	entries   map[fleet.UpstreamID]listedUpstream
 	sortedIDs []fleet.UpstreamID // keys of entries, which load reports index
 	digest    uint64             // of the upstreams, without their cold starts
@@ -188,10 +197,14 @@
 // coldFor returns the remaining time of the upstream's cold start at the given time.
 func (l listedUpstream) coldFor(asOf time.Duration) time.Duration { return max(l.coldUntil-asOf, 0) }
 
+// agesFrom returns the time from which the list's age is counted: it is out of date by one read
+// when it has been read, and by another one before the next can take its place.
+func (s *snapshot) agesFrom() time.Duration { return s.asOf + 2*s.readTime }
+
 // update returns the update from the former snapshot to s. If former is nil, the
 // follower holds a list with the digest followerDigest, or none if that is 0.
 func (s *snapshot) update(former *snapshot, followerDigest uint64, now time.Duration) *ListUpdate {
-	u := &ListUpdate{Age: now - s.asOf, Number: s.number}
+	u := &ListUpdate{Age: now - s.asOf, ReadTime: s.readTime, Number: s.number}
 	switch {
 	case former == nil && followerDigest != s.digest:
 		u.Whole = s.encoded()
@@ -210,7 +223,16 @@
 // apply returns the snapshot that results from an update of s, which may be nil. The
 // error is errListGap if the update needs a previous list and s is nil.
 func (s *snapshot) apply(now time.Duration, u *ListUpdate) (*snapshot, error) {
-	asOf := now - max(u.Age, 0)
+	next, err := s.applyEntries(now-max(u.Age, 0), u)
+	if err != nil {
+		return nil, err
+	}
+	next.readTime = min(max(u.ReadTime, 0), firstReadTimeout)
+	return next, nil
+}
+
+// applyEntries is like apply, without the read time of the update.
+func (s *snapshot) applyEntries(asOf time.Duration, u *ListUpdate) (*snapshot, error) {
 	changed := u.Changed
 	entries := make(map[fleet.UpstreamID]listedUpstream)
 	switch {
--- a/internal/gateway/listing_gen.go
+++ b/internal/gateway/listing_gen.go
@@ -213,11 +213,11 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ListRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ListRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
 	if z.Digest == 0 {
 		zb0001Len--
@@ -231,6 +231,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.AcceptsPending == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -251,6 +255,11 @@
 			o = append(o, 0xa1, 0x63)
 			o = msgp.AppendBool(o, z.AcceptsChanges)
 		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "p"
+			o = append(o, 0xa1, 0x70)
+			o = msgp.AppendBool(o, z.AcceptsPending)
+		}
 	}
 	return
 }
@@ -291,6 +300,12 @@
 				err = msgp.WrapError(err, "AcceptsChanges")
 				return
 			}
+		case "p":
+			z.AcceptsPending, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AcceptsPending")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -304,8 +319,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ListRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+func (z *ListRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
@@ -313,24 +328,32 @@
 func (z *ListUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
-	if z.Whole == nil {
+	if z.ReadTime == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
-	if z.Changed == nil {
+	if z.Pending == false {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
-	if z.Removed == nil {
+	if z.Whole == nil {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Changed == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Removed == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	if z.AcceptsChanges == false {
 		zb0001Len--
-		zb0001Mask |= 0x40
+		zb0001Mask |= 0x100
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -341,11 +364,21 @@
 		o = append(o, 0xa1, 0x61)
 		o = msgp.AppendDuration(o, z.Age)
 		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "rt"
+			o = append(o, 0xa2, 0x72, 0x74)
+			o = msgp.AppendDuration(o, z.ReadTime)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "p"
+			o = append(o, 0xa1, 0x70)
+			o = msgp.AppendBool(o, z.Pending)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// string "w"
 			o = append(o, 0xa1, 0x77)
 			o = msgp.AppendBytes(o, z.Whole)
 		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "c"
 			o = append(o, 0xa1, 0x63)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Changed)))
@@ -378,7 +411,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "r"
 			o = append(o, 0xa1, 0x72)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Removed)))
@@ -400,7 +433,7 @@
 			err = msgp.WrapError(err, "Totals")
 			return
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "x"
 			o = append(o, 0xa1, 0x78)
 			o = msgp.AppendBool(o, z.AcceptsChanges)
@@ -433,6 +466,18 @@
 				err = msgp.WrapError(err, "Age")
 				return
 			}
+		case "rt":
+			z.ReadTime, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ReadTime")
+				return
+			}
+		case "p":
+			z.Pending, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pending")
+				return
+			}
 		case "w":
 			z.Whole, bts, err = msgp.ReadBytesBytes(bts, z.Whole)
 			if err != nil {
@@ -538,7 +583,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ListUpdate) Msgsize() (s int) {
-	s = 1 + 2 + msgp.DurationSize + 2 + msgp.BytesPrefixSize + len(z.Whole) + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.DurationSize + 3 + msgp.DurationSize + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Whole) + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Changed {
 		s += 1 + 2 + z.Changed[za0001].Upstream.Msgsize() + 2 + msgp.DurationSize
 	}
