control: routers read the configuration from one member as long as it answers

Cause of the connections: each read of the configuration went to a member drawn anew, so that each router connected to all members, once after each of its starts. That these make up the members' load is likely, not shown.

Change: a router reads from the member that it drew at its start, which it also asks first for the leader, and turns to the next one when a call fails.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -34,10 +34,11 @@
 	pool  *mesh.Pool
 	addrs []string
 
-	mu     sync.Mutex
-	leader string               // empty if unknown
-	next   int                  // index into addrs of the member to try while the leader is unknown
-	silent map[string]time.Time // when a member last failed to answer
+	mu        sync.Mutex
+	leader    string               // empty if unknown
+	next      int                  // index into addrs of the member to try while the leader is unknown
+	preferred int                  // index into addrs of the member that CallAny calls
+	silent    map[string]time.Time // when a member last failed to answer
 
 	answeredAt time.Time // when a member last answered; zero if none has
 }
@@ -46,7 +47,8 @@
 func NewClient(pool *mesh.Pool, addrs []string) *Client {
 	c := &Client{pool: pool, addrs: addrs, silent: make(map[string]time.Time)}
 	if len(addrs) > 0 {
-		c.next = rand.IntN(len(addrs)) // so that starting routers spread over the members
+		c.preferred = rand.IntN(len(addrs)) // so that routers spread over the members
+		c.next = c.preferred
 	}
 	return c
 }
@@ -86,34 +88,47 @@
 	}
 }
 
-// CallAny makes one call to any member of the group. The reply may be large, and
-// may be delayed by the member's pacer.
+// CallAny makes one call to any member of the group, the same one as long as it answers: with
+// hundreds of routers, connections to all members cost these more than the calls. The
+// reply may be large, and may be delayed by the member's pacer.
 func (c *Client) CallAny(ctx context.Context, method string, request msgp.Marshaler, reply msgp.Unmarshaler) error {
 	addr := c.any()
 	ctx, cancel := context.WithTimeout(ctx, largeCallTimeout)
 	defer cancel()
 	err := c.pool.Call(ctx, addr, method, request, reply)
 	c.recordAnswer(addr, err)
+	if err != nil {
+		c.preferNext(addr)
+	}
 	return err
 }
 
+// preferNext makes CallAny prefer another member than the one at addr, which may be silent or
+// behind the others.
+func (c *Client) preferNext(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if i := slices.Index(c.addrs, addr); i >= 0 {
+		c.preferred = i + 1
+	}
+}
+
 // silentBackoff is how long CallAny skips a member that did not answer.
 const silentBackoff = 3 * time.Second
 
-// any returns the address of a random member. It skips members that failed to
+// any returns the address of the preferred member. It skips members that failed to
 // answer within the last silentBackoff, because each call to a frozen member lasts
 // until its timeout. If all members failed, it returns one of them.
 func (c *Client) any() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	start := rand.IntN(len(c.addrs))
 	for i := range c.addrs {
-		addr := c.addrs[(start+i)%len(c.addrs)]
+		addr := c.addrs[(c.preferred+i)%len(c.addrs)]
 		if at, silent := c.silent[addr]; !silent || time.Since(at) > silentBackoff {
 			return addr
 		}
 	}
-	return c.addrs[start]
+	return c.addrs[c.preferred%len(c.addrs)]
 }
 
 // recordAnswer records whether a member answered. An error that the member
