entry: a stopping router answers what it would cut

Cause: only the gateway asked whether a request can end before the grace does.

Change: the decision moves to internal/fleet. On the own path requests that come after the notice are rejected with 503 as not run; a call that comes before it gets the end of the grace, less a quarter of a second, as its time limit, so that its caller is told whether it may have run. Chats that run at the end of the grace are still cut.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -71,8 +71,10 @@
 	Ready func() error
 	// Stopping reports whether callers should close their connections.
 	Stopping func() bool
-	Plans    Plans
-	Pool     *mesh.Pool
+	// Stop returns the planned stop that has begun, or nil.
+	Stop  func() *fleet.PlannedStop
+	Plans Plans
+	Pool  *mesh.Pool
 	// MaxBodyBytes bounds a request's body; 0 means DefaultMaxBodyBytes.
 	MaxBodyBytes int64
 	// MaxWait bounds the time that a request waits for capacity; 0 means DefaultMaxWait.
@@ -164,6 +166,9 @@
 // authenticate finds the workspace by the digest of its key and calls the handler.
 // The lookup by digest is not open to timing attacks on the key.
 func (s *Server) authenticate(w http.ResponseWriter, r *http.Request, id fleet.RequestID, h handler) *answer.Rejection {
+	if s.cfg.Stop().NoticeOver(s.cfg.Clock()) {
+		return unavailable("this router is stopping", 0)
+	}
 	if err := s.cfg.Serving(); err != nil {
 		// Before the lists are loaded no key is known, so that a 401 would be wrong.
 		return unavailable("this router cannot serve yet: "+err.Error(), 0)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -66,7 +66,7 @@
 		kind = answer.KindKeyed
 	}
 	return &callRun{
-		forwarder: forwarder{server: s, pool: service.Pool, deadline: s.cfg.Clock() + s.cfg.CallTimeout}, kind: kind,
+		forwarder: forwarder{server: s, pool: service.Pool, deadline: s.cfg.Stop().Cap(s.cfg.Clock() + s.cfg.CallTimeout)}, kind: kind,
 		req: owner.CallRequest{
 			Header:  owner.Header{Request: id, Workspace: workspace.ID, Priority: fleet.PriorityInteractive},
 			Service: service.Name, Method: r.Method, Path: target, Fields: owner.FieldsOf(r.Header), Body: body,
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -136,7 +136,7 @@
 	superseded bool         // a newer configuration is known
 	stopping   atomic.Bool
 	started    chan struct{} // see ServerConfig.Started
-	stop       atomic.Pointer[PlannedStop]
+	stop       atomic.Pointer[fleet.PlannedStop]
 	tracer     *telemetry.Tracer
 	upstreams  []fleet.Upstream             // one for each script
 	index      atomic.Pointer[routes.Index] // of the table in force
--- a/internal/gateway/planned_stop_test.go
+++ b/internal/gateway/planned_stop_test.go
@@ -1,13 +1,13 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/routes"
 )
 
@@ -37,9 +37,9 @@
 			r := newTestGateway(t, routes.Route{Kind: tc.kind, MaxAttempts: 1, Timeout: tc.timeout}, serveDone)
 			r.stopping.Store(true)
 			now := r.server.cfg.Clock()
-			stop := &PlannedStop{noticeEnd: now - tc.after + notice}
+			stop := &fleet.PlannedStop{NoticeEnd: now - tc.after + notice}
 			if tc.grace > 0 {
-				stop.graceEnd = now - tc.after + tc.grace
+				stop.GraceEnd = now - tc.after + tc.grace
 			}
 			r.stop.Store(stop)
 			resp, _, err := r.send()
@@ -51,13 +51,3 @@
 		})
 	}
 }
-
-func TestPlannedStopEndsWithItsContext(t *testing.T) {
-	is := is.New(t)
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-	defer cancel()
-	s := newPlannedStop(ctx, time.Hour, time.Second)
-	is.Equal(s.noticeEnd, time.Hour+time.Second)
-	is.True(s.graceEnd > time.Hour+59*time.Second && s.graceEnd <= time.Hour+time.Minute)
-	is.Equal(newPlannedStop(t.Context(), time.Hour, time.Second).graceEnd, time.Duration(0))
-}
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -74,7 +74,7 @@
 	table    atomic.Pointer[routes.Index]
 	inForce  atomic.Uint64 // version of the configuration in force
 	stopping atomic.Bool
-	stop     atomic.Pointer[PlannedStop]
+	stop     atomic.Pointer[fleet.PlannedStop]
 	// started is closed once the configuration has been confirmed and the upstream list read for
 	// the first time.
 	started     chan struct{}
@@ -290,7 +290,7 @@
 // when ctx ends. The router keeps serving meanwhile.
 func (r *Router) Drain(ctx context.Context) {
 	r.log.Info("draining", "running", r.server.Running())
-	r.stop.Store(newPlannedStop(ctx, r.cfg.Clock(), r.cfg.Settings.DrainNotice))
+	r.stop.Store(fleet.NewPlannedStop(ctx, r.cfg.Clock(), r.cfg.Settings.DrainNotice))
 	r.stopping.Store(true)
 	fleet.Pause(ctx, r.cfg.Settings.DrainNotice)
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -50,7 +50,7 @@
 	// Stopping reports whether callers should close their connections.
 	Stopping func() bool
 	// Stop returns the planned stop of this router, or nil while none is under way.
-	Stop     func() *PlannedStop
+	Stop     func() *fleet.PlannedStop
 	Balancer *balance.Balancer
 	Pool     *exchange.Pool
 	Log      *slog.Logger
@@ -183,7 +183,7 @@
 		limit = min(limit, f.call.Timeout)
 	}
 	f.deadline = f.start + limit
-	if stop := s.cfg.Stop(); stop != nil && !stop.admits(s.cfg.Clock(), f.deadline, f.route.Kind) {
+	if stop := s.cfg.Stop(); stop != nil && !stop.Admits(s.cfg.Clock(), f.deadline, f.route.Kind == routes.KindOnce) {
 		return &rejection{status: http.StatusServiceUnavailable, reason: "this router stops before the request's time limit", base: stopBase, spread: stopSpread}
 	}
 	return nil
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,6 +53,7 @@
 	members   atomic.Pointer[map[fleet.InstanceID]fleet.Member]
 	upstreams atomic.Pointer[[]fleet.Upstream]
 	stopping  atomic.Bool
+	stop      atomic.Pointer[fleet.PlannedStop]
 	inForce   atomic.Uint64 // configuration version of the last reconciliation
 
 	changed chan struct{} // capacity 1; signals a change of the reconciled inputs
@@ -87,7 +88,7 @@
 	server.Handle(control.MethodUpstreams, mesh.Unary(r.listUpstreams))
 	r.entry = entry.NewServer(entry.Config{
 		Clock: cfg.Clock, Zone: s.Zone, Index: r.view.Index, Table: r.table.Load, Member: r.member,
-		Ready: r.Ready, Serving: r.serving, Stopping: r.stopping.Load, Plans: r.plans, Pool: pool,
+		Ready: r.Ready, Serving: r.serving, Stopping: r.stopping.Load, Stop: r.stop.Load, Plans: r.plans, Pool: pool,
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxWait: s.Queue.MaxWait,
 		Logger: cfg.Logger, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
 	})
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -18,6 +18,7 @@
 // keeps serving meanwhile.
 func (r *Router) Drain(ctx context.Context) {
 	r.log.Info("draining", "running", r.entry.Running())
+	r.stop.Store(fleet.NewPlannedStop(ctx, r.cfg.Clock(), r.cfg.Settings.DrainNotice))
 	r.stopping.Store(true)
 	fleet.Pause(ctx, r.cfg.Settings.DrainNotice)
 }
