control: a renewal at the leader sets no timer

Change: the timer is set with the first wait.

Evidence: TestRenewalAtTheLeaderAllocatesForAWait counts 4 allocations before, none now.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -162,8 +162,7 @@
 // no leader, or leads and f fails, it tries again for up to leaderWait: in an election the
 // routers' calls wait here, and don't go round the members. The error names the leader.
 func (s *Server) callAsLeader(ctx context.Context, step string, f func() bool) error {
-	ctx, cancel := context.WithTimeout(ctx, leaderWait)
-	defer cancel()
+	var timeout <-chan time.Time // set with the first wait: hundreds of renewals a second need none
 	for {
 		addr, changed := s.group.KnownLeader() // before f, so that no change is missed
 		if f() {
@@ -177,9 +176,16 @@
 		default:
 			return s.notLeader(step)
 		}
+		if timeout == nil {
+			timer := time.NewTimer(leaderWait)
+			defer timer.Stop()
+			timeout = timer.C
+		}
 		select {
 		case <-ctx.Done():
 			return s.notLeader(step)
+		case <-timeout:
+			return s.notLeader(step)
 		case <-changed:
 		case <-retry:
 		}
--- a/internal/control/waiting_test.go
+++ b/internal/control/waiting_test.go
@@ -164,3 +164,15 @@
 		}
 	}
 }
+
+// Each renewal set a timer for a wait that only an election needs.
+func TestRenewalAtTheLeaderAllocatesForAWait(t *testing.T) {
+	is := is.New(t)
+	seed := newSeeds(t, 1)[0]
+	seed.start()
+	defer seed.stop()
+	allocations := testing.AllocsPerRun(100, func() {
+		is.NoErr(seed.member.callAsLeader(t.Context(), MethodRenew, func() bool { return true }))
+	})
+	is.Equal(allocations, 0.0)
+}
