control: one check of the leader's lease for all calls that wait for it

Change: waiting calls wait for one check; each tries once when the lease is back.

Evidence: TestWaitingCallsPollTheLeader: 300 waiting calls make 300 tries in 0.2 s, and one more each once the lease is back; it fails with the check of each call.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -65,6 +65,7 @@
 	leader       *leader
 	// confirmations are the leader's, for routers that this member answers in its place.
 	confirmations batcher[*session.RenewReply]
+	leaseGate     leaseGate
 	cancel        context.CancelFunc
 
 	leaving atomic.Bool              // set while leave stops the member
@@ -110,6 +111,10 @@
 	}
 	server.HandleBackground(MethodStep, receiveHandler(group))
 	s.confirmations.call = s.askLeader
+	s.leaseGate.leads = func() bool {
+		_, leads := group.LeaderLease()
+		return leads
+	}
 	server.Handle(MethodRenew, mesh.Unary(s.renew))
 	server.Handle(MethodConfirm, mesh.Unary(s.confirm))
 	server.HandleBackground(MethodWatch, s.watch)
@@ -146,8 +151,8 @@
 	// leaderWait is how long a call waits at a member that knows no leader. It is less than
 	// callTimeout, after which a router takes the member for frozen.
 	leaderWait = 400 * time.Millisecond
-	// leaseCheckInterval is the time between two attempts of a waiting call at a member that
-	// leads but can't prove it yet.
+	// leaseCheckInterval is the time between two checks whether a member that leads can prove it,
+	// while calls wait for that.
 	leaseCheckInterval = 10 * time.Millisecond
 )
 
@@ -168,11 +173,11 @@
 		if f() {
 			return nil
 		}
-		var retry <-chan time.Time
+		var opened <-chan struct{}
 		switch addr {
 		case "":
 		case s.cfg.Addr:
-			retry = time.After(leaseCheckInterval)
+			opened = s.leaseGate.opening()
 		default:
 			return s.notLeader(step)
 		}
@@ -187,7 +192,7 @@
 		case <-timeout:
 			return s.notLeader(step)
 		case <-changed:
-		case <-retry:
+		case <-opened:
 		}
 	}
 }
--- a/internal/control/waiting_test.go
+++ b/internal/control/waiting_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,6 +166,36 @@
 	}
 }
 
+// All calls that waited at a leader whose lease had lapsed tried again every 10 ms; it never got the
+// processor time to renew its lease.
+func TestWaitingCallsPollTheLeader(t *testing.T) {
+	is := is.New(t)
+	seed := newSeeds(t, 1)[0]
+	seed.start()
+	defer seed.stop()
+	s := seed.member
+	for addr := ""; addr != seed.addr; addr, _ = s.group.KnownLeader() {
+		time.Sleep(time.Millisecond)
+	}
+	var leads atomic.Bool
+	s.leaseGate.leads = leads.Load
+	const calls = 300
+	var tries atomic.Int64
+	failed := make(chan error, calls)
+	for range calls {
+		go func() {
+			failed <- s.callAsLeader(t.Context(), MethodRenew, func() bool { tries.Add(1); return leads.Load() })
+		}()
+	}
+	time.Sleep(leaderWait / 2)
+	is.Equal(tries.Load(), int64(calls))
+	leads.Store(true)
+	for range calls {
+		is.NoErr(<-failed)
+	}
+	is.Equal(tries.Load(), int64(2*calls))
+}
+
 // Each renewal set a timer for a wait that only an election needs.
 func TestRenewalAtTheLeaderAllocatesForAWait(t *testing.T) {
 	is := is.New(t)
