session: a complete membership is packed once an epoch

Change: the grantor packs the membership once an epoch and hands it to routers that accept it; earlier releases get the old form. The pacer counts the packed size.

Evidence: TestMembershipIsDeflatedForEachRouter (the field is new, so it doesn't compile before), TestHolderRejectsMalformedMembership.

--- a/internal/control/session_endpoint.go
+++ b/internal/control/session_endpoint.go
@@ -91,10 +91,14 @@
 // share the link with them. If the wait would be too long, the router is told to go on
 // joining, and gets its grant at a later renewal; the reply still confirms the version.
 func (s *Server) paceMembership(ctx context.Context, reply *session.RenewReply) {
-	if reply.Membership == nil {
+	size := len(reply.Packed)
+	if reply.Membership != nil {
+		size = reply.Membership.Msgsize() / deflateRatio
+	}
+	if size == 0 {
 		return
 	}
-	wait, err := s.copyPacer.reserve(reply.Membership.Msgsize()/deflateRatio, maxMembershipWait)
+	wait, err := s.copyPacer.reserve(size, maxMembershipWait)
 	if err != nil || !fleet.Pause(ctx, wait) {
 		reply.Withhold()
 	}
--- a/internal/session/grantor.go
+++ b/internal/session/grantor.go
@@ -28,6 +28,9 @@
 	note       []byte        // newest note of any router; nil for none
 	notedAt    time.Duration // when note was received
 	nextChange time.Duration // earliest time of the next membership change
+
+	packed      []byte // membership as in RenewReply.Packed; nil until a router asks for it
+	packedEpoch fleet.Epoch
 }
 
 // Proof is a leader's proof of its leadership: its term, and the end of its leader
@@ -279,14 +282,15 @@
 	s.removeAt = s.until
 	reply.Status = StatusGranted
 	reply.Lease = g.settings.Lease
-	g.attachMembership(req.KnownEpoch, reply)
+	g.attachMembership(req, reply)
 	reply.Settled = g.settle(now)
 	reply.Means = g.loads.sums()
 }
 
 // attachMembership adds the changes since the known epoch to the reply, or the
 // complete membership if the history doesn't reach back that far.
-func (g *Grantor) attachMembership(known fleet.Epoch, reply *RenewReply) {
+func (g *Grantor) attachMembership(req *RenewRequest, reply *RenewReply) {
+	known := req.KnownEpoch
 	if known >= g.membership.Epoch {
 		return
 	}
@@ -296,7 +300,21 @@
 		return
 	}
 	complete := g.membership
-	reply.Membership = &complete
+	if reply.Packed = g.packedMembership(); !req.AcceptsPacked || reply.Packed == nil {
+		reply.Membership, reply.Packed = &complete, nil
+	}
+}
+
+// packedMembership returns the membership as in RenewReply.Packed, or nil if it can't be packed.
+func (g *Grantor) packedMembership() []byte {
+	if g.packed == nil || g.packedEpoch != g.membership.Epoch {
+		packed, err := packMembership(&g.membership)
+		if err != nil {
+			return nil
+		}
+		g.packed, g.packedEpoch = packed, g.membership.Epoch
+	}
+	return g.packed
 }
 
 // settle returns the largest epoch that every boot that can still hold a lease has
--- a/internal/session/holder.go
+++ b/internal/session/holder.go
@@ -67,6 +67,7 @@
 	req := &RenewRequest{
 		Instance: h.self.ID, Boot: h.self.Boot, Addr: h.self.Addr, Zone: h.self.Zone, Weight: h.self.Weight,
 		Seq: h.seq, KnownEpoch: h.epoch, KnownVersion: version, Loads: loads, Leaving: h.leaving, Draining: h.draining,
+		AcceptsPacked: true,
 	}
 	if req.releasesLease() {
 		h.released = true
@@ -188,6 +189,12 @@
 	switch {
 	case reply.Epoch == h.epoch:
 		return true
+	case len(reply.Packed) > 0:
+		membership, err := unpackMembership(reply.Packed)
+		if err != nil {
+			return false
+		}
+		h.authority.resetMemberships(*membership)
 	case reply.Membership != nil:
 		h.authority.resetMemberships(*reply.Membership)
 	case !h.authority.appendChanges(reply.Changes, h.epoch, reply.Epoch):
--- a/internal/session/message.go
+++ b/internal/session/message.go
@@ -5,7 +5,9 @@
 import (
 	"time"
 
+	"github.com/wigeonflow/wigeonflow/internal/deflate"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/mesh"
 )
 
 // PoolLoad is the load of one router at the upstreams of a pool that it owns.
@@ -52,6 +54,8 @@
 	Leaving bool `msg:"x,omitempty"`
 	// Draining requests that other members own this one's keys.
 	Draining bool `msg:"g,omitempty"`
+	// AcceptsPacked is set if the holder reads RenewReply.Packed. Earlier releases don't.
+	AcceptsPacked bool `msg:"k,omitempty"`
 	// Note is data that the router wants new routers to have, up to MaxNote bytes; empty for
 	// none. The leader doesn't read it.
 	Note []byte `msg:"no,omitempty"`
@@ -117,6 +121,8 @@
 	// reach back that far, Membership holds the complete membership instead.
 	Changes    []Change          `msg:"c,omitempty"`
 	Membership *fleet.Membership `msg:"m,omitempty"`
+	// Packed is Membership, deflated, in its place: the leader packs it once an epoch.
+	Packed []byte `msg:"k,omitempty"`
 	// Settled is the newest epoch that every router that can hold a lease has
 	// acknowledged.
 	Settled fleet.Epoch `msg:"o"`
@@ -147,7 +153,29 @@
 // Withhold takes back a grant that was not sent. The grantor goes on as if the router held the
 // lease, which is safe.
 func (r *RenewReply) Withhold() {
-	r.Status, r.Lease, r.Membership, r.Changes, r.Means = StatusJoining, 0, nil, nil, nil
+	r.Status, r.Lease, r.Membership, r.Packed, r.Changes, r.Means = StatusJoining, 0, nil, nil, nil, nil
+}
+
+// maxMembershipBytes bounds an unpacked membership: a hundred thousand members.
+const maxMembershipBytes = 16 << 20
+
+// packMembership returns a membership as in RenewReply.Packed.
+func packMembership(m *fleet.Membership) ([]byte, error) {
+	encoded, err := m.MarshalMsg(nil)
+	if err != nil {
+		return nil, err
+	}
+	return deflate.Compress(encoded), nil
+}
+
+// unpackMembership is the reverse of packMembership.
+func unpackMembership(packed []byte) (*fleet.Membership, error) {
+	encoded, err := deflate.Decompress(packed, maxMembershipBytes)
+	if err != nil {
+		return nil, err
+	}
+	m := new(fleet.Membership)
+	return m, mesh.Decode(encoded, m)
 }
 
 // Notice announces that a renewal would return something new. The control leader
--- a/internal/session/message_gen.go
+++ b/internal/session/message_gen.go
@@ -319,8 +319,8 @@
 func (z *RenewReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(15)
-	var zb0001Mask uint16 /* 15 bits */
+	zb0001Len := uint32(16)
+	var zb0001Mask uint16 /* 16 bits */
 	_ = zb0001Mask
 	if z.Lease == 0 {
 		zb0001Len--
@@ -334,36 +334,40 @@
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.Packed == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	if z.Means == nil {
 		zb0001Len--
-		zb0001Mask |= 0x100
+		zb0001Mask |= 0x200
 	}
 	if z.Pace == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x200
+		zb0001Mask |= 0x400
 	}
 	if z.Control == nil {
 		zb0001Len--
-		zb0001Mask |= 0x400
+		zb0001Mask |= 0x800
 	}
 	if z.Relays == nil {
 		zb0001Len--
-		zb0001Mask |= 0x800
+		zb0001Mask |= 0x1000
 	}
 	if z.Relayed == false {
 		zb0001Len--
-		zb0001Mask |= 0x1000
+		zb0001Mask |= 0x2000
 	}
 	if z.Note == nil {
 		zb0001Len--
-		zb0001Mask |= 0x2000
+		zb0001Mask |= 0x4000
 	}
 	if z.NoteAge == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x4000
+		zb0001Mask |= 0x8000
 	}
 	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
+	o = msgp.AppendMapHeader(o, zb0001Len)
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
@@ -410,6 +414,11 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendBytes(o, z.Packed)
+		}
 		// string "o"
 		o = append(o, 0xa1, 0x6f)
 		o, err = z.Settled.MarshalMsg(o)
@@ -424,7 +433,7 @@
 			err = msgp.WrapError(err, "Version")
 			return
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "n"
 			o = append(o, 0xa1, 0x6e)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Means)))
@@ -436,12 +445,12 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "p"
 			o = append(o, 0xa1, 0x70)
 			o = msgp.AppendDuration(o, z.Pace)
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "g"
 			o = append(o, 0xa1, 0x67)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Control)))
@@ -449,7 +458,7 @@
 				o = msgp.AppendString(o, z.Control[za0003])
 			}
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "r"
 			o = append(o, 0xa1, 0x72)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Relays)))
@@ -461,17 +470,17 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
 			// string "rl"
 			o = append(o, 0xa2, 0x72, 0x6c)
 			o = msgp.AppendBool(o, z.Relayed)
 		}
-		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// string "no"
 			o = append(o, 0xa2, 0x6e, 0x6f)
 			o = msgp.AppendBytes(o, z.Note)
 		}
-		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
 			// string "na"
 			o = append(o, 0xa2, 0x6e, 0x61)
 			o = msgp.AppendDuration(o, z.NoteAge)
@@ -562,6 +571,12 @@
 					return
 				}
 			}
+		case "k":
+			z.Packed, bts, err = msgp.ReadBytesBytes(bts, z.Packed)
+			if err != nil {
+				err = msgp.WrapError(err, "Packed")
+				return
+			}
 		case "o":
 			bts, err = z.Settled.UnmarshalMsg(bts)
 			if err != nil {
@@ -669,7 +684,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RenewReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint8Size + 2 + msgp.DurationSize + 2 + z.Epoch.Msgsize() + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.Uint64Size + 2 + msgp.Uint8Size + 2 + msgp.DurationSize + 2 + z.Epoch.Msgsize() + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Changes {
 		s += z.Changes[za0001].Msgsize()
 	}
@@ -679,7 +694,7 @@
 	} else {
 		s += z.Membership.Msgsize()
 	}
-	s += 2 + z.Settled.Msgsize() + 2 + z.Version.Msgsize() + 2 + msgp.ArrayHeaderSize
+	s += 2 + msgp.BytesPrefixSize + len(z.Packed) + 2 + z.Settled.Msgsize() + 2 + z.Version.Msgsize() + 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Means {
 		s += z.Means[za0002].Msgsize()
 	}
@@ -699,8 +714,8 @@
 func (z *RenewRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(12)
-	var zb0001Mask uint16 /* 12 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.Weight == 0 {
 		zb0001Len--
@@ -718,10 +733,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
-	if z.Note == nil {
+	if z.AcceptsPacked == false {
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
+	if z.Note == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -796,6 +815,11 @@
 			o = msgp.AppendBool(o, z.Draining)
 		}
 		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendBool(o, z.AcceptsPacked)
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "no"
 			o = append(o, 0xa2, 0x6e, 0x6f)
 			o = msgp.AppendBytes(o, z.Note)
@@ -901,6 +925,12 @@
 				err = msgp.WrapError(err, "Draining")
 				return
 			}
+		case "k":
+			z.AcceptsPacked, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AcceptsPacked")
+				return
+			}
 		case "no":
 			z.Note, bts, err = msgp.ReadBytesBytes(bts, z.Note)
 			if err != nil {
@@ -925,7 +955,7 @@
 	for za0001 := range z.Loads {
 		s += z.Loads[za0001].Msgsize()
 	}
-	s += 2 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.BytesPrefixSize + len(z.Note)
+	s += 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.BytesPrefixSize + len(z.Note)
 	return
 }
 
