balance, gateway, session: read through as a newcomer

A router that doesn't know of any other (0 routers) no longer counts a growth of -1 others; the map of a few cases is in TestUnreportedRequestsOfOtherRouters. Only upstreams that may have run a request are kept as replaced. The membership is packed for routers only that accept it.

--- a/internal/balance/bound_test.go
+++ b/internal/balance/bound_test.go
@@ -148,6 +148,21 @@
 	}
 }
 
+func TestUnreportedRequestsOfOtherRouters(t *testing.T) {
+	is := is.New(t)
+	s := &upstreamState{}
+	s.recordReport(time.Second)
+	s.running = 3
+	for routers, want := range map[int]float64{0: 0, 1: 0, 2: 1.5, 7: 9, 16: 22.5, 400: 22.5} {
+		is.Equal(s.unreported(time.Second, routers), want)
+	}
+	is.Equal(s.unreported(time.Second+reportAge, 7), 0.0)
+	s.recordReport(2 * time.Second)
+	is.Equal(s.unreported(2*time.Second, 7), 0.0)
+	s.running = 1
+	is.Equal(s.unreported(2*time.Second, 7), 0.0) // requests that end say nothing
+}
+
 // Six routers send the requests of one key to its engine, and learn of each other's only with the
 // next report.
 func TestBurstOfOneKeyKeepsTheLoadBound(t *testing.T) {
--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -93,7 +93,8 @@
 	if !s.reported || now-s.reportedAt >= reportAge {
 		return 0
 	}
-	return unreportedShare * float64(max(s.running-s.runningThen, 0)*(min(routers, fewRouters)-1))
+	others := max(min(routers, fewRouters)-1, 0)
+	return unreportedShare * float64(max(s.running-s.runningThen, 0)*others)
 }
 
 // stalled reports whether the upstream has requests in flight and has sent no byte for
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -167,7 +167,7 @@
 // no leader, or leads and f fails, it tries again for up to leaderWait: in an election the
 // routers' calls wait here, and don't go round the members. The error names the leader.
 func (s *Server) callAsLeader(ctx context.Context, step string, f func() bool) error {
-	var timeout <-chan time.Time // set with the first wait: hundreds of renewals a second need none
+	var timeout <-chan time.Time // set with the first wait; hundreds of renewals a second need none
 	for {
 		addr, changed := s.group.KnownLeader() // before f, so that no change is missed
 		if f() {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -108,7 +108,7 @@
 	defer func() {
 		f.replacements = w.stop(done)
 		if errors.Is(a.err, errIdleTimeout) || errors.Is(a.err, errSlow) {
-			f.history.replace(a)
+			f.history.recordReplaced(a)
 		}
 		a.end(f.server.cfg.Clock())
 	}()
--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -61,12 +61,14 @@
 	}
 }
 
-// replace records that another attempt has taken the place of one whose upstream was silent or
-// slow.
-func (h *history) replace(a *attempt) {
+// recordReplaced records that another attempt has taken the place of one whose upstream was silent
+// or slow.
+func (h *history) recordReplaced(a *attempt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.replaced = append(h.replaced, a.pick.Upstream.ID)
+	if id := a.pick.Upstream.ID; slices.Contains(h.ran, id) {
+		h.replaced = append(h.replaced, id)
+	}
 }
 
 // limitReached returns the limit for which the request may not be sent to a further upstream, or
--- a/internal/session/grantor.go
+++ b/internal/session/grantor.go
@@ -299,9 +299,12 @@
 		reply.Changes = changes
 		return
 	}
-	complete := g.membership
-	if reply.Packed = g.packedMembership(); !req.AcceptsPacked || reply.Packed == nil {
-		reply.Membership, reply.Packed = &complete, nil
+	if req.AcceptsPacked {
+		reply.Packed = g.packedMembership()
+	}
+	if reply.Packed == nil {
+		complete := g.membership
+		reply.Membership = &complete
 	}
 }
 
