gateway: a reader that can't read doesn't hold up the fleet

Found while reading the change of long lists again: a reader whose reads of the first list fail says again and again that one is being read, and its followers wait as long as it lives.

Change: a router whose latest read has failed doesn't say so; its followers turn to the next source 2 s later.

Evidence: TestReaderWithoutPlatformHoldsUpTheFleet (a reader whose platform never answers, 24 others) fails without it.

--- a/internal/gateway/list_source.go
+++ b/internal/gateway/list_source.go
@@ -83,10 +83,11 @@
 	upstreamListConfig
 	loadTotals *loadAggregator // of the followers
 
-	pending   atomic.Bool    // the first list is being read, by this router or its source
-	searching atomic.Bool    // a search for a fresh list runs
-	searches  sync.WaitGroup // of the running search
-	peeks     atomic.Uint64  // selects the source that is peeked at next
+	pending    atomic.Bool    // the first list is being read, by this router or its source
+	readFailed atomic.Bool    // the latest read by this router
+	searching  atomic.Bool    // a search for a fresh list runs
+	searches   sync.WaitGroup // of the running search
+	peeks      atomic.Uint64  // selects the source that is peeked at next
 
 	adopting sync.Mutex // held until onChange has returned, so that lists are passed on in order
 	mu       sync.Mutex
@@ -259,7 +260,7 @@
 	timeout := firstReadTimeout
 	if current, _ := l.newest(); current != nil {
 		timeout = min(minReadTimeout+2*current.readTime, firstReadTimeout)
-	} else {
+	} else if !l.readFailed.Load() { // followers turn to another source after a failure
 		l.pending.Store(true)
 		defer l.pending.Store(false)
 	}
@@ -267,6 +268,7 @@
 	defer cancel()
 	asOf := l.clock()
 	list, err := l.lister.List(ctx)
+	l.readFailed.Store(err != nil)
 	if err != nil {
 		l.log.Warn("cannot read the upstream list; keeping the previous one", "error", err)
 		return
--- a/internal/gateway/list_start_test.go
+++ b/internal/gateway/list_start_test.go
@@ -142,3 +142,41 @@
 	is.True(left[0].list.clock()-began <= 4*time.Second)
 	is.True(platform.givenPages()-given <= 2*platform.pages)
 }
+
+// hungPlatform never answers.
+type hungPlatform struct{}
+
+func (hungPlatform) List(ctx context.Context) ([]balance.ListedUpstream, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// The reader tries again and again, and its followers wait for its list.
+func TestReaderWithoutPlatformHoldsUpTheFleet(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	platform := &pagedPlatform{pages: 1, rate: 42}
+	var membership fleet.Membership
+	for i := range placement.MaxRelays + 8 {
+		membership.Members = append(membership.Members, fleet.Member{
+			ID: fleet.InstanceID(fmt.Sprint("router-", i)), Addr: fmt.Sprintf("127.173.110.%d:7946", i+1),
+		})
+	}
+	reader := placement.Relays(membership)[0].ID
+	var others []*testRouter
+	began := time.Now()
+	for _, m := range membership.Members {
+		l, err := net.Listen("tcp", m.Addr)
+		is.NoErr(err)
+		if m.ID == reader {
+			startListRouter(t, m, membership, l, hungPlatform{}, time.Second)
+		} else {
+			others = append(others, startListRouter(t, m, membership, l, platform, time.Second))
+		}
+	}
+	limit := began.Add(firstReadTimeout + 2*firstIdleTimeout)
+	for _, r := range others {
+		await(func() bool { return r.listsUpstream("a") || time.Now().After(limit) })
+		is.True(r.listsUpstream("a"))
+	}
+}
