gateway: the test of a lost reader compares each router's times by its own clock

Cause: the test took the time of the loss by one router's clock and the lists' times by the others', whose clocks begin some milliseconds later, so that the first list after the loss counted as older.

Change: each router's own clock.

--- a/internal/gateway/list_start_test.go
+++ b/internal/gateway/list_start_test.go
@@ -133,13 +133,17 @@
 	for _, r := range left {
 		await(func() bool { return r.listsUpstream("a") })
 	}
-	lost.stop(t)
-	began, given := left[0].list.clock(), platform.givenPages()
+	var lostAt []time.Duration // by the clock of each router
 	for _, r := range left {
-		await(func() bool { return r.listAsOf() >= began })
+		lostAt = append(lostAt, r.list.clock())
+	}
+	given := platform.givenPages()
+	lost.stop(t)
+	for i, r := range left {
+		await(func() bool { return r.listAsOf() >= lostAt[i] })
 		is.True(!r.hasStaleList())
 	}
-	is.True(left[0].list.clock()-began <= 4*time.Second)
+	is.True(left[0].list.clock()-lostAt[0] <= 4*time.Second)
 	is.True(platform.givenPages()-given <= 2*platform.pages)
 }
 
