control: relayed replies name the relays once in five seconds, too

Found while reading the change again: the leader names the relays only to routers that weren't told lately, but a member that relays the leader's confirmation still passed them on in each reply, on its own link of 6 Mbit/s.

Change: it leaves them out for routers that know them. Evidence: TestMemberNamesRelaysInEachRelayedReply fails without the condition.

--- a/internal/control/session_endpoint.go
+++ b/internal/control/session_endpoint.go
@@ -74,6 +74,9 @@
 	}
 	reply := *confirmed
 	reply.Seq, reply.Relayed = req.Seq, true
+	if req.KnowsRelays {
+		reply.Relays = nil
+	}
 	return &reply
 }
 
--- a/internal/control/waiting_test.go
+++ b/internal/control/waiting_test.go
@@ -212,6 +212,19 @@
 	is.Equal(len(reply.Relays), 0)
 }
 
+func TestMemberNamesRelaysInEachRelayedReply(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 3, 3)
+	f.awaitVersion(f.putLists(1))
+	for _, s := range f.servers {
+		for seq, known := range []bool{false, true} {
+			reply, err := s.renew(t.Context(), "", &session.RenewRequest{Instance: "router", Boot: "b", Seq: uint64(seq + 1), KnowsRelays: known})
+			is.NoErr(err)
+			is.Equal(len(reply.Relays) > 0, !known)
+		}
+	}
+}
+
 // Each renewal set a timer for a wait that only an election needs.
 func TestRenewalAtTheLeaderAllocatesForAWait(t *testing.T) {
 	is := is.New(t)
