--- a/review/_standins/connections.go
+++ b/review/_standins/connections.go
@@ -139,6 +139,10 @@
 		backAt = 97 * time.Second
 		length = 104 * time.Second
 	)
+	var own syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own); err != nil || own.Max < 8000 {
+		fatal("the clients need up to 8000 descriptors; the limit is %d", own.Max)
+	}
 	f := newFleet(3, 2, rec)
 	defer f.stop()
 	f.files = true
