--- a/review/_standins/connections.go
+++ b/review/_standins/connections.go
@@ -196,13 +196,21 @@
 func (b *balancer) judge(f *fleet, rec *record, m *machine) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	readyBetween := func(from, to time.Time) (n int) {
+	// readyThroughout reports whether the machine said that it is ready at least every readyGap
+	// from one time to the other.
+	const readyGap = 1200 * time.Millisecond
+	readyThroughout := func(from, to time.Time) bool {
+		last := from
 		for _, at := range b.ready[m] {
-			if at.After(from) && at.Before(to) {
-				n++
+			if at.Before(from) || at.After(to) {
+				continue
 			}
+			if at.Sub(last) > readyGap {
+				return false
+			}
+			last = at
 		}
-		return n
+		return to.Sub(last) <= readyGap
 	}
 	broken := false
 	tries, taken := 0, 0
@@ -217,7 +225,7 @@
 		if tries++; tries == 1 {
 			from = a.at
 		}
-		if d := a.at.Sub(from); d >= contact && tries >= 7 && readyBetween(from, a.at) >= 2 {
+		if d := a.at.Sub(from); d >= contact && tries >= 7 && readyThroughout(from, a.at) {
 			broken, longest = true, max(longest, d)
 		}
 	}
