control: the test of the leader's relays joins with the version in force

Cause: a new leader's grantor demands the version that was committed before it was made (NewGrantor), and the test's lists may be committed before. A router that knows none is then told to fetch the configuration first, which is right; its reply names the relays as well. That the joining router was counted among the relays was ruled out: leaving it out changed nothing. Change: the test's router knows the version, as one that has fetched it. The status, the three relays and their absence afterwards are asserted as before.

--- a/internal/control/waiting_test.go
+++ b/internal/control/waiting_test.go
@@ -200,8 +200,9 @@
 func TestLeaderNamesRelaysInEachReply(t *testing.T) {
 	is := is.New(t)
 	f := newTestFleet(t, 1, 3)
-	f.awaitVersion(f.putLists(1))
-	join := &session.RenewRequest{Instance: "router", Boot: "b", Seq: 1}
+	version := f.putLists(1)
+	f.awaitVersion(version)
+	join := &session.RenewRequest{Instance: "router", Boot: "b", Seq: 1, KnownVersion: version}
 	reply, err := f.servers[0].renew(t.Context(), "", join)
 	is.NoErr(err)
 	is.Equal(reply.Status, session.StatusJoining)
