mesh: a stream opened on a lost connection no longer ends the process

What callers saw: a process that takes part in the mesh, a router or a control member, ended with 'panic: assignment to entry in nil map'. All requests of a router's callers end with it, with neither an answer nor a rejection (LOST). Cause: terminate drops the connection's streams. The reader goes on with what it has already read until its next read fails; if that is an open frame, handleOpen adds a stream to a map that is nil. terminate runs beside the reader when a peer was silent for IdleTimeout, when the server shuts down and when the writer's peer is gone. Routers that are short of processor time and peers that wake have such a backlog, and each change of the configuration opens streams. Change: handleOpen returns ErrConnectionLost, which ends the reader.

--- a/internal/mesh/connection.go
+++ b/internal/mesh/connection.go
@@ -123,7 +123,8 @@
 	return nil
 }
 
-// handleOpen serves a stream that the peer opened, or ends it if too many are open.
+// handleOpen serves a stream that the peer opened, or ends it if too many are open. It returns
+// ErrConnectionLost if the connection was terminated while the frame was read.
 func (c *connection) handleOpen(f frame) error {
 	var body openBody
 	if _, err := body.UnmarshalMsg(f.body); err != nil || c.onOpen == nil {
@@ -131,6 +132,10 @@
 	}
 	s := newStream(c, f.stream, false)
 	c.mu.Lock()
+	if c.lost {
+		c.mu.Unlock()
+		return ErrConnectionLost
+	}
 	full := len(c.streams) >= c.cfg.MaxStreams
 	if !full {
 		c.streams[f.stream] = s
