mesh: the handler of a stream on a lost connection is canceled

A handler that is started after its connection was lost, or that its peer reset at that moment, waits for a context that nobody cancels: a watch of the configuration or of the upstream list stays until its own end, with its share of the server's streams, and a planned stop waits for it. Cause: fail calls the stream's cancel function, which startStream sets only afterwards. Change: setCancel cancels at once if the stream has failed.

--- a/internal/mesh/lost_test.go
+++ b/internal/mesh/lost_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -38,3 +40,24 @@
 	is.True(errors.Is(c.handleFrame(openFrame(t, "m")), ErrConnectionLost))
 	is.Equal(opened, 0)
 }
+
+// The connection is lost between the opening of the stream and the start of its handler.
+func TestHandlerOfStreamOnLostConnectionIsNotCanceled(t *testing.T) {
+	is := is.New(t)
+	canceled := make(chan error, 1)
+	server := NewServer(testConfig)
+	server.Handle("wait", func(ctx context.Context, _ *Stream, _ []byte) error {
+		select {
+		case <-ctx.Done():
+			canceled <- nil
+		case <-time.After(10 * time.Second):
+			canceled <- errors.New("the handler's context is not canceled")
+		}
+		return nil
+	})
+	c := newLostConnection(t, nil)
+	s := newStream(c, 1, false)
+	s.fail(ErrConnectionLost)
+	server.startStream(s, openBody{Method: "wait"})
+	is.NoErr(<-canceled)
+}
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -144,9 +144,7 @@
 		s.addStreams(1)
 	}
 	ctx, cancel := context.WithCancel(parent)
-	st.mu.Lock()
-	st.cancel = cancel
-	st.mu.Unlock()
+	st.setCancel(cancel)
 	go func() {
 		if !background {
 			defer s.addStreams(-1)
--- a/internal/mesh/stream.go
+++ b/internal/mesh/stream.go
@@ -239,6 +239,18 @@
 	return true
 }
 
+// setCancel sets the function that cancels the handler's context, and calls it if the stream has
+// failed before.
+func (s *Stream) setCancel(cancel context.CancelFunc) {
+	s.mu.Lock()
+	s.cancel = cancel
+	failed := s.recvErr != nil && !errors.Is(s.recvErr, io.EOF)
+	s.mu.Unlock()
+	if failed {
+		cancel()
+	}
+}
+
 // fail ends the receiving side with err, unless it has ended already, and wakes blocked
 // calls. An err other than io.EOF cancels the handler's context too.
 func (s *Stream) fail(err error) {
