gateway: tests of long lists listen at ports of their own process

Seen: four processes of these tests at a time fail with 'listen tcp 127.173.3.1:7946: bind: address already in use' (every one of 12 plays), since routers that start late need addresses that are known before. Change: the port depends on the process. The checks are as before.

--- a/internal/gateway/list_start_test.go
+++ b/internal/gateway/list_start_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -50,6 +51,12 @@
 	return p.given
 }
 
+// unusedAddr returns an address of the given group that is free until a router listens at it, also
+// while another process runs the same tests.
+func unusedAddr(group, n int) string {
+	return fmt.Sprintf("127.173.%d.%d:%d", group, n, 10_000+os.Getpid()%20_000)
+}
+
 // Each relay that had waited 2 s for the reader's list, or found no reader yet, read all pages
 // itself, and the platform's rate let none of them finish.
 func TestStartingRelaysReadALongList(t *testing.T) {
@@ -73,7 +80,7 @@
 			platform := &pagedPlatform{pages: pages + tc.longer, rate: rate}
 			var membership fleet.Membership
 			for i := range placement.MaxRelays + 8 {
-				addr := fmt.Sprintf("127.173.%d.%d:7946", n+1, i+1) // free until the router starts
+				addr := unusedAddr(n+1, i+1)
 				membership.Members = append(membership.Members, fleet.Member{ID: fleet.InstanceID(fmt.Sprint("router-", i)), Addr: addr})
 			}
 			relays := placement.Relays(membership)
@@ -114,7 +121,7 @@
 	var membership fleet.Membership
 	for i := range placement.MaxRelays + 8 {
 		membership.Members = append(membership.Members, fleet.Member{
-			ID: fleet.InstanceID(fmt.Sprint("router-", i)), Addr: fmt.Sprintf("127.173.100.%d:7946", i+1),
+			ID: fleet.InstanceID(fmt.Sprint("router-", i)), Addr: unusedAddr(100, i+1),
 		})
 	}
 	reader := placement.Relays(membership)[0].ID
@@ -163,7 +170,7 @@
 	var membership fleet.Membership
 	for i := range placement.MaxRelays + 8 {
 		membership.Members = append(membership.Members, fleet.Member{
-			ID: fleet.InstanceID(fmt.Sprint("router-", i)), Addr: fmt.Sprintf("127.173.110.%d:7946", i+1),
+			ID: fleet.InstanceID(fmt.Sprint("router-", i)), Addr: unusedAddr(110, i+1),
 		})
 	}
 	reader := placement.Relays(membership)[0].ID
