mesh: a server without descriptors goes on accepting

What callers saw: a router whose descriptors were used up, by callers' idle connections, ended by itself at the next connection of a peer, and all requests and streams of its callers with it. Cause: the mesh server took any error of accept for the end of its listener, and the agent takes that for a failure of the process. Class: that of the panic on a lost connection, a matter between processes ends a process that serves callers. Change: only a closed listener ends Serve; after any other error it logs and tries again 0.1 s later. HTTP listeners do so already (net/http).

--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -56,8 +56,13 @@
 	s.background[method] = true
 }
 
+// acceptPause is the time between two attempts to accept a connection while the process lacks
+// descriptors or memory for it.
+const acceptPause = 100 * time.Millisecond
+
 // Serve accepts connections until the server is closed, and then returns nil. It returns
-// ErrClosed if the server was closed before. It closes the listener.
+// ErrClosed if the server was closed before. It closes the listener. Errors of single
+// connections, also for lack of descriptors, don't end it.
 func (s *Server) Serve(l net.Listener) error {
 	l = s.cfg.limits().Listener(l)
 	if s.cfg.TLS != nil {
@@ -77,11 +82,12 @@
 			if s.isClosed() {
 				return nil
 			}
-			var temporary net.Error
-			if errors.As(err, &temporary) && temporary.Timeout() {
-				continue
+			if errors.Is(err, net.ErrClosed) {
+				return fleet.At(err, "mesh.accept", l.Addr().String())
 			}
-			return fleet.At(err, "mesh.accept", l.Addr().String())
+			s.cfg.Logger.Warn("cannot accept a mesh connection; trying again", "address", l.Addr().String(), "error", err, "wait", acceptPause.String())
+			fleet.Pause(s.ctx, acceptPause)
+			continue
 		}
 		go s.serveConn(conn)
 	}
