gateway: the log of a failed request tells its limit, size, progress and a newer table

Change: 'request failed' has limit, body and, if the table has changed meanwhile, newest_table; without a complete answer also begun and relayed. Additive; nothing else changes. Test: TestLogOfCutRequestTellsItsProgress fails without it.

--- a/internal/gateway/change_test.go
+++ b/internal/gateway/change_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"log/slog"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,3 +68,54 @@
 		})
 	}
 }
+
+// From the log line of a request that was cut beside a change of the configuration, an operator
+// can't tell whether its time was up, whether the caller had a part of the answer, and whether
+// the change came while it ran.
+func TestLogOfCutRequestTellsItsProgress(t *testing.T) {
+	tests := []struct {
+		name    string
+		script  func(c *conn)
+		changed bool
+		want    []string
+	}{
+		{"cut inside its stream", func(c *conn) { c.beginStream(); c.writeEvents(1, 2) }, true,
+			[]string{"limit=5s", "body=5", "newest_table=2", "begun=true", "relayed=2"}},
+		{"cut inside its stream without a change", func(c *conn) { c.beginStream(); c.writeEvents(1, 3) }, false,
+			[]string{"limit=5s", "body=5", "begun=true", "relayed=3"}},
+		{"answered with 502", func(*conn) {}, true, []string{"status=502", "limit=5s", "body=5", "newest_table=2"}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var r *testGateway
+			r = newTestGateway(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 1}, func(c *conn) {
+				if tc.changed {
+					r.index.Store(routes.NewIndex(&routes.Table{Version: 2, Routes: r.table.Routes, Pools: r.table.Pools}))
+				}
+				tc.script(c)
+			})
+			lines := make(chan string, 10)
+			r.server.cfg.Log = slog.New(slog.NewTextHandler(lineWriter(lines), nil))
+			_, _, _ = r.send() // the outcome is the log's
+			line := ""
+			for !strings.Contains(line, "request failed") {
+				line = <-lines
+			}
+			for _, field := range tc.want {
+				is.True(strings.Contains(line+" ", " "+field+" ")) // the line has the field
+			}
+			is.Equal(strings.Contains(line, "newest_table"), tc.changed)
+			is.Equal(strings.Contains(line, "begun"), strings.Contains(line, "status=0"))
+		})
+	}
+}
+
+// lineWriter passes each line of a log on.
+type lineWriter chan<- string
+
+// Write implements io.Writer.
+func (w lineWriter) Write(b []byte) (int, error) {
+	w <- strings.TrimSpace(string(b))
+	return len(b), nil
+}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -66,12 +66,36 @@
 			"list_age", f.server.cfg.ListAge().Round(time.Millisecond).String(),
 			"cpu_wait", f.server.overload.latest().Round(time.Millisecond).String(), "reason", reason)
 	}
+	if reason != "" {
+		args = append(args, f.progress(status)...)
+	}
 	if reason != "" && f.noAttempt != "" {
 		args = append(args, "last_error", f.lastErr, "no_attempt", f.noAttempt)
 	}
 	f.logDecision(message, args...)
 }
 
+// progress returns the fields that tell how far a request that failed had got: the time that it
+// was given, the size of its body, and the table in force if that has changed since the request
+// was admitted. Without a complete answer, they also tell how many events the caller has.
+func (f *forwarder) progress(status int) []any {
+	var fields []any
+	if f.deadline > 0 {
+		fields = append(fields, "limit", (f.deadline - f.start).Round(time.Millisecond).String(), "body", len(f.body))
+	}
+	if newest := f.server.cfg.Table(); f.table != nil && newest != nil && newest.Version() != f.table.Version() {
+		fields = append(fields, "newest_table", newest.Version())
+	}
+	if status == 0 {
+		relayed := 0
+		if f.stream != nil {
+			relayed = f.stream.events
+		}
+		fields = append(fields, "begun", f.stream != nil, "relayed", relayed)
+	}
+	return fields
+}
+
 // formatParts returns the IDs of a prompt's parts in hexadecimal, separated by commas.
 func formatParts(parts []balance.PromptPart) string {
 	var b strings.Builder
