agent: a drain leaves alone idle connections with a request that nobody has read

Cause: a stopping router ends idle connections by a read deadline in the past. Change: expireIdle leaves a connection with unread bytes to the reader, which the next round finds in use or idle again. The peek is shared with the pool of connections to upstreams (socket.Peek). Tests: TestDrainDropsRequestThatWasNotRead fails without it; TestDrainExpiresClosedConnection keeps the drain from waiting for a connection whose caller has closed it.

--- a/internal/agent/callers.go
+++ b/internal/agent/callers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/socket"
 )
 
 const (
@@ -124,13 +125,13 @@
 }
 
 // expireIdle makes the reads of idle connections time out, which ends the connections that
-// have received nothing. With unused set, those that wait for their first request count as
+// have received nothing. One whose bytes nobody has read yet is left alone. With unused set, those that wait for their first request count as
 // idle. It returns the number of connections that are left.
 func (s *callerServer) expireIdle(unused bool) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, state := range s.conns {
-		if state == http.StateIdle || state == http.StateNew && unused {
+		if (state == http.StateIdle || state == http.StateNew && unused) && !socket.Unread(c) {
 			_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 		}
 	}
--- a/internal/agent/stop_test.go
+++ b/internal/agent/stop_test.go
@@ -7,14 +7,17 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"github.com/wigeonflow/wigeonflow/internal/settings"
+	"github.com/wigeonflow/wigeonflow/internal/socket"
 )
 
 // plainRouter passes each request to its handler and stops at once.
@@ -195,6 +198,65 @@
 	is.NoErr(<-drained)
 }
 
+// A request lies in the kernel's receive buffer of an idle connection, as on a machine that is
+// short of processor time. Once the connection's read deadline has passed, the request is lost.
+func TestDrainDropsRequestThatWasNotRead(t *testing.T) {
+	for _, state := range []http.ConnState{http.StateIdle, http.StateNew} {
+		t.Run(state.String(), func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			caller, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			defer caller.Close()
+			c, err := l.Accept()
+			is.NoErr(err)
+			defer c.Close()
+			server := newCallerServer(&http.Server{})
+			server.trackState(c, state)
+			send(t, caller)
+			arrived, err := c.(*net.TCPConn).SyscallConn()
+			is.NoErr(err)
+			is.NoErr(arrived.Read(func(uintptr) bool { return socket.Unread(c) }))
+			is.Equal(server.expireIdle(true), 1)
+			_, err = http.ReadRequest(bufio.NewReader(c))
+			is.NoErr(err) // the request was dropped
+
+			is.Equal(server.expireIdle(true), 1) // nothing is left to read
+			_, err = c.Read(make([]byte, 1))
+			is.True(errors.Is(err, os.ErrDeadlineExceeded))
+		})
+	}
+}
+
+// A connection whose caller has closed it has nothing to read, and the drain must not wait for it.
+func TestDrainExpiresClosedConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	c, err := l.Accept()
+	is.NoErr(err)
+	defer c.Close()
+	is.True(!socket.Unread(c))
+	is.NoErr(caller.Close())
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	is.NoErr(raw.Read(func(fd uintptr) bool { // until the end has arrived
+		_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return !errors.Is(err, unix.EAGAIN)
+	}))
+	is.True(!socket.Unread(c))
+	server := newCallerServer(&http.Server{})
+	server.trackState(c, http.StateIdle)
+	is.Equal(server.expireIdle(false), 1)
+	_, err = c.Read(make([]byte, 1))
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+}
+
 // The grace period ends while a caller's request runs.
 func TestDrainEndsWithGracePeriod(t *testing.T) {
 	is := is.New(t)
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/wigeonflow/wigeonflow/internal/socket"
 )
 
 const (
@@ -76,20 +78,6 @@
 	if c.in.Buffered() > 0 {
 		return false
 	}
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && idle
+	_, err := socket.Peek(c.Conn)
+	return errors.Is(err, unix.EAGAIN) || errors.Is(err, errors.ErrUnsupported)
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,9 +1,11 @@
-// Package socket configures TCP connections so that they detect an unreachable peer. A
-// peer may become unreachable without a reset, and the kernel may wait for seconds after the
-// end of a partition before it retransmits.
+// Package socket configures TCP connections so that they detect an unreachable peer, and tells
+// what they have received. A peer may become unreachable without a reset, and the kernel may
+// wait for seconds after the end of a partition before it retransmits.
 package socket
 
 import (
+	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -87,3 +89,39 @@
 	}
 	return optErr
 }
+
+// Unread reports whether the connection has received bytes that nobody has read. It is false for a
+// connection without a descriptor of its own, such as one over TLS. It may run beside a Read.
+func Unread(conn net.Conn) bool {
+	received, err := Peek(conn)
+	return err == nil && received
+}
+
+// Peek reports whether bytes can be read from the connection at once. The error is unix.EAGAIN if
+// there are none as yet, io.EOF if the peer has closed its side, and errors.ErrUnsupported
+// for a connection without a descriptor of its own. It may run beside a Read.
+func Peek(conn net.Conn) (received bool, err error) {
+	sys, ok := conn.(syscall.Conn)
+	if !ok {
+		return false, errors.ErrUnsupported
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	n := 0
+	var peekErr error
+	if err := raw.Control(func(fd uintptr) { // Read would wait for a Read under way
+		var one [1]byte
+		n, _, peekErr = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	}); err != nil {
+		return false, err
+	}
+	switch {
+	case peekErr != nil:
+		return false, peekErr
+	case n == 0:
+		return false, io.EOF
+	}
+	return true, nil
+}
