gateway: the log's field begun follows the head of a stream

'request failed' took a stream for begun once bytes of it were received; its head now goes out with the first event. TestLogOfCutRequestTellsItsProgress holds as before. The comment of expireIdle is wrapped.

--- a/internal/agent/callers.go
+++ b/internal/agent/callers.go
@@ -125,8 +125,9 @@
 }
 
 // expireIdle makes the reads of idle connections time out, which ends the connections that
-// have received nothing. One whose bytes nobody has read yet is left alone. With unused set, those that wait for their first request count as
-// idle. It returns the number of connections that are left.
+// have received nothing. With unused set, those that wait for their first request count as
+// idle. One that holds bytes which nobody has read yet is left alone. It returns the number of
+// connections that are left.
 func (s *callerServer) expireIdle(unused bool) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -91,7 +91,7 @@
 		if f.stream != nil {
 			relayed = f.stream.events
 		}
-		fields = append(fields, "begun", f.stream != nil, "relayed", relayed)
+		fields = append(fields, "begun", f.streamBegun(), "relayed", relayed)
 	}
 	return fields
 }
