gateway: bytes that serve no event no longer hold a stream's request

What callers saw: a stream whose upstream sent comments, empty lines, events that the caller had, or an event without its end went on until the deadline, although another upstream would have resumed it. Sent without end, such bytes were read as fast as they came.

Cause: any byte counted as progress (Pick.RecordBytes before the event was parsed), and only the bytes of one unfinished event were bounded. readStart kept all that it had read, stale events too.

Change: an attempt makes progress with each event that its caller lacks. Bytes that serve none for longer than stallTimeout make the attempt count as stalled, also beside other answers of the upstream, and a replacement is opened as for silence: the attempt goes on until that delivers. maxEventBytes bounds an event with the idle bytes before it. readStart drops what the caller has and keeps comments within the same bound.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -281,6 +281,27 @@
 	}
 }
 
+// Bytes that don't serve a request kept its upstream from counting as stalled, as did the
+// upstream's other answers.
+func TestIdleBytesKeepAttemptFromStalling(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(fleetOf(engines, 1))
+	now := time.Minute
+	idle, served := b.Choose(now, chat(1, 1), onlyRouterSession()), b.Choose(now, chat(1, 2), onlyRouterSession())
+	for range 3 {
+		is.True(!idle.Stalled(now))
+		now += stallTimeout/2 - time.Millisecond
+		idle.RecordIdleBytes(now)
+		served.RecordBytes(now)
+	}
+	now += 4 * time.Millisecond
+	idle.RecordIdleBytes(now)
+	is.True(idle.Stalled(now))
+	is.True(!served.Stalled(now))
+	idle.RecordBytes(now)
+	is.True(!idle.Stalled(now))
+}
+
 // The sum of all routers' retries in any window must stay within the operators' limit,
 // although each router counts alone.
 func TestRetryBudgetOfAllRouters(t *testing.T) {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -77,6 +77,9 @@
 	fingerprint uint64       // of the request
 	prefill     int32
 	ended       bool
+	// idleBytes is the time of the newest byte that delivered nothing, and idleSince that of the
+	// first one since something was delivered; 0 for none.
+	idleBytes, idleSince time.Duration
 }
 
 // Choose takes a slot at the cheapest upstream of the request's pool. It returns nil if no
@@ -375,11 +378,28 @@
 	return p
 }
 
-// RecordBytes records that bytes of an answer arrived.
+// RecordBytes records that bytes of an answer arrived that serve the request.
 func (p *Pick) RecordBytes(now time.Duration) {
 	p.balancer.mu.Lock()
 	defer p.balancer.mu.Unlock()
+	p.recordDelivery(now)
+}
+
+// RecordIdleBytes records that bytes of an answer arrived that don't serve the request, such as a
+// comment or an event that its caller has.
+func (p *Pick) RecordIdleBytes(now time.Duration) {
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	if p.idleSince == 0 {
+		p.idleSince = now
+	}
+	p.idleBytes = now
+}
+
+// recordDelivery records that the upstream serves the request. The balancer's mu must be held.
+func (p *Pick) recordDelivery(now time.Duration) {
 	p.state.lastByte = max(p.state.lastByte, now)
+	p.idleBytes, p.idleSince = 0, 0
 }
 
 // RecordAnswerHead records the arrival of an answer's head, or of a stream's first event,
@@ -388,7 +408,7 @@
 	p.balancer.mu.Lock()
 	defer p.balancer.mu.Unlock()
 	s := p.state
-	s.lastByte = max(s.lastByte, now)
+	p.recordDelivery(now)
 	s.prefill -= int(p.prefill)
 	p.prefill = 0
 	if load != nil {
@@ -405,12 +425,12 @@
 	p.state.replacedUntil = now + replacedFor
 }
 
-// Stalled reports whether the upstream has stalled: it has requests in flight and has sent
-// no byte on any connection for stallTimeout.
+// Stalled reports whether the upstream has stalled: it has requests in flight and has served
+// none of them for stallTimeout, or has sent bytes for longer than that which don't serve this one.
 func (p *Pick) Stalled(now time.Duration) bool {
 	p.balancer.mu.Lock()
 	defer p.balancer.mu.Unlock()
-	return p.state.stalled(now)
+	return p.state.stalled(now) || p.idleBytes-p.idleSince > stallTimeout
 }
 
 // End releases the slot and records the outcome. Later calls do nothing.
--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -64,7 +64,7 @@
 	announced     [conditionCount]announced
 	malformedAt   time.Duration // time of the latest call of OnMalformed; 0 for none
 
-	lastByte time.Duration // time of the newest byte of any answer, or of the first request after idleness
+	lastByte time.Duration // time of the newest byte that served a request, or of the first request after idleness
 	health   health
 	outcomes outcomes
 
@@ -97,8 +97,8 @@
 	return unreportedShare * float64(max(s.running-s.runningThen, 0)*others)
 }
 
-// stalled reports whether the upstream has requests in flight and has sent no byte for
-// stallTimeout.
+// stalled reports whether the upstream has requests in flight and has sent no byte that serves one
+// for stallTimeout.
 func (s *upstreamState) stalled(now time.Duration) bool {
 	return s.running > 0 && now-s.lastByte > stallTimeout
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -294,14 +294,14 @@
 		defer a.overlap.stop()
 	}
 	sequence := eventSequence{last: new(streamPosition), lastID: eventNumber(a.after), resumed: a.resumes}
-	var start []byte
 	buffer := make([]byte, streamBuffer)
 	for found := false; !found; {
 		n, err := a.body.Read(buffer)
-		start = append(start, buffer[:n]...)
-		sequence.pending = append(sequence.pending, buffer[:n]...)
-		found, err = sequence.findNew(err)
-		if errors.Is(err, io.EOF) && len(sequence.pending) == 0 && a.resp.Delimited && a.resumes {
+		sequence.addPending(buffer[:n])
+		if found, err = sequence.findNew(err); n > 0 && !found {
+			a.pick.RecordIdleBytes(f.server.cfg.Clock())
+		}
+		if errors.Is(err, io.EOF) && len(sequence.pending) == sequence.comments && a.resp.Delimited && a.resumes {
 			break // nothing follows the last event
 		}
 		if errors.Is(err, io.EOF) {
@@ -312,7 +312,7 @@
 			return
 		}
 	}
-	a.body = io.MultiReader(bytes.NewReader(start), a.body)
+	a.body = io.MultiReader(bytes.NewReader(sequence.pending), a.body)
 	if a.overlap.stop(); a.ctx.Err() != nil { // canceled at the last moment
 		a.outcome = f.recordIncomplete(a, a.ctx.Err(), 0)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -16,7 +16,8 @@
 // streamBuffer is the size in bytes of one read from a stream, which holds a few events.
 const streamBuffer = 2 << 10
 
-// maxEventBytes bounds one event of a stream.
+// maxEventBytes bounds one event of a stream, with the bytes before it that serve no caller:
+// comments, and events that the caller has.
 const maxEventBytes = 1 << 20
 
 var (
@@ -38,8 +39,11 @@
 	last    *streamPosition // of the newest event
 	lastID  int64           // its ID as a number, -1 if it is none
 	pending []byte          // bytes that don't yet make an event
-	resumed bool            // the next new event must have the ID lastID+1
-	events  int             // accepted events with data
+	// comments is the length of the comments that findNew has kept at the start of pending.
+	comments int
+	resumed  bool // the next new event must have the ID lastID+1
+	events   int  // accepted events with data
+	idle     int  // bytes since the newest of these
 }
 
 // streamPosition is the ID of a stream event. It is safe for concurrent use.
@@ -68,16 +72,20 @@
 	for {
 		n, err := a.body.Read(buffer)
 		if n > 0 {
+			f.beginStream(a.resp)
+			before := f.stream.events
+			a.writing.Store(true)
+			relayErr := f.stream.write(buffer[:n])
 			now := f.server.cfg.Clock()
-			if first {
+			switch {
+			case f.stream.events == before:
+				a.pick.RecordIdleBytes(now)
+			case first:
 				a.pick.RecordAnswerHead(now, a.head.Load)
 				first = false
-			} else {
+			default:
 				a.pick.RecordBytes(now)
 			}
-			f.beginStream(a.resp)
-			a.writing.Store(true)
-			relayErr := f.stream.write(buffer[:n])
 			a.writing.Store(false)
 			if relayErr != nil {
 				return f.recordStreamFailure(a, relayErr)
@@ -137,7 +145,7 @@
 		return true, balance.OutcomeUnknown
 	}
 	if f.stream != nil {
-		f.stream.pending = nil
+		f.stream.pending, f.stream.idle = nil, 0
 		f.stream.resumed = true
 	}
 	return false, f.recordIncomplete(a, err, f.attemptEvents())
@@ -152,7 +160,7 @@
 // write appends b to the pending bytes and relays all complete events among them, up to the
 // first that isn't valid.
 func (r *eventRelay) write(b []byte) error {
-	r.pending = append(r.pending, b...)
+	r.addPending(b)
 	begin, out := 0, 0
 	var invalid error
 	for invalid == nil {
@@ -175,10 +183,27 @@
 		}
 	}
 	r.pending = r.pending[:copy(r.pending, r.pending[begin:])]
-	if invalid == nil && len(r.pending) > maxEventBytes {
+	if invalid != nil {
+		return invalid
+	}
+	return r.checkLength()
+}
+
+// addPending appends b to the pending bytes.
+func (r *eventSequence) addPending(b []byte) {
+	r.pending = append(r.pending, b...)
+	r.idle += len(b)
+}
+
+// checkLength returns an error if the bytes since the newest accepted event exceed maxEventBytes.
+func (r *eventSequence) checkLength() error {
+	switch {
+	case len(r.pending) > maxEventBytes:
 		return errEventTooLong.New("a stream event exceeds %d bytes", maxEventBytes)
+	case r.idle > maxEventBytes:
+		return errEventTooLong.New("the stream holds no event that the caller lacks within %d bytes", maxEventBytes)
 	}
-	return invalid
+	return nil
 }
 
 // eventEnd returns the length of the first event with its blank line, or -1.
@@ -203,23 +228,28 @@
 	return -1
 }
 
-// findNew reports whether the pending bytes contain an event with data that is new, and removes
-// the events before it. It returns readErr, or the error of an invalid event.
+// findNew reports whether the pending bytes contain an event with data that is new. It removes the
+// events before it that the caller has, and keeps comments. It returns readErr, or the error of an
+// invalid event.
 func (r *eventSequence) findNew(readErr error) (bool, error) {
 	for {
-		end := eventEnd(r.pending)
+		rest := r.pending[r.comments:]
+		end := eventEnd(rest)
 		if end < 0 {
-			if len(r.pending) > maxEventBytes {
-				return false, errEventTooLong.New("a stream event exceeds %d bytes", maxEventBytes)
+			if err := r.checkLength(); err != nil {
+				return false, err
 			}
 			return false, readErr
 		}
-		event := r.pending[:end]
-		isNew, err := r.acceptEvent(event)
-		if err != nil || isNew && hasData(event) {
+		isNew, err := r.acceptEvent(rest[:end])
+		switch {
+		case err != nil || isNew && hasData(rest[:end]):
 			return err == nil, err
+		case isNew:
+			r.comments += end
+		default:
+			r.pending = append(r.pending[:r.comments], rest[end:]...)
 		}
-		r.pending = r.pending[end:]
 	}
 }
 
@@ -232,7 +262,7 @@
 	text, ok := eventID(event)
 	if !ok {
 		if hasData(event) {
-			r.events++
+			r.countEvent()
 		}
 		return true, nil
 	}
@@ -240,7 +270,7 @@
 	if id < 0 {
 		r.last.set(text)
 		r.lastID = -1
-		r.events++
+		r.countEvent()
 		return true, nil
 	}
 	if r.lastID >= 0 && id <= r.lastID {
@@ -252,10 +282,16 @@
 	r.resumed = false
 	r.last.set(text)
 	r.lastID = id
-	r.events++
+	r.countEvent()
 	return true, nil
 }
 
+// countEvent counts an accepted event with data.
+func (r *eventSequence) countEvent() {
+	r.events++
+	r.idle = 0
+}
+
 // Names of the fields of an event (HTML, section 9.2.6).
 var eventFields = map[string]bool{"data": true, "event": true, "id": true, "retry": true}
 
