exchange: the number of an answer's fields is bounded

What callers saw: nothing yet. A head within its 64 KiB held 15 times as much for as long as its answer lasted, so that the bound on its bytes didn't bound memory.

Cause: net/http keeps each field in a map entry, a slice and a string; 64 KiB hold some 13,000 short fields.

Evidence: TestHeadOfManyFieldsHoldsMoreThanItsBytes on the former code: "a head of 65445 bytes holds 1006342, more than twice its bound", 32 responses. TestEndlessChunkFramingEndsTheExchange shows that net/http bounds chunk sizes, extensions (also over many chunks) and trailers: it passed before.

Change: a head of more than 256 fields ends the exchange with ErrHeadTooLong.

The fields are counted once parsed, so that one head still costs 1 MB until it is rejected.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -17,6 +17,9 @@
 	// maxHeadBytes bounds the head of an answer in bytes, with informational answers before
 	// it. An upstream in trouble may send bytes without end.
 	maxHeadBytes = 64 << 10
+	// maxHeadFields bounds the fields of an answer's head. Each holds a hundred bytes and more
+	// beside its own.
+	maxHeadFields = 256
 )
 
 // conn is one connection to an upstream. It serves one exchange at a time.
--- a/internal/exchange/errors.go
+++ b/internal/exchange/errors.go
@@ -43,7 +43,7 @@
 	// one.
 	ErrUnmatched = fleet.Errors.NewType("exchange_unmatched")
 	// ErrHeadTooLong means that the head of the answer, with informational answers before it,
-	// did not end within maxHeadBytes.
+	// did not end within maxHeadBytes, or has more than maxHeadFields.
 	ErrHeadTooLong = fleet.Errors.NewType("exchange_head_too_long")
 	// ErrClosed means that the pool was closed.
 	ErrClosed = fleet.Errors.NewType("exchange_closed")
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -128,12 +128,23 @@
 			}
 			return nil, err
 		}
+		if n := countFields(resp.Header); n > maxHeadFields {
+			return nil, ErrHeadTooLong.New("the answer's head has %d fields, at most %d", n, maxHeadFields)
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
 }
 
+// countFields returns the number of field lines of a header.
+func countFields(h http.Header) (n int) {
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
+
 // setAnswer sets the fields of the answer that matches the request.
 func (r *Response) setAnswer(resp *http.Response, method string) {
 	r.Status, r.Header, r.body = resp.StatusCode, resp.Header, resp.Body
