upstream: comments and unfinished events no longer keep a chat from stalling

What callers saw: a chat whose engine sent comments, empty lines or an event without its end went on until its caller left, although the longest pause was set.

Cause: the stall timer restarted with any byte.

Evidence: TestTrickleKeepsChatFromStalling on the former code: "err: context deadline exceeded // the stall ended the stream, not the caller's time", 5 s, with a stall of 0.1 s.

Change: it restarts with each event that Next returns.

Result: the test, internal/upstream and internal/owner pass.

--- a/internal/upstream/chat_stream.go
+++ b/internal/upstream/chat_stream.go
@@ -130,6 +130,7 @@
 	for {
 		ev, ok, err := s.parser.Next()
 		if err == nil && ok {
+			s.stall.reset()
 			return s.recordEvent(ev), nil
 		}
 		if err == nil {
@@ -178,7 +179,6 @@
 	n, err := s.resp.Body.Read(space)
 	s.parser.Advance(n)
 	if n > 0 {
-		s.stall.reset()
 		return nil
 	}
 	if errors.Is(err, io.EOF) {
@@ -191,7 +191,7 @@
 // if the stall timer has canceled the answer, and err otherwise.
 func (s *chatStream) incompleteCause(err error) error {
 	if s.stall.fired() {
-		return ErrStalled.Wrap(err, "no bytes received for %s", s.stall.limit)
+		return ErrStalled.Wrap(err, "no event received for %s", s.stall.limit)
 	}
 	return err
 }
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -67,8 +67,8 @@
 	Resume   bool
 	Offset   uint64
 	Priority fleet.Priority
-	// MaxStall is the idle timeout of the answer, including the time before its header;
-	// 0 means no timeout.
+	// MaxStall is the longest time without an event, including the time before the answer's
+	// header; 0 means no timeout.
 	MaxStall time.Duration
 	// BeforeWrite, if set, is called before a connection is opened, and again when the
 	// transport reads the body. An error from it ends the attempt. On the first call no
