gateway: one account with a budget for all bytes held of upstreams' answers

Answers that upstreams send for nothing made a router hold memory without a bound in sum; the process would have ended with all its requests.

Cause: maxBufferedBytes counted only the bytes read of complete answers, until their attempt's end. Not counted were failed answers kept for the request, incomplete events (1 MiB for each stream), what replacements had read, and the growth of arrays (the former one beside the next).

Change: byteAccount counts holdings by the capacity of their buffers, before these are allocated, as answer, failed_answer, stream or replacement. The budget is a quarter of the process's memory (memory_mb of the platform's settings; 256 MiB where it isn't told): what is held may take twice its size until the collector has run, and the other half is left for the rest. A holding that grows beyond what is left makes the largest one fail, which may be itself (Choudhury and Hahne's dynamic threshold, with an ejection); an eighth of the budget is kept for those below it while the failed are released. An answer being written isn't failed. Complete answers are read in parts that aren't copied and are released once written. The end of an incomplete event isn't searched from its start at each read. Gauges gateway_held_bytes{part}, _peak, _budget and the counter gateway_held_failed{part}; label byte_budget of gateway_unanswered.

TestBufferedAnswersShareTheirMemory tested a type that is gone.

Ruled out on the way: a heap of 20 to 34 MiB under the race detector was measured while events were still being read; it settles at 15 MiB.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/wigeonflow/wigeonflow/internal/balance"
 	"github.com/wigeonflow/wigeonflow/internal/exchange"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
@@ -21,7 +23,7 @@
 // Causes with which an attempt is canceled.
 var (
 	errDeadline    = fleet.Errors.NewType("gateway_deadline").New("the request's time limit has passed")
-	errIdleTimeout = fleet.Errors.NewType("gateway_silent").New("no bytes received from the upstream within the idle timeout")
+	errIdleTimeout = fleet.Errors.NewType("gateway_silent").New("nothing that serves the request received from the upstream within the idle timeout")
 	errSlow        = fleet.Errors.NewType("gateway_slow").New("no complete answer within the timeout derived from the route's latency target")
 	errNotNeeded   = fleet.Errors.NewType("gateway_not_needed").New("another attempt serves the request")
 	errNoEvent     = fleet.Errors.NewType("gateway_no_event").New("no event received within the time for which two upstreams may run a request")
@@ -67,7 +69,8 @@
 	err  error     // why there is no answer to relay
 	// complete is an answer that was read to its end, of a replacement.
 	complete *answer
-	buffered *answerReader // counts the memory of complete
+	// held counts what this attempt holds of its answer.
+	held *holding
 	// failedAnswer is a complete answer that only serves the caller if there is no better one.
 	failedAnswer *answer
 	outcome      balance.Outcome // for the upstream's health
@@ -79,6 +82,7 @@
 	a.resumes = a.after != f.call.After
 	a.ctx, a.cancel = context.WithCancelCause(f.r.Context())
 	a.deadline = time.AfterFunc(f.deadline-a.began, func() { a.cancel(errDeadline) })
+	a.held = f.server.held.open(heldStream, a.cancel)
 	a.span, a.trace = f.server.cfg.Tracer.Start("gateway.attempt", f.trace)
 	a.span.Set("upstream", string(pick.Upstream.ID))
 	f.history.begin(a)
@@ -92,9 +96,7 @@
 		a.resp.Close() // keeps the connection, unlike a canceled context
 	}
 	a.cancel(nil)
-	if a.buffered != nil {
-		a.buffered.release()
-	}
+	a.held.release()
 	a.pick.End(now, a.outcome)
 	a.span.End(a.err)
 }
@@ -115,13 +117,14 @@
 	if a.opened != nil {
 		a.overlap.stop()
 		<-a.opened
+		if a.complete == nil {
+			a.held.move(heldStream, a.cancel)
+		}
 	} else {
 		f.open(a)
 	}
 	f.history.settle(a, a.wasNeeded())
-	if a.failedAnswer != nil {
-		f.keepFailedAnswer(a.failedAnswer)
-	}
+	f.keepFailedAnswer(a)
 	if f.lastErr = a.err; a.err != nil {
 		return false
 	}
@@ -152,11 +155,44 @@
 	return a.opened != nil && f.stream != nil && f.stream.lastID < 0 && f.position.get() != a.after
 }
 
-// keepFailedAnswer keeps an answer for a request that no upstream serves.
-func (f *forwarder) keepFailedAnswer(failed *answer) {
+// keepFailedAnswer keeps an attempt's failed answer, if there is one, for a request that no upstream
+// serves, in place of the former one.
+func (f *forwarder) keepFailedAnswer(a *attempt) {
+	failed := a.failedAnswer
+	if failed == nil {
+		return
+	}
 	f.failedMu.Lock()
+	defer f.failedMu.Unlock()
+	if !failed.held.move(heldFailed, func(err error) { f.dropFailedAnswer(failed, err) }) {
+		return
+	}
+	a.held = nil // failed has it
+	f.failedAnswer.release()
 	f.failedAnswer = failed
+}
+
+// takeFailedAnswer removes and returns the failed answer that was kept; nil if there is none.
+func (f *forwarder) takeFailedAnswer() *answer {
+	f.failedMu.Lock()
+	defer f.failedMu.Unlock()
+	failed := f.failedAnswer
+	f.failedAnswer = nil
+	return failed
+}
+
+// dropFailedAnswer gives up a failed answer, if it is still kept, because of err.
+func (f *forwarder) dropFailedAnswer(failed *answer, err error) {
+	f.failedMu.Lock()
+	kept := f.failedAnswer == failed
+	if kept {
+		f.failedAnswer = nil
+	}
 	f.failedMu.Unlock()
+	if kept {
+		failed.release()
+		f.logDecision("upstream's failure not kept", "status", failed.status, "error", err)
+	}
 }
 
 // open sends the request and reads the head of the answer. It changes nothing of the
@@ -235,7 +271,7 @@
 	case errors.Is(cause, errNotNeeded), errors.Is(cause, errNoEvent):
 		a.err = cause
 		return balance.OutcomeUnknown
-	case errors.Is(cause, errDeadline), errors.Is(cause, errIdleTimeout), errors.Is(cause, errSlow):
+	case errors.Is(cause, errDeadline), errors.Is(cause, errIdleTimeout), errors.Is(cause, errSlow), errorx.IsOfType(cause, errBudget):
 		a.err = cause
 	}
 	f.logDecision("attempt failed", "error", a.err, "upstream", string(a.pick.Upstream.ID), "boot", string(a.pick.Upstream.Boot),
@@ -293,11 +329,14 @@
 		a.overlap.start(func() { a.cancel(errNoEvent) })
 		defer a.overlap.stop()
 	}
-	sequence := eventSequence{last: new(streamPosition), lastID: eventNumber(a.after), resumed: a.resumes}
+	sequence := eventSequence{last: new(streamPosition), lastID: eventNumber(a.after), resumed: a.resumes, held: a.held}
 	buffer := make([]byte, streamBuffer)
 	for found := false; !found; {
 		n, err := a.body.Read(buffer)
-		sequence.addPending(buffer[:n])
+		if budgetErr := sequence.addPending(buffer[:n]); budgetErr != nil {
+			a.outcome = f.recordIncomplete(a, budgetErr, 0)
+			return
+		}
 		if found, err = sequence.findNew(err); n > 0 && !found {
 			a.pick.RecordIdleBytes(f.server.cfg.Clock())
 		}
@@ -312,7 +351,8 @@
 			return
 		}
 	}
-	a.body = io.MultiReader(bytes.NewReader(sequence.pending), a.body)
+	start := &heldReader{inner: bytes.NewReader(sequence.pending), held: a.held, size: cap(sequence.pending)}
+	a.body = io.MultiReader(start, a.body)
 	if a.overlap.stop(); a.ctx.Err() != nil { // canceled at the last moment
 		a.outcome = f.recordIncomplete(a, a.ctx.Err(), 0)
 	}
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -1,10 +1,10 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 
 	"github.com/wigeonflow/wigeonflow/internal/balance"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
@@ -13,10 +13,10 @@
 const (
 	// maxAnswerBytes bounds an answer that is read completely before it is relayed.
 	maxAnswerBytes = 16 << 20
-	// maxBufferedBytes bounds all such answers of a router that are being read at a time.
-	// Answers of up to smallAnswerBytes are read beyond it.
-	maxBufferedBytes = 48 << 20
-	smallAnswerBytes = 256 << 10
+	// minPartBytes and maxPartBytes bound the parts in which it is read. Each is as long as
+	// those before it, so that no byte is copied and at most half of them is empty.
+	minPartBytes = 1 << 10
+	maxPartBytes = 256 << 10
 )
 
 var (
@@ -47,52 +47,66 @@
 		return false, f.recordIncomplete(a, err, 0)
 	}
 	if complete.status >= http.StatusInternalServerError {
-		f.keepFailedAnswer(complete)
+		a.failedAnswer = complete
+		f.keepFailedAnswer(a)
 		return false, f.recordFailedAnswer(a)
 	}
 	if complete.status < http.StatusBadRequest {
 		a.pick.RecordServed(f.server.cfg.Clock())
 	}
 	a.writing.Store(true)
+	complete.held.move(heldAnswer, nil)
 	f.writeAnswer(complete)
 	return true, balance.OutcomeServed
 }
 
-// readAnswer reads the attempt's answer to its end. Its memory counts until the attempt's end.
+// readAnswer reads the attempt's answer to its end.
 func (f *forwarder) readAnswer(a *attempt) (*answer, error) {
-	a.buffered = &answerReader{inner: a.resp, buffered: &f.server.buffered}
-	body, err := io.ReadAll(a.buffered)
-	if err != nil {
+	if a.opened == nil {
+		a.held.move(heldAnswer, a.cancel)
+	}
+	complete := &answer{status: a.resp.Status, header: a.resp.Header, held: a.held}
+	if err := complete.readBody(a.resp); err != nil {
 		return nil, err
 	}
-	return &answer{status: a.resp.Status, header: a.resp.Header, body: body}, nil
+	return complete, nil
 }
 
-// answerReader reads an answer that is kept in memory. It fails if the answer exceeds
-// maxAnswerBytes, or if all answers being read exceed maxBufferedBytes.
-type answerReader struct {
-	inner    io.Reader
-	buffered *atomic.Int64 // bytes of all answers being read
-	read     int64
+// readBody reads the body to its end.
+func (a *answer) readBody(r io.Reader) error {
+	for {
+		part, err := a.readPart(r)
+		a.length += len(part)
+		if len(part) > 0 {
+			a.parts = append(a.parts, part)
+		}
+		switch {
+		case a.length > maxAnswerBytes:
+			return errTooLong.New("the upstream's answer exceeds %d bytes", maxAnswerBytes)
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
+	}
 }
 
-// Read implements io.Reader.
-func (r *answerReader) Read(b []byte) (int, error) {
-	n, err := r.inner.Read(b)
-	r.read += int64(n)
-	total := r.buffered.Add(int64(n))
-	switch {
-	case r.read > maxAnswerBytes:
-		return n, errTooLong.New("the upstream's answer exceeds %d bytes", maxAnswerBytes)
-	case r.read > smallAnswerBytes && total > maxBufferedBytes:
-		return n, errTooLong.New("the answers being read exceed %d bytes, this one has %d so far", maxBufferedBytes, r.read)
-	}
-	return n, err
+// readPart reads the next part of the answer. The error is io.EOF at the end, and nil if the part is
+// full.
+func (a *answer) readPart(r io.Reader) (part []byte, err error) {
+	size := min(max(a.length, minPartBytes), maxPartBytes)
+	if err := a.held.grow(size); err != nil {
+		return nil, err
+	}
+	part = make([]byte, 0, size)
+	for len(part) < size && err == nil {
+		var n int
+		n, err = r.Read(part[len(part):size])
+		part = part[:len(part)+n]
+	}
+	return part, err
 }
 
-// release ends the count of the answer.
-func (r *answerReader) release() { r.buffered.Add(-r.read) }
-
 // writeAnswer sends a complete answer to the caller.
 func (f *forwarder) writeAnswer(a *answer) {
 	h := f.w.Header()
@@ -103,10 +117,10 @@
 		h["Content-Type"] = nil // keeps net/http from guessing one
 	}
 	if f.r.Method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+		h.Set("Content-Length", strconv.Itoa(a.length))
 	}
 	f.w.WriteHeader(a.status)
-	if _, err := f.w.Write(a.body); err != nil {
+	if err := a.writeTo(f.w); err != nil {
 		f.callerGone = true
 		f.recordOutcome(a.status, "the caller disconnected: "+err.Error())
 		return
@@ -117,3 +131,22 @@
 	}
 	f.recordOutcome(a.status, reason)
 }
+
+// writeTo writes the body and releases each part that was written.
+func (a *answer) writeTo(w io.Writer) error {
+	for i, part := range a.parts {
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
+		a.parts[i] = nil
+		a.held.shrink(cap(part))
+	}
+	return nil
+}
+
+// release ends the count of an answer that is not needed, which may be nil.
+func (a *answer) release() {
+	if a != nil {
+		a.held.release()
+	}
+}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -138,6 +138,8 @@
 	started    chan struct{} // see ServerConfig.Started
 	stop       atomic.Pointer[fleet.PlannedStop]
 	tracer     *telemetry.Tracer
+	memory     int64 // see ServerConfig.Memory
+	metrics    metrics.Registry
 	upstreams  []fleet.Upstream             // one for each script
 	index      atomic.Pointer[routes.Index] // of the table in force
 
@@ -247,6 +249,7 @@
 	clock := fleet.MonotonicClock()
 	r.index.Store(routes.NewIndex(r.table))
 	pool := exchange.NewPool()
+	r.metrics = metrics.NewRegistry()
 	r.server = NewServer(ServerConfig{
 		Clock: clock, Protocol: testProtocol{}, Table: r.index.Load,
 		SessionState: func() balance.SessionState { return r.session }, KeysUntil: func() time.Duration { return clock() + r.keys },
@@ -254,7 +257,7 @@
 		InContact: func() bool { return r.contact }, IsSuperseded: func() bool { return r.superseded },
 		ListAge: func() time.Duration { return 0 }, Started: r.started,
 		Stopping: r.stopping.Load, Stop: r.stop.Load, Balancer: r.balancer, Pool: pool,
-		Log: cmp.Or(r.log, slog.New(slog.DiscardHandler)), Metrics: metrics.NewRegistry(), Tracer: r.tracer,
+		Log: cmp.Or(r.log, slog.New(slog.DiscardHandler)), Metrics: r.metrics, Memory: r.memory, Tracer: r.tracer,
 	})
 	front := httptest.NewServer(r.server)
 	front.Config.ErrorLog = nil
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -71,7 +71,9 @@
 type answer struct {
 	status int
 	header http.Header
-	body   []byte
+	parts  [][]byte // of the body
+	length int      // of the body
+	held   *holding // counts parts
 }
 
 // forward sends the request to one upstream after the other until one serves it, and
@@ -83,6 +85,7 @@
 	}
 	f.server.cfg.Balancer.CountRequest(f.server.cfg.Clock(), f.pool.Name)
 	f.position.set(f.call.After)
+	defer func() { f.takeFailedAnswer().release() }()
 	defer f.dropReplacements()
 	for a := f.nextAttempt(); a != nil; a = f.nextAttempt() {
 		if done := f.runAttempt(a); done {
@@ -198,6 +201,8 @@
 // request may have run.
 func (f *forwarder) answerFailure() {
 	_, runs := f.history.counts()
+	failed := f.takeFailedAnswer()
+	defer failed.release()
 	switch {
 	case f.r.Context().Err() != nil:
 		f.recordOutcome(0, "the caller disconnected")
@@ -205,8 +210,9 @@
 	case f.stream != nil:
 		f.recordOutcome(0, "stream not completed")
 		f.abort()
-	case f.failedAnswer != nil:
-		f.writeAnswer(f.failedAnswer)
+	case failed != nil:
+		failed.held.move(heldAnswer, nil)
+		f.writeAnswer(failed)
 	case runs == 0 && f.quarantineLeft > 0:
 		f.reject(&rejection{status: http.StatusServiceUnavailable, reason: f.failureReason(), base: f.quarantineLeft})
 	case runs == 0:
@@ -244,6 +250,8 @@
 		return "stalled"
 	case errors.Is(f.lastErr, errSlow):
 		return "slow"
+	case errorx.IsOfType(f.lastErr, errBudget):
+		return "byte_budget"
 	case errorx.IsOfType(f.lastErr, errEventGap), errorx.IsOfType(f.lastErr, errEventTooLong), errorx.IsOfType(f.lastErr, errInvalidEvent),
 		errorx.IsOfType(f.lastErr, errFailedAnswer):
 		return "invalid_stream"
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -168,6 +168,7 @@
 	}
 	a := f.newAttempt(pick)
 	a.opened = make(chan struct{})
+	a.held.move(heldReplacement, a.cancel)
 	w.pending = append(w.pending, a)
 	go func() {
 		defer func() { w.opened <- a }()
@@ -197,11 +198,9 @@
 // drop ends a replacement that has been opened.
 func (w *watcher) drop(a *attempt, needed bool) {
 	w.pending = slices.DeleteFunc(w.pending, func(p *attempt) bool { return p == a })
+	w.f.keepFailedAnswer(a)
 	a.end(w.f.server.cfg.Clock())
 	w.f.history.settle(a, needed)
-	if a.failedAnswer != nil {
-		w.f.keepFailedAnswer(a.failedAnswer)
-	}
 }
 
 // replaceCause returns the cause for which an attempt should be replaced, or nil. An attempt
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -57,6 +57,8 @@
 	Retries      balance.RetryLimits
 	// ListInterval is the time between two reads of the upstream list.
 	ListInterval time.Duration
+	// Memory is the memory in bytes that the process may use; 0 if that is not known.
+	Memory int64
 }
 
 // Router forwards callers' requests to upstreams by the routing table in force.
@@ -107,7 +109,7 @@
 	r.server = NewServer(ServerConfig{
 		Clock: cfg.Clock, Protocol: cfg.Protocol, Table: r.table.Load, SessionState: r.sessionState, KeysUntil: r.keysUntil, ListAge: r.listAge,
 		ConfirmedAt: r.keeper.ConfirmedAt, Started: r.started, MaxConfigAge: cfg.MaxConfigAge, InContact: r.inContact, IsSuperseded: r.isSuperseded,
-		Stopping: r.stopping.Load, Stop: r.stop.Load, Balancer: r.balancer, Pool: r.pool, Log: cfg.Requests, Metrics: cfg.Metrics, Tracer: cfg.Tracer,
+		Stopping: r.stopping.Load, Stop: r.stop.Load, Balancer: r.balancer, Pool: r.pool, Log: cfg.Requests, Metrics: cfg.Metrics, Memory: cfg.Memory, Tracer: cfg.Tracer,
 	})
 	r.list = newUpstreamList(upstreamListConfig{
 		log: r.log.Named("list"), clock: cfg.Clock, self: r.self, lister: cfg.Lister, interval: cfg.ListInterval,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -55,6 +55,8 @@
 	Pool     *exchange.Pool
 	Log      *slog.Logger
 	Metrics  metrics.Registry
+	// Memory is the memory in bytes that the process may use; 0 if that is not known.
+	Memory int64
 	// Tracer starts a span for each request and one for each attempt at an upstream.
 	Tracer *telemetry.Tracer
 }
@@ -76,8 +78,8 @@
 type Server struct {
 	cfg      ServerConfig
 	running  atomic.Int64
-	inFlight sync.Map     // time.Duration by *http.Request: when each running request started
-	buffered atomic.Int64 // bytes of the answers being read, see answerReader
+	inFlight sync.Map // time.Duration by *http.Request: when each running request started
+	held     *byteAccount
 	draw     atomic.Uint64
 	counts   sync.Map // of *requestCount by requestLabels
 	startup  startupGate
@@ -95,7 +97,7 @@
 
 // NewServer returns a server with the given configuration.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, held: newByteAccount(cfg.Memory, cfg.Metrics)}
 	s.startup.wait = startupWait{start: cfg.Clock()}
 	s.overload.read = readWaits
 	s.startup.started = cfg.Started
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,6 +20,9 @@
 // comments, and events that the caller has.
 const maxEventBytes = 1 << 20
 
+// maxIdleBuffer bounds the buffer in bytes that a stream keeps between two events.
+const maxIdleBuffer = 16 << 10
+
 var (
 	errEventTooLong = fleet.Errors.NewType("gateway_event_too_long")
 	errEventGap     = fleet.Errors.NewType("gateway_event_gap")
@@ -39,8 +42,10 @@
 	last    *streamPosition // of the newest event
 	lastID  int64           // its ID as a number, -1 if it is none
 	pending []byte          // bytes that don't yet make an event
+	held    *holding        // counts pending; nil for none
 	// comments is the length of the comments that findNew has kept at the start of pending.
 	comments int
+	searched int  // bytes of the event at the start of pending, behind comments, without its end
 	resumed  bool // the next new event must have the ID lastID+1
 	events   int  // accepted events with data
 	idle     int  // bytes since the newest of these
@@ -73,6 +78,7 @@
 		n, err := a.body.Read(buffer)
 		if n > 0 {
 			f.beginStream(a.resp)
+			f.stream.held = a.held
 			before := f.stream.events
 			a.writing.Store(true)
 			relayErr := f.stream.write(buffer[:n])
@@ -145,7 +151,7 @@
 		return true, balance.OutcomeUnknown
 	}
 	if f.stream != nil {
-		f.stream.pending, f.stream.idle = nil, 0
+		f.stream.pending, f.stream.searched, f.stream.idle = nil, 0, 0
 		f.stream.resumed = true
 	}
 	return false, f.recordIncomplete(a, err, f.attemptEvents())
@@ -160,11 +166,13 @@
 // write appends b to the pending bytes and relays all complete events among them, up to the
 // first that isn't valid.
 func (r *eventRelay) write(b []byte) error {
-	r.addPending(b)
+	if err := r.addPending(b); err != nil {
+		return err
+	}
 	begin, out := 0, 0
 	var invalid error
 	for invalid == nil {
-		end := eventEnd(r.pending[begin:])
+		end := r.nextEnd(begin)
 		if end < 0 {
 			break
 		}
@@ -183,16 +191,21 @@
 		}
 	}
 	r.pending = r.pending[:copy(r.pending, r.pending[begin:])]
+	if len(r.pending) == 0 && cap(r.pending) > maxIdleBuffer {
+		r.held.shrink(cap(r.pending))
+		r.pending = nil
+	}
 	if invalid != nil {
 		return invalid
 	}
 	return r.checkLength()
 }
 
-// addPending appends b to the pending bytes.
-func (r *eventSequence) addPending(b []byte) {
-	r.pending = append(r.pending, b...)
+// addPending appends b to the pending bytes. It returns an errBudget if there is no room for them.
+func (r *eventSequence) addPending(b []byte) (err error) {
 	r.idle += len(b)
+	r.pending, err = r.held.appendTo(r.pending, b)
+	return err
 }
 
 // checkLength returns an error if the bytes since the newest accepted event exceed maxEventBytes.
@@ -206,6 +219,21 @@
 	return nil
 }
 
+// nextEnd returns the length of the event at the given byte of pending, or -1 if it is incomplete. It
+// doesn't search again what was searched without success.
+func (r *eventSequence) nextEnd(begin int) int {
+	from := max(r.searched-endBytes, 0)
+	end := eventEnd(r.pending[begin+from:])
+	if r.searched = 0; end < 0 {
+		r.searched = len(r.pending) - begin
+		return -1
+	}
+	return from + end
+}
+
+// endBytes is the length of the longest end of an event.
+const endBytes = len("\r\n\r\n")
+
 // eventEnd returns the length of the first event with its blank line, or -1.
 func eventEnd(b []byte) int {
 	i := bytes.Index(b, []byte("\n\n"))
@@ -234,7 +262,7 @@
 func (r *eventSequence) findNew(readErr error) (bool, error) {
 	for {
 		rest := r.pending[r.comments:]
-		end := eventEnd(rest)
+		end := r.nextEnd(r.comments)
 		if end < 0 {
 			if err := r.checkLength(); err != nil {
 				return false, err
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -97,24 +97,7 @@
 			is.Equal(resp.StatusCode, http.StatusOK)
 			is.True(body == "done" || body == encodeEvents(1, 2))
 			is.True(written.Load() < endless)
-			await(func() bool { return r.server.buffered.Load() == 0 })
+			await(func() bool { total, _ := r.server.held.held(); return total == 0 })
 		})
 	}
 }
-
-// Several answers without end at a time are bounded together, and others are still read.
-func TestBufferedAnswersShareTheirMemory(t *testing.T) {
-	is := is.New(t)
-	var buffered atomic.Int64
-	first := &answerReader{inner: strings.NewReader(strings.Repeat("x", maxAnswerBytes)), buffered: &buffered}
-	_, err := io.ReadAll(first)
-	is.NoErr(err)
-	buffered.Add(maxBufferedBytes - maxAnswerBytes)
-	_, err = io.ReadAll(&answerReader{inner: strings.NewReader(strings.Repeat("x", 2*smallAnswerBytes)), buffered: &buffered})
-	is.True(err != nil)
-	small, err := io.ReadAll(&answerReader{inner: strings.NewReader(strings.Repeat("x", smallAnswerBytes)), buffered: &buffered})
-	is.NoErr(err)
-	is.Equal(len(small), smallAnswerBytes)
-	first.release()
-	is.True(buffered.Load() < maxBufferedBytes)
-}
