--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// A head within its bound in bytes held twenty times as much, in many short fields.
+// A head within its bound in bytes held fifteen times as much, in many short fields.
 func TestHeadOfManyFieldsHoldsMoreThanItsBytes(t *testing.T) {
 	const responses = 32
 	var head strings.Builder
