--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -76,7 +76,7 @@
 type Server struct {
 	cfg      ServerConfig
 	running  atomic.Int64
-	inFlight sync.Map     // time.Duration by *http.Request: when each running request started
+	inFlight sync.Map     // *answerWriter by *http.Request, of each running request
 	buffered atomic.Int64 // bytes of the answers being read, see answerReader
 	draw     atomic.Uint64
 	counts   sync.Map // of *requestCount by requestLabels
@@ -114,9 +114,9 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	answer := &answerWriter{ResponseWriter: w, stopping: s.cfg.Stopping}
-	f := &forwarder{server: s, w: answer, r: r, start: s.cfg.Clock()}
-	s.inFlight.Store(r, f.start)
+	answer := &answerWriter{ResponseWriter: w, stopping: s.cfg.Stopping, started: s.cfg.Clock()}
+	f := &forwarder{server: s, w: answer, r: r, start: answer.started}
+	s.inFlight.Store(r, answer)
 	defer s.inFlight.Delete(r)
 	span, trace := s.cfg.Tracer.Start("gateway.request", r.Header.Get(telemetry.HeaderTraceparent))
 	f.trace = trace
@@ -134,7 +134,7 @@
 		}
 	}()
 	f.forward()
-	if !answer.begun {
+	if !answer.begun.Load() {
 		panic(http.ErrAbortHandler) // otherwise net/http answers 200 with an empty body
 	}
 }
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -27,13 +28,13 @@
 type answerWriter struct {
 	http.ResponseWriter
 	stopping func() bool
-	begun    bool
+	started  time.Duration // when the request started
+	begun    atomic.Bool
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *answerWriter) WriteHeader(status int) {
-	if status >= http.StatusOK && !w.begun {
-		w.begun = true
+	if status >= http.StatusOK && !w.begun.Swap(true) {
 		if w.stopping() {
 			w.Header().Set("Connection", "close")
 		}
@@ -43,7 +44,7 @@
 
 // Write implements http.ResponseWriter.
 func (w *answerWriter) Write(b []byte) (int, error) {
-	if !w.begun {
+	if !w.begun.Load() {
 		w.WriteHeader(http.StatusOK)
 	}
 	return w.ResponseWriter.Write(b)
@@ -56,7 +57,7 @@
 // answer hasn't begun, since the request may have run, and otherwise by closing the connection.
 func (f *forwarder) answerPanic(value any, w *answerWriter) {
 	f.logPanic(value, debug.Stack())
-	if w.begun {
+	if w.begun.Load() {
 		f.server.countUnanswered(causePanic)
 		panic(http.ErrAbortHandler)
 	}
@@ -72,9 +73,11 @@
 // connections are about to be closed, at the end of the grace period.
 func (s *Server) logCut() {
 	now := s.cfg.Clock()
-	s.inFlight.Range(func(key, started any) bool {
+	s.inFlight.Range(func(key, value any) bool {
+		answer := value.(*answerWriter)
 		call, _ := s.cfg.Protocol.Call(key.(*http.Request).Header) // a malformed header has no ID to log
-		s.cfg.Log.Warn("request cut: the grace period has ended", "request", string(call.ID), "age", (now - started.(time.Duration)).Round(time.Millisecond).String())
+		s.cfg.Log.Warn("request cut: the grace period has ended", "request", string(call.ID), "age", (now - answer.started).Round(time.Millisecond).String(),
+			"begun", answer.begun.Load())
 		s.countUnanswered(causeGracePeriod)
 		return true
 	})
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -88,6 +89,37 @@
 	is.Equal(r.unanswered(causeGracePeriod), int64(1)) // none is left
 }
 
+// From the log of a stop, an operator can't tell the callers that got a part of their answer from
+// those that got nothing at all.
+func TestLogOfCutAtEndOfGracePeriodTellsWhetherAnswerHasBegun(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		t.Run(fmt.Sprintf("begun %v", begun), func(t *testing.T) {
+			is := is.New(t)
+			arrived, end := make(chan struct{}), make(chan struct{})
+			defer close(end) // also if the test fails
+			r := newTestGateway(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 1}, func(c *conn) {
+				if begun {
+					c.beginStream()
+					c.writeEvents(1, 1)
+				}
+				close(arrived)
+				<-end
+			})
+			var lines bytes.Buffer
+			r.server.cfg.Log = slog.New(slog.NewTextHandler(&lines, &slog.HandlerOptions{Level: slog.LevelWarn}))
+			c := r.sendRaw()
+			defer c.Close()
+			<-arrived
+			if begun {
+				_, err := http.ReadResponse(bufio.NewReader(c), nil)
+				is.NoErr(err)
+			}
+			r.server.logCut()
+			is.True(strings.Contains(lines.String(), fmt.Sprintf(" begun=%v\n", begun)))
+		})
+	}
+}
+
 // The caller of a request that ran when the stop began kept its connection, and sent the next request as it was closed.
 func TestStoppingRouterKeepsConnection(t *testing.T) {
 	is := is.New(t)
