gateway: a request that is cut while its caller waits has a log line of its own

Cause: 100 lines of a kind are written in a second. Change: 'connection closed without a complete answer' with cause, last_error, no_attempt, limit and progress, for every cause but a caller that has left. 'request failed' stays as it is. Test: TestCutRequestHasLogLineOfItsOwn fails without it.

--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -229,7 +229,9 @@
 // abort closes the caller's connection without an answer, or without the rest of one, so that
 // net/http doesn't complete it. It doesn't return.
 func (f *forwarder) abort() {
-	f.server.countUnanswered(f.endCause())
+	cause := f.endCause()
+	f.logUnanswered(cause)
+	f.server.countUnanswered(cause)
 	panic(http.ErrAbortHandler)
 }
 
@@ -237,7 +239,7 @@
 func (f *forwarder) endCause() string {
 	switch {
 	case f.callerGone, f.r.Context().Err() != nil:
-		return "caller_disconnected"
+		return causeCallerGone
 	case errors.Is(f.lastErr, errDeadline):
 		return "deadline"
 	case errors.Is(f.lastErr, errIdleTimeout):
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -16,6 +16,7 @@
 const (
 	causePanic       = "panic"
 	causeGracePeriod = "grace_period"
+	causeCallerGone  = "caller_disconnected"
 )
 
 // countUnanswered counts a request whose connection ends without a complete answer.
@@ -23,6 +24,16 @@
 	metrics.GetOrRegisterCounter(telemetry.MetricName("gateway_unanswered", "cause", cause), s.cfg.Metrics).Inc(1)
 }
 
+// logUnanswered logs a request whose connection is closed without a complete answer though its
+// caller waits. The message has a limit of its own on its lines: while a router rejects
+// many requests, most lines of the other failures are dropped.
+func (f *forwarder) logUnanswered(cause string) {
+	if cause == causeCallerGone {
+		return
+	}
+	f.logDecision("connection closed without a complete answer", append([]any{"cause", cause, "last_error", f.lastErr, "no_attempt", f.noAttempt}, f.progress(0)...)...)
+}
+
 // answerWriter is a ResponseWriter that knows whether the answer has begun. An answer that
 // begins while the router is stopping tells the caller to close the connection.
 type answerWriter struct {
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/routes"
+	"github.com/wigeonflow/wigeonflow/internal/settings"
 	"github.com/wigeonflow/wigeonflow/internal/telemetry"
 )
 
@@ -89,6 +90,51 @@
 	is.Equal(r.unanswered(causeGracePeriod), int64(1)) // none is left
 }
 
+// While a router rejected many requests, the lines of those that it cut were dropped with theirs.
+func TestCutRequestHasLogLineOfItsOwn(t *testing.T) {
+	const message = `"@message":"connection closed without a complete answer"`
+	tests := []struct {
+		name  string
+		close bool // the caller disconnects
+		want  []string
+	}{
+		{"the upstream breaks off", false, []string{message, `"cause":"broken_off"`, `"no_attempt":"not repeatable"`, `"begun":true`, `"relayed":2`, `"limit":"5s"`}},
+		{"the caller disconnects", true, nil},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var out syncBuffer
+			log := telemetry.NewBoundedWriter(&out)
+			r := newTestGateway(t, routes.Route{Kind: routes.KindStream, MaxAttempts: 1}, func(c *conn) {
+				c.beginStream()
+				c.writeEvents(1, 2)
+				if tc.close {
+					_, _ = c.Read(make([]byte, 1)) // until the attempt is canceled
+				}
+			})
+			r.server.cfg.Log = telemetry.NewRequestLogger(settings.Settings{Log: settings.Log{JSON: true}}, "gateway", log)
+			for range 200 {
+				r.server.cfg.Log.Info("request failed", "status", http.StatusServiceUnavailable)
+			}
+			c := r.sendRaw()
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			if !tc.close {
+				_, err = io.ReadAll(resp.Body)
+				is.True(err != nil) // the stream is cut
+			}
+			is.NoErr(c.Close())
+			await(func() bool { return r.server.Running() == 0 })
+			log.Close()
+			for _, want := range tc.want {
+				is.True(strings.Contains(out.String(), want)) // the line has the field
+			}
+			is.Equal(strings.Count(out.String(), message), min(len(tc.want), 1))
+		})
+	}
+}
+
 // From the log of a stop, an operator can't tell the callers that got a part of their answer from
 // those that got nothing at all.
 func TestLogOfCutAtEndOfGracePeriodTellsWhetherAnswerHasBegun(t *testing.T) {
