--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -10,7 +10,7 @@
 // relayAll relays a stream in the given pieces and returns what the caller gets.
 func relayAll(pieces ...[]byte) (string, error) {
 	caller := httptest.NewRecorder()
-	relay := &eventRelay{w: caller, flusher: http.NewResponseController(caller), eventSequence: eventSequence{last: new(streamPosition), lastID: -1}}
+	relay := &eventRelay{writeHead: func() {}, w: caller, flusher: http.NewResponseController(caller), eventSequence: eventSequence{last: new(streamPosition), lastID: -1}}
 	for _, p := range pieces {
 		if err := relay.write(p); err != nil {
 			return caller.Body.String(), err
