--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -15,6 +16,7 @@
 const (
 	causePanic       = "panic"
 	causeGracePeriod = "grace_period"
+	causeCallerGone  = "caller_disconnected"
 )
 
 // countUnanswered counts a request whose connection ends without a complete answer.
@@ -22,18 +24,28 @@
 	metrics.GetOrRegisterCounter(telemetry.MetricName("gateway_unanswered", "cause", cause), s.cfg.Metrics).Inc(1)
 }
 
+// logUnanswered logs a request whose connection is closed without a complete answer though its
+// caller waits. The message has a limit of its own on its lines: while a router rejects
+// many requests, most lines of the other failures are dropped.
+func (f *forwarder) logUnanswered(cause string) {
+	if cause == causeCallerGone {
+		return
+	}
+	f.logDecision("connection closed without a complete answer", append([]any{"cause", cause, "last_error", f.lastErr, "no_attempt", f.noAttempt}, f.progress(0)...)...)
+}
+
 // answerWriter is a ResponseWriter that knows whether the answer has begun. An answer that
 // begins while the router is stopping tells the caller to close the connection.
 type answerWriter struct {
 	http.ResponseWriter
 	stopping func() bool
-	begun    bool
+	started  time.Duration // when the request started
+	begun    atomic.Bool
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *answerWriter) WriteHeader(status int) {
-	if status >= http.StatusOK && !w.begun {
-		w.begun = true
+	if status >= http.StatusOK && !w.begun.Swap(true) {
 		if w.stopping() {
 			w.Header().Set("Connection", "close")
 		}
@@ -43,7 +55,7 @@
 
 // Write implements http.ResponseWriter.
 func (w *answerWriter) Write(b []byte) (int, error) {
-	if !w.begun {
+	if !w.begun.Load() {
 		w.WriteHeader(http.StatusOK)
 	}
 	return w.ResponseWriter.Write(b)
@@ -56,7 +68,7 @@
 // answer hasn't begun, since the request may have run, and otherwise by closing the connection.
 func (f *forwarder) answerPanic(value any, w *answerWriter) {
 	f.logPanic(value, debug.Stack())
-	if w.begun {
+	if w.begun.Load() {
 		f.server.countUnanswered(causePanic)
 		panic(http.ErrAbortHandler)
 	}
@@ -72,9 +84,11 @@
 // connections are about to be closed, at the end of the grace period.
 func (s *Server) logCut() {
 	now := s.cfg.Clock()
-	s.inFlight.Range(func(key, started any) bool {
+	s.inFlight.Range(func(key, value any) bool {
+		answer := value.(*answerWriter)
 		call, _ := s.cfg.Protocol.Call(key.(*http.Request).Header) // a malformed header has no ID to log
-		s.cfg.Log.Warn("request cut: the grace period has ended", "request", string(call.ID), "age", (now - started.(time.Duration)).Round(time.Millisecond).String())
+		s.cfg.Log.Warn("request cut: the grace period has ended", "request", string(call.ID), "age", (now - answer.started).Round(time.Millisecond).String(),
+			"begun", answer.begun.Load())
 		s.countUnanswered(causeGracePeriod)
 		return true
 	})
