consensus: a member whose disk is full halts and opens its directory again in place

A leader's successor was elected after the others' election timeout.

Cause: any failed write stopped the member, and only a new process opened its data directory again. Since a failed sync leaves records that can be read but that no later sync writes, a new process could also act on records that aren't on disk.

Change: when the store reports ENOSPC or EDQUOT, at the start too, the core is halted for good: it gives up lease and leadership, asks the voter with the longest log to start an election, answers no message and only records which leader it hears; proposals, reads and changes are answered at once. Every 500 ms it removes temporary files, makes a test write, opens the directory anew, writes the log anew (so that nothing depends on a sync that failed) and goes on as a follower with a new core. The state machine keeps what it has applied, which was synced; a log that lacks it is corrupt. A corrupt or foreign directory, and any other disk error, still stop the member: EIO may be a disk that loses data. Then, too, the records that no sync covered are cut off first. A failed rewrite no longer leaves its file open. consensus_storage_usable and two log lines tell the state.

Evidence: the simulated disk can be full from any operation on, and a failed sync is never made up for by a later one.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -122,6 +122,10 @@
 	messages []Message
 	dropped  uint64 // messages addressed to another data directory
 	failure  error
+
+	halted    bool          // by Halt
+	heardTerm uint64        // highest term of a leader's message while halted
+	retryAt   time.Duration // while halted, when the data directory is to be opened again
 }
 
 // State is what a data directory contained at startup.
@@ -226,6 +230,10 @@
 
 // Tick runs the timers that are due at now.
 func (c *Core) Tick(now time.Duration) {
+	if c.halted {
+		c.forgetSilentLeader(now)
+		return
+	}
 	if c.uninitialized() {
 		c.tickFormation(now)
 		return
@@ -242,6 +250,8 @@
 // Deadline returns when Tick is due next.
 func (c *Core) Deadline() time.Duration {
 	switch {
+	case c.halted:
+		return c.retryAt
 	case c.uninitialized():
 		return c.formation.nextHello
 	case c.role == RoleLeader:
@@ -253,6 +263,10 @@
 
 // Step handles a received message.
 func (c *Core) Step(now time.Duration, m Message) {
+	if c.halted {
+		c.observeLeader(now, m)
+		return
+	}
 	m = c.resolveSender(m)
 	if !c.accepts(m) {
 		c.dropped++
--- a/internal/consensus/failure_test.go
+++ b/internal/consensus/failure_test.go
@@ -62,3 +62,28 @@
 	is.True(errors.As(err, &notProposed))
 	is.NoErr(g.Close())
 }
+
+// TestRecordOfFailedSyncIsActedOn restarts a member after a failed sync, whose record can be read
+// but may never reach the disk.
+func TestRecordOfFailedSyncIsActedOn(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	c := emptyCluster(t, "a")
+	dir, err := OpenDir(c.dirs["a"])
+	is.NoErr(err)
+	disk := &failingDisk{Disk: dir}
+	c.disks = map[MemberID]Disk{"a": disk}
+	c.start("a", true)
+	_, err = c.propose(ctx, "one")
+	is.NoErr(err)
+	disk.fail.Store(true)
+	_, err = c.group("a").Propose(ctx, []byte("two"))
+	is.True(err != nil)
+	c.kill("a")
+
+	disk.fail.Store(false)
+	c.start("a", true)
+	_, err = c.propose(ctx, "three")
+	is.NoErr(err)
+	is.Equal(c.machines["a"].commands, []string{"one", "three"})
+}
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -74,6 +74,8 @@
 	requests   chan func(now time.Duration)
 	leadership chan Leadership
 	published  Leadership
+	haltedAt   time.Duration // when the member halted; only valid while halted is set
+	halted     bool
 	lease      atomic.Pointer[Lease] // nil without a lease
 	leader     atomic.Pointer[knownLeader]
 	stop       chan struct{}
@@ -84,7 +86,9 @@
 }
 
 // Start opens the data directory and runs the member. It returns a *CorruptError or
-// a *ForeignStoreError if the directory must not be used.
+// a *ForeignStoreError if the directory must not be used. While the directory has no space
+// left, at the start or later, the member takes no part in the group: it knows the leader, but
+// rejects every proposal, read and change.
 func Start(cfg Config) (*Group, error) {
 	if err := cfg.applyDefaults(); err != nil {
 		return nil, err
@@ -208,9 +212,25 @@
 	g.replica.core.Tick(now)
 	err := g.replica.processReady(now)
 	g.publishState()
+	g.logStorage(now)
 	return err
 }
 
+// logStorage logs that the member has halted, or takes part in the group again.
+func (g *Group) logStorage(now time.Duration) {
+	r := g.replica
+	if halted := r.storageFailure != nil; halted == g.halted {
+		return
+	}
+	g.halted = !g.halted
+	if g.halted {
+		g.haltedAt = now
+		g.log.Error("data directory has no space left; the member takes no part in the group until it has", "member", g.cfg.ID, "term", r.core.hard.Term, "retry", storageRetryInterval.String(), "error", r.storageFailure)
+		return
+	}
+	g.log.Info("data directory has space again; the member follows with what is on disk", "member", g.cfg.ID, "term", r.core.hard.Term, "last", r.core.log.last(), "applied", r.applied, "halted", (now - g.haltedAt).String())
+}
+
 // publishLease makes the lease visible to other goroutines. It is called before any
 // message is sent, so that a released lease is withdrawn before another member is
 // asked to start an election.
@@ -248,6 +268,7 @@
 func (g *Group) fail(err error) {
 	g.log.Error("member stopped", "error", err)
 	g.failure = err
+	g.replica.store.discardUnsynced()
 	g.shutDown(err)
 }
 
--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -99,6 +99,7 @@
 	t         testing.TB
 	transport *loopback
 	dirs      map[MemberID]string
+	disks     map[MemberID]Disk // in place of dirs, where there is one
 	machines  map[MemberID]*commandLog
 	peers     []Peer
 
@@ -135,7 +136,7 @@
 	c.t.Helper()
 	c.machines[id] = &commandLog{}
 	g, err := Start(Config{
-		Group: "test", ID: id, Addr: "127.0.0.1:" + string(id), Dir: c.dirs[id], Peers: c.peers,
+		Group: "test", ID: id, Addr: "127.0.0.1:" + string(id), Dir: c.dirs[id], Disk: c.disks[id], Peers: c.peers,
 		Bootstrap: bootstrap, ElectionTimeout: 300 * time.Millisecond, Heartbeat: 30 * time.Millisecond,
 		SnapshotThreshold: c.threshold, Machine: c.machines[id], Transport: c.transport,
 	})
--- a/internal/consensus/memdisk_test.go
+++ b/internal/consensus/memdisk_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"syscall"
 )
 
 var errCrashed = errors.New("simulated crash")
@@ -20,12 +21,17 @@
 	// crashIn is the number of operations until the next crash; 0 means none, and a
 	// negative value that the crash has happened.
 	crashIn int
+	full    bool // no space is left: writes fail, and so does half of what else changes the disk
+	fullIn  int  // number of operations until the disk is full; 0 means that it doesn't become full
 }
 
 type memFile struct {
 	id     uint64
 	data   []byte
 	synced int // bytes that survive a crash
+	// syncFailed is set after a failed sync: later ones succeed and don't cover the bytes that
+	// it left unsynced.
+	syncFailed bool
 }
 
 func newMemDisk(rng *rand.Rand) *memDisk {
@@ -45,6 +51,22 @@
 	return nil
 }
 
+// countChange counts one operation that may need space, and returns ENOSPC for some while the
+// disk is full.
+func (d *memDisk) countChange() error {
+	if d.fullIn > 0 {
+		d.fullIn--
+		d.full = d.full || d.fullIn == 0
+	}
+	if d.full && d.rng.IntN(2) == 0 {
+		return syscall.ENOSPC
+	}
+	return d.countOp()
+}
+
+// setFull makes the disk full, or gives it room again.
+func (d *memDisk) setFull(full bool) { d.full, d.fullIn = full, 0 }
+
 // changeDir applies f, which creates, renames or removes a file. The change is durable
 // once SyncDir is called.
 func (d *memDisk) changeDir(f func(map[string]*memFile)) {
@@ -78,11 +100,11 @@
 			clear(f.data[f.synced+d.rng.IntN(len(f.data)-f.synced+1):])
 		}
 	}
-	f.synced = len(f.data)
+	f.synced, f.syncFailed = len(f.data), false
 }
 
 func (d *memDisk) Create(name string) (File, error) {
-	if err := d.countOp(); err != nil {
+	if err := d.countChange(); err != nil {
 		return nil, err
 	}
 	d.nextID++
@@ -112,6 +134,9 @@
 	if f == nil {
 		return os.ErrNotExist
 	}
+	if d.full && d.rng.IntN(2) == 0 {
+		return syscall.ENOSPC
+	}
 	d.changeDir(func(m map[string]*memFile) {
 		delete(m, from)
 		m[to] = f
@@ -125,7 +150,7 @@
 }
 
 func (d *memDisk) SyncDir() error {
-	if err := d.countOp(); err != nil {
+	if err := d.countChange(); err != nil {
 		return err
 	}
 	d.durable, d.pending = maps.Clone(d.live), nil
@@ -147,20 +172,30 @@
 }
 
 func (h *memHandle) Write(b []byte) (int, error) {
+	if h.disk.full {
+		n := h.disk.rng.IntN(len(b))
+		h.file.data = append(h.file.data, b[:n]...)
+		return n, syscall.ENOSPC
+	}
 	h.file.data = append(h.file.data, b...)
 	return len(b), h.disk.countOp()
 }
 
 func (h *memHandle) Sync() error {
-	if err := h.disk.countOp(); err != nil {
+	if err := h.disk.countChange(); err != nil {
+		h.file.syncFailed = errors.Is(err, syscall.ENOSPC)
 		return err
 	}
+	if h.file.syncFailed {
+		return nil
+	}
 	h.file.synced = len(h.file.data)
 	return nil
 }
 
 func (h *memHandle) Truncate(size int64) error {
 	h.file.data = h.file.data[:size]
+	h.file.syncFailed = h.file.syncFailed && int(size) > h.file.synced
 	h.file.synced = min(h.file.synced, int(size))
 	return h.disk.countOp()
 }
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -28,9 +29,14 @@
 // replica connects a Core to a store, a state machine and a transport. It isn't safe
 // for concurrent use.
 type replica struct {
+	disk              Disk
+	group             string
+	opts              Options
 	core              *Core
 	store             *store
+	storageFailure    error // why the core is halted; nil while it isn't
 	machine           StateMachine
+	applied           uint64 // last index that the state machine has applied or restored
 	transport         Transport
 	snapshotThreshold uint64                     // entries applied between two snapshots
 	snapshotLogBytes  int                        // of entries in memory at which a snapshot is taken
@@ -54,28 +60,49 @@
 	done  func(error)
 }
 
-// openReplica opens the data directory and restores the state machine from it.
+// openReplica opens the data directory and restores the state machine from it. If the directory
+// has no space left, the replica is halted until it has.
 func openReplica(now time.Duration, disk Disk, group string, opts Options, machine StateMachine, t Transport) (*replica, error) {
+	r := &replica{
+		disk: disk, group: group, opts: opts, machine: machine, transport: t,
+		snapshotThreshold: DefaultSnapshotThreshold, chunkBytes: snapshotChunkBytes, snapshotLogBytes: snapshotLogBytes,
+		pending: map[uint64]pendingProposal{}, beforeSend: func() {},
+	}
 	s, st, err := openStore(disk, group, opts.ID, opts.Rand)
-	if err != nil {
+	switch {
+	case err == nil:
+		return r, r.continueFrom(now, s, st)
+	case isNoSpace(err):
+		r.store, r.core = &store{disk: disk}, NewCore(now, Options{ID: opts.ID, Rand: opts.Rand}, State{})
+		r.halt(now, err)
+		return r, nil
+	default:
 		return nil, err
 	}
-	s.noSync = opts.faults.skipSync
-	if st.Snapshot.Index > 0 {
+}
+
+// continueFrom goes on as a follower with an opened store. The state machine keeps what it has
+// applied: only synced entries are, so the store must hold them.
+func (r *replica) continueFrom(now time.Duration, s *store, st State) error {
+	s.noSync = r.opts.faults.skipSync
+	if st.Snapshot.Index > r.applied {
 		snap, err := s.readSnapshot()
 		if err != nil {
-			return nil, err
+			return err
 		}
-		if err := machine.Restore(snap.Data); err != nil {
-			return nil, ErrStorage.Wrap(err, "restore snapshot %d", snap.Index)
+		if err := r.restore(snap); err != nil {
+			return err
 		}
 	}
+	opts := r.opts
 	opts.Store = s.id
-	return &replica{
-		core: NewCore(now, opts, st), store: s, machine: machine, transport: t,
-		snapshotThreshold: DefaultSnapshotThreshold, chunkBytes: snapshotChunkBytes, snapshotLogBytes: snapshotLogBytes,
-		pending: map[uint64]pendingProposal{}, beforeSend: func() {},
-	}, nil
+	core := NewCore(now, opts, st)
+	if last := core.log.last(); last < r.applied {
+		return &CorruptError{File: s.logName, Reason: fmt.Sprintf("entry %d was applied, but the log ends at entry %d", r.applied, last)}
+	}
+	core.log.commit, core.log.applied = r.applied, r.applied
+	r.store, r.core = s, core
+	return nil
 }
 
 // propose appends a command and calls done once with its result.
@@ -113,7 +140,24 @@
 
 // processReady handles every Ready of the core, compacts the log, and completes proposals
 // and reads.
+//
+// If the data directory has no space left, it halts the replica, and later calls open the
+// directory again.
 func (r *replica) processReady(now time.Duration) error {
+	if r.storageFailure != nil {
+		if resumed, err := r.resume(now); !resumed {
+			return err
+		}
+	}
+	err := r.processOutput(now)
+	if isNoSpace(err) {
+		r.halt(now, err)
+		return nil
+	}
+	return err
+}
+
+func (r *replica) processOutput(now time.Duration) error {
 	r.core.Flush(now)
 	for r.core.HasReady() {
 		if err := r.handleReady(r.core.Ready()); err != nil {
@@ -157,9 +201,15 @@
 	if err := r.store.SaveSnapshot(*rd.Snapshot, r.core.state()); err != nil {
 		return err
 	}
-	if err := r.machine.Restore(rd.Snapshot.Data); err != nil {
-		return ErrStorage.Wrap(err, "restore snapshot %d", rd.Snapshot.Index)
+	return r.restore(*rd.Snapshot)
+}
+
+// restore replaces the state of the state machine by a snapshot that is on disk.
+func (r *replica) restore(snap Snapshot) error {
+	if err := r.machine.Restore(snap.Data); err != nil {
+		return ErrStorage.Wrap(err, "restore snapshot %d", snap.Index)
 	}
+	r.applied = snap.Index
 	return nil
 }
 
@@ -186,6 +236,7 @@
 	if e.Kind == EntryCommand {
 		result = r.machine.Apply(e.Index, e.Data)
 	}
+	r.applied = e.Index
 	p, ok := r.pending[e.Index]
 	if !ok {
 		return
@@ -263,9 +314,13 @@
 // stop fails pending proposals and reads with cause and closes the store.
 func (r *replica) stop(cause error) error {
 	r.failProposals(cause, func(pendingProposal) bool { return true })
+	r.failReads(cause)
+	return r.store.Close()
+}
+
+func (r *replica) failReads(cause error) {
 	for _, read := range r.reads {
 		read.done(cause)
 	}
 	r.reads = nil
-	return r.store.Close()
 }
--- a/internal/consensus/schedules_test.go
+++ b/internal/consensus/schedules_test.go
@@ -27,6 +27,11 @@
 // runSchedule runs the random schedule of a seed and returns its simulation, whose
 // check.err is the first violation.
 func runSchedule(seed uint64, f faults) *simulation {
+	return runScheduleWith(seed, f, func(*simulation) {})
+}
+
+// runScheduleWith is like runSchedule, with further events that prepare adds.
+func runScheduleWith(seed uint64, f faults, prepare func(*simulation)) *simulation {
 	size := 3
 	switch {
 	case seed%16 == 0:
@@ -44,6 +49,7 @@
 	sim.after(0, sim.repairMembers)
 	sim.after(time.Second, sim.generateLoad)
 	sim.after(sim.random(0, 3*time.Second), sim.injectFaults)
+	prepare(sim)
 	sim.run(faultyTime)
 	sim.heal()
 	sim.run(faultyTime + healingTime)
@@ -198,6 +204,7 @@
 	sim.loss, sim.duplicate, sim.delay = 0, 0, 2*time.Millisecond
 	for _, m := range sim.members {
 		m.disk.crashIn = 0
+		m.disk.setFull(false)
 		m.start()
 	}
 }
@@ -224,6 +231,9 @@
 		return
 	}
 	core, store := m.replica.core, broken.replica.store.id
+	if store == 0 { // its data directory has never been opened
+		return
+	}
 	change := Change{Kind: ChangeAddLearner, ID: broken.id, Addr: string(broken.id), Store: store}
 	if known := core.membership().Find(broken.id); known != nil && known.Store == store {
 		if !known.Learner {
@@ -246,6 +256,45 @@
 //
 //	go test ./internal/consensus -run TestSchedules -schedules 10000
 func TestSchedules(t *testing.T) {
+	testSchedules(t, func(seed uint64) *simulation { return runSchedule(seed, faults{}) })
+}
+
+// TestSchedulesWithFullDisks runs schedules like those of TestSchedules in which disks are also
+// full in turn: from any operation on, during a reopening too, and that of the leader as often
+// as those of all others.
+//
+//	go test ./internal/consensus -run TestSchedulesWithFullDisks -schedules 10000
+func TestSchedulesWithFullDisks(t *testing.T) {
+	testSchedules(t, runFullDisks)
+}
+
+func runFullDisks(seed uint64) *simulation {
+	return runScheduleWith(seed, faults{}, func(sim *simulation) { sim.after(time.Second, sim.fillDisk) })
+}
+
+// fillDisk makes one disk full after another. Some are full again while the member reopens them.
+func (sim *simulation) fillDisk() {
+	if sim.now > faultyTime {
+		return
+	}
+	m := sim.randomMember()
+	if lead := sim.leader(); lead != nil && sim.rng.IntN(2) == 0 {
+		m = lead
+	}
+	m.disk.fullIn = 1 + sim.rng.IntN(12)
+	full := sim.random(100*time.Millisecond, 4*time.Second)
+	sim.after(full, func() {
+		m.disk.setFull(false)
+		if sim.rng.IntN(3) == 0 {
+			m.disk.fullIn = 1 + sim.rng.IntN(30)
+			sim.after(sim.random(100*time.Millisecond, 2*time.Second), func() { m.disk.setFull(false) })
+		}
+	})
+	sim.after(full+sim.random(0, 2*time.Second), sim.fillDisk)
+}
+
+// testSchedules runs schedules from firstSeed on and reports their violations.
+func testSchedules(t *testing.T, run func(seed uint64) *simulation) {
 	seeds := make(chan uint64)
 	go func() {
 		defer close(seeds)
@@ -259,7 +308,7 @@
 	for range max(1, min(3, runtime.GOMAXPROCS(0)/2)) {
 		wg.Go(func() {
 			for seed := range seeds {
-				sim := runSchedule(seed, faults{})
+				sim := run(seed)
 				mu.Lock()
 				acked += len(sim.check.acked)
 				leased += sim.check.leased
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -201,7 +201,11 @@
 		m.sim.after(m.sim.random(100*time.Millisecond, time.Second), m.start)
 		return
 	}
-	m.sim.check.checkMember(m)
+	if m.replica.storageFailure == nil {
+		m.sim.check.checkMember(m)
+	} else { // as after a crash, what it holds in memory counts no more
+		m.role, m.checked = RoleFollower, 0
+	}
 	m.scheduleTick()
 }
 
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -22,7 +22,10 @@
 	Last         uint64
 	Snapshot     uint64 // index of the newest snapshot
 	Transferring bool
-	Members      []MemberStatus
+	// Halted is set while the data directory has no space left and the member takes no part in
+	// the group.
+	Halted  bool
+	Members []MemberStatus
 	// ChangePending is set while the membership in force isn't committed, so that Members
 	// may still be reverted.
 	ChangePending bool
@@ -65,7 +68,7 @@
 		ID: c.opts.ID, Store: c.opts.Store, Role: c.role.String(), Term: c.hard.Term,
 		Leader: c.leader, LeaderAddr: c.memberAddr(c.leader),
 		Commit: c.log.commit, Applied: c.log.applied, Last: c.log.last(), Snapshot: c.snapshot.Index,
-		Transferring: c.leadership.transfer != nil, LossesLeft: -1, Dropped: c.dropped,
+		Transferring: c.leadership.transfer != nil, Halted: c.halted, LossesLeft: -1, Dropped: c.dropped,
 		ChangePending: c.log.commit < c.lastChangeIndex(),
 	}
 	for _, m := range c.membership().Members {
@@ -97,15 +100,15 @@
 
 // meters are the metrics of one member.
 type meters struct {
-	term, commit, applied, last, leading, syncs metrics.Gauge
-	dropped                                     metrics.Counter
+	term, commit, applied, last, leading, syncs, storageUsable metrics.Gauge
+	dropped                                                    metrics.Counter
 }
 
 func newMeters(r metrics.Registry) meters {
 	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge("consensus."+name, r) }
 	return meters{
 		term: gauge("term"), commit: gauge("commit"), applied: gauge("applied"), last: gauge("last"),
-		leading: gauge("leading"), syncs: gauge("syncs"),
+		leading: gauge("leading"), syncs: gauge("syncs"), storageUsable: gauge("storage_usable"),
 		dropped: metrics.GetOrRegisterCounter("consensus.inbox_dropped", r),
 	}
 }
@@ -117,9 +120,13 @@
 	m.applied.Update(int64(r.core.log.applied))
 	m.last.Update(int64(r.core.log.last()))
 	m.syncs.Update(int64(r.store.syncs))
-	leading := int64(0)
-	if r.core.role == RoleLeader {
-		leading = 1
+	m.leading.Update(oneIf(r.core.role == RoleLeader))
+	m.storageUsable.Update(oneIf(r.storageFailure == nil))
+}
+
+func oneIf(b bool) int64 {
+	if b {
+		return 1
 	}
-	m.leading.Update(leading)
+	return 0
 }
--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -16,12 +16,14 @@
 
 // store keeps the log, the hard state and the newest snapshot in a data directory.
 // A change is durable once the method returns without error. After an error the
-// store must not be used: what a failed sync left on disk is unknown.
+// store must not be used: what a failed sync left on disk is unknown. The data directory is
+// opened anew instead.
 type store struct {
 	disk     Disk
 	id       StoreID
 	log      File
 	logName  string
+	logSize  int64  // bytes of the log file that are synced
 	number   uint64 // of the log file; the file with the highest number is current
 	seq      uint64 // of the next frame
 	snapshot string // name of the newest snapshot file, empty if there is none
@@ -40,11 +42,17 @@
 		return nil, State{}, err
 	}
 	s := &store{disk: disk, id: ident.Store}
+	var st State
 	if fresh {
-		return s, State{}, s.startLog(logRecord{Start: &logStart{}})
+		err = s.startLog(logRecord{Start: &logStart{}})
+	} else {
+		st, err = s.load()
 	}
-	st, err := s.load()
-	return s, st, err
+	if err != nil {
+		s.closeLog()
+		return nil, State{}, err
+	}
+	return s, st, nil
 }
 
 func writeSynced(f File, b []byte) error {
@@ -190,6 +198,7 @@
 	if err := f.Sync(); err != nil {
 		return storageError(err, "sync", s.logName)
 	}
+	s.logSize = validSize
 	return storageError(s.disk.SyncDir(), "sync the directory of", s.logName)
 }
 
@@ -215,7 +224,11 @@
 	if hard == nil && len(entries) == 0 {
 		return nil
 	}
-	return s.writeRecord(s.log, logRecord{Hard: hard, Entries: entries})
+	if err := s.writeRecord(s.log, logRecord{Hard: hard, Entries: entries}); err != nil {
+		return err
+	}
+	s.logSize += int64(len(s.buf))
+	return nil
 }
 
 func (s *store) writeRecord(f File, r logRecord) error {
@@ -245,14 +258,16 @@
 		return storageError(err, "create", temp)
 	}
 	s.seq = 0
-	if err := s.writeRecord(f, first); err != nil {
-		return err
+	err = s.writeRecord(f, first)
+	if err == nil {
+		err = renameDurably(s.disk, temp, name)
 	}
-	if err := renameDurably(s.disk, temp, name); err != nil {
+	if err != nil {
+		f.Close()
 		return err
 	}
 	former, formerName := s.log, s.logName
-	s.log, s.logName = f, name
+	s.log, s.logName, s.logSize = f, name, int64(len(s.buf))
 	if former == nil {
 		return nil
 	}
@@ -315,10 +330,25 @@
 	return snap, nil
 }
 
-// Close releases the files.
-func (s *store) Close() error {
+// discardUnsynced drops the records of the log file that no sync has covered, and closes it. After
+// a failed sync they can be read, but may never reach the disk, and a process that is started
+// meanwhile must not act on them. The store must not be used any more.
+func (s *store) discardUnsynced() {
+	if s.log != nil {
+		_ = s.log.Truncate(s.logSize) // reopen doesn't need it: it writes the log anew
+	}
+	s.closeLog()
+}
+
+func (s *store) closeLog() {
 	if s.log != nil {
 		s.log.Close()
+		s.log = nil
 	}
+}
+
+// Close releases the files.
+func (s *store) Close() error {
+	s.closeLog()
 	return s.disk.Close()
 }
