control: operators are sent on by a member whose disk is full; a stopped member names no leader

Callers saw: with the disks of the leaders full in turn, each member that had led stayed out for good; a member that had stopped went on naming the leader that it knew then, itself if it led, and kept its grantor, for as long as its process waited for room.

Cause: the group published neither its leadership nor the known leader when it stopped. A halted member could also be asked by membershipLoop whether it was removed for its silence, and then clear data with which it can be added again.

Change: a stopping group publishes that it doesn't lead and knows no leader. The check for a removal leaves halted members out. Config.Disk replaces the directory in tests.

TestFailedSyncStopsTheMember now also asks for the published leader.

--- a/internal/consensus/failure_test.go
+++ b/internal/consensus/failure_test.go
@@ -57,6 +57,9 @@
 	is.True(errorx.IsOfType(g.Err(), ErrStorage))
 	_, leased := g.LeaderLease()
 	is.True(!leased)
+	leader, _ := g.KnownLeader()
+	is.Equal(leader, "") // it named itself to the end
+	is.True(!(<-g.LeadershipChanges()).Leading)
 	_, err = g.Propose(t.Context(), []byte("three"))
 	var notProposed *NotProposedError
 	is.True(errors.As(err, &notProposed))
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -275,6 +275,9 @@
 func (g *Group) shutDown(cause error) {
 	g.lease.Store(nil)
 	g.closeErr = g.replica.stop(cause)
+	g.replica.core.Halt()
+	g.replica.core.leader = "" // a stopped member doesn't learn of the next one
+	g.publishState()
 }
 
 // Receive queues a message from another member. It never blocks: if the inbox is
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -37,8 +37,9 @@
 	// CopyRate bounds the rate at which this member sends copies of the
 	// configuration, in bytes per second; 0 means no bound.
 	CopyRate int64
-	// Dir is the data directory.
+	// Dir is the data directory. Disk replaces it if set.
 	Dir     string
+	Disk    consensus.Disk
 	Session session.Settings
 	// Ledger bounds the records of requests that run at most once.
 	Ledger ledger.Limits
@@ -136,7 +137,7 @@
 		peers = append(peers, consensus.Peer{ID: consensus.MemberID(addr), Addr: addr})
 	}
 	return consensus.Config{
-		Group: groupName, ID: consensus.MemberID(s.cfg.Addr), Addr: s.cfg.Addr, Dir: s.cfg.Dir,
+		Group: groupName, ID: consensus.MemberID(s.cfg.Addr), Addr: s.cfg.Addr, Dir: s.cfg.Dir, Disk: s.cfg.Disk,
 		Peers: peers, Bootstrap: !s.cfg.Join, AcceptChangedFileIDs: s.cfg.AcceptChangedFileIDs,
 		ElectionTimeout: s.cfg.ElectionTimeout, Heartbeat: s.cfg.ElectionTimeout / heartbeatsPerElectionTimeout,
 		Machine: s.stateMachine, Transport: t,
--- a/internal/control/standing.go
+++ b/internal/control/standing.go
@@ -74,8 +74,10 @@
 	leaderless := 0
 	fleet.Every(ctx, membershipInterval, func(ctx context.Context) {
 		status, err := s.group.Status(ctx)
-		if err != nil || status.Leader != "" || len(status.Members) == 0 {
-			leaderless = 0 // the leader is known, or this member is stopped or not yet added
+		if err != nil || status.Leader != "" || len(status.Members) == 0 || status.Halted {
+			// The leader is known, or this member is stopped or not yet added. One that is halted
+			// may have been removed for its silence, and is added again with its data.
+			leaderless = 0
 			return
 		}
 		if leaderless++; leaderless > leaderlessChecks && s.wasRemoved(ctx, status) {
