consensus: a halted member writes its log anew only after a failed sync

Cause: reopen wrote the log anew each time. That is needed only where a sync failed, in the store or in an attempt to open it; after a write that failed, the records that no sync covered are cut off, and the rest is on disk.

Evidence: TestLittleSpaceKeepsMemberOut (the former TestTemporaryFileKeepsDiskFull, now also without space for a log file) failed before: 'create log-.tmp, cause: no space left on device'.

--- a/internal/consensus/halt_test.go
+++ b/internal/consensus/halt_test.go
@@ -177,10 +177,13 @@
 	is.True(sim.leader() != nil && sim.leader() != former)
 }
 
-// littleSpace is a disk on which a second temporary file finds no space.
+// littleSpace is a disk on which neither a second temporary file nor a log file finds space.
 type littleSpace struct{ *memDisk }
 
 func (d littleSpace) Create(name string) (File, error) {
+	if strings.HasPrefix(name, logPrefix) {
+		return nil, syscall.ENOSPC
+	}
 	for other := range d.live {
 		if strings.HasSuffix(other, tempSuffix) && other != name {
 			return nil, syscall.ENOSPC
@@ -189,9 +192,9 @@
 	return d.memDisk.Create(name)
 }
 
-// TestTemporaryFileKeepsDiskFull checks that what a failed rewrite left behind doesn't keep the
-// member from its data directory.
-func TestTemporaryFileKeepsDiskFull(t *testing.T) {
+// TestLittleSpaceKeepsMemberOut checks that a member returns to a disk with room for records, but
+// neither for its log as a whole nor beside what a failed rewrite left behind.
+func TestLittleSpaceKeepsMemberOut(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(1, 1, faults{})
 	m := sim.members[0]
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -35,6 +35,7 @@
 	core              *Core
 	store             *store
 	storageFailure    error // why the core is halted; nil while it isn't
+	rewriteLog        bool  // write the log anew when the data directory is opened again
 	machine           StateMachine
 	applied           uint64 // last index that the state machine has applied or restored
 	transport         Transport
@@ -73,7 +74,7 @@
 	case err == nil:
 		return r, r.continueFrom(now, s, st)
 	case isNoSpace(err):
-		r.store, r.core = &store{disk: disk}, NewCore(now, Options{ID: opts.ID, Rand: opts.Rand}, State{})
+		r.store, r.core = &store{disk: disk, suspect: true}, NewCore(now, Options{ID: opts.ID, Rand: opts.Rand}, State{})
 		r.halt(now, err)
 		return r, nil
 	default:
--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -19,11 +19,14 @@
 // store must not be used: what a failed sync left on disk is unknown. The data directory is
 // opened anew instead.
 type store struct {
-	disk     Disk
-	id       StoreID
-	log      File
-	logName  string
-	logSize  int64  // bytes of the log file that are synced
+	disk    Disk
+	id      StoreID
+	log     File
+	logName string
+	logSize int64 // bytes of the log file that are synced
+	// suspect is set if a failed sync may have left records that can be read, but that no
+	// later sync writes to the disk.
+	suspect  bool
 	number   uint64 // of the log file; the file with the highest number is current
 	seq      uint64 // of the next frame
 	snapshot string // name of the newest snapshot file, empty if there is none
@@ -245,7 +248,9 @@
 		return nil
 	}
 	s.syncs++
-	return storageError(f.Sync(), "sync", s.logName)
+	err = f.Sync()
+	s.suspect = s.suspect || err != nil
+	return storageError(err, "sync", s.logName)
 }
 
 // startLog creates a log file with one record, which replaces the current log file.
@@ -334,8 +339,8 @@
 // a failed sync they can be read, but may never reach the disk, and a process that is started
 // meanwhile must not act on them. The store must not be used any more.
 func (s *store) discardUnsynced() {
-	if s.log != nil {
-		_ = s.log.Truncate(s.logSize) // reopen doesn't need it: it writes the log anew
+	if s.log != nil && s.log.Truncate(s.logSize) != nil {
+		s.suspect = true
 	}
 	s.closeLog()
 }
