consensus: a data directory that can't be created for lack of space is opened later

Callers saw: a process whose disk was full before it had a data directory waited for room and then ended by itself.

Cause: OpenDir's error was returned by Start, before the member could halt.

A planned group checks that the repair of the membership doesn't shrink the group while members are silent in turn, for less and for more than silentTimeout: it passes on the former code too, so this suspect is ruled out.

Evidence: TestFullDiskWithoutDirectoryEndsProcess (new code under test: openDirLater). consensus, control and agent pass under -race.

--- a/internal/consensus/disk.go
+++ b/internal/consensus/disk.go
@@ -72,6 +72,43 @@
 	return &dirDisk{path: path, lock: lock}, nil
 }
 
+// lateDisk is a Disk that opens its data directory with the first List that succeeds. Nothing else
+// may be called before.
+type lateDisk struct {
+	Disk // nil until then
+	open func() (Disk, error)
+}
+
+// openDirLater opens a data directory. If there is no space to create it, the returned Disk opens
+// it later.
+func openDirLater(path string, open func(path string) (Disk, error)) (Disk, error) {
+	disk, err := open(path)
+	if isNoSpace(err) {
+		return &lateDisk{open: func() (Disk, error) { return open(path) }}, nil
+	}
+	return disk, err
+}
+
+// List implements Disk.
+func (d *lateDisk) List() ([]string, error) {
+	if d.Disk == nil {
+		disk, err := d.open()
+		if err != nil {
+			return nil, err
+		}
+		d.Disk = disk
+	}
+	return d.Disk.List()
+}
+
+// Close implements Disk.
+func (d *lateDisk) Close() error {
+	if d.Disk == nil {
+		return nil
+	}
+	return d.Disk.Close()
+}
+
 func (f *dirDisk) file(name string) string { return filepath.Join(f.path, name) }
 
 func (f *dirDisk) Create(name string) (File, error) {
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -96,7 +96,7 @@
 	disk := cfg.Disk
 	if disk == nil {
 		var err error
-		if disk, err = OpenDir(cfg.Dir); err != nil {
+		if disk, err = openDirLater(cfg.Dir, OpenDir); err != nil {
 			return nil, storageError(err, "open", cfg.Dir)
 		}
 	}
--- a/internal/consensus/halt_test.go
+++ b/internal/consensus/halt_test.go
@@ -234,3 +234,29 @@
 	c.Tick(now + DefaultElectionTimeout)
 	is.Equal(c.leader, MemberID(""))
 }
+
+// TestFullDiskWithoutDirectoryEndsProcess starts a member whose data directory can't be created
+// for lack of space.
+func TestFullDiskWithoutDirectoryEndsProcess(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 1, faults{})
+	m := sim.members[0]
+	full := true
+	disk, err := openDirLater("data", func(string) (Disk, error) {
+		if full {
+			return nil, syscall.ENOSPC
+		}
+		return m.disk, nil
+	})
+	is.NoErr(err)
+	is.NoErr(disk.Close())
+	r, err := openReplica(0, disk, "test", Options{ID: m.id, Rand: testRand(), Bootstrap: true}, &commandLog{}, m)
+	is.NoErr(err)
+	is.NoErr(r.processReady(storageRetryInterval))
+	is.True(r.storageFailure != nil)
+	full = false
+	is.NoErr(r.processReady(2 * storageRetryInterval))
+	is.NoErr(r.storageFailure)
+	is.Equal(r.core.role, RoleLeader)
+	is.NoErr(r.stop(errCrashed))
+}
--- a/internal/control/full_disk_test.go
+++ b/internal/control/full_disk_test.go
@@ -101,3 +101,80 @@
 		is.True(fleet.Await(ctx, 20*time.Millisecond, func() bool { return slices.Equal(voters(members...), all) }))
 	}
 }
+
+// plannedGroup is a control group whose membership follows a repairPlanner.
+type plannedGroup struct {
+	planner *repairPlanner
+	now     time.Duration
+	commit  uint64
+	members map[consensus.MemberID]consensus.MemberStatus
+	halted  consensus.MemberID
+	all     []consensus.MemberID
+}
+
+// status returns what the leader sees: a halted member is silent, and one that was removed waits
+// to be added once it is heard again.
+func (g *plannedGroup) status() consensus.Status {
+	s := consensus.Status{Commit: g.commit}
+	for _, id := range g.all {
+		m, listed := g.members[id]
+		m.Active, m.Match = id != g.halted, g.commit
+		switch {
+		case listed:
+			s.Members = append(s.Members, m)
+		case m.Active:
+			s.Waiting = append(s.Waiting, consensus.WaitingStore{ID: id, Addr: string(id), Store: 1})
+		}
+	}
+	return s
+}
+
+// step makes the change that is due, if any, and returns the number of voters.
+func (g *plannedGroup) step() (voters int) {
+	g.now += repairInterval
+	if change, due := g.planner.nextChange(g.now, g.status()); due {
+		switch change.Kind {
+		case consensus.ChangeAddLearner:
+			g.members[change.ID] = learner(string(change.ID), true)
+		case consensus.ChangePromote:
+			g.members[change.ID] = voter(string(change.ID), true)
+		case consensus.ChangeRemove:
+			delete(g.members, change.ID)
+		}
+	}
+	for _, m := range g.members {
+		if !m.Learner {
+			voters++
+		}
+	}
+	return voters
+}
+
+// Members whose disks are full in turn, for less and for more than silentTimeout, are silent in turn.
+// The group must not lose one of them for good.
+func TestFullDisksInTurnShrinkGroup(t *testing.T) {
+	for size := 3; size <= 6; size++ {
+		for _, full := range []time.Duration{4 * time.Second, silentTimeout + 5*time.Second} {
+			is := is.New(t)
+			g := &plannedGroup{planner: newRepairPlanner(true), commit: 9, members: map[consensus.MemberID]consensus.MemberStatus{}}
+			for i := range size {
+				id := consensus.MemberID(string(rune('a' + i)))
+				g.all = append(g.all, id)
+				g.members[id] = voter(string(id), true)
+			}
+			for range 2 {
+				for _, id := range g.all {
+					for end := g.now + full; g.now < end; {
+						g.halted = id
+						is.True(g.step() >= min(size, size-1+size%2))
+					}
+					g.halted = ""
+					for end := g.now + time.Second; g.now < end; {
+						g.step()
+					}
+					is.Equal(g.step(), size)
+				}
+			}
+		}
+	}
+}
