consensus: full disks from each operation of a start on; what a failed sync at a start leaves

TestDiskFullWithinStart starts a member on an empty disk, one with a log and one that is being cleared, full from each operation on; without the halt it fails, 'failed to start: ... write store.tmp, cause: no space left on device'. TestSyncThatFailedAtStartIsRepeated: without the new log after a failed sync a commit is lost ('leader completeness: 10.0.0.1:7300 leads term 3 without entry 3 of term 2').

--- a/internal/consensus/halt_test.go
+++ b/internal/consensus/halt_test.go
@@ -260,3 +260,80 @@
 	is.Equal(r.core.role, RoleLeader)
 	is.NoErr(r.stop(errCrashed))
 }
+
+// newDiskForStart returns a disk that is empty, holds a command, or is being cleared.
+func newDiskForStart(t *testing.T, seed uint64, kind string) (*simulation, *simMember) {
+	sim := newSimulation(seed, 1, faults{})
+	m := sim.members[0]
+	if kind != "empty" {
+		m.start()
+		sim.run(time.Second)
+		m.exec(func() { m.replica.propose(m.localTime(), []byte("kept"), func([]byte, error) {}) })
+		m.kill()
+	}
+	if kind == "clearing" {
+		_, err := m.disk.Create(clearingFile)
+		is.New(t).NoErr(err)
+		sim.check = newChecker() // another group of one may form
+		sim.check.now = func() time.Duration { return sim.now }
+	}
+	return sim, m
+}
+
+// TestDiskFullWithinStart starts a member on a disk that is full from each operation on, in turn,
+// with what the attempts before have left.
+func TestDiskFullWithinStart(t *testing.T) {
+	for _, kind := range []string{"empty", "log", "clearing"} {
+		t.Run(kind, func(t *testing.T) {
+			is := is.New(t)
+			halts := 0
+			for seed := range uint64(20) {
+				sim, m := newDiskForStart(t, seed, kind)
+				for n := 1; n < 16; n++ {
+					m.disk.fullIn = n
+					m.start()
+					sim.run(sim.now + 2*storageRetryInterval)
+					is.NoErr(sim.check.err)
+					if m.replica.storageFailure != nil {
+						halts++
+					}
+					m.kill()
+				}
+				m.disk.setFull(false)
+				m.start()
+				sim.run(sim.now + 2*storageRetryInterval)
+				is.NoErr(sim.check.err)
+				is.Equal(sim.leader(), m)
+				is.Equal(sim.check.appliedAt["kept"] != 0, kind == "log")
+				is.Equal(m.machine.sum != 0, kind == "log")
+			}
+			is.True(halts > 0)
+		})
+	}
+}
+
+// TestSyncThatFailedAtStartIsRepeated starts a member on a full disk after its process was killed
+// between a write and its sync. Once there is room, a second sync of that record proves nothing.
+func TestSyncThatFailedAtStartIsRepeated(t *testing.T) {
+	is := is.New(t)
+	failed := 0
+	for seed := range uint64(20) {
+		sim, m := newDiskForStart(t, seed, "log")
+		f := m.disk.live[logPrefix+"0000000000000001"]
+		f.synced = len(f.data) / 2
+		m.disk.full = true
+		m.start()
+		if f.syncFailed {
+			failed++
+		}
+		m.disk.setFull(false)
+		sim.run(sim.now + 2*storageRetryInterval)
+		is.Equal(sim.leader(), m)
+		m.crash()
+		m.start()
+		sim.run(sim.now + time.Second)
+		is.NoErr(sim.check.err)
+		is.True(m.machine.sum != 0)
+	}
+	is.True(failed > 0)
+}
