--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -24,8 +24,8 @@
 	log     File
 	logName string
 	logSize int64 // bytes of the log file that are synced
-	// suspect is set if a failed sync may have left records that can be read, but that no
-	// later sync writes to the disk.
+	// suspect is set if a failed sync may have left records or names that can be read, but
+	// that no later sync writes to the disk.
 	suspect  bool
 	number   uint64 // of the log file; the file with the highest number is current
 	seq      uint64 // of the next frame
@@ -265,7 +265,7 @@
 	s.seq = 0
 	err = s.writeRecord(f, first)
 	if err == nil {
-		err = renameDurably(s.disk, temp, name)
+		err = s.rename(temp, name)
 	}
 	if err != nil {
 		f.Close()
@@ -312,7 +312,15 @@
 	if err := writeSynced(f, appendFrame(nil, s.id, 0, payload)); err != nil {
 		return storageError(err, "write", temp)
 	}
-	return renameDurably(s.disk, temp, name)
+	return s.rename(temp, name)
+}
+
+// rename renames a synced temporary file. If that fails, the directory may show what a later sync
+// doesn't make durable.
+func (s *store) rename(temp, name string) error {
+	err := renameDurably(s.disk, temp, name)
+	s.suspect = s.suspect || err != nil
+	return err
 }
 
 // readSnapshot returns the newest snapshot with its data.
