--- a/internal/consensus/failure_test.go
+++ b/internal/consensus/failure_test.go
@@ -57,8 +57,36 @@
 	is.True(errorx.IsOfType(g.Err(), ErrStorage))
 	_, leased := g.LeaderLease()
 	is.True(!leased)
+	leader, _ := g.KnownLeader()
+	is.Equal(leader, "") // it named itself to the end
+	is.True(!(<-g.LeadershipChanges()).Leading)
 	_, err = g.Propose(t.Context(), []byte("three"))
 	var notProposed *NotProposedError
 	is.True(errors.As(err, &notProposed))
 	is.NoErr(g.Close())
 }
+
+// TestRecordOfFailedSyncIsActedOn restarts a member after a failed sync, whose record can be read
+// but may never reach the disk.
+func TestRecordOfFailedSyncIsActedOn(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	c := emptyCluster(t, "a")
+	dir, err := OpenDir(c.dirs["a"])
+	is.NoErr(err)
+	disk := &failingDisk{Disk: dir}
+	c.disks = map[MemberID]Disk{"a": disk}
+	c.start("a", true)
+	_, err = c.propose(ctx, "one")
+	is.NoErr(err)
+	disk.fail.Store(true)
+	_, err = c.group("a").Propose(ctx, []byte("two"))
+	is.True(err != nil)
+	c.kill("a")
+
+	disk.fail.Store(false)
+	c.start("a", true)
+	_, err = c.propose(ctx, "three")
+	is.NoErr(err)
+	is.Equal(c.machines["a"].commands, []string{"one", "three"})
+}
--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -16,12 +16,17 @@
 
 // store keeps the log, the hard state and the newest snapshot in a data directory.
 // A change is durable once the method returns without error. After an error the
-// store must not be used: what a failed sync left on disk is unknown.
+// store must not be used: what a failed sync left on disk is unknown. The data directory is
+// opened anew instead.
 type store struct {
-	disk     Disk
-	id       StoreID
-	log      File
-	logName  string
+	disk    Disk
+	id      StoreID
+	log     File
+	logName string
+	logSize int64 // bytes of the log file that are synced
+	// suspect is set if a failed sync may have left records or names that can be read, but
+	// that no later sync writes to the disk.
+	suspect  bool
 	number   uint64 // of the log file; the file with the highest number is current
 	seq      uint64 // of the next frame
 	snapshot string // name of the newest snapshot file, empty if there is none
@@ -40,11 +45,17 @@
 		return nil, State{}, err
 	}
 	s := &store{disk: disk, id: ident.Store}
+	var st State
 	if fresh {
-		return s, State{}, s.startLog(logRecord{Start: &logStart{}})
+		err = s.startLog(logRecord{Start: &logStart{}})
+	} else {
+		st, err = s.load()
 	}
-	st, err := s.load()
-	return s, st, err
+	if err != nil {
+		s.closeLog()
+		return nil, State{}, err
+	}
+	return s, st, nil
 }
 
 func writeSynced(f File, b []byte) error {
@@ -190,6 +201,7 @@
 	if err := f.Sync(); err != nil {
 		return storageError(err, "sync", s.logName)
 	}
+	s.logSize = validSize
 	return storageError(s.disk.SyncDir(), "sync the directory of", s.logName)
 }
 
@@ -215,7 +227,11 @@
 	if hard == nil && len(entries) == 0 {
 		return nil
 	}
-	return s.writeRecord(s.log, logRecord{Hard: hard, Entries: entries})
+	if err := s.writeRecord(s.log, logRecord{Hard: hard, Entries: entries}); err != nil {
+		return err
+	}
+	s.logSize += int64(len(s.buf))
+	return nil
 }
 
 func (s *store) writeRecord(f File, r logRecord) error {
@@ -232,7 +248,9 @@
 		return nil
 	}
 	s.syncs++
-	return storageError(f.Sync(), "sync", s.logName)
+	err = f.Sync()
+	s.suspect = s.suspect || err != nil
+	return storageError(err, "sync", s.logName)
 }
 
 // startLog creates a log file with one record, which replaces the current log file.
@@ -245,14 +263,16 @@
 		return storageError(err, "create", temp)
 	}
 	s.seq = 0
-	if err := s.writeRecord(f, first); err != nil {
-		return err
+	err = s.writeRecord(f, first)
+	if err == nil {
+		err = s.rename(temp, name)
 	}
-	if err := renameDurably(s.disk, temp, name); err != nil {
+	if err != nil {
+		f.Close()
 		return err
 	}
 	former, formerName := s.log, s.logName
-	s.log, s.logName = f, name
+	s.log, s.logName, s.logSize = f, name, int64(len(s.buf))
 	if former == nil {
 		return nil
 	}
@@ -292,7 +312,15 @@
 	if err := writeSynced(f, appendFrame(nil, s.id, 0, payload)); err != nil {
 		return storageError(err, "write", temp)
 	}
-	return renameDurably(s.disk, temp, name)
+	return s.rename(temp, name)
+}
+
+// rename renames a synced temporary file. If that fails, the directory may show what a later sync
+// doesn't make durable.
+func (s *store) rename(temp, name string) error {
+	err := renameDurably(s.disk, temp, name)
+	s.suspect = s.suspect || err != nil
+	return err
 }
 
 // readSnapshot returns the newest snapshot with its data.
@@ -315,10 +343,25 @@
 	return snap, nil
 }
 
-// Close releases the files.
-func (s *store) Close() error {
+// discardUnsynced drops the records of the log file that no sync has covered, and closes it. After
+// a failed sync they can be read, but may never reach the disk, and a process that is started
+// meanwhile must not act on them. The store must not be used any more.
+func (s *store) discardUnsynced() {
+	if s.log != nil && s.log.Truncate(s.logSize) != nil {
+		s.suspect = true
+	}
+	s.closeLog()
+}
+
+func (s *store) closeLog() {
 	if s.log != nil {
 		s.log.Close()
+		s.log = nil
 	}
+}
+
+// Close releases the files.
+func (s *store) Close() error {
+	s.closeLog()
 	return s.disk.Close()
 }
