routes: a configuration without tenants admits nobody

Cause: an empty list of workspaces was taken for a table that asks for no keys, in decoding and in the index. Change: only the absence of the field means that no keys are asked. An empty key opens nothing.

--- a/internal/routes/index.go
+++ b/internal/routes/index.go
@@ -36,7 +36,9 @@
 	}
 	for i := range t.Workspaces {
 		for _, key := range t.Workspaces[i].Keys {
-			x.workspaces[key] = &t.Workspaces[i]
+			if key != "" { // a request without a key has none of theirs
+				x.workspaces[key] = &t.Workspaces[i]
+			}
 		}
 	}
 	return x
@@ -63,7 +65,7 @@
 func (x *Index) Pool(name fleet.PoolID) *Pool { return x.pools[name] }
 
 // RequiresKeys reports whether routes that are not public require an API key.
-func (x *Index) RequiresKeys() bool { return len(x.table.Workspaces) > 0 }
+func (x *Index) RequiresKeys() bool { return x.table.Workspaces != nil }
 
 // Workspace returns the workspace that has the API key, or nil.
 func (x *Index) Workspace(key string) *Workspace { return x.workspaces[key] }
--- a/internal/routes/types.go
+++ b/internal/routes/types.go
@@ -23,9 +23,11 @@
 // Table is one version of the routing table. It is immutable once published.
 type Table struct {
 	// Version numbers the tables; the table with the highest one is in force.
-	Version    uint64
-	Routes     []Route
-	Pools      []Pool
+	Version uint64
+	Routes  []Route
+	Pools   []Pool
+	// Workspaces hold the keys with which routes that aren't public may be called; nil means that
+	// they need none.
 	Workspaces []Workspace
 	Limits     CallerLimits
 }
