control: real processes with full disks in turn in the linearizability test

TestCallsAreLinearizableUnderProcessFaults fills the disk of three leaders in turn, two seconds each, by signal.

--- a/internal/control/process_test.go
+++ b/internal/control/process_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"sort"
@@ -24,6 +25,7 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/wigeonflow/wigeonflow/internal/consensus"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/ledger"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
@@ -45,14 +47,22 @@
 	os.Exit(m.Run())
 }
 
-// runMember runs one control member until the process is killed.
+// runMember runs one control member until the process is killed. Its disk is full from fillSignal to
+// emptySignal.
 func runMember(args []string) {
 	addr, operators, dir, members := args[0], args[1], args[2], args[3:]
 	log := hclog.New(&hclog.LoggerOptions{Level: hclog.Warn, Output: os.Stderr}).With("member", addr)
 	cfg := mesh.Config{Instance: fleet.InstanceID(addr)}
 	server := mesh.NewServer(cfg)
+	dataDir, err := consensus.OpenDir(dir)
+	if err != nil {
+		log.Error("data directory not opened", "error", err)
+		os.Exit(1)
+	}
+	disk := &fullDisk{Disk: dataDir}
+	go disk.followSignals()
 	member, err := Start(Config{
-		Addr: addr, Members: members, Dir: dir, Clock: fleet.MonotonicClock(), OperatorAddr: operators,
+		Addr: addr, Members: members, Disk: disk, Clock: fleet.MonotonicClock(), OperatorAddr: operators,
 		Ledger: ledger.Limits{MaxAge: time.Hour, MaxRecords: 1000, MaxAnswer: 1 << 16},
 		Logger: log, Metrics: metrics.NewRegistry(),
 	}, server, mesh.NewPool(cfg))
@@ -75,6 +85,20 @@
 	os.Exit(1)
 }
 
+const (
+	fillSignal  = syscall.SIGUSR1
+	emptySignal = syscall.SIGUSR2
+)
+
+// followSignals makes the disk full, or gives it room again, at each signal.
+func (d *fullDisk) followSignals() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, fillSignal, emptySignal)
+	for s := range signals {
+		d.full.Store(s == fillSignal)
+	}
+}
+
 // processFleet is a control group whose members are processes, with lightRouters in
 // the test's own process.
 type processFleet struct {
@@ -198,8 +222,8 @@
 }
 
 // TestCallsAreLinearizableUnderProcessFaults applies configurations while control
-// members are killed and restarted, frozen for longer than their lease, or lose their
-// data directory, one of them while all are killed. The operators' calls must be linearizable, and no router's version may
+// members are killed and restarted, frozen for longer than their lease, have full disks in turn, or
+// lose their data directory, one of them while all are killed. The operators' calls must be linearizable, and no router's version may
 // decrease.
 func TestCallsAreLinearizableUnderProcessFaults(t *testing.T) {
 	faults := []struct {
@@ -218,6 +242,15 @@
 			time.Sleep(4 * time.Second)
 			f.signal(i, syscall.SIGCONT)
 		}},
+		{"the disks of the leaders are full in turn", func(f *processFleet) {
+			for range f.processes {
+				i := f.leader()
+				f.signal(i, fillSignal)
+				time.Sleep(2 * time.Second)
+				f.signal(i, emptySignal)
+				f.awaitAllVote()
+			}
+		}},
 		{"all members are killed and restarted", func(f *processFleet) {
 			for i := range f.processes {
 				f.kill(i)
