--- a/internal/consensus/halt.go
+++ b/internal/consensus/halt.go
@@ -41,20 +41,20 @@
 // holds in memory may not be durable. It gives up its leadership and sends no more messages, and
 // only records which leader it hears. It returns a message that makes another voter start an
 // election, or nil unless this member led.
-func (c *Core) Halt() (handover *Message) {
+func (c *Core) Halt() (transfer *Message) {
 	if c.role == RoleLeader {
-		handover = c.handover()
+		transfer = c.transferMessage()
 		c.leader = ""
 	}
 	c.halted, c.heardTerm = true, c.hard.Term
 	c.role, c.leadership, c.votes = RoleFollower, leadership{}, nil
 	c.early, c.messages, c.incoming, c.assembly = nil, nil, nil, snapshotAssembly{}
-	return handover
+	return transfer
 }
 
-// handover returns the message of a leadership transfer. A new leader whose term isn't synced yet
-// sends none.
-func (c *Core) handover() *Message {
+// transferMessage returns the message of a leadership transfer, or nil if no voter can be asked or
+// the term of a new leader isn't synced yet.
+func (c *Core) transferMessage() *Message {
 	target := c.membership().Find(c.transferTarget())
 	if target == nil || c.hardChanged {
 		return nil
@@ -84,14 +84,14 @@
 // The lease is withdrawn before another member is asked to start an election, and open calls
 // are answered at once.
 func (r *replica) halt(now time.Duration, cause error) {
-	handover := r.core.Halt()
+	transfer := r.core.Halt()
 	r.storageFailure = cause
 	r.core.retryAt = now + storageRetryInterval
 	r.store.discardUnsynced()
 	r.rewriteLog = r.store.suspect
 	r.beforeSend()
-	if handover != nil {
-		r.transport.Send(handover.To, *handover)
+	if transfer != nil {
+		r.transport.Send(transfer.To, *transfer)
 	}
 	r.failProposals(cause, func(pendingProposal) bool { return true })
 	r.failReads(r.core.notLeaderError())
--- a/internal/consensus/halt_test.go
+++ b/internal/consensus/halt_test.go
@@ -158,7 +158,7 @@
 	}
 }
 
-// TestLeaderWithFullDiskIsReplacedLate checks that a leader hands over when it halts: the others
+// TestLeaderWithFullDiskIsReplacedLate checks that a leader transfers its leadership when it halts: the others
 // waited for an election timeout.
 func TestLeaderWithFullDiskIsReplacedLate(t *testing.T) {
 	is := is.New(t)
