agent: callers' connections end once they have been idle for the configuration's limit

Callers saw: idle connections were never closed.

Cause: idle_timeout_ms was decoded (routes.CallerLimits.IdleTimeout) and used nowhere; http.Server had no IdleTimeout, so that net/http waits for ever.

Change: callerServer keeps since when each HTTP/1 connection is idle, and once a second closes those over the limit in force; 0 is no limit. A connection on which bytes of the next request have arrived is left alone, also when net/http has read them and still counts the connection as idle: the listener's connections record that. http.Server.IdleTimeout can't change with the configuration; it serves the other listeners (2 min) and HTTP/2, whose connections callerServer doesn't see. The product's own router has limits.idle_timeout (1 min).

Evidence: with the limit not passed on, as before, TestIdleConnectionStaysOpen fails: read ... i/o timeout, not EOF. Without the record of read bytes, or without the look at unread ones, TestIdleTimeoutDropsRequestThatHasBegun fails. TestUnusedConnectionStaysOpen held before: net/http's ReadHeaderTimeout ends a connection without a first request.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/ledger"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
 	"github.com/wigeonflow/wigeonflow/internal/session"
 	"github.com/wigeonflow/wigeonflow/internal/settings"
 	"github.com/wigeonflow/wigeonflow/internal/telemetry"
@@ -29,6 +30,10 @@
 // headerTimeout bounds the time to read a request's header.
 const headerTimeout = 10 * time.Second
 
+// idleTimeout is how long a connection of operators, of a balancer or for metrics may be idle.
+// Balancers and scrapers ask more often than that.
+const idleTimeout = 2 * time.Minute
+
 // Agent is one running process of the fleet.
 type Agent struct {
 	settings  settings.Settings
@@ -155,7 +160,7 @@
 		}()
 	}
 	if a.router != nil {
-		a.callers = newCallerServer(a.httpServer(a.router.Handler()))
+		a.callers = a.newCallers()
 		if err := a.serve(a.callers, s.Listen.Callers, s.Listen.CallersTLS); err != nil {
 			return err
 		}
@@ -165,7 +170,7 @@
 		return err
 	}
 	if s.Listen.Debug != "" {
-		if err := a.serve(&http.Server{Handler: pprofHandler(), ReadHeaderTimeout: headerTimeout}, s.Listen.Debug, settings.TLS{}); err != nil {
+		if err := a.serve(&http.Server{Handler: pprofHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, s.Listen.Debug, settings.TLS{}); err != nil {
 			return err
 		}
 	}
@@ -176,11 +181,33 @@
 // httpServer returns a server for h with the limits in the settings.
 func (a *Agent) httpServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: a.settings.Limits.MaxHeaderBytes,
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: a.settings.Limits.MaxHeaderBytes,
 		ErrorLog: a.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 }
 
+// newCallers returns the callers' server with the limits in force.
+func (a *Agent) newCallers() *callerServer {
+	server := a.httpServer(a.router.Handler())
+	server.IdleTimeout = 0 // of HTTP/1 connections; callerServer's may change
+	if a.settings.Listen.CallersTLS.CertificateFile != "" {
+		server.IdleTimeout = a.settings.Limits.IdleTimeout // of HTTP/2 connections too
+	}
+	callers := newCallerServer(server)
+	callers.idleTimeout = func() time.Duration { return a.callerLimits().IdleTimeout }
+	return callers
+}
+
+// callerLimits returns the limits of the configuration in force if the router has such, and
+// otherwise those in the settings.
+func (a *Agent) callerLimits() routes.CallerLimits {
+	if r, ok := a.router.(interface{ CallerLimits() routes.CallerLimits }); ok {
+		return r.CallerLimits()
+	}
+	l := a.settings.Limits
+	return routes.CallerLimits{MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, HeaderTimeout: headerTimeout, IdleTimeout: l.IdleTimeout}
+}
+
 // httpListenerServer serves HTTP on a listener, like *http.Server.
 type httpListenerServer interface {
 	Serve(net.Listener) error
--- a/internal/agent/callers.go
+++ b/internal/agent/callers.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
@@ -19,6 +20,8 @@
 	// firstRequestWait is how long a draining server waits for the first request of a
 	// connection that it accepted before. Callers send it as soon as they are connected.
 	firstRequestWait = 500 * time.Millisecond
+	// idleInterval is the time between two searches for connections that are idle for too long.
+	idleInterval = time.Second
 )
 
 // errDrained is the type of errors of a drain whose context ended first.
@@ -34,12 +37,24 @@
 	mu       sync.Mutex
 	listener net.Listener
 	draining bool
-	conns    map[net.Conn]http.ConnState // HTTP/1 connections
+	conns    map[net.Conn]*callerState // HTTP/1 connections
+	// idleTimeout returns how long a connection may be idle between two requests; 0 means no limit.
+	idleTimeout func() time.Duration
+	// closedIdle counts the connections that were closed because they were idle.
+	closedIdle int64
+}
+
+// callerState is what a callerServer knows of a connection.
+type callerState struct {
+	http.ConnState
+	since time.Time // of ConnState
+	// expired reports whether the reads of the connection were made to time out.
+	expired bool
 }
 
 // newCallerServer returns a server with the settings of s, which it takes over.
 func newCallerServer(s *http.Server) *callerServer {
-	c := &callerServer{Server: s, conns: make(map[net.Conn]http.ConnState)}
+	c := &callerServer{Server: s, conns: make(map[net.Conn]*callerState), idleTimeout: func() time.Duration { return 0 }}
 	s.ConnState = c.trackState
 	return c
 }
@@ -57,13 +72,16 @@
 
 func (s *callerServer) serveUntilDrained(l net.Listener, serve func(net.Listener) error) error {
 	l = newOnceListener(l)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go fleet.Every(ctx, idleInterval, func(context.Context) { s.closeIdle(time.Now()) })
 	s.mu.Lock()
 	s.listener = l
 	if s.draining {
 		_ = l.Close() // drained before it served
 	}
 	s.mu.Unlock()
-	err := serve(l)
+	err := serve(callerListener{l})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining && errors.Is(err, net.ErrClosed) {
@@ -84,19 +102,70 @@
 // Close closes the listener unless it is closed.
 func (l onceListener) Close() error { return l.close() }
 
+// callerListener accepts callerConns.
+type callerListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: c}, nil
+}
+
+// callerConn is a connection that records whether bytes of a next request were read.
+type callerConn struct {
+	net.Conn
+	read atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.read.Store(true)
+	}
+	return n, err
+}
+
+// callerConnOf returns the callerConn under a connection, or nil if there is none.
+func callerConnOf(c net.Conn) *callerConn {
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
+	conn, _ := c.(*callerConn)
+	return conn
+}
+
+// unread reports whether a connection has received bytes that nobody has read.
+func unread(c net.Conn) bool {
+	if conn := callerConnOf(c); conn != nil {
+		c = conn.Conn
+	}
+	return socket.Unread(c)
+}
+
 // trackState implements http.Server.ConnState.
 func (s *callerServer) trackState(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case state == http.StateClosed, state == http.StateHijacked, state != http.StateNew && isHTTP2(c):
+	last := s.conns[c]
+	if state == http.StateClosed && last != nil && last.ConnState == http.StateIdle && last.expired && !s.draining {
+		s.closedIdle++
+	}
+	if state == http.StateClosed || state == http.StateHijacked || state != http.StateNew && isHTTP2(c) {
 		delete(s.conns, c)
 		return
-	case state == http.StateActive && s.draining:
+	}
+	if state == http.StateActive && last != nil && last.expired {
 		// The next request was read while its connection was being closed as idle.
 		_ = c.SetReadDeadline(time.Time{})
 	}
-	s.conns[c] = state
+	if conn := callerConnOf(c); conn != nil && state == http.StateIdle {
+		conn.read.Store(false)
+	}
+	s.conns[c] = &callerState{ConnState: state, since: time.Now()}
 }
 
 // isHTTP2 reports whether a connection has negotiated HTTP/2. Its handshake is over.
@@ -132,9 +201,38 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, state := range s.conns {
-		if (state == http.StateIdle || state == http.StateNew && unused) && !socket.Unread(c) {
-			_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+		if (state.ConnState == http.StateIdle || state.ConnState == http.StateNew && unused) && !unread(c) {
+			state.expire(c)
 		}
 	}
 	return len(s.conns)
 }
+
+// expire makes the reads of c time out.
+func (s *callerState) expire(c net.Conn) {
+	s.expired = true
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
+// closeIdle closes the connections that at now have been idle between two requests for longer
+// than the idle timeout. http.Server.IdleTimeout can't change while the server runs.
+func (s *callerServer) closeIdle(now time.Time) {
+	limit := s.idleTimeout()
+	if limit <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, state := range s.conns {
+		if state.ConnState == http.StateIdle && now.Sub(state.since) > limit && !hasNextRequest(c) {
+			state.expire(c)
+		}
+	}
+}
+
+// hasNextRequest reports whether bytes of the next request have arrived on an idle connection.
+// net/http counts it as idle until it has read the request's head.
+func hasNextRequest(c net.Conn) bool {
+	conn := callerConnOf(c)
+	return conn != nil && conn.read.Load() || unread(c)
+}
--- /dev/null
+++ b/internal/agent/connections_test.go
@@ -0,0 +1,172 @@
+package agent
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/routes"
+	"github.com/wigeonflow/wigeonflow/internal/settings"
+	"github.com/wigeonflow/wigeonflow/internal/socket"
+)
+
+// limitedRouter is a plainRouter whose limits are those of a configuration.
+type limitedRouter struct {
+	plainRouter
+	limits func() routes.CallerLimits
+}
+
+func (r limitedRouter) CallerLimits() routes.CallerLimits { return r.limits() }
+
+// startLimitedRouter starts a process with a router whose configuration has limits.
+func startLimitedRouter(t *testing.T, limits func() routes.CallerLimits, change func(*settings.Settings)) (*Agent, string) {
+	t.Helper()
+	s := settings.Settings{Instance: "i", Roles: []settings.Role{settings.RoleRouter}}
+	addrs := freeAddrs(t, 2)
+	s.Listen.Mesh, s.Listen.Callers = addrs[0], addrs[1]
+	s = s.WithDefaults()
+	change(&s)
+	a, err := StartWith(t.Context(), s, io.Discard, Extension{
+		Router: func(Parts, settings.Settings) Router { return limitedRouter{plainRouter{serveAll}, limits} },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = a.callers.Close() })
+	return a, s.Listen.Callers
+}
+
+func unchanged(*settings.Settings) {}
+
+// dialServed returns a connection on which one request was answered.
+func dialServed(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	send(t, c)
+	if _, err := readAnswer(c); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// awaitStates waits until the server's HTTP/1 connections are n in the state.
+func awaitStates(t *testing.T, s *callerServer, state http.ConnState, n int) {
+	t.Helper()
+	for count := -1; count != n; time.Sleep(time.Millisecond) {
+		count = 0
+		s.mu.Lock()
+		for _, c := range s.conns {
+			if c.ConnState == state {
+				count++
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// The limit of the configuration was decoded and used nowhere: callers' idle connections took
+// all descriptors of a router.
+func TestIdleConnectionStaysOpen(t *testing.T) {
+	is := is.New(t)
+	a, addr := startLimitedRouter(t, func() routes.CallerLimits { return routes.CallerLimits{IdleTimeout: time.Millisecond} }, unchanged)
+	c := dialServed(t, addr)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err := c.Read(make([]byte, 1))
+	is.Equal(err, io.EOF) // the connection stays open
+	awaitStates(t, a.callers, http.StateIdle, 0)
+}
+
+// A connection is closed only once the limit in force has passed; 0 is no limit.
+func TestIdleConnectionClosedBeforeLimitInForce(t *testing.T) {
+	is := is.New(t)
+	s := newCallerServer(&http.Server{Handler: serveAll})
+	limit := time.Duration(0)
+	s.idleTimeout = func() time.Duration { return limit }
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = s.Server.Serve(callerListener{l}) }()
+	defer s.Close()
+	c := dialServed(t, l.Addr().String())
+	awaitStates(t, s, http.StateIdle, 1)
+	began := time.Now()
+	s.closeIdle(began.Add(24 * time.Hour)) // no limit
+	send(t, c)
+	_, err = readAnswer(c)
+	is.NoErr(err)
+	awaitStates(t, s, http.StateIdle, 1)
+	limit = time.Hour
+	s.closeIdle(began.Add(time.Hour)) // idle since a moment after began
+	send(t, c)
+	_, err = readAnswer(c)
+	is.NoErr(err)
+	awaitStates(t, s, http.StateIdle, 1)
+	limit = time.Minute
+	for err == nil { // net/http may set its own deadline after it has counted the connection as idle
+		s.closeIdle(time.Now().Add(2 * time.Minute))
+		is.NoErr(c.SetReadDeadline(time.Now().Add(10 * time.Millisecond)))
+		if _, err = c.Read(make([]byte, 1)); os.IsTimeout(err) {
+			err = nil
+		}
+	}
+	is.Equal(err, io.EOF)
+	awaitStates(t, s, http.StateIdle, 0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.closedIdle, int64(1))
+}
+
+// A part of the next request's head lies in the receive buffer, or net/http has read it, while
+// its connection still counts as idle.
+func TestIdleTimeoutDropsRequestThatHasBegun(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	c, err := callerListener{l}.Accept()
+	is.NoErr(err)
+	defer c.Close()
+	s := newCallerServer(&http.Server{})
+	s.idleTimeout = func() time.Duration { return time.Second }
+	s.trackState(c, http.StateIdle)
+	_, err = io.WriteString(caller, "GET")
+	is.NoErr(err)
+	arrived, err := c.(*callerConn).Conn.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	is.NoErr(arrived.Read(func(uintptr) bool { return socket.Unread(c.(*callerConn).Conn) }))
+	s.closeIdle(time.Now().Add(time.Hour)) // not read
+	_, err = io.ReadFull(c, make([]byte, 3))
+	is.NoErr(err)
+	s.closeIdle(time.Now().Add(time.Hour)) // read
+	_, err = io.WriteString(caller, " / HTTP/1.1")
+	is.NoErr(err)
+	_, err = c.Read(make([]byte, 1))
+	is.NoErr(err) // the rest of the request was dropped
+}
+
+// A connection that never sends a first request ends after the header timeout.
+func TestUnusedConnectionStaysOpen(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := newCallerServer(&http.Server{Handler: serveAll, ReadHeaderTimeout: time.Millisecond})
+	go func() { _ = s.Serve(l) }()
+	defer s.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(c.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err = c.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -198,6 +198,14 @@
 	r.log.Info("configuration in force", "version", uint64(index.Version()), "table", r.tableVersion())
 }
 
+// CallerLimits returns the limits of the configuration in force; no limits before the first.
+func (r *Router) CallerLimits() routes.CallerLimits {
+	if t := r.table.Load(); t != nil {
+		return t.Limits()
+	}
+	return routes.CallerLimits{}
+}
+
 // needsList reports whether the router uses the upstream list, or soon will: with the leader's first
 // reply it begins to read both the list and the configuration.
 func (r *Router) needsList() bool { return r.table.Load() != nil || len(r.keeper.Relays()) > 0 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -154,6 +154,9 @@
 	MaxStreams int `yaml:"max_streams" default:"16384" validate:"gt=0"`
 	// MaxConnections limits the number of callers' connections.
 	MaxConnections int `yaml:"max_connections" default:"16384" validate:"gt=0"`
+	// IdleTimeout is how long a caller's connection may be idle between two requests. On the
+	// users' platform the configuration in force says so.
+	IdleTimeout time.Duration `yaml:"idle_timeout" default:"1m" validate:"gt=0"`
 	// GatherInterval is the time between two reads of one engine's stream, at most
 	// 250ms. It batches tokens: all tokens but the first, and the end of the stream, are
 	// delayed by up to this time. Zero forwards each token at once.
