agent: a request's head is awaited for the configuration's header timeout

Callers saw: a head could take 10 s, whatever header_timeout_ms said.

Cause: the field was decoded (routes.CallerLimits.HeaderTimeout) and used nowhere. http.Server.ReadHeaderTimeout is read once per request without a lock, so that it can't change while the server runs.

Where the configuration says 0, and on the product's own router, it is 10 s as before; net/http's own timeout is off for callers, as it would cut longer ones.

Evidence: without the timeout TestHeadIsAwaitedForLongerThanConfigured (first, next) and TestUnusedConnectionStaysOpen fail: read ... i/o timeout, not EOF. The latter now takes the header timeout from the configuration.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -189,12 +189,12 @@
 // newCallers returns the callers' server with the limits in force.
 func (a *Agent) newCallers() *callerServer {
 	server := a.httpServer(a.router.Handler())
-	server.IdleTimeout = 0 // of HTTP/1 connections; callerServer's may change
+	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0 // callerServer's may change
 	if a.settings.Listen.CallersTLS.CertificateFile != "" {
 		server.IdleTimeout = a.settings.Limits.IdleTimeout // of HTTP/2 connections too
 	}
 	callers := newCallerServer(server)
-	callers.idleTimeout = func() time.Duration { return a.callerLimits().IdleTimeout }
+	callers.limits = a.callerLimits
 	return callers
 }
 
@@ -202,7 +202,9 @@
 // otherwise those in the settings.
 func (a *Agent) callerLimits() routes.CallerLimits {
 	if r, ok := a.router.(interface{ CallerLimits() routes.CallerLimits }); ok {
-		return r.CallerLimits()
+		limits := r.CallerLimits()
+		fleet.SetDefault(&limits.HeaderTimeout, headerTimeout)
+		return limits
 	}
 	l := a.settings.Limits
 	return routes.CallerLimits{MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, HeaderTimeout: headerTimeout, IdleTimeout: l.IdleTimeout}
--- a/internal/agent/callers.go
+++ b/internal/agent/callers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
 	"github.com/wigeonflow/wigeonflow/internal/socket"
 )
 
@@ -20,8 +21,8 @@
 	// firstRequestWait is how long a draining server waits for the first request of a
 	// connection that it accepted before. Callers send it as soon as they are connected.
 	firstRequestWait = 500 * time.Millisecond
-	// idleInterval is the time between two searches for connections that are idle for too long.
-	idleInterval = time.Second
+	// expiryInterval is the time between two searches for connections that have exceeded a limit.
+	expiryInterval = time.Second
 )
 
 // errDrained is the type of errors of a drain whose context ended first.
@@ -38,8 +39,8 @@
 	listener net.Listener
 	draining bool
 	conns    map[net.Conn]*callerState // HTTP/1 connections
-	// idleTimeout returns how long a connection may be idle between two requests; 0 means no limit.
-	idleTimeout func() time.Duration
+	// limits returns the limits in force. Of its times, 0 means no limit.
+	limits func() routes.CallerLimits
 	// closedIdle counts the connections that were closed because they were idle.
 	closedIdle int64
 }
@@ -54,7 +55,7 @@
 
 // newCallerServer returns a server with the settings of s, which it takes over.
 func newCallerServer(s *http.Server) *callerServer {
-	c := &callerServer{Server: s, conns: make(map[net.Conn]*callerState), idleTimeout: func() time.Duration { return 0 }}
+	c := &callerServer{Server: s, conns: make(map[net.Conn]*callerState), limits: func() routes.CallerLimits { return routes.CallerLimits{} }}
 	s.ConnState = c.trackState
 	return c
 }
@@ -74,7 +75,7 @@
 	l = newOnceListener(l)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go fleet.Every(ctx, idleInterval, func(context.Context) { s.closeIdle(time.Now()) })
+	go fleet.Every(ctx, expiryInterval, func(context.Context) { s.closeExpired(time.Now()) })
 	s.mu.Lock()
 	s.listener = l
 	if s.draining {
@@ -114,17 +115,18 @@
 	return &callerConn{Conn: c}, nil
 }
 
-// callerConn is a connection that records whether bytes of a next request were read.
+// callerConn is a connection that records when bytes of a next request were first read.
 type callerConn struct {
 	net.Conn
-	read atomic.Bool
+	readAt atomic.Pointer[time.Time]
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.read.Store(true)
+	if n > 0 && c.readAt.Load() == nil {
+		now := time.Now()
+		c.readAt.Store(&now)
 	}
 	return n, err
 }
@@ -163,7 +165,7 @@
 		_ = c.SetReadDeadline(time.Time{})
 	}
 	if conn := callerConnOf(c); conn != nil && state == http.StateIdle {
-		conn.read.Store(false)
+		conn.readAt.Store(nil)
 	}
 	s.conns[c] = &callerState{ConnState: state, since: time.Now()}
 }
@@ -214,25 +216,35 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
-// closeIdle closes the connections that at now have been idle between two requests for longer
-// than the idle timeout. http.Server.IdleTimeout can't change while the server runs.
-func (s *callerServer) closeIdle(now time.Time) {
-	limit := s.idleTimeout()
-	if limit <= 0 {
-		return
-	}
+// closeExpired closes the connections that at now have been idle between two requests for longer
+// than the idle timeout, or have been sending a request's head for longer than the header timeout.
+// The timeouts of http.Server can't change while it runs.
+func (s *callerServer) closeExpired(now time.Time) {
+	limits := s.limits()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, state := range s.conns {
-		if state.ConnState == http.StateIdle && now.Sub(state.since) > limit && !hasNextRequest(c) {
+		since, waiting := state.headSince(c)
+		limit := limits.HeaderTimeout
+		if !waiting {
+			since, limit = state.since, limits.IdleTimeout
+		}
+		if state.ConnState != http.StateActive && limit > 0 && now.Sub(since) > limit && !unread(c) {
 			state.expire(c)
 		}
 	}
 }
 
-// hasNextRequest reports whether bytes of the next request have arrived on an idle connection.
-// net/http counts it as idle until it has read the request's head.
-func hasNextRequest(c net.Conn) bool {
-	conn := callerConnOf(c)
-	return conn != nil && conn.read.Load() || unread(c)
+// headSince returns since when the head of a request is awaited. It reports false while a
+// connection is idle between two requests. net/http counts it as idle until it has read the head.
+func (s *callerState) headSince(c net.Conn) (time.Time, bool) {
+	if s.ConnState == http.StateNew {
+		return s.since, true
+	}
+	if conn := callerConnOf(c); conn != nil {
+		if at := conn.readAt.Load(); at != nil {
+			return *at, true
+		}
+	}
+	return time.Time{}, false
 }
--- a/internal/agent/connections_test.go
+++ b/internal/agent/connections_test.go
@@ -90,7 +90,7 @@
 	is := is.New(t)
 	s := newCallerServer(&http.Server{Handler: serveAll})
 	limit := time.Duration(0)
-	s.idleTimeout = func() time.Duration { return limit }
+	s.limits = func() routes.CallerLimits { return routes.CallerLimits{IdleTimeout: limit} }
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	go func() { _ = s.Server.Serve(callerListener{l}) }()
@@ -98,20 +98,20 @@
 	c := dialServed(t, l.Addr().String())
 	awaitStates(t, s, http.StateIdle, 1)
 	began := time.Now()
-	s.closeIdle(began.Add(24 * time.Hour)) // no limit
+	s.closeExpired(began.Add(24 * time.Hour)) // no limit
 	send(t, c)
 	_, err = readAnswer(c)
 	is.NoErr(err)
 	awaitStates(t, s, http.StateIdle, 1)
 	limit = time.Hour
-	s.closeIdle(began.Add(time.Hour)) // idle since a moment after began
+	s.closeExpired(began.Add(time.Hour)) // idle since a moment after began
 	send(t, c)
 	_, err = readAnswer(c)
 	is.NoErr(err)
 	awaitStates(t, s, http.StateIdle, 1)
 	limit = time.Minute
 	for err == nil { // net/http may set its own deadline after it has counted the connection as idle
-		s.closeIdle(time.Now().Add(2 * time.Minute))
+		s.closeExpired(time.Now().Add(2 * time.Minute))
 		is.NoErr(c.SetReadDeadline(time.Now().Add(10 * time.Millisecond)))
 		if _, err = c.Read(make([]byte, 1)); os.IsTimeout(err) {
 			err = nil
@@ -138,17 +138,17 @@
 	is.NoErr(err)
 	defer c.Close()
 	s := newCallerServer(&http.Server{})
-	s.idleTimeout = func() time.Duration { return time.Second }
+	s.limits = func() routes.CallerLimits { return routes.CallerLimits{IdleTimeout: time.Second} }
 	s.trackState(c, http.StateIdle)
 	_, err = io.WriteString(caller, "GET")
 	is.NoErr(err)
 	arrived, err := c.(*callerConn).Conn.(*net.TCPConn).SyscallConn()
 	is.NoErr(err)
 	is.NoErr(arrived.Read(func(uintptr) bool { return socket.Unread(c.(*callerConn).Conn) }))
-	s.closeIdle(time.Now().Add(time.Hour)) // not read
+	s.closeExpired(time.Now().Add(time.Hour)) // not read
 	_, err = io.ReadFull(c, make([]byte, 3))
 	is.NoErr(err)
-	s.closeIdle(time.Now().Add(time.Hour)) // read
+	s.closeExpired(time.Now().Add(time.Hour)) // read
 	_, err = io.WriteString(caller, " / HTTP/1.1")
 	is.NoErr(err)
 	_, err = c.Read(make([]byte, 1))
@@ -158,15 +158,37 @@
 // A connection that never sends a first request ends after the header timeout.
 func TestUnusedConnectionStaysOpen(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	s := newCallerServer(&http.Server{Handler: serveAll, ReadHeaderTimeout: time.Millisecond})
-	go func() { _ = s.Serve(l) }()
-	defer s.Close()
-	c, err := net.Dial("tcp", l.Addr().String())
+	_, addr := startLimitedRouter(t, func() routes.CallerLimits { return routes.CallerLimits{HeaderTimeout: time.Millisecond} }, unchanged)
+	c, err := net.Dial("tcp", addr)
 	is.NoErr(err)
 	defer c.Close()
 	is.NoErr(c.SetReadDeadline(time.Now().Add(time.Minute)))
 	_, err = c.Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
 }
+
+// The header timeout of the configuration was decoded and used nowhere.
+func TestHeadIsAwaitedForLongerThanConfigured(t *testing.T) {
+	for _, served := range []bool{false, true} {
+		t.Run(map[bool]string{false: "first", true: "next"}[served], func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			s := newCallerServer(&http.Server{Handler: serveAll})
+			s.limits = func() routes.CallerLimits { return routes.CallerLimits{HeaderTimeout: time.Millisecond} }
+			go func() { _ = s.Serve(l) }()
+			defer s.Close()
+			c, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			defer c.Close()
+			if served {
+				c = dialServed(t, l.Addr().String())
+			}
+			_, err = io.WriteString(c, "GET / HTTP/1.1\r\n")
+			is.NoErr(err)
+			is.NoErr(c.SetReadDeadline(time.Now().Add(time.Minute)))
+			_, err = c.Read(make([]byte, 1))
+			is.Equal(err, io.EOF) // the head is awaited
+		})
+	}
+}
