agent: callers' connections are bounded, and a share of the descriptors stays for others

Callers saw: once callers' connections had used up a router's descriptors, it took no new ones, requests that had to dial an upstream got 503, and readiness went on to say that it is ready.

Cause: nothing bounded callers' connections. limits.max_connections is said to limit them, but was passed to the mesh server only; file_descriptors of the platform's settings wasn't read.

At the bound the connection that has been idle for longest is closed, one at a time and never one that has received bytes; while none is idle, new ones wait in the kernel's queue and the platform's readiness says so.

Evidence: without the bound TestIdleConnectionsKeepNewCallersOut fails (no end of the longest idle connection within the 25 s given); with the youngest closed in its place it fails too. Without the readiness TestFullRouterIsReady fails: 200 != 503. Without the listener's end TestFullRouterAcceptsOrSaysReady/stop hangs.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -70,7 +70,7 @@
 	}
 	cfg := mesh.Config{
 		Instance: s.Instance, Secret: secret, MaxFrameBytes: max(s.Limits.MaxFrameBytes, minMeshFrame(s)),
-		MaxStreams: s.Limits.MaxStreams, MaxConnections: s.Limits.MaxConnections, Logger: a.log.Named("mesh"),
+		MaxStreams: s.Limits.MaxStreams, Logger: a.log.Named("mesh"),
 	}
 	if files := s.Listen.MeshTLS; files.CertificateFile != "" {
 		cfg.TLS = &mesh.TLSFiles{Certificate: files.CertificateFile, Key: files.KeyFile, Authority: files.AuthorityFile}
@@ -194,7 +194,8 @@
 		server.IdleTimeout = a.settings.Limits.IdleTimeout // of HTTP/2 connections too
 	}
 	callers := newCallerServer(server)
-	callers.limits = a.callerLimits
+	callers.limits, callers.bound = a.callerLimits, a.settings.Limits.MaxConnections
+	callers.register(a.metrics)
 	return callers
 }
 
--- a/internal/agent/callers.go
+++ b/internal/agent/callers.go
@@ -7,12 +7,12 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/routes"
-	"github.com/wigeonflow/wigeonflow/internal/socket"
 )
 
 const (
@@ -41,8 +41,15 @@
 	conns    map[net.Conn]*callerState // HTTP/1 connections
 	// limits returns the limits in force. Of its times, 0 means no limit.
 	limits func() routes.CallerLimits
+	// bound is the number of connections at which no more are accepted; 0 means no bound.
+	bound int
+	open  int // accepted connections that are not closed
+	// full reports whether a connection awaits its acceptance and none is idle.
+	full bool
+	// room receives a value when a connection is closed.
+	room chan struct{}
 	// closedIdle counts the connections that were closed because they were idle.
-	closedIdle int64
+	closedIdle metrics.Counter
 }
 
 // callerState is what a callerServer knows of a connection.
@@ -55,7 +62,10 @@
 
 // newCallerServer returns a server with the settings of s, which it takes over.
 func newCallerServer(s *http.Server) *callerServer {
-	c := &callerServer{Server: s, conns: make(map[net.Conn]*callerState), limits: func() routes.CallerLimits { return routes.CallerLimits{} }}
+	c := &callerServer{
+		Server: s, conns: make(map[net.Conn]*callerState), limits: func() routes.CallerLimits { return routes.CallerLimits{} },
+		room: make(chan struct{}, 1), closedIdle: metrics.NewCounter(),
+	}
 	s.ConnState = c.trackState
 	return c
 }
@@ -72,17 +82,17 @@
 }
 
 func (s *callerServer) serveUntilDrained(l net.Listener, serve func(net.Listener) error) error {
-	l = newOnceListener(l)
+	once := newOnceListener(l)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go fleet.Every(ctx, expiryInterval, func(context.Context) { s.closeExpired(time.Now()) })
 	s.mu.Lock()
-	s.listener = l
+	s.listener = once
 	if s.draining {
-		_ = l.Close() // drained before it served
+		_ = once.Close() // drained before it served
 	}
 	s.mu.Unlock()
-	err := serve(callerListener{l})
+	err := serve(callerListener{once, s})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining && errors.Is(err, net.ErrClosed) {
@@ -95,66 +105,28 @@
 // first. It is safe for concurrent use.
 type onceListener struct {
 	net.Listener
-	close func() error
+	close  func() error
+	closed chan struct{} // closed by Close
 }
 
-func newOnceListener(l net.Listener) onceListener { return onceListener{l, sync.OnceValue(l.Close)} }
+func newOnceListener(l net.Listener) onceListener {
+	closed := make(chan struct{})
+	return onceListener{Listener: l, closed: closed, close: sync.OnceValue(func() error {
+		close(closed)
+		return l.Close()
+	})}
+}
 
 // Close closes the listener unless it is closed.
 func (l onceListener) Close() error { return l.close() }
 
-// callerListener accepts callerConns.
-type callerListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &callerConn{Conn: c}, nil
-}
-
-// callerConn is a connection that records when bytes of a next request were first read.
-type callerConn struct {
-	net.Conn
-	readAt atomic.Pointer[time.Time]
-}
-
-// Read implements net.Conn.
-func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 && c.readAt.Load() == nil {
-		now := time.Now()
-		c.readAt.Store(&now)
-	}
-	return n, err
-}
-
-// callerConnOf returns the callerConn under a connection, or nil if there is none.
-func callerConnOf(c net.Conn) *callerConn {
-	if secure, ok := c.(*tls.Conn); ok {
-		c = secure.NetConn()
-	}
-	conn, _ := c.(*callerConn)
-	return conn
-}
-
-// unread reports whether a connection has received bytes that nobody has read.
-func unread(c net.Conn) bool {
-	if conn := callerConnOf(c); conn != nil {
-		c = conn.Conn
-	}
-	return socket.Unread(c)
-}
-
 // trackState implements http.Server.ConnState.
 func (s *callerServer) trackState(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last := s.conns[c]
-	if state == http.StateClosed && last != nil && last.ConnState == http.StateIdle && last.expired && !s.draining {
-		s.closedIdle++
+	if state == http.StateClosed && last != nil && last.expired && last.isIdle(c) && !s.draining {
+		s.closedIdle.Inc(1)
 	}
 	if state == http.StateClosed || state == http.StateHijacked || state != http.StateNew && isHTTP2(c) {
 		delete(s.conns, c)
--- a/internal/agent/connections_test.go
+++ b/internal/agent/connections_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"testing"
 	"time"
@@ -93,7 +94,7 @@
 	s.limits = func() routes.CallerLimits { return routes.CallerLimits{IdleTimeout: limit} }
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	go func() { _ = s.Server.Serve(callerListener{l}) }()
+	go func() { _ = s.Server.Serve(callerListener{newOnceListener(l), s}) }()
 	defer s.Close()
 	c := dialServed(t, l.Addr().String())
 	awaitStates(t, s, http.StateIdle, 1)
@@ -119,9 +120,7 @@
 	}
 	is.Equal(err, io.EOF)
 	awaitStates(t, s, http.StateIdle, 0)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	is.Equal(s.closedIdle, int64(1))
+	is.Equal(s.closedIdle.Count(), int64(1))
 }
 
 // A part of the next request's head lies in the receive buffer, or net/http has read it, while
@@ -134,10 +133,10 @@
 	caller, err := net.Dial("tcp", l.Addr().String())
 	is.NoErr(err)
 	defer caller.Close()
-	c, err := callerListener{l}.Accept()
+	s := newCallerServer(&http.Server{})
+	c, err := callerListener{newOnceListener(l), s}.Accept()
 	is.NoErr(err)
 	defer c.Close()
-	s := newCallerServer(&http.Server{})
 	s.limits = func() routes.CallerLimits { return routes.CallerLimits{IdleTimeout: time.Second} }
 	s.trackState(c, http.StateIdle)
 	_, err = io.WriteString(caller, "GET")
@@ -192,3 +191,90 @@
 		})
 	}
 }
+
+// Near the bound the connection that has been idle for longest is closed, and no other.
+func TestIdleConnectionsKeepNewCallersOut(t *testing.T) {
+	is := is.New(t)
+	a, addr := startLimitedRouter(t, func() routes.CallerLimits { return routes.CallerLimits{} }, func(s *settings.Settings) { s.Limits.MaxConnections = 3 })
+	longest := dialServed(t, addr)
+	awaitStates(t, a.callers, http.StateIdle, 1)
+	second := dialServed(t, addr)
+	awaitStates(t, a.callers, http.StateIdle, 2)
+	dialServed(t, addr)
+	is.NoErr(longest.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err := longest.Read(make([]byte, 1))
+	is.Equal(err, io.EOF) // the connections in use exceed the bound
+	send(t, second)
+	_, err = readAnswer(second)
+	is.NoErr(err)
+	awaitStates(t, a.callers, http.StateIdle, 2)
+	is.NoErr(a.callers.checkRoom())
+	is.Equal(a.callers.closedIdle.Count(), int64(1))
+}
+
+// The balancer sends no new connections to a router that can't accept them.
+func TestFullRouterIsReady(t *testing.T) {
+	is := is.New(t)
+	a, _ := startLimitedRouter(t, func() routes.CallerLimits { return routes.CallerLimits{} }, unchanged)
+	ready := func() int {
+		w := httptest.NewRecorder()
+		a.serveReady(w, nil)
+		return w.Code
+	}
+	is.Equal(ready(), http.StatusOK)
+	a.callers.mu.Lock()
+	a.callers.full = true
+	a.callers.mu.Unlock()
+	is.Equal(ready(), http.StatusServiceUnavailable)
+}
+
+// All callers' connections are in use: the next one waits, the router isn't ready, and a stop
+// doesn't wait for room.
+func TestFullRouterAcceptsOrSaysReady(t *testing.T) {
+	for _, stopped := range []bool{false, true} {
+		t.Run(map[bool]string{false: "room", true: "stop"}[stopped], func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			started, end := make(chan struct{}, 3), make(chan struct{})
+			s := newCallerServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				started <- struct{}{}
+				<-end
+				serveAll(w, r)
+			})})
+			s.bound = 2
+			served := make(chan error, 1)
+			go func() { served <- s.Serve(l) }()
+			defer s.Close()
+			var conns []net.Conn
+			for range 3 {
+				c, err := net.Dial("tcp", l.Addr().String())
+				is.NoErr(err)
+				defer c.Close()
+				send(t, c)
+				conns = append(conns, c)
+			}
+			<-started
+			<-started
+			for s.checkRoom() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(len(started), 0) // the third was accepted
+			if stopped {
+				conns = conns[:2]
+				drained := make(chan error, 1)
+				go func() { drained <- s.drain(t.Context()) }()
+				is.Equal(<-served, http.ErrServerClosed)
+				close(end)
+				defer func() { is.NoErr(<-drained) }()
+			} else {
+				close(end)
+			}
+			for _, c := range conns {
+				status, err := readAnswer(c)
+				is.NoErr(err)
+				is.Equal(status, http.StatusOK)
+			}
+		})
+	}
+}
--- a/internal/agent/extension.go
+++ b/internal/agent/extension.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log/slog"
@@ -107,7 +108,7 @@
 
 // serveReady answers 200 if the router is ready, and otherwise 503 with the reason.
 func (a *Agent) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if err := a.router.Ready(); err != nil {
+	if err := cmp.Or(a.router.Ready(), a.callers.checkRoom()); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
