agent: an error of accept doesn't end a process that can still serve

Callers saw: a lack of buffers at one listener, also the one for metrics or readiness, ended the router.

Cause: http.Server.Serve returns errors of accept that net/http doesn't count as temporary (ENOBUFS, ENOMEM, ENETDOWN; EMFILE it retries), and agent.reportFailure takes each for the end of the process.

Change: the listeners of callers, operators, readiness, metrics and profiles try again after 100 ms with a line, like the mesh's, until they are closed.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -223,16 +223,20 @@
 	if err != nil {
 		return fleet.At(err, "agent.listen", addr)
 	}
-	go func() {
-		if files.CertificateFile != "" {
-			a.reportFailure(server.ServeTLS(l, files.CertificateFile, files.KeyFile))
-			return
-		}
-		a.reportFailure(server.Serve(l))
-	}()
+	go a.serveOn(server, l, files)
 	return nil
 }
 
+// serveOn serves on l, over HTTPS if files are given, until the server is closed.
+func (a *Agent) serveOn(server httpListenerServer, l net.Listener, files settings.TLS) {
+	l = retryListener{l, a.log.Named("http")}
+	if files.CertificateFile != "" {
+		a.reportFailure(server.ServeTLS(l, files.CertificateFile, files.KeyFile))
+		return
+	}
+	a.reportFailure(server.Serve(l))
+}
+
 // reportFailure sends err to Failed unless err is nil or results from a planned stop of an HTTP server.
 func (a *Agent) reportFailure(err error) {
 	if err == nil || errors.Is(err, http.ErrServerClosed) {
