agent: heads longer than the configuration's max_header_bytes are answered with 431

Callers saw: heads up to limits.max_header_bytes of the settings (64 KiB) were served, whatever the configuration allowed.

Cause: the field was decoded (routes.CallerLimits.MaxHeaderBytes) and used nowhere; http.Server.MaxHeaderBytes can't change while the server runs.

Change: the callers' handler counts the request's line and header fields and answers 431 above the limit in force; 0 is no limit but the settings' own, which goes on to bound what is read.

Evidence: without it TestHeadLongerThanConfiguredIsServed fails: 200 != 431.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -188,7 +189,7 @@
 
 // newCallers returns the callers' server with the limits in force.
 func (a *Agent) newCallers() *callerServer {
-	server := a.httpServer(a.router.Handler())
+	server := a.httpServer(a.limitHead(a.router.Handler()))
 	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0 // callerServer's may change
 	if a.settings.Listen.CallersTLS.CertificateFile != "" {
 		server.IdleTimeout = a.settings.Limits.IdleTimeout // of HTTP/2 connections too
@@ -199,6 +200,33 @@
 	return callers
 }
 
+// limitHead passes on the requests whose head fits the limit in force, which may be lower than the
+// server's own. It answers 431 to others.
+func (a *Agent) limitHead(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		limit := a.callerLimits().MaxHeaderBytes
+		if n := headBytes(r); limit > 0 && n > limit {
+			a.log.Debug("request rejected: its head is too long", "bytes", n, "limit", limit)
+			w.Header().Set("Connection", "close")
+			http.Error(w, fmt.Sprintf("the request's head has %d bytes, more than %d", n, limit), http.StatusRequestHeaderFieldsTooLarge)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// headBytes returns the length of a request's line and header fields as HTTP/1 writes them.
+func headBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return n
+}
+
 // callerLimits returns the limits of the configuration in force if the router has such, and
 // otherwise those in the settings.
 func (a *Agent) callerLimits() routes.CallerLimits {
--- a/internal/agent/connections_test.go
+++ b/internal/agent/connections_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -278,3 +280,26 @@
 		})
 	}
 }
+
+// The header limit of the configuration was decoded and used nowhere.
+func TestHeadLongerThanConfiguredIsServed(t *testing.T) {
+	is := is.New(t)
+	var limits atomic.Pointer[routes.CallerLimits]
+	limits.Store(&routes.CallerLimits{MaxHeaderBytes: 100})
+	_, addr := startLimitedRouter(t, func() routes.CallerLimits { return *limits.Load() }, unchanged)
+	ask := func(length int) int {
+		c, err := net.Dial("tcp", addr)
+		is.NoErr(err)
+		defer c.Close()
+		head := "GET / HTTP/1.1\r\nHost: h\r\nX-Long: "
+		_, err = io.WriteString(c, head+strings.Repeat("x", length-len(head)-len("\r\n"))+"\r\n\r\n")
+		is.NoErr(err)
+		status, err := readAnswer(c)
+		is.NoErr(err)
+		return status
+	}
+	is.Equal(ask(100), http.StatusOK)
+	is.Equal(ask(101), http.StatusRequestHeaderFieldsTooLarge)
+	limits.Store(&routes.CallerLimits{})
+	is.Equal(ask(101), http.StatusOK) // no limit
+}
