agent: a caller gets the end of its answer before the reset of an unread body

Callers would have seen: an answer to a request whose body isn't read to its end, such as 413, without its end for 0.5 s, and then a reset. Found in review, not in a run.

Cause: the connections of the callers' listener hid CloseWrite of the TCP connection since idle ones are closed; net/http calls it before it waits and closes. A negative header_timeout_ms left no header timeout at all.

Change: callerConn passes CloseWrite on; a header timeout of 0 or less is the router's own, 10 s.

Evidence: without them TestAnswerEndsWithReset (not true: ok) and TestHeadIsAwaitedForever (-1s != 10s) fail.

Measured: go test -race ./internal/agent passes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -232,7 +232,9 @@
 func (a *Agent) callerLimits() routes.CallerLimits {
 	if r, ok := a.router.(interface{ CallerLimits() routes.CallerLimits }); ok {
 		limits := r.CallerLimits()
-		fleet.SetDefault(&limits.HeaderTimeout, headerTimeout)
+		if limits.HeaderTimeout <= 0 {
+			limits.HeaderTimeout = headerTimeout
+		}
 		return limits
 	}
 	l := a.settings.Limits
--- a/internal/agent/connections.go
+++ b/internal/agent/connections.go
@@ -145,6 +145,15 @@
 	return err
 }
 
+// CloseWrite sends the end of what is written. net/http calls it before it closes a connection with
+// unread bytes, so that the caller gets its answer before the reset.
+func (c *callerConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/internal/agent/connections_test.go
+++ b/internal/agent/connections_test.go
@@ -303,3 +303,32 @@
 	limits.Store(&routes.CallerLimits{})
 	is.Equal(ask(101), http.StatusOK) // no limit
 }
+
+// A caller whose body isn't read to its end must get the end of its answer before the reset that
+// follows, and not only with it.
+func TestAnswerEndsWithReset(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	c, err := callerListener{newOnceListener(l), newCallerServer(&http.Server{})}.Accept()
+	is.NoErr(err)
+	defer c.Close()
+	half, ok := c.(interface{ CloseWrite() error }) // as net/http asks
+	is.True(ok)
+	is.NoErr(half.CloseWrite())
+	_, err = caller.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
+
+// Without a usable header timeout of the configuration the router's own one is in force.
+func TestHeadIsAwaitedForever(t *testing.T) {
+	for _, timeout := range []time.Duration{0, -time.Second} {
+		is := is.New(t)
+		a, _ := startLimitedRouter(t, func() routes.CallerLimits { return routes.CallerLimits{HeaderTimeout: timeout} }, unchanged)
+		is.Equal(a.callerLimits().HeaderTimeout, headerTimeout)
+	}
+}
