--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -21,6 +22,7 @@
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/ledger"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
 	"github.com/wigeonflow/wigeonflow/internal/session"
 	"github.com/wigeonflow/wigeonflow/internal/settings"
 	"github.com/wigeonflow/wigeonflow/internal/telemetry"
@@ -29,6 +31,10 @@
 // headerTimeout bounds the time to read a request's header.
 const headerTimeout = 10 * time.Second
 
+// idleTimeout is how long a connection of operators, of a balancer or for metrics may be idle.
+// Balancers and scrapers ask more often than that.
+const idleTimeout = 2 * time.Minute
+
 // Agent is one running process of the fleet.
 type Agent struct {
 	settings  settings.Settings
@@ -65,7 +71,7 @@
 	}
 	cfg := mesh.Config{
 		Instance: s.Instance, Secret: secret, MaxFrameBytes: max(s.Limits.MaxFrameBytes, minMeshFrame(s)),
-		MaxStreams: s.Limits.MaxStreams, MaxConnections: s.Limits.MaxConnections, Logger: a.log.Named("mesh"),
+		MaxStreams: s.Limits.MaxStreams, Logger: a.log.Named("mesh"),
 	}
 	if files := s.Listen.MeshTLS; files.CertificateFile != "" {
 		cfg.TLS = &mesh.TLSFiles{Certificate: files.CertificateFile, Key: files.KeyFile, Authority: files.AuthorityFile}
@@ -155,7 +161,7 @@
 		}()
 	}
 	if a.router != nil {
-		a.callers = newCallerServer(a.httpServer(a.router.Handler()))
+		a.callers = a.newCallers()
 		if err := a.serve(a.callers, s.Listen.Callers, s.Listen.CallersTLS); err != nil {
 			return err
 		}
@@ -165,7 +171,7 @@
 		return err
 	}
 	if s.Listen.Debug != "" {
-		if err := a.serve(&http.Server{Handler: pprofHandler(), ReadHeaderTimeout: headerTimeout}, s.Listen.Debug, settings.TLS{}); err != nil {
+		if err := a.serve(&http.Server{Handler: pprofHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, s.Listen.Debug, settings.TLS{}); err != nil {
 			return err
 		}
 	}
@@ -176,11 +182,65 @@
 // httpServer returns a server for h with the limits in the settings.
 func (a *Agent) httpServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: a.settings.Limits.MaxHeaderBytes,
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: a.settings.Limits.MaxHeaderBytes,
 		ErrorLog: a.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 }
 
+// newCallers returns the callers' server with the limits in force.
+func (a *Agent) newCallers() *callerServer {
+	server := a.httpServer(a.limitHead(a.router.Handler()))
+	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0 // callerServer's may change
+	if a.settings.Listen.CallersTLS.CertificateFile != "" {
+		server.IdleTimeout = a.settings.Limits.IdleTimeout // of HTTP/2 connections too
+	}
+	callers := newCallerServer(server)
+	callers.limits, callers.bound = a.callerLimits, a.settings.Limits.MaxConnections
+	callers.register(a.metrics)
+	return callers
+}
+
+// limitHead passes on the requests whose head fits the limit in force, which may be lower than the
+// server's own. It answers 431 to others.
+func (a *Agent) limitHead(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		limit := a.callerLimits().MaxHeaderBytes
+		if n := headBytes(r); limit > 0 && n > limit {
+			a.log.Debug("request rejected: its head is too long", "bytes", n, "limit", limit)
+			w.Header().Set("Connection", "close")
+			http.Error(w, fmt.Sprintf("the request's head has %d bytes, more than %d", n, limit), http.StatusRequestHeaderFieldsTooLarge)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// headBytes returns the length of a request's line and header fields as HTTP/1 writes them.
+func headBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return n
+}
+
+// callerLimits returns the limits of the configuration in force if the router has such, and
+// otherwise those in the settings.
+func (a *Agent) callerLimits() routes.CallerLimits {
+	if r, ok := a.router.(interface{ CallerLimits() routes.CallerLimits }); ok {
+		limits := r.CallerLimits()
+		if limits.HeaderTimeout <= 0 {
+			limits.HeaderTimeout = headerTimeout
+		}
+		return limits
+	}
+	l := a.settings.Limits
+	return routes.CallerLimits{MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, HeaderTimeout: headerTimeout, IdleTimeout: l.IdleTimeout}
+}
+
 // httpListenerServer serves HTTP on a listener, like *http.Server.
 type httpListenerServer interface {
 	Serve(net.Listener) error
@@ -193,16 +253,20 @@
 	if err != nil {
 		return fleet.At(err, "agent.listen", addr)
 	}
-	go func() {
-		if files.CertificateFile != "" {
-			a.reportFailure(server.ServeTLS(l, files.CertificateFile, files.KeyFile))
-			return
-		}
-		a.reportFailure(server.Serve(l))
-	}()
+	go a.serveOn(server, l, files)
 	return nil
 }
 
+// serveOn serves on l, over HTTPS if files are given, until the server is closed.
+func (a *Agent) serveOn(server httpListenerServer, l net.Listener, files settings.TLS) {
+	l = retryListener{l, a.log.Named("http")}
+	if files.CertificateFile != "" {
+		a.reportFailure(server.ServeTLS(l, files.CertificateFile, files.KeyFile))
+		return
+	}
+	a.reportFailure(server.Serve(l))
+}
+
 // reportFailure sends err to Failed unless err is nil or results from a planned stop of an HTTP server.
 func (a *Agent) reportFailure(err error) {
 	if err == nil || errors.Is(err, http.ErrServerClosed) {
--- a/internal/agent/callers.go
+++ b/internal/agent/callers.go
@@ -9,8 +9,10 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
-	"github.com/wigeonflow/wigeonflow/internal/socket"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
 )
 
 const (
@@ -19,6 +21,8 @@
 	// firstRequestWait is how long a draining server waits for the first request of a
 	// connection that it accepted before. Callers send it as soon as they are connected.
 	firstRequestWait = 500 * time.Millisecond
+	// expiryInterval is the time between two searches for connections that have exceeded a limit.
+	expiryInterval = time.Second
 )
 
 // errDrained is the type of errors of a drain whose context ended first.
@@ -34,12 +38,34 @@
 	mu       sync.Mutex
 	listener net.Listener
 	draining bool
-	conns    map[net.Conn]http.ConnState // HTTP/1 connections
+	conns    map[net.Conn]*callerState // HTTP/1 connections
+	// limits returns the limits in force. Of its times, 0 means no limit.
+	limits func() routes.CallerLimits
+	// bound is the number of connections at which no more are accepted; 0 means no bound.
+	bound int
+	open  int // accepted connections that are not closed
+	// full reports whether a connection awaits its acceptance and none is idle.
+	full bool
+	// room receives a value when a connection is closed.
+	room chan struct{}
+	// closedIdle counts the connections that were closed because they were idle.
+	closedIdle metrics.Counter
+}
+
+// callerState is what a callerServer knows of a connection.
+type callerState struct {
+	http.ConnState
+	since time.Time // of ConnState
+	// expired reports whether the reads of the connection were made to time out.
+	expired bool
 }
 
 // newCallerServer returns a server with the settings of s, which it takes over.
 func newCallerServer(s *http.Server) *callerServer {
-	c := &callerServer{Server: s, conns: make(map[net.Conn]http.ConnState)}
+	c := &callerServer{
+		Server: s, conns: make(map[net.Conn]*callerState), limits: func() routes.CallerLimits { return routes.CallerLimits{} },
+		room: make(chan struct{}, 1), closedIdle: metrics.NewCounter(),
+	}
 	s.ConnState = c.trackState
 	return c
 }
@@ -56,14 +82,17 @@
 }
 
 func (s *callerServer) serveUntilDrained(l net.Listener, serve func(net.Listener) error) error {
-	l = newOnceListener(l)
+	once := newOnceListener(l)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go fleet.Every(ctx, expiryInterval, func(context.Context) { s.closeExpired(time.Now()) })
 	s.mu.Lock()
-	s.listener = l
+	s.listener = once
 	if s.draining {
-		_ = l.Close() // drained before it served
+		_ = once.Close() // drained before it served
 	}
 	s.mu.Unlock()
-	err := serve(l)
+	err := serve(callerListener{once, s})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining && errors.Is(err, net.ErrClosed) {
@@ -76,10 +105,17 @@
 // first. It is safe for concurrent use.
 type onceListener struct {
 	net.Listener
-	close func() error
+	close  func() error
+	closed chan struct{} // closed by Close
 }
 
-func newOnceListener(l net.Listener) onceListener { return onceListener{l, sync.OnceValue(l.Close)} }
+func newOnceListener(l net.Listener) onceListener {
+	closed := make(chan struct{})
+	return onceListener{Listener: l, closed: closed, close: sync.OnceValue(func() error {
+		close(closed)
+		return l.Close()
+	})}
+}
 
 // Close closes the listener unless it is closed.
 func (l onceListener) Close() error { return l.close() }
@@ -88,15 +124,22 @@
 func (s *callerServer) trackState(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case state == http.StateClosed, state == http.StateHijacked, state != http.StateNew && isHTTP2(c):
+	last := s.conns[c]
+	if state == http.StateClosed && last != nil && last.expired && last.isIdle(c) && !s.draining {
+		s.closedIdle.Inc(1)
+	}
+	if state == http.StateClosed || state == http.StateHijacked || state != http.StateNew && isHTTP2(c) {
 		delete(s.conns, c)
 		return
-	case state == http.StateActive && s.draining:
+	}
+	if state == http.StateActive && last != nil && last.expired {
 		// The next request was read while its connection was being closed as idle.
 		_ = c.SetReadDeadline(time.Time{})
 	}
-	s.conns[c] = state
+	if conn := callerConnOf(c); conn != nil && state == http.StateIdle {
+		conn.readAt.Store(nil)
+	}
+	s.conns[c] = &callerState{ConnState: state, since: time.Now()}
 }
 
 // isHTTP2 reports whether a connection has negotiated HTTP/2. Its handshake is over.
@@ -132,9 +175,48 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, state := range s.conns {
-		if (state == http.StateIdle || state == http.StateNew && unused) && !socket.Unread(c) {
-			_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+		if (state.ConnState == http.StateIdle || state.ConnState == http.StateNew && unused) && !unread(c) {
+			state.expire(c)
 		}
 	}
 	return len(s.conns)
 }
+
+// expire makes the reads of c time out.
+func (s *callerState) expire(c net.Conn) {
+	s.expired = true
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
+// closeExpired closes the connections that at now have been idle between two requests for longer
+// than the idle timeout, or have been sending a request's head for longer than the header timeout.
+// The timeouts of http.Server can't change while it runs.
+func (s *callerServer) closeExpired(now time.Time) {
+	limits := s.limits()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, state := range s.conns {
+		since, waiting := state.headSince(c)
+		limit := limits.HeaderTimeout
+		if !waiting {
+			since, limit = state.since, limits.IdleTimeout
+		}
+		if state.ConnState != http.StateActive && limit > 0 && now.Sub(since) > limit && !unread(c) {
+			state.expire(c)
+		}
+	}
+}
+
+// headSince returns since when the head of a request is awaited. It reports false while a
+// connection is idle between two requests. net/http counts it as idle until it has read the head.
+func (s *callerState) headSince(c net.Conn) (time.Time, bool) {
+	if s.ConnState == http.StateNew {
+		return s.since, true
+	}
+	if conn := callerConnOf(c); conn != nil {
+		if at := conn.readAt.Load(); at != nil {
+			return *at, true
+		}
+	}
+	return time.Time{}, false
+}
