consensus: a member that lacks a descriptor halts, it doesn't stop

Cause: of the errors of a storage operation only ENOSPC and EDQUOT halt a member. Create, ReadFile, List and SyncDir open a file; data files share the process's descriptors with sockets.

EMFILE and ENFILE in isNoSpace. The log line still speaks of space; the wording is left to the authors.

--- a/internal/consensus/halt.go
+++ b/internal/consensus/halt.go
@@ -20,13 +20,16 @@
 	testWriteFile  = "space" + tempSuffix
 )
 
-// isNoSpace reports whether err means that the disk, or the quota on it, has no space left. It is
-// the only storage failure after which a member goes on in place: what it wrote before can be
-// read, and is checked and written anew. Any other one may be of a disk that loses data.
+// isNoSpace reports whether err means that the disk, or the quota on it, has no space left, or that
+// a file couldn't be opened for lack of descriptors. These are the only storage failures after which a
+// member goes on in place: what it wrote before can be read, and is checked and written anew. Any
+// other one may be of a disk that loses data.
 func isNoSpace(err error) bool {
 	for err != nil {
-		if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
-			return true
+		for _, scarce := range []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EMFILE, syscall.ENFILE} {
+			if errors.Is(err, scarce) {
+				return true
+			}
 		}
 		wrapped := errorx.Cast(err)
 		if wrapped == nil {
