agent: errors of accept don't end the callers' server

What callers see: the router closes its listener, drains and ends.

Not covered: the listeners of operators and of debugging, which agent.serve starts with a plain http.Server; a log line for each error is missing, since callerServer has no logger.

--- a/internal/agent/callers.go
+++ b/internal/agent/callers.go
@@ -72,13 +72,28 @@
 	return err
 }
 
+// acceptPause is the time between two attempts to accept a connection after an error.
+const acceptPause = 100 * time.Millisecond
+
 // onceListener is a listener that is closed once: each call of Close returns the result of the
-// first. It is safe for concurrent use.
+// first. Errors of single connections, or of a process that lacks what a connection needs, don't end
+// it. It is safe for concurrent use.
 type onceListener struct {
 	net.Listener
 	close func() error
 }
 
+// Accept returns the next connection, or an error once the listener is closed.
+func (l onceListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return c, err
+		}
+		time.Sleep(acceptPause)
+	}
+}
+
 func newOnceListener(l net.Listener) onceListener { return onceListener{l, sync.OnceValue(l.Close)} }
 
 // Close closes the listener unless it is closed.
