agent: a drain sees unread bytes of connections over TLS

Cause: socket.Unread is false for a *tls.Conn, which has no SyscallConn, so that expireIdle lets its read time out.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -90,9 +90,12 @@
 	return optErr
 }
 
-// Unread reports whether the connection has received bytes that nobody has read. It is false for a
-// connection without a descriptor of its own, such as one over TLS. It may run beside a Read.
+// Unread reports whether the connection, or the one below it if it is over TLS, has received bytes
+// that nobody has read. It is false for a connection without a descriptor. It may run beside a Read.
 func Unread(conn net.Conn) bool {
+	if secure, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = secure.NetConn()
+	}
 	received, err := Peek(conn)
 	return err == nil && received
 }
