--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -34,8 +34,9 @@
 	opts              Options
 	core              *Core
 	store             *store
-	storageFailure    error // why the core is halted; nil while it isn't
-	rewriteLog        bool  // write the log anew when the data directory is opened again
+	storageFailure    error         // why the core is halted; nil while it isn't
+	snapshotRetryAt   time.Duration // no snapshot is written before, after one had no space
+	rewriteLog        bool          // write the log anew when the data directory is opened again
 	machine           StateMachine
 	applied           uint64 // last index that the state machine has applied or restored
 	transport         Transport
@@ -165,7 +166,7 @@
 			return err
 		}
 	}
-	if err := r.compactIfDue(); err != nil {
+	if err := r.compactIfDue(now); err != nil {
 		return err
 	}
 	r.failLostProposals()
@@ -253,7 +254,13 @@
 // compactIfDue takes a snapshot once enough entries, or enough bytes, were applied since
 // the last one. The newest entries stay in the log for members that are slightly
 // behind.
-func (r *replica) compactIfDue() error {
+//
+// If there is no space for it, the member goes on without one, since its log is whole, and tries
+// again after storageRetryInterval.
+func (r *replica) compactIfDue(now time.Duration) error {
+	if now < r.snapshotRetryAt {
+		return nil
+	}
 	applied := r.core.log.applied
 	fresh := applied - r.core.snapshot.Index
 	if fresh < r.snapshotThreshold && (fresh == 0 || r.core.log.bytes < r.snapshotLogBytes) {
@@ -265,8 +272,16 @@
 	}
 	term, _ := r.core.log.term(applied)
 	snap := Snapshot{Index: applied, Term: term, Members: r.core.membersUpTo(applied), Data: data}
+	former := r.store.snapshot
+	if err := r.store.addSnapshot(snap); err != nil {
+		if isNoSpace(err) && !r.store.suspect {
+			r.snapshotRetryAt = now + storageRetryInterval
+			return nil
+		}
+		return err
+	}
 	r.core.RecordSnapshot(snap, r.core.log.tailStart(applied, r.snapshotThreshold/2, r.snapshotLogBytes/4))
-	return r.store.SaveSnapshot(snap, r.core.state())
+	return r.store.startAfterSnapshot(former, r.core.state())
 }
 
 // failLostProposals fails the pending proposals of a leadership that has ended.
--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -283,16 +283,31 @@
 // SaveSnapshot persists a snapshot, then a new log file that starts at st.Base. After
 // a crash in between, the former log is read with the new snapshot.
 func (s *store) SaveSnapshot(snap Snapshot, st State) error {
+	former := s.snapshot
+	if err := s.addSnapshot(snap); err != nil {
+		return err
+	}
+	return s.startAfterSnapshot(former, st)
+}
+
+// addSnapshot writes a snapshot, which is read with the present log from then on. If it returns an
+// error and the store is not suspect, nothing has changed and the store can be used.
+func (s *store) addSnapshot(snap Snapshot) error {
 	name := fmt.Sprintf("%s%016x", snapshotPrefix, snap.Index)
 	if err := s.writeSnapshot(name, snap); err != nil {
+		_ = s.disk.Remove(name + tempSuffix) // it may not exist
 		return err
 	}
-	former := s.snapshot
 	s.snapshot = name
+	return nil
+}
+
+// startAfterSnapshot starts a log file at st.Base and removes the former snapshot.
+func (s *store) startAfterSnapshot(former string, st State) error {
 	if err := s.startLog(firstRecord(st)); err != nil {
 		return err
 	}
-	if former == "" || former == name {
+	if former == "" || former == s.snapshot {
 		return nil
 	}
 	return storageError(s.disk.Remove(former), "remove", former)
