control: a member that stops while it asks for its removal doesn't panic

What callers see: all their requests at the process end without an answer.

Cause: awaitStop closes Server.done when the group stops, and leave closes it too. leaving keeps awaitStop from it, but not leave from what awaitStop has done: membershipLoop reads the status, asks the leader (up to membershipInterval), and the group stops meanwhile, by a failing disk or at the end of Close. The reply 'removed' then closes a closed channel, and writes s.failure beside its readers. A member that was removed for its silence and whose disk then fails takes this way.

Evidence: TestMemberThatStopsWhileItAsksForItsRemovalPanics panics before (close of closed channel, standing.go:119); the package passes under the race detector.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -69,7 +69,7 @@
 	leaseGate     leaseGate
 	cancel        context.CancelFunc
 
-	leaving atomic.Bool              // set while leave stops the member
+	ending  atomic.Bool              // set by leave or awaitStop: the first one closes done
 	done    chan struct{}            // closed once the member has stopped
 	failure error                    // set before done is closed
 	members atomic.Pointer[[]string] // mesh addresses of the group, on a leader
@@ -215,7 +215,7 @@
 // awaitStop closes done when the group has stopped, unless leave does so.
 func (s *Server) awaitStop() {
 	err := s.group.Err()
-	if !s.leaving.Load() {
+	if s.ending.CompareAndSwap(false, true) {
 		s.failure = err
 		close(s.done)
 	}
--- a/internal/control/standing.go
+++ b/internal/control/standing.go
@@ -105,10 +105,13 @@
 }
 
 // leave stops the member and clears its data directory. Its data is outdated: a
-// majority of the group without this member committed the removal.
+// majority of the group without this member committed the removal. It does nothing if the member
+// has stopped meanwhile; its next process asks again.
 func (s *Server) leave() {
+	if !s.ending.CompareAndSwap(false, true) {
+		return
+	}
 	s.log.Warn("this member was removed from the control group while it was stopped or disconnected; it clears its data directory and joins again", "folder", s.cfg.Dir)
-	s.leaving.Store(true)
 	if err := s.group.Close(); err != nil {
 		s.log.Warn("control member not stopped cleanly", "error", err)
 	}
