exchange: the error of a head that is no answer quotes only its beginning

Cause: net/http's errors quote the whole line (64 KiB at most). The forwarder keeps it (lastErr) until the request ends, outside the byte account, and writes it to the log twice for each attempt; eight such lines fill the log's queue (512 KiB), and lines of other requests are dropped.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -19,6 +19,8 @@
 	// earlier exchanges are skipped; maxMisdeliveredBody bounds the body of each in bytes.
 	maxMisdelivered     = 3
 	maxMisdeliveredBody = 1 << 20
+	// maxErrorText bounds the text in bytes of an error that quotes what an upstream has sent.
+	maxErrorText = 256
 )
 
 // Response is an answer with its body to read. The caller must close it.
@@ -125,6 +127,8 @@
 				err = errHeadTooLong()
 			case errors.Is(err, io.EOF):
 				err = io.ErrUnexpectedEOF
+			case len(err.Error()) > maxErrorText: // it quotes the line that is no answer
+				err = errors.New(err.Error()[:maxErrorText] + "...")
 			}
 			return nil, err
 		}
