--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -107,7 +107,7 @@
 	if err := s.loadLog(&st); err != nil {
 		return State{}, err
 	}
-	return st, s.removeOld(names)
+	return st, s.removeOld()
 }
 
 func (s *store) loadLog(st *State) error {
@@ -206,7 +206,11 @@
 }
 
 // removeOld removes temporary files and all logs and snapshots but the newest ones.
-func (s *store) removeOld(names []string) error {
+func (s *store) removeOld() error {
+	names, err := s.disk.List() // startLog may have removed one of them
+	if err != nil {
+		return storageError(err, "list", "data directory")
+	}
 	for _, name := range names {
 		if name == identityFile || name == s.logName || name == s.snapshot {
 			continue
