--- a/internal/consensus/halt.go
+++ b/internal/consensus/halt.go
@@ -119,13 +119,13 @@
 	return err == nil, err
 }
 
-// reopen opens the data directory once a test write succeeds. It writes the log anew after a
-// failed sync, but not after a failed write, so that a member with a long log needs little space.
+// reopen opens the data directory once a test write succeeds. It writes the snapshot and the log anew
+// after a failed sync, but not after a failed write, so that a member with a long log needs little space.
 func (r *replica) reopen(now time.Duration) error {
 	if err := testWrite(r.disk); err != nil {
 		return err
 	}
-	s, st, err := r.openStoreAgain()
+	s, st, err := reopenStore(r.disk, r.group, r.opts.ID, r.opts.Rand, r.rewriteLog)
 	if err != nil {
 		r.rewriteLog = true // a sync may have failed
 		return err
@@ -137,19 +137,6 @@
 	return r.continueFrom(now, s, st)
 }
 
-// openStoreAgain opens the data directory, and writes the log anew if that is due.
-func (r *replica) openStoreAgain() (*store, State, error) {
-	s, st, err := openStore(r.disk, r.group, r.opts.ID, r.opts.Rand)
-	if err != nil || !r.rewriteLog {
-		return s, st, err
-	}
-	if err := s.startLog(firstRecord(st)); err != nil {
-		s.closeLog()
-		return nil, State{}, err
-	}
-	return s, st, nil
-}
-
 // testWrite writes, syncs and removes a file, after it has removed the temporary files that failed
 // writes left behind: they would take up the room that they need.
 func testWrite(disk Disk) error {
--- a/internal/consensus/memdisk_test.go
+++ b/internal/consensus/memdisk_test.go
@@ -22,7 +22,11 @@
 	// negative value that the crash has happened.
 	crashIn int
 	full    bool // no space is left: writes fail, and so does half of what else changes the disk
-	fullIn  int  // number of operations until the disk is full; 0 means that it doesn't become full
+	// unsyncedNames makes a failed SyncDir leave names that later ones don't make durable, until they
+	// are changed again; unsynced are these.
+	unsyncedNames bool
+	unsynced      map[string]bool
+	fullIn        int // number of operations until the disk is full; 0 means that it doesn't become full
 }
 
 type memFile struct {
@@ -35,7 +39,7 @@
 }
 
 func newMemDisk(rng *rand.Rand) *memDisk {
-	return &memDisk{rng: rng, nextID: rng.Uint64(), live: map[string]*memFile{}, durable: map[string]*memFile{}}
+	return &memDisk{rng: rng, nextID: rng.Uint64(), live: map[string]*memFile{}, durable: map[string]*memFile{}, unsynced: map[string]bool{}}
 }
 
 // countOp counts one operation and returns errCrashed from the crash on.
@@ -110,6 +114,7 @@
 	d.nextID++
 	f := &memFile{id: d.nextID}
 	d.changeDir(func(m map[string]*memFile) { m[name] = f })
+	delete(d.unsynced, name)
 	return &memHandle{d, f}, nil
 }
 
@@ -141,19 +146,37 @@
 		delete(m, from)
 		m[to] = f
 	})
+	delete(d.unsynced, to)
 	return d.countOp()
 }
 
 func (d *memDisk) Remove(name string) error {
+	if d.live[name] == nil {
+		return os.ErrNotExist
+	}
 	d.changeDir(func(m map[string]*memFile) { delete(m, name) })
+	delete(d.unsynced, name)
 	return d.countOp()
 }
 
 func (d *memDisk) SyncDir() error {
 	if err := d.countChange(); err != nil {
+		if d.unsyncedNames && errors.Is(err, syscall.ENOSPC) {
+			for name, f := range d.live {
+				if d.durable[name] != f {
+					d.unsynced[name] = true
+				}
+			}
+		}
 		return err
 	}
+	former := d.durable
 	d.durable, d.pending = maps.Clone(d.live), nil
+	for name := range d.unsynced {
+		if delete(d.durable, name); former[name] != nil {
+			d.durable[name] = former[name]
+		}
+	}
 	return nil
 }
 
--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -37,6 +37,12 @@
 
 // openStore opens a data directory. It formats an empty one with a random store ID.
 func openStore(disk Disk, group string, id MemberID, rng *rand.Rand) (*store, State, error) {
+	return reopenStore(disk, group, id, rng, false)
+}
+
+// reopenStore is like openStore. With rewrite set it writes the newest snapshot and the log anew
+// before it removes any file, since the present ones may be readable and not on disk.
+func reopenStore(disk Disk, group string, id MemberID, rng *rand.Rand, rewrite bool) (*store, State, error) {
 	if err := completeClearing(disk); err != nil {
 		return nil, State{}, err
 	}
@@ -49,7 +55,7 @@
 	if fresh {
 		err = s.startLog(logRecord{Start: &logStart{}})
 	} else {
-		st, err = s.load()
+		st, err = s.load(rewrite)
 	}
 	if err != nil {
 		s.closeLog()
@@ -83,7 +89,7 @@
 
 // load reads the newest snapshot and the newest log file, truncates a torn last
 // record and removes files that a crash left behind.
-func (s *store) load() (State, error) {
+func (s *store) load(rewrite bool) (State, error) {
 	names, err := s.disk.List()
 	if err != nil {
 		return State{}, storageError(err, "list", "data directory")
@@ -102,11 +108,21 @@
 		if st.Snapshot, err = s.readSnapshot(); err != nil {
 			return State{}, err
 		}
+		if rewrite {
+			if err := s.writeSnapshot(s.snapshot, st.Snapshot); err != nil {
+				return State{}, err
+			}
+		}
 		st.Snapshot.Data = nil
 	}
 	if err := s.loadLog(&st); err != nil {
 		return State{}, err
 	}
+	if rewrite {
+		if err := s.startLog(firstRecord(st)); err != nil {
+			return State{}, err
+		}
+	}
 	return st, s.removeOld()
 }
 
