--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -11,31 +11,42 @@
 )
 
 // snapshotAssembly collects the chunks of one snapshot from one sender. Chunks may arrive in
-// any order and more than once.
+// any order and more than once. It holds no more memory than has been received, whatever size the
+// chunks claim.
 type snapshotAssembly struct {
 	index    uint64
 	from     StoreID
-	data     []byte
-	missing  int
-	received map[uint64]bool // by offset
+	size     uint64
+	missing  uint64
+	received map[uint64][]byte // by offset
 }
 
 // addChunk stores a chunk and reports whether the snapshot is complete. A chunk of another
-// snapshot discards the chunks collected so far.
+// snapshot discards the chunks collected so far. A malformed one is dropped.
 func (a *snapshotAssembly) addChunk(from StoreID, chunk *SnapshotChunk) bool {
-	if a.received == nil || a.index != chunk.Index || a.from != from || len(a.data) != int(chunk.Size) {
-		*a = snapshotAssembly{index: chunk.Index, from: from, received: map[uint64]bool{}}
-		a.data = make([]byte, chunk.Size)
-		a.missing = int(chunk.Size)
+	if chunk.Offset > chunk.Size || uint64(len(chunk.Data)) > chunk.Size-chunk.Offset {
+		return false
+	}
+	if a.received == nil || a.index != chunk.Index || a.from != from || a.size != chunk.Size {
+		*a = snapshotAssembly{index: chunk.Index, from: from, size: chunk.Size, missing: chunk.Size, received: map[uint64][]byte{}}
 	}
-	if end := chunk.Offset + uint64(len(chunk.Data)); end > chunk.Size || a.received[chunk.Offset] {
+	if _, ok := a.received[chunk.Offset]; ok || uint64(len(chunk.Data)) > a.missing {
 		return false
 	}
-	a.received[chunk.Offset] = true
-	a.missing -= copy(a.data[chunk.Offset:], chunk.Data)
+	a.received[chunk.Offset] = chunk.Data
+	a.missing -= uint64(len(chunk.Data))
 	return a.missing == 0
 }
 
+// data returns a complete snapshot.
+func (a *snapshotAssembly) data() []byte {
+	data := make([]byte, a.size)
+	for offset, chunk := range a.received {
+		copy(data[offset:], chunk)
+	}
+	return data
+}
+
 // splitSnapshot splits a snapshot into copies of m with up to size bytes each. An empty
 // snapshot is one chunk.
 func splitSnapshot(m Message, snap Snapshot, size int) []Message {
@@ -76,7 +87,7 @@
 		return
 	}
 	chunk := m.Chunk
-	c.installSnapshot(Snapshot{Index: chunk.Index, Term: chunk.Term, Members: chunk.Members, Data: c.assembly.data})
+	c.installSnapshot(Snapshot{Index: chunk.Index, Term: chunk.Term, Members: chunk.Members, Data: c.assembly.data()})
 	c.assembly = snapshotAssembly{}
 	c.reply(m, Message{Type: MessageAppendResponse, Index: chunk.Index})
 }
