--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -37,6 +37,12 @@
 
 // openStore opens a data directory. It formats an empty one with a random store ID.
 func openStore(disk Disk, group string, id MemberID, rng *rand.Rand) (*store, State, error) {
+	return reopenStore(disk, group, id, rng, false)
+}
+
+// reopenStore is like openStore. With rewrite set it writes the newest snapshot and the log anew
+// before it removes any file, since the present ones may be readable and not on disk.
+func reopenStore(disk Disk, group string, id MemberID, rng *rand.Rand, rewrite bool) (*store, State, error) {
 	if err := completeClearing(disk); err != nil {
 		return nil, State{}, err
 	}
@@ -49,7 +55,7 @@
 	if fresh {
 		err = s.startLog(logRecord{Start: &logStart{}})
 	} else {
-		st, err = s.load()
+		st, err = s.load(rewrite)
 	}
 	if err != nil {
 		s.closeLog()
@@ -83,7 +89,7 @@
 
 // load reads the newest snapshot and the newest log file, truncates a torn last
 // record and removes files that a crash left behind.
-func (s *store) load() (State, error) {
+func (s *store) load(rewrite bool) (State, error) {
 	names, err := s.disk.List()
 	if err != nil {
 		return State{}, storageError(err, "list", "data directory")
@@ -102,12 +108,22 @@
 		if st.Snapshot, err = s.readSnapshot(); err != nil {
 			return State{}, err
 		}
+		if rewrite {
+			if err := s.writeSnapshot(s.snapshot, st.Snapshot); err != nil {
+				return State{}, err
+			}
+		}
 		st.Snapshot.Data = nil
 	}
 	if err := s.loadLog(&st); err != nil {
 		return State{}, err
 	}
-	return st, s.removeOld(names)
+	if rewrite {
+		if err := s.startLog(firstRecord(st)); err != nil {
+			return State{}, err
+		}
+	}
+	return st, s.removeOld()
 }
 
 func (s *store) loadLog(st *State) error {
@@ -206,7 +222,11 @@
 }
 
 // removeOld removes temporary files and all logs and snapshots but the newest ones.
-func (s *store) removeOld(names []string) error {
+func (s *store) removeOld() error {
+	names, err := s.disk.List() // startLog may have removed one of them
+	if err != nil {
+		return storageError(err, "list", "data directory")
+	}
 	for _, name := range names {
 		if name == identityFile || name == s.logName || name == s.snapshot {
 			continue
@@ -283,16 +303,31 @@
 // SaveSnapshot persists a snapshot, then a new log file that starts at st.Base. After
 // a crash in between, the former log is read with the new snapshot.
 func (s *store) SaveSnapshot(snap Snapshot, st State) error {
+	former := s.snapshot
+	if err := s.addSnapshot(snap); err != nil {
+		return err
+	}
+	return s.startAfterSnapshot(former, st)
+}
+
+// addSnapshot writes a snapshot, which is read with the present log from then on. If it returns an
+// error and the store is not suspect, nothing has changed and the store can be used.
+func (s *store) addSnapshot(snap Snapshot) error {
 	name := fmt.Sprintf("%s%016x", snapshotPrefix, snap.Index)
 	if err := s.writeSnapshot(name, snap); err != nil {
+		_ = s.disk.Remove(name + tempSuffix) // it may not exist
 		return err
 	}
-	former := s.snapshot
 	s.snapshot = name
+	return nil
+}
+
+// startAfterSnapshot starts a log file at st.Base and removes the former snapshot.
+func (s *store) startAfterSnapshot(former string, st State) error {
 	if err := s.startLog(firstRecord(st)); err != nil {
 		return err
 	}
-	if former == "" || former == name {
+	if former == "" || former == s.snapshot {
 		return nil
 	}
 	return storageError(s.disk.Remove(former), "remove", former)
