gateway: a sound upstream's slow event is asked for once more, not up to six times

What callers saw: nothing; upstreams ran a request up to four times (an event sent in parts over 2.5 s) or six (comments for 3 s before it), which costs the retry budget and prompts read in vain. Cause: since bytes that serve no event count as no progress, a replacement that begins the same way counts as stalled, or is canceled as it sends no event in time, and the next one is opened. Change: while the attempt goes on sending, a replacement that begins alike is the last one. A silent attempt, or a replacement that fails otherwise, gets further ones as before.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -433,6 +433,14 @@
 	return p.state.stalled(now) || p.idleBytes-p.idleSince > stallTimeout
 }
 
+// SendsIdleBytes reports whether the upstream goes on sending bytes that don't serve the request,
+// unlike one that is silent.
+func (p *Pick) SendsIdleBytes(now time.Duration) bool {
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	return p.idleSince > 0 && now-p.idleBytes <= stallTimeout
+}
+
 // End releases the slot and records the outcome. Later calls do nothing.
 func (p *Pick) End(now time.Duration, o Outcome) {
 	p.balancer.mu.Lock()
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -30,6 +31,7 @@
 	attempt *attempt
 	cause   error // for which the attempt is to be replaced
 	logged  bool  // a missing replacement was logged
+	alike   bool  // a replacement has begun without an event in time, like the attempt
 
 	done   chan struct{} // closed by stop
 	exited chan struct{} // closed when the goroutine has ended, which owns pending until then
@@ -105,6 +107,7 @@
 		return false // abandoned
 	}
 	if next.err != nil {
+		w.alike = w.alike || errors.Is(next.err, errNoEvent)
 		w.drop(next, next.wasNeeded())
 		return false
 	}
@@ -135,12 +138,26 @@
 	if n := len(w.pending); n > 0 && f.replaceCause(w.pending[n-1]) == nil {
 		return
 	}
+	if w.isSlowAlike() {
+		return
+	}
 	w.cause = cause
 	if w.attempt.ctx.Err() == nil && f.history.limitReached(f.route) == "" {
 		w.open()
 	}
 }
 
+// isSlowAlike reports whether the attempt goes on sending what serves nothing as yet, and so does a
+// replacement, or it did within its time: further ones would begin alike.
+func (w *watcher) isSlowAlike() bool {
+	now := w.f.server.cfg.Clock()
+	if !w.attempt.pick.SendsIdleBytes(now) {
+		return false
+	}
+	n := len(w.pending)
+	return w.alike || n > 0 && w.pending[n-1].pick.SendsIdleBytes(now)
+}
+
 // open chooses another upstream and starts an attempt at it, if there is a sound one and the
 // retry budget allows it.
 func (w *watcher) open() {
