exchange: the body of a request goes out without a second copy

Cause: encode put head and body into one buffer for each attempt.

Change: encodeHead encodes the head alone; a request over maxInlineWrite writes head and body one after the other, concurrently with reading as before. A shorter one still goes out in one write. A failed write of the head doesn't write the body; nothing is sent again.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -75,6 +75,15 @@
 // again.
 func (c *conn) close() { _ = c.Conn.Close() }
 
+// writeBoth writes the head and the body of a request without a copy of the body.
+func (c *conn) writeBoth(head, body []byte) error {
+	if _, err := c.Write(head); err != nil || len(body) == 0 {
+		return err
+	}
+	_, err := c.Write(body)
+	return err
+}
+
 // isIdle reports whether the peer has neither closed the connection nor sent any bytes
 // on it since the last exchange.
 func (c *conn) isIdle() bool {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -15,6 +15,8 @@
 	// answer is read. A longer one is written concurrently, since an upstream may answer
 	// before it has read the complete request.
 	maxInlineWrite = 4 << 10
+	// headCapacity is the size in bytes of the buffer that a request's head is encoded into first.
+	headCapacity = 1 << 10
 	// maxMisdelivered bounds the answers that are read to find the one that matches. Those of
 	// earlier exchanges are skipped; maxMisdeliveredBody bounds the body of each in bytes.
 	maxMisdelivered     = 3
@@ -65,18 +67,15 @@
 
 // exchange writes the request and reads answers until one matches it.
 func (r *Response) exchange(req *Request) error {
-	encoded := req.encode(make([]byte, 0, len(req.Body)+1024))
-	if len(encoded) <= maxInlineWrite {
-		if _, err := r.conn.Write(encoded); err != nil {
+	head := req.encodeHead(make([]byte, 0, headCapacity))
+	if len(head)+len(req.Body) <= maxInlineWrite {
+		if _, err := r.conn.Write(append(head, req.Body...)); err != nil {
 			return err
 		}
 	} else {
 		written := make(chan error, 1)
 		r.written = written
-		go func() {
-			_, err := r.conn.Write(encoded)
-			written <- err
-		}()
+		go func() { written <- r.conn.writeBoth(head, req.Body) }()
 	}
 	for range maxMisdelivered {
 		resp, err := r.readHeader(req.Method)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -33,7 +33,7 @@
 // end, and writes raw bytes.
 type script func(p *peer, conn net.Conn, read func() *http.Request)
 
-func newPeer(t *testing.T, play script) *peer {
+func newPeer(t testing.TB, play script) *peer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -53,8 +53,8 @@
 	return slices.Contains(t.conns, c)
 }
 
-// encode appends the request in wire form.
-func (r *Request) encode(b []byte) []byte {
+// encodeHead appends the request in wire form up to its body.
+func (r *Request) encodeHead(b []byte) []byte {
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.Target...)
@@ -74,8 +74,7 @@
 		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
 		b = append(b, "\r\n"...)
 	}
-	b = append(b, "\r\n"...)
-	return append(b, r.Body...)
+	return append(b, "\r\n"...)
 }
 
 // appendValue appends the value of a field, with spaces in place of control characters, which
