--- a/internal/gateway/body_account.go
+++ b/internal/gateway/body_account.go
@@ -10,8 +10,7 @@
 )
 
 const (
-	// ownMemory is what the router needs in bytes without answers and bodies, as GOMEMLIMIT in
-	// deploy/system.toml has it.
+	// ownMemory is what the router needs in bytes without answers and bodies, garbage included.
 	ownMemory = 40 << 20
 	// minBodyDivisor makes the smallest budget of held bodies out of the process's memory.
 	minBodyDivisor = 8
