--- a/internal/gateway/body_account_test.go
+++ b/internal/gateway/body_account_test.go
@@ -200,8 +200,8 @@
 	}
 }
 
-// The connection of a refused body that has arrived completely serves the next request.
-func TestConnectionIsUsedAfterARefusedBody(t *testing.T) {
+// A refused body that has arrived completely need not end its connection.
+func TestRefusedBodyEndsItsConnection(t *testing.T) {
 	is := is.New(t)
 	r := newBodyGateway(t, serveDone)
 	filled := fillBodies(r.server.bodies, "hot")
@@ -221,6 +221,22 @@
 	}
 }
 
+// A caller that waits to be told to send its body would be told after its rejection.
+func TestRefusedBodyIsAskedFor(t *testing.T) {
+	is := is.New(t)
+	r := newBodyGateway(t, serveDone)
+	defer fillBodies(r.server.bodies, "hot").release()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: %s\r\nId: a\r\nKey: hot\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", testHost, longestBody)
+	is.NoErr(err)
+	text, err := io.ReadAll(conn) // the connection ends, since the body can't be told from a next request
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(text), "HTTP/1.1 503 "))
+	is.Equal(strings.Count(string(text), "HTTP/1.1 "), 1)
+}
+
 // Bytes that stayed in the account after their request has ended would refuse all others in the end.
 func TestEndedRequestsKeepTheirBodies(t *testing.T) {
 	arrived := make(chan struct{}, 1)
