agent: test that the product's own router ends idle connections

limits.idle_timeout had no test of its own: the other one reads a configuration's limit. Evidence: with the setting not passed on, TestIdleConnectionOfOwnRouterStaysOpen fails: read ... i/o timeout, not EOF.

--- a/internal/agent/connections_test.go
+++ b/internal/agent/connections_test.go
@@ -88,6 +88,24 @@
 	awaitStates(t, a.callers, http.StateIdle, 0)
 }
 
+// A router without a configuration of its own has the limit of its settings.
+func TestIdleConnectionOfOwnRouterStaysOpen(t *testing.T) {
+	is := is.New(t)
+	s := settings.Settings{Instance: "i", Roles: []settings.Role{settings.RoleRouter}}
+	addrs := freeAddrs(t, 2)
+	s.Listen.Mesh, s.Listen.Callers = addrs[0], addrs[1]
+	s.Limits.IdleTimeout = time.Millisecond
+	a, err := StartWith(t.Context(), s.WithDefaults(), io.Discard, Extension{
+		Router: func(Parts, settings.Settings) Router { return plainRouter{serveAll} },
+	})
+	is.NoErr(err)
+	defer func() { _ = a.callers.Close() }()
+	c := dialServed(t, addrs[1])
+	is.NoErr(c.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err = c.Read(make([]byte, 1))
+	is.Equal(err, io.EOF) // the connection stays open
+}
+
 // A connection is closed only once the limit in force has passed; 0 is no limit.
 func TestIdleConnectionClosedBeforeLimitInForce(t *testing.T) {
 	is := is.New(t)
