--- a/internal/gateway/byte_account.go
+++ b/internal/gateway/byte_account.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	// budgetDivisor makes the budget of held bytes out of the process's memory: they take up to
-	// twice their size until the garbage collector has run, and the other half is left for
-	// callers' requests, connections and the router itself.
+	// budgetDivisor makes the budget of held bytes out of the process's memory. What bodies of
+	// requests may take beside it follows from it, see bodyBudget.
 	budgetDivisor = 4
 	// reserveDivisor makes the part of the budget that a holding may not take which is larger than
 	// what is left: holdings that have failed for it are still to be released.
