gateway: the line of a cut request tells whether it was moved, and from where

Cause: not traced before; the line "connection closed without a complete answer" doesn't tell a stream whose upstream broke off from one that had been moved away from a sound upstream, nor how many upstreams were asked. Change: the line has sends and runs, and moved_from where the request was moved. Result: go test ./internal/gateway passes; no logic is changed.

--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -24,6 +24,8 @@
 	// were silent or slow. They may be sound, and are asked again once the route allows no
 	// further upstream.
 	replaced []fleet.UpstreamID
+	// moved lists all upstreams whose attempt was canceled in favor of another one.
+	moved []fleet.UpstreamID
 }
 
 // begin records an attempt that is about to be opened. Until settle it counts as run.
@@ -66,11 +68,21 @@
 func (h *history) recordReplaced(a *attempt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if id := a.pick.Upstream.ID; slices.Contains(h.ran, id) {
+	id := a.pick.Upstream.ID
+	h.moved = append(h.moved, id)
+	if slices.Contains(h.ran, id) {
 		h.replaced = append(h.replaced, id)
 	}
 }
 
+// movedFrom returns the upstreams whose attempt was canceled in favor of another one, since they
+// were silent or slow.
+func (h *history) movedFrom() []fleet.UpstreamID {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.moved)
+}
+
 // limitReached returns the limit for which the request may not be sent to a further upstream, or
 // "" if it may.
 func (h *history) limitReached(route *routes.Route) string {
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -31,7 +31,12 @@
 	if cause == causeCallerGone {
 		return
 	}
-	f.logDecision("connection closed without a complete answer", append([]any{"cause", cause, "last_error", f.lastErr, "no_attempt", f.noAttempt}, f.progress(0)...)...)
+	sends, runs := f.history.counts()
+	fields := []any{"cause", cause, "last_error", f.lastErr, "no_attempt", f.noAttempt, "sends", sends, "runs", runs}
+	if moved := f.history.movedFrom(); len(moved) > 0 {
+		fields = append(fields, "moved_from", moved)
+	}
+	f.logDecision("connection closed without a complete answer", append(fields, f.progress(0)...)...)
 }
 
 // answerWriter is a ResponseWriter that knows whether the answer has begun. An answer that
