gateway: a stream is moved only if it can return

Callers saw: a stream that ends without its last events, though the upstream that it had been taken from was sound and only silent. Cause: a move takes one retry of the budget and one of the six sends, and cancels the attempt that worked once the replacement has sent an event. If the replacement breaks off, the return needs a retry and a send of its own, which may be gone: what works is abandoned before the way back is certain. The first upstream can't be kept open for that long: two upstreams may run a request for 400 ms only. Change: a move reserves the retry of a return, out of a share of the operators' budget that other retries don't use, and leaves one send. Without both the stream stays where it is. The reservation ends with the request, or when a stream that wasn't moved goes on.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -302,30 +304,17 @@
 	is.True(!idle.Stalled(now))
 }
 
-// The sum of all routers' retries in any window must stay within the operators' limit,
-// although each router counts alone.
-func TestRetryBudgetOfAllRouters(t *testing.T) {
-	is := is.New(t)
-	const routers = 7
-	limits := RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 54}
-	budgets := make([]budget, routers)
-	type event struct {
-		at    time.Duration
-		retry bool
-	}
-	var events []event
-	for now := time.Duration(0); now < 60*time.Second; now += 10 * time.Millisecond {
-		i := int(now/(10*time.Millisecond)) % routers
-		if now < 20*time.Second || now > 40*time.Second { // no requests in between
-			budgets[i].countRequest(now, limits)
-			events = append(events, event{now, false})
-		}
-		if budgets[i].takeRetry(now, limits, routers) { // every router always wants a retry
-			events = append(events, event{now, true})
-		}
-	}
-	allowedSomewhere := false
-	for from := time.Duration(0); from < 50*time.Second; from += 250 * time.Millisecond {
+// budgetEvent is a request, or a retry of one, at any router.
+type budgetEvent struct {
+	at    time.Duration
+	retry bool
+}
+
+// checkBudget checks that the retries of all routers in any window until end stay within the
+// operators' limit. It reports whether they came close enough to the limit to test it.
+func checkBudget(is *is.I, limits RetryLimits, events []budgetEvent, end time.Duration) (close bool) {
+	is.Helper()
+	for from := time.Duration(0); from < end; from += 250 * time.Millisecond {
 		requests, retries := 0, 0
 		for _, e := range events {
 			if e.at >= from && e.at < from+limits.Window {
@@ -346,16 +335,85 @@
 		}
 		allowed := limits.Ratio*float64(max(requests, before)) + limits.Slack
 		is.True(float64(retries) <= allowed)
-		allowedSomewhere = allowedSomewhere || float64(retries) > allowed/3
+		close = close || float64(retries) > allowed/3
+	}
+	return close
+}
+
+// The sum of all routers' retries in any window must stay within the operators' limit,
+// although each router counts alone.
+func TestRetryBudgetOfAllRouters(t *testing.T) {
+	is := is.New(t)
+	const routers = 7
+	limits := RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 54}
+	budgets := make([]budget, routers)
+	var events []budgetEvent
+	for now := time.Duration(0); now < 60*time.Second; now += 10 * time.Millisecond {
+		i := int(now/(10*time.Millisecond)) % routers
+		if now < 20*time.Second || now > 40*time.Second { // no requests in between
+			budgets[i].countRequest(now, limits)
+			events = append(events, budgetEvent{now, false})
+		}
+		if budgets[i].takeRetry(now, limits, routers, 0) { // every router always wants a retry
+			events = append(events, budgetEvent{now, true})
+		}
+	}
+	is.True(checkBudget(is, limits, events, 50*time.Second))
+}
+
+// Reserved retries are granted while requests keep coming, and all retries together stay within the
+// operators' limit when they cease.
+func TestReservedRetriesExceedBudget(t *testing.T) {
+	for _, reserves := range []float64{0.1, 0.5, 1} {
+		t.Run(fmt.Sprint(reserves), func(t *testing.T) {
+			is := is.New(t)
+			const routers = 7
+			const longest = 15 * time.Second // that a retry stays reserved
+			limits := RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 54}
+			rng := rand.New(rand.NewPCG(1, uint64(10*reserves)))
+			budgets := make([]budget, routers)
+			due := make([][]time.Duration, routers) // when the reserved retries are wanted
+			var events []budgetEvent
+			refused := 0
+			for now := time.Duration(0); now < 80*time.Second; now += 10 * time.Millisecond {
+				i := int(now/(10*time.Millisecond)) % routers
+				busy := now < 30*time.Second || now > 60*time.Second
+				if busy {
+					budgets[i].countRequest(now, limits)
+					events = append(events, budgetEvent{now, false})
+				}
+				due[i] = slices.DeleteFunc(due[i], func(at time.Duration) bool {
+					if at > now || !budgets[i].takeReserved(now, limits, routers) {
+						if at <= now && now > limits.Window && now < 30*time.Second {
+							refused++
+						}
+						return false
+					}
+					events = append(events, budgetEvent{now, true})
+					return true
+				})
+				reserve := 0
+				if rng.Float64() < reserves {
+					reserve = 1
+				}
+				if budgets[i].takeRetry(now, limits, routers, reserve) {
+					events = append(events, budgetEvent{now, true})
+					if reserve > 0 {
+						due[i] = append(due[i], now+time.Duration(rng.Int64N(int64(longest))))
+					}
+				}
+			}
+			is.True(checkBudget(is, limits, events, 70*time.Second))
+			is.Equal(refused, 0)
+		})
 	}
-	is.True(allowedSomewhere) // retries come close enough to the limit to test it
 }
 
 func TestSlackNeedsAKnownMembership(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer(fleetOf(services, 2))
-	is.True(!b.TakeRetry(time.Minute, services.Name, 0)) // no requests, and the number of routers that share the slack is unknown
-	is.True(b.TakeRetry(time.Minute, services.Name, 1))
+	is.True(!b.TakeRetry(time.Minute, services.Name, 0, 0)) // no requests, and the number of routers that share the slack is unknown
+	is.True(b.TakeRetry(time.Minute, services.Name, 1, 0))
 }
 
 // The address of an upstream that has moved or gone must be reported, so that connections to
--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -10,6 +10,9 @@
 	// they are counted.
 	ratioMargin = 0.7
 	slackMargin = 0.7
+	// returnMargin is the fraction that they use together with the retries reserved for
+	// the returns of moved requests.
+	returnMargin = 0.85
 )
 
 // RetryLimits bounds the retries at a pool, over all routers.
@@ -24,7 +27,8 @@
 
 // budget counts the requests for one pool at this router. The marked ones are retries.
 type budget struct {
-	slots [budgetSlots + 1]tally
+	slots    [budgetSlots + 1]tally
+	reserved int // retries that requests may still take by takeReserved
 }
 
 // countRequest counts one request to the pool.
@@ -34,25 +38,45 @@
 	}
 }
 
-// mayRetry reports whether the budget allows one more retry. The slack is divided by the number
-// of routers; it isn't used while that is unknown (0).
-func (b *budget) mayRetry(now time.Duration, l RetryLimits, routers int) bool {
+// mayRetry reports whether the budget allows one more retry and the reservation of some. The slack
+// is divided by the number of routers; it isn't used while that is unknown (0).
+func (b *budget) mayRetry(now time.Duration, l RetryLimits, routers, reserve int) bool {
 	if l.Window <= 0 {
 		return false
 	}
+	retries, ratio, slack := b.sums(now, l, routers)
+	return float64(retries+1) <= ratioMargin*ratio+slackMargin*slack &&
+		float64(retries+1+b.reserved+reserve) <= returnMargin*(ratio+slack)
+}
+
+// sums returns the retries of the window that ends now, and the retries that the operators' ratio and
+// this router's share of their slack allow in it.
+func (b *budget) sums(now time.Duration, l RetryLimits, routers int) (retries int, ratio, slack float64) {
 	requests, retries := sumTallies(b.slots[:], now, l.Window/budgetSlots)
-	allowed := ratioMargin * l.Ratio * float64(requests)
 	if routers > 0 {
-		allowed += slackMargin * l.Slack / float64(routers)
+		slack = l.Slack / float64(routers)
+	}
+	return retries, l.Ratio * float64(requests), slack
+}
+
+// takeRetry counts one retry and reserves some if the budget allows it, and reports whether it
+// does.
+func (b *budget) takeRetry(now time.Duration, l RetryLimits, routers, reserve int) bool {
+	if !b.mayRetry(now, l, routers, reserve) {
+		return false
 	}
-	return float64(retries+1) <= allowed
+	tallyAt(b.slots[:], now, l.Window/budgetSlots).marked++
+	b.reserved += reserve
+	return true
 }
 
-// takeRetry counts one retry if the budget allows it, and reports whether it does.
-func (b *budget) takeRetry(now time.Duration, l RetryLimits, routers int) bool {
-	if !b.mayRetry(now, l, routers) {
+// takeReserved counts a retry that was reserved, and reports whether it did: it doesn't while the
+// budget has shrunk below it since, because fewer requests have come.
+func (b *budget) takeReserved(now time.Duration, l RetryLimits, routers int) bool {
+	if retries, ratio, slack := b.sums(now, l, routers); float64(retries+1) > returnMargin*(ratio+slack) {
 		return false
 	}
+	b.reserved--
 	tallyAt(b.slots[:], now, l.Window/budgetSlots).marked++
 	return true
 }
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -54,8 +54,11 @@
 	noAttempt    string        // why no further upstream is asked; empty as long as one may be
 	pick         *balance.Pick // of the latest attempt
 	replacements []*attempt    // opened during the latest attempt and not yet used; the oldest first
-	failedMu     sync.Mutex
-	failedAnswer *answer // an upstream's failure, returned if no other one serves the request
+	// returnReserved reports whether a retry is reserved for a stream that is moved to another
+	// upstream, or may be. Once the latest attempt is watched, its watcher owns the field.
+	returnReserved bool
+	failedMu       sync.Mutex
+	failedAnswer   *answer // an upstream's failure, returned if no other one serves the request
 
 	stream       *eventRelay    // set once bytes of a stream were received
 	position     streamPosition // of the last event that the caller has
@@ -87,6 +90,7 @@
 	f.server.cfg.Balancer.CountRequest(f.server.cfg.Clock(), f.pool.Name)
 	f.position.set(f.call.After)
 	defer func() { f.takeFailedAnswer().release() }()
+	defer f.releaseReturn()
 	defer f.dropReplacements()
 	for a := f.nextAttempt(); a != nil; a = f.nextAttempt() {
 		if done := f.runAttempt(a); done {
@@ -110,8 +114,19 @@
 	if !f.mayAttempt() || f.isQuarantined() {
 		return nil
 	}
+	return f.chooseAttempt()
+}
+
+// chooseAttempt returns a new attempt at an upstream, or nil if none takes the request now or the
+// retry budget is spent.
+func (f *forwarder) chooseAttempt() *attempt {
 	s := f.server
 	session := s.cfg.SessionState()
+	sends, _ := f.history.counts()
+	if sends > 0 && !f.mayRetry(session.Routers) { // before a choice, which takes from a cold upstream's rate
+		f.recordSpentBudget()
+		return nil
+	}
 	pick := s.cfg.Balancer.Choose(s.cfg.Clock(), f.balancerRequest(), session)
 	if pick == nil {
 		f.noAttempt = "no upstream"
@@ -120,15 +135,43 @@
 		}
 		return nil
 	}
-	if sends, _ := f.history.counts(); sends > 0 && !s.cfg.Balancer.TakeRetry(s.cfg.Clock(), f.pool.Name, session.Routers) {
+	if sends > 0 && !f.takeRetry(session.Routers) {
 		pick.End(s.cfg.Clock(), balance.OutcomeUnknown)
-		f.noAttempt = "retry budget spent"
-		f.logDecision("request not retried: the retry budget is spent")
+		f.recordSpentBudget()
 		return nil
 	}
 	return f.newAttempt(pick)
 }
 
+func (f *forwarder) recordSpentBudget() {
+	f.noAttempt = "retry budget spent"
+	f.logDecision("request not retried: the retry budget is spent")
+}
+
+// mayRetry reports whether the retry budget allows a further attempt.
+func (f *forwarder) mayRetry(routers int) bool {
+	return f.returnReserved || f.server.cfg.Balancer.MayRetry(f.server.cfg.Clock(), f.pool.Name, routers, 0)
+}
+
+// takeRetry takes a retry out of the budget, the reserved one first, and reports whether there was
+// one.
+func (f *forwarder) takeRetry(routers int) bool {
+	b, now := f.server.cfg.Balancer, f.server.cfg.Clock()
+	if f.returnReserved && b.TakeReserved(now, f.pool.Name, routers) {
+		f.returnReserved = false
+		return true
+	}
+	return b.TakeRetry(now, f.pool.Name, routers, 0)
+}
+
+// releaseReturn gives back the retry that is reserved, if there is one.
+func (f *forwarder) releaseReturn() {
+	if f.returnReserved {
+		f.server.cfg.Balancer.ReleaseReserved(f.pool.Name)
+		f.returnReserved = false
+	}
+}
+
 // errNotRun is the type of errors of attempts that the upstream reports as not run.
 var errNotRun = fleet.Errors.NewType("gateway_not_run")
 
@@ -146,7 +189,7 @@
 	case f.server.cfg.Clock() >= f.deadline:
 		f.noAttempt = "deadline reached"
 	default:
-		f.noAttempt = f.history.limitReached(f.route)
+		f.noAttempt = f.history.limitReached(f.route, 0)
 	}
 	return f.noAttempt == ""
 }
--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -21,8 +21,7 @@
 	// asked again, which adds no further upstream that runs the request.
 	spare []fleet.UpstreamID
 	// replaced lists those of ran whose attempt was canceled in favor of another one since they
-	// were silent or slow. They may be sound, and are asked again once the route allows no
-	// further upstream.
+	// were silent or slow. They may be sound and are asked again if the other one fails.
 	replaced []fleet.UpstreamID
 	// moved lists all upstreams whose attempt was canceled in favor of another one.
 	moved []fleet.UpstreamID
@@ -83,13 +82,13 @@
 	return slices.Clone(h.moved)
 }
 
-// limitReached returns the limit for which the request may not be sent to a further upstream, or
-// "" if it may.
-func (h *history) limitReached(route *routes.Route) string {
+// limitReached returns the limit for which the request may not be sent to a further upstream, with
+// some sends left after it, or "" if it may.
+func (h *history) limitReached(route *routes.Route, left int) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
-	case h.sends >= maxSends:
+	case h.sends+left >= maxSends:
 		return "too many upstreams asked"
 	case len(h.ran) > 0 && !route.Repeatable():
 		return "not repeatable"
@@ -109,11 +108,11 @@
 func (h *history) candidates(route *routes.Route) (tried, only []fleet.UpstreamID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	tried = slices.DeleteFunc(slices.Clone(h.tried), func(u fleet.UpstreamID) bool { return slices.Contains(h.replaced, u) })
 	if !h.usedUp(route) {
-		return slices.Clone(h.tried), nil
+		return tried, nil
 	}
-	only = slices.Concat([]fleet.UpstreamID{}, h.spare, h.replaced)
-	return slices.DeleteFunc(slices.Clone(h.tried), func(u fleet.UpstreamID) bool { return slices.Contains(h.replaced, u) }), only
+	return tried, slices.Concat([]fleet.UpstreamID{}, h.spare, h.replaced)
 }
 
 // counts returns how often the request may have been sent, and the number of different
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -45,7 +45,7 @@
 // are left of the attempt before it. It returns nil if the request may not be sent to a further
 // upstream even if this one has run it.
 func (f *forwarder) watch(a *attempt) *watcher {
-	if len(f.replacements) == 0 && (!f.route.Repeatable() || f.history.limitReached(f.route) != "") {
+	if len(f.replacements) == 0 && (!f.route.Repeatable() || f.history.limitReached(f.route, f.returnsOfMove()) != "") {
 		return nil
 	}
 	w := &watcher{
@@ -133,6 +133,9 @@
 	cause := f.replaceCause(w.attempt)
 	if cause == nil {
 		w.abandon()
+		if len(f.history.movedFrom()) == 0 {
+			f.releaseReturn()
+		}
 		return
 	}
 	if n := len(w.pending); n > 0 && f.replaceCause(w.pending[n-1]) == nil {
@@ -142,11 +145,21 @@
 		return
 	}
 	w.cause = cause
-	if w.attempt.ctx.Err() == nil && f.history.limitReached(f.route) == "" {
+	if w.attempt.ctx.Err() == nil && f.history.limitReached(f.route, f.returnsOfMove()) == "" {
 		w.open()
 	}
 }
 
+// returnsOfMove returns the number of further attempts that must be left when the request is moved to
+// another upstream. A stream is taken from its first upstream before the other one has completed it,
+// and must be able to return; any other request is moved with its complete answer.
+func (f *forwarder) returnsOfMove() int {
+	if f.route.Kind == routes.KindStream {
+		return 1
+	}
+	return 0
+}
+
 // isSlowAlike reports whether the attempt goes on sending what serves nothing as yet, and so does a
 // replacement, or it did within its time: further ones would begin alike.
 func (w *watcher) isSlowAlike() bool {
@@ -159,7 +172,7 @@
 }
 
 // open chooses another upstream and starts an attempt at it, if there is a sound one and the
-// retry budget allows it.
+// retry budget allows it, and the return of a stream.
 func (w *watcher) open() {
 	f := w.f
 	s := f.server
@@ -168,7 +181,11 @@
 		return
 	}
 	session := s.cfg.SessionState()
-	if !s.cfg.Balancer.MayRetry(s.cfg.Clock(), f.pool.Name, session.Routers) { // before a choice, which takes from a cold upstream's rate
+	reserve := f.returnsOfMove()
+	if f.returnReserved {
+		reserve = 0
+	}
+	if !s.cfg.Balancer.MayRetry(s.cfg.Clock(), f.pool.Name, session.Routers, reserve) { // before a choice, which takes from a cold upstream's rate
 		w.logMissing("the retry budget is spent")
 		return
 	}
@@ -179,10 +196,11 @@
 		w.logMissing(errNoUpstream.Error())
 		return
 	}
-	if !s.cfg.Balancer.TakeRetry(s.cfg.Clock(), f.pool.Name, session.Routers) {
+	if !s.cfg.Balancer.TakeRetry(s.cfg.Clock(), f.pool.Name, session.Routers, reserve) {
 		pick.End(s.cfg.Clock(), balance.OutcomeUnknown)
 		return
 	}
+	f.returnReserved = f.returnReserved || reserve > 0
 	a := f.newAttempt(pick)
 	a.opened = make(chan struct{})
 	a.held.move(heldReplacement, a.cancel)
