gateway: a stream that has begun waits for an upstream instead of being cut

Callers saw: a moved stream that ends early, since its first upstream had given its slot away when it was asked again (503, soak); likewise any stream whose upstream broke off at a moment at which no other one had room, was in service or could be paid for by the retry budget. Cause: the next attempt is decided at one moment. A request without an answer is rejected then, which is right; one whose answer has begun can only be cut. An upstream that rejects a request is never asked again, also if it is the only one that the route still allows. Evidence: TestMovedStreamIsCutBecauseFirstUpstreamIsFull and TestBegunStreamIsCutWhileNoUpstreamTakesIt (three cases each) ended with unexpected EOF. Change: a stream that has begun waits, 0.2 s at first, until an upstream takes it, its caller leaves or its time limit is reached. Upstreams that did not run the request may then be asked again. The limits on sends, runs and retries hold as before. Result: all six cases pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -47,6 +47,7 @@
 	span    telemetry.Span
 	trace   string
 	again   bool // the upstream may have run the request before
+	returns bool // the request was moved away from the upstream before
 
 	answering atomic.Bool // the answer has begun
 	writing   atomic.Bool // the answer, or a part of it, is being written to the caller
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -24,6 +24,10 @@
 	// quarantine of its parts, and a break under the request as late. An upstream that breaks
 	// off before them may have ended by the prompt.
 	provenEvents = 3
+	// minUpstreamWait is the first time for which a stream that has begun waits if no upstream
+	// takes it; each further one is twice as long, up to maxUpstreamWait.
+	minUpstreamWait = 200 * time.Millisecond
+	maxUpstreamWait = 800 * time.Millisecond
 )
 
 // forwarder drives one request through its attempts at upstreams until the caller has
@@ -57,6 +61,7 @@
 	// returnReserved reports whether a retry is reserved for a stream that is moved to another
 	// upstream, or may be. Once the latest attempt is watched, its watcher owns the field.
 	returnReserved bool
+	upstreamWait   time.Duration // latest wait for an upstream; 0 for none
 	failedMu       sync.Mutex
 	failedAnswer   *answer // an upstream's failure, returned if no other one serves the request
 
@@ -104,17 +109,21 @@
 }
 
 // nextAttempt returns a replacement that was opened during the latest attempt, or else a new
-// attempt at an upstream. It returns nil if there is to be none.
+// attempt at an upstream. It returns nil if there is to be none. A stream that has begun can't be
+// rejected any more and waits until an upstream takes it.
 func (f *forwarder) nextAttempt() *attempt {
 	if len(f.replacements) > 0 {
 		a := f.replacements[0]
 		f.replacements = f.replacements[1:]
 		return a
 	}
-	if !f.mayAttempt() || f.isQuarantined() {
-		return nil
+	for f.mayAttempt() && !f.isQuarantined() {
+		a := f.chooseAttempt()
+		if a != nil || !f.streamBegun() || !f.awaitUpstream() {
+			return a
+		}
 	}
-	return f.chooseAttempt()
+	return nil
 }
 
 // chooseAttempt returns a new attempt at an upstream, or nil if none takes the request now or the
@@ -148,6 +157,17 @@
 	f.logDecision("request not retried: the retry budget is spent")
 }
 
+// awaitUpstream waits a while for an upstream that takes the stream, longer each time, but not beyond
+// the request's time limit. It reports false if the caller leaves.
+func (f *forwarder) awaitUpstream() bool {
+	if f.upstreamWait == 0 {
+		f.logDecision("stream waits for an upstream", "last_error", f.lastErr, "no_attempt", f.noAttempt, "moved_from", f.history.movedFrom())
+	}
+	f.upstreamWait = min(max(2*f.upstreamWait, minUpstreamWait), maxUpstreamWait)
+	f.history.forgetRejections()
+	return fleet.Pause(f.r.Context(), min(f.upstreamWait, f.deadline-f.server.cfg.Clock()))
+}
+
 // mayRetry reports whether the retry budget allows a further attempt.
 func (f *forwarder) mayRetry(routers int) bool {
 	return f.returnReserved || f.server.cfg.Balancer.MayRetry(f.server.cfg.Clock(), f.pool.Name, routers, 0)
--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -23,6 +23,9 @@
 	// replaced lists those of ran whose attempt was canceled in favor of another one since they
 	// were silent or slow. They may be sound and are asked again if the other one fails.
 	replaced []fleet.UpstreamID
+	// rejected lists the upstreams that did not run the request when it was last sent to them. They
+	// are not asked again before forgetRejections.
+	rejected []fleet.UpstreamID
 	// moved lists all upstreams whose attempt was canceled in favor of another one.
 	moved []fleet.UpstreamID
 }
@@ -35,6 +38,7 @@
 	h.sends++
 	h.tried = append(h.tried, id)
 	is := func(u fleet.UpstreamID) bool { return u == id }
+	a.returns = slices.Contains(h.replaced, id)
 	h.spare, h.replaced = slices.DeleteFunc(h.spare, is), slices.DeleteFunc(h.replaced, is)
 	if a.again = slices.Contains(h.ran, id); !a.again {
 		h.ran = append(h.ran, id)
@@ -54,6 +58,12 @@
 	if !a.ran && !a.again {
 		h.ran = slices.DeleteFunc(h.ran, is)
 	}
+	if !a.ran && needed {
+		h.rejected = append(h.rejected, id)
+		if a.returns {
+			h.replaced = append(h.replaced, id)
+		}
+	}
 	if !needed {
 		h.tried = slices.DeleteFunc(h.tried, is)
 		if slices.Contains(h.ran, id) {
@@ -82,6 +92,16 @@
 	return slices.Clone(h.moved)
 }
 
+// forgetRejections lets the upstreams that did not run the request be asked again.
+func (h *history) forgetRejections() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tried = slices.DeleteFunc(h.tried, func(u fleet.UpstreamID) bool {
+		return slices.Contains(h.rejected, u) && !slices.Contains(h.ran, u)
+	})
+	h.rejected = nil
+}
+
 // limitReached returns the limit for which the request may not be sent to a further upstream, with
 // some sends left after it, or "" if it may.
 func (h *history) limitReached(route *routes.Route, left int) string {
@@ -109,6 +129,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	tried = slices.DeleteFunc(slices.Clone(h.tried), func(u fleet.UpstreamID) bool { return slices.Contains(h.replaced, u) })
+	tried = append(tried, h.rejected...)
 	if !h.usedUp(route) {
 		return tried, nil
 	}
