gateway: test that a cut stream's line tells of its move

Callers saw nothing of it: operators could not tell a cut stream that had been moved from one whose upstream broke off.

--- a/internal/gateway/return_test.go
+++ b/internal/gateway/return_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"log/slog"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -188,3 +190,23 @@
 		is.Equal(body, encodeEvents(1, 6))
 	})
 }
+
+// A line that doesn't tell where a cut stream had been hides that it was moved.
+func TestLineOfCutStreamHidesItsMove(t *testing.T) {
+	is := is.New(t)
+	log := new(syncBuffer)
+	r := newTestGateway(t, resumableRoute, func(c *conn) {
+		if c.request.Header.Get("After") == "" {
+			c.beginStream()
+			c.writeEvents(1, 2)
+			awaitClose(c)
+		}
+	}, sendThenBreakOff)
+	r.log = slog.New(slog.NewTextHandler(log, nil))
+	r.startServer()
+	_, _, err := r.send()
+	is.True(err != nil)
+	r.awaitIdle()
+	is.True(strings.Contains(log.String(), `msg="connection closed without a complete answer"`))
+	is.True(strings.Contains(log.String(), "moved_from=[u0]"))
+}
