--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -21,9 +21,13 @@
 	// asked again, which adds no further upstream that runs the request.
 	spare []fleet.UpstreamID
 	// replaced lists those of ran whose attempt was canceled in favor of another one since they
-	// were silent or slow. They may be sound, and are asked again once the route allows no
-	// further upstream.
+	// were silent or slow. They may be sound and are asked again if the other one fails.
 	replaced []fleet.UpstreamID
+	// rejected lists the upstreams that did not run the request when it was last sent to them. They
+	// are not asked again before forgetRejections.
+	rejected []fleet.UpstreamID
+	// moved lists all upstreams whose attempt was canceled in favor of another one.
+	moved []fleet.UpstreamID
 }
 
 // begin records an attempt that is about to be opened. Until settle it counts as run.
@@ -34,6 +38,7 @@
 	h.sends++
 	h.tried = append(h.tried, id)
 	is := func(u fleet.UpstreamID) bool { return u == id }
+	a.returns = slices.Contains(h.replaced, id)
 	h.spare, h.replaced = slices.DeleteFunc(h.spare, is), slices.DeleteFunc(h.replaced, is)
 	if a.again = slices.Contains(h.ran, id); !a.again {
 		h.ran = append(h.ran, id)
@@ -53,6 +58,12 @@
 	if !a.ran && !a.again {
 		h.ran = slices.DeleteFunc(h.ran, is)
 	}
+	if !a.ran && needed {
+		h.rejected = append(h.rejected, id)
+		if a.returns {
+			h.replaced = append(h.replaced, id)
+		}
+	}
 	if !needed {
 		h.tried = slices.DeleteFunc(h.tried, is)
 		if slices.Contains(h.ran, id) {
@@ -66,18 +77,38 @@
 func (h *history) recordReplaced(a *attempt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if id := a.pick.Upstream.ID; slices.Contains(h.ran, id) {
+	id := a.pick.Upstream.ID
+	h.moved = append(h.moved, id)
+	if slices.Contains(h.ran, id) {
 		h.replaced = append(h.replaced, id)
 	}
 }
 
-// limitReached returns the limit for which the request may not be sent to a further upstream, or
-// "" if it may.
-func (h *history) limitReached(route *routes.Route) string {
+// movedFrom returns the upstreams whose attempt was canceled in favor of another one, since they
+// were silent or slow.
+func (h *history) movedFrom() []fleet.UpstreamID {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.moved)
+}
+
+// forgetRejections lets the upstreams that did not run the request be asked again.
+func (h *history) forgetRejections() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tried = slices.DeleteFunc(h.tried, func(u fleet.UpstreamID) bool {
+		return slices.Contains(h.rejected, u) && !slices.Contains(h.ran, u)
+	})
+	h.rejected = nil
+}
+
+// limitReached returns the limit for which the request may not be sent to a further upstream, with
+// some sends left after it, or "" if it may.
+func (h *history) limitReached(route *routes.Route, left int) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
-	case h.sends >= maxSends:
+	case h.sends+left >= maxSends:
 		return "too many upstreams asked"
 	case len(h.ran) > 0 && !route.Repeatable():
 		return "not repeatable"
@@ -97,11 +128,12 @@
 func (h *history) candidates(route *routes.Route) (tried, only []fleet.UpstreamID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	tried = slices.DeleteFunc(slices.Clone(h.tried), func(u fleet.UpstreamID) bool { return slices.Contains(h.replaced, u) })
+	tried = append(tried, h.rejected...)
 	if !h.usedUp(route) {
-		return slices.Clone(h.tried), nil
+		return tried, nil
 	}
-	only = slices.Concat([]fleet.UpstreamID{}, h.spare, h.replaced)
-	return slices.DeleteFunc(slices.Clone(h.tried), func(u fleet.UpstreamID) bool { return slices.Contains(h.replaced, u) }), only
+	return tried, slices.Concat([]fleet.UpstreamID{}, h.spare, h.replaced)
 }
 
 // counts returns how often the request may have been sent, and the number of different
