gateway: tests of returns that are reserved and not used

Callers saw: streams that end without their last events although a sound upstream would go on with them. Cause: found by reading. The retry and the request that a move leaves for the return aren't used while the replacement is silent, or go to another upstream; an upstream ejected for its stalls gets no probe from a return. A stream that has begun is cut before it waits at all where five upstreams are full, or where the one that is left was canceled as not needed before. Reserved retries are taken from other requests and other moves, and waiting streams spend the budget on connections that are refused.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -480,3 +480,28 @@
 	session.ListAsOf = back + maxListLag
 	is.True(chosen(back+4*time.Second) > coldBurst)
 }
+
+// Streams that were moved, and may never return, take the retries of other requests for as long as they last.
+func TestReservedRetriesStarveOtherRequests(t *testing.T) {
+	is := is.New(t)
+	limits := RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 54}
+	const routers, requests = 7, 100
+	var fresh, used budget
+	now := time.Minute
+	for range requests {
+		used.countRequest(now, limits)
+	}
+	for used.takeRetry(now, limits, routers, 1) {
+	}
+	now += 2 * limits.Window // in which nothing is retried
+	count := func(b *budget) (n int) {
+		for range requests {
+			b.countRequest(now, limits)
+		}
+		for b.takeRetry(now, limits, routers, 0) {
+			n++
+		}
+		return n
+	}
+	is.Equal(count(&used), count(&fresh))
+}
