gateway: an upstream that was not needed may be asked again after it was full

Callers saw: a stream that ends without its last events: its upstream broke off, and the only other one that the route allows, opened before as a replacement and canceled without an event, was full when asked. Cause: only an upstream that the stream was moved from is kept as one to ask again when it rejects the request. One that was not needed counts as having run it, so that the attempts are used up. Evidence: TestBegunStreamIsCutBecauseFormerReplacementIsFull ended with unexpected EOF. Change: both are kept alike. They have run the request or begun to, so that no further upstream runs it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -47,7 +47,7 @@
 	span    telemetry.Span
 	trace   string
 	again   bool // the upstream may have run the request before
-	returns bool // the request was moved away from the upstream before
+	returns bool // an earlier attempt at the upstream was canceled for another one; it may be asked again
 
 	answering atomic.Bool // the answer has begun
 	writing   atomic.Bool // the answer, or a part of it, is being written to the caller
--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -21,7 +21,8 @@
 	// asked again, which adds no further upstream that runs the request.
 	spare []fleet.UpstreamID
 	// replaced lists those of ran whose attempt was canceled in favor of another one since they
-	// were silent or slow. They may be sound and are asked again if the other one fails.
+	// were silent or slow, and those of spare that have rejected the request since. They may be sound
+	// and are asked again if the other one fails.
 	replaced []fleet.UpstreamID
 	// rejected lists the upstreams that did not run the request when it was last sent to them. They
 	// are not asked again before forgetRejections.
@@ -38,7 +39,7 @@
 	h.sends++
 	h.tried = append(h.tried, id)
 	is := func(u fleet.UpstreamID) bool { return u == id }
-	a.returns = slices.Contains(h.replaced, id)
+	a.returns = slices.Contains(h.replaced, id) || slices.Contains(h.spare, id)
 	h.spare, h.replaced = slices.DeleteFunc(h.spare, is), slices.DeleteFunc(h.replaced, is)
 	if a.again = slices.Contains(h.ran, id); !a.again {
 		h.ran = append(h.ran, id)
