gateway: a stream that waits for its reserved retry takes no tokens of cold upstreams

Callers saw nothing of it: requests found a cold upstream's rate used up, at which nothing had arrived. Cause: a reserved retry counted as one that may be taken, also while the budget had shrunk below it. The choice of an upstream then took a token and a slot, the retry was refused, and only the slot was given back, with each wait of the stream. Evidence: TestStreamThatWaitsForBudgetTakesTokensOfColdUpstream failed before. Change: whether the budget covers the reserved retry is asked before the choice, as for other retries.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -176,6 +176,13 @@
 	return b.budget(pool).takeRetry(now, b.cfg.Retries, routers, reserve)
 }
 
+// MayTakeReserved reports whether a pool's budget covers a retry that TakeRetry has reserved.
+func (b *Balancer) MayTakeReserved(now time.Duration, pool fleet.PoolID, routers int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget(pool).mayTakeReserved(now, b.cfg.Retries, routers)
+}
+
 // TakeReserved takes a retry that TakeRetry has reserved, and reports whether it did. It is refused,
 // and stays reserved, while so few requests come that the budget has shrunk below it.
 func (b *Balancer) TakeReserved(now time.Duration, pool fleet.PoolID, routers int) bool {
--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -70,10 +70,16 @@
 	return true
 }
 
-// takeReserved counts a retry that was reserved, and reports whether it did: it doesn't while the
-// budget has shrunk below it since, because fewer requests have come.
+// mayTakeReserved reports whether the budget covers a retry that was reserved: it doesn't while it has
+// shrunk below it since, because fewer requests have come.
+func (b *budget) mayTakeReserved(now time.Duration, l RetryLimits, routers int) bool {
+	retries, ratio, slack := b.sums(now, l, routers)
+	return float64(retries+1) <= returnMargin*(ratio+slack)
+}
+
+// takeReserved counts a retry that was reserved if the budget covers it, and reports whether it does.
 func (b *budget) takeReserved(now time.Duration, l RetryLimits, routers int) bool {
-	if retries, ratio, slack := b.sums(now, l, routers); float64(retries+1) > returnMargin*(ratio+slack) {
+	if !b.mayTakeReserved(now, l, routers) {
 		return false
 	}
 	b.reserved--
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -170,7 +170,8 @@
 
 // mayRetry reports whether the retry budget allows a further attempt.
 func (f *forwarder) mayRetry(routers int) bool {
-	return f.returnReserved || f.server.cfg.Balancer.MayRetry(f.server.cfg.Clock(), f.pool.Name, routers, 0)
+	b, now := f.server.cfg.Balancer, f.server.cfg.Clock()
+	return f.returnReserved && b.MayTakeReserved(now, f.pool.Name, routers) || b.MayRetry(now, f.pool.Name, routers, 0)
 }
 
 // takeRetry takes a retry out of the budget, the reserved one first, and reports whether there was
