gateway: the retry and the request of a return aren't used for another upstream

Callers saw: a stream that ends without its last events: it was moved from a silent sound upstream, the other one broke off, and a third one, which was full, got the only retry or the last request that was left (routes with max_attempts 3). Cause: the attempt after a break goes to the cheapest upstream, and takes the reserved retry first. Change: what is reserved is taken first for an upstream that the stream was moved from, and last for others. Where nothing else is left, only the former are asked, unless none of them is in service.

--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -136,7 +137,7 @@
 		f.recordSpentBudget()
 		return nil
 	}
-	pick := s.cfg.Balancer.Choose(s.cfg.Clock(), f.balancerRequest(), session)
+	pick := f.chooseUpstream(session)
 	if pick == nil {
 		f.noAttempt = "no upstream"
 		if f.lastErr == nil {
@@ -144,7 +145,7 @@
 		}
 		return nil
 	}
-	if sends > 0 && !f.takeRetry(session.Routers) {
+	if sends > 0 && !f.takeRetry(pick.Upstream.ID, session.Routers) {
 		pick.End(s.cfg.Clock(), balance.OutcomeUnknown)
 		f.recordSpentBudget()
 		return nil
@@ -152,6 +153,30 @@
 	return f.newAttempt(pick)
 }
 
+// chooseUpstream takes a slot at an upstream that may get the request, or returns nil. What is kept for a
+// stream's return is left for that, unless no upstream that it may return to is in service.
+func (f *forwarder) chooseUpstream(session balance.SessionState) *balance.Pick {
+	b, request := f.server.cfg.Balancer, f.balancerRequest()
+	if f.mustReturn(session.Routers) {
+		back := *request
+		var open bool
+		back.Only, open = f.history.returns()
+		if pick := b.Choose(f.server.cfg.Clock(), &back, session); pick != nil || !open {
+			return pick
+		}
+	}
+	return b.Choose(f.server.cfg.Clock(), request, session)
+}
+
+// mustReturn reports whether the only retry or request that is left is kept for the stream's return to an
+// upstream that it was moved from.
+func (f *forwarder) mustReturn(routers int) bool {
+	if to, _ := f.history.returns(); !f.returnReserved || len(to) == 0 {
+		return false
+	}
+	return f.history.limitReached(f.route, 1) != "" || !f.server.cfg.Balancer.MayRetry(f.server.cfg.Clock(), f.pool.Name, routers, 0)
+}
+
 func (f *forwarder) recordSpentBudget() {
 	f.noAttempt = "retry budget spent"
 	f.logDecision("request not retried: the retry budget is spent")
@@ -174,15 +199,23 @@
 	return f.returnReserved && b.MayTakeReserved(now, f.pool.Name, routers) || b.MayRetry(now, f.pool.Name, routers, 0)
 }
 
-// takeRetry takes a retry out of the budget, the reserved one first, and reports whether there was
-// one.
-func (f *forwarder) takeRetry(routers int) bool {
-	b, now := f.server.cfg.Balancer, f.server.cfg.Clock()
-	if f.returnReserved && b.TakeReserved(now, f.pool.Name, routers) {
-		f.returnReserved = false
+// takeRetry takes a retry out of the budget for an attempt at an upstream, and reports whether there was
+// one. The reserved one is taken first for a return, and last for any other attempt.
+func (f *forwarder) takeRetry(id fleet.UpstreamID, routers int) bool {
+	to, _ := f.history.returns()
+	if slices.Contains(to, id) && f.takeReserved(routers) {
 		return true
 	}
-	return b.TakeRetry(now, f.pool.Name, routers, 0)
+	return f.server.cfg.Balancer.TakeRetry(f.server.cfg.Clock(), f.pool.Name, routers, 0) || f.takeReserved(routers)
+}
+
+// takeReserved takes the retry that is reserved, and reports whether there was one.
+func (f *forwarder) takeReserved(routers int) bool {
+	if !f.returnReserved || !f.server.cfg.Balancer.TakeReserved(f.server.cfg.Clock(), f.pool.Name, routers) {
+		return false
+	}
+	f.returnReserved = false
+	return true
 }
 
 // releaseReturn gives back the retry that is reserved, if there is one.
--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -137,6 +137,15 @@
 	return tried, slices.Concat([]fleet.UpstreamID{}, h.spare, h.replaced)
 }
 
+// returns returns the upstreams that the request may return to, and reports whether one of them has not
+// rejected it lately.
+func (h *history) returns() (to []fleet.UpstreamID, open bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	open = slices.ContainsFunc(h.replaced, func(u fleet.UpstreamID) bool { return !slices.Contains(h.rejected, u) })
+	return slices.Clone(h.replaced), open
+}
+
 // counts returns how often the request may have been sent, and the number of different
 // upstreams that may have run it.
 func (h *history) counts() (sends, runs int) {
