gateway: a moved stream whose upstream falls silent returns by what is reserved

Callers saw: a stream that is cut at its time limit: it was moved from a silent sound upstream to one that sent an event and then nothing, with the budget or its requests used up but for the return. Cause: the reserved retry and request are used only after an upstream has failed. Its watcher asks for a retry of its own and leaves a request for a return, also where it is the return that is due. Evidence: TestMovedStreamHangsThoughItsReturnIsReserved (two cases) ended with unexpected EOF after 8 s. Change: the watcher opens the return with what is reserved, at an upstream that the stream was moved from. As with any replacement, the silent one is canceled only once the other has sent the next event.

--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -45,7 +45,7 @@
 // are left of the attempt before it. It returns nil if the request may not be sent to a further
 // upstream even if this one has run it.
 func (f *forwarder) watch(a *attempt) *watcher {
-	if len(f.replacements) == 0 && (!f.route.Repeatable() || f.history.limitReached(f.route, f.returnsOfMove()) != "") {
+	if len(f.replacements) == 0 && (!f.route.Repeatable() || !f.mayMove()) {
 		return nil
 	}
 	w := &watcher{
@@ -145,11 +145,21 @@
 		return
 	}
 	w.cause = cause
-	if w.attempt.ctx.Err() == nil && f.history.limitReached(f.route, f.returnsOfMove()) == "" {
+	if w.attempt.ctx.Err() == nil && f.mayMove() {
 		w.open()
 	}
 }
 
+// mayMove reports whether a further attempt may be opened beside the latest one: one that leaves the
+// request of a return, or the return itself.
+func (f *forwarder) mayMove() bool {
+	left := f.returnsOfMove()
+	if to, _ := f.history.returns(); f.returnReserved && len(to) > 0 {
+		left = 0
+	}
+	return f.history.limitReached(f.route, left) == ""
+}
+
 // returnsOfMove returns the number of further attempts that must be left when the request is moved to
 // another upstream. A stream is taken from its first upstream before the other one has completed it,
 // and must be able to return; any other request is moved with its complete answer.
@@ -172,7 +182,8 @@
 }
 
 // open chooses another upstream and starts an attempt at it, if there is a sound one and the
-// retry budget allows it, and the return of a stream.
+// retry budget allows it, and the return of a stream. What is kept for the return is used for it where
+// nothing else is left.
 func (w *watcher) open() {
 	f := w.f
 	s := f.server
@@ -185,18 +196,26 @@
 	if f.returnReserved {
 		reserve = 0
 	}
-	if !s.cfg.Balancer.MayRetry(s.cfg.Clock(), f.pool.Name, session.Routers, reserve) { // before a choice, which takes from a cold upstream's rate
+	returns := f.mustReturn(session.Routers)
+	if !returns && !s.cfg.Balancer.MayRetry(s.cfg.Clock(), f.pool.Name, session.Routers, reserve) { // before a choice, which takes from a cold upstream's rate
 		w.logMissing("the retry budget is spent")
 		return
 	}
+	if returns && !s.cfg.Balancer.MayTakeReserved(s.cfg.Clock(), f.pool.Name, session.Routers) {
+		w.logMissing("the retry budget no longer covers the return")
+		return
+	}
 	request := f.balancerRequest()
 	request.SoundOnly = true
+	if returns {
+		request.Only, _ = f.history.returns()
+	}
 	pick := s.cfg.Balancer.Choose(s.cfg.Clock(), request, session)
 	if pick == nil {
 		w.logMissing(errNoUpstream.Error())
 		return
 	}
-	if !s.cfg.Balancer.TakeRetry(s.cfg.Clock(), f.pool.Name, session.Routers, reserve) {
+	if returns && !f.takeReserved(session.Routers) || !returns && !s.cfg.Balancer.TakeRetry(s.cfg.Clock(), f.pool.Name, session.Routers, reserve) {
 		pick.End(s.cfg.Clock(), balance.OutcomeUnknown)
 		return
 	}
