gateway: test of requests that are unanswered at the end of the grace period

Callers saw: a closed connection, with the line "request cut: the grace period has ended", where 504 would be an answer. Cause: found by reading. A stopping router accepts repeatable requests in its notice whose time limit lies beyond its grace period, and doesn't answer them before its end; internal/entry does for services, by PlannedStop.Cap.

--- a/internal/gateway/planned_stop_test.go
+++ b/internal/gateway/planned_stop_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -51,3 +52,23 @@
 		})
 	}
 }
+
+// A request without a byte of its answer at the end of the grace period is cut with the process.
+func TestRequestThatWaitsIsUnansweredAtEndOfGracePeriod(t *testing.T) {
+	for name, kind := range map[string]routes.Kind{"idempotent": routes.KindIdempotent, "stream": routes.KindStream} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			const grace = 700 * time.Millisecond
+			r := newTestGateway(t, routes.Route{Kind: kind, MaxAttempts: 1, Timeout: 4 * time.Second}, awaitClose)
+			now := r.server.cfg.Clock()
+			r.stopping.Store(true)
+			r.stop.Store(&fleet.PlannedStop{NoticeEnd: now + grace/2, GraceEnd: now + grace})
+			ctx, cancel := context.WithTimeout(t.Context(), grace)
+			defer cancel()
+			resp, _, err := r.sendWith(ctx, "POST", "/x", "order")
+			is.NoErr(err)
+			is.True(resp.StatusCode >= http.StatusInternalServerError)
+		})
+	}
+}
