balance: a stream may probe the upstream that it is to return to

Callers saw: two streams that were cut at their time limit: both had been moved from a silent sound upstream, and the other one fell silent for good. Cause: a stall counts as a broken answer, and two in a row eject the upstream. Replacements get no ejected upstream, nor one whose ejection is over: they leave its probe to other requests, of which a small pool may have none. Evidence: TestMovedStreamsHangBecauseFirstUpstreamStaysEjected ended with unexpected EOF after 8 s. Change: where the request may go to some upstreams only, a replacement may be the probe of one of them.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -30,8 +30,8 @@
 	// MayProbe is set if the request may be repeated. It may then serve as the probe of an
 	// ejected upstream.
 	MayProbe bool
-	// SoundOnly excludes ejected and stalled upstreams, also for a probe and if there are no
-	// others.
+	// SoundOnly excludes ejected and stalled upstreams, also if there are no others, and also for
+	// a probe unless Only limits the choice.
 	SoundOnly bool
 	// Tried lists the upstreams that must not be chosen.
 	Tried []fleet.UpstreamID
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -132,7 +132,7 @@
 		if limit := connectionLimit(r.Pool.MaxConnections, session.Routers); limit > 0 && s.running >= limit {
 			continue
 		}
-		if ok, probe := s.health.usable(now); !includeFailed && (!ok || probe && (!r.MayProbe || r.SoundOnly)) {
+		if ok, probe := s.health.usable(now); !includeFailed && (!ok || probe && (!r.MayProbe || r.SoundOnly && r.Only == nil)) {
 			continue
 		}
 		out = append(out, s)
