--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -21,7 +21,8 @@
 	// asked again, which adds no further upstream that runs the request.
 	spare []fleet.UpstreamID
 	// replaced lists those of ran whose attempt was canceled in favor of another one since they
-	// were silent or slow. They may be sound and are asked again if the other one fails.
+	// were silent or slow, and those of spare that have rejected the request since. They may be sound
+	// and are asked again if the other one fails.
 	replaced []fleet.UpstreamID
 	// rejected lists the upstreams that did not run the request when it was last sent to them. They
 	// are not asked again before forgetRejections.
@@ -38,7 +39,7 @@
 	h.sends++
 	h.tried = append(h.tried, id)
 	is := func(u fleet.UpstreamID) bool { return u == id }
-	a.returns = slices.Contains(h.replaced, id)
+	a.returns = slices.Contains(h.replaced, id) || slices.Contains(h.spare, id)
 	h.spare, h.replaced = slices.DeleteFunc(h.spare, is), slices.DeleteFunc(h.replaced, is)
 	if a.again = slices.Contains(h.ran, id); !a.again {
 		h.ran = append(h.ran, id)
@@ -92,7 +93,8 @@
 	return slices.Clone(h.moved)
 }
 
-// forgetRejections lets the upstreams that did not run the request be asked again.
+// forgetRejections lets the upstreams that did not run the request be asked again, at least one of
+// them.
 func (h *history) forgetRejections() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -100,16 +102,17 @@
 		return slices.Contains(h.rejected, u) && !slices.Contains(h.ran, u)
 	})
 	h.rejected = nil
+	h.sends = min(h.sends, maxSends-1)
 }
 
-// limitReached returns the limit for which the request may not be sent to a further upstream, with
-// some sends left after it, or "" if it may.
-func (h *history) limitReached(route *routes.Route, left int) string {
+// limitReached returns the limit for which the request may not be sent to a further upstream, or
+// "" if it may.
+func (h *history) limitReached(route *routes.Route) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
-	case h.sends+left >= maxSends:
-		return "too many upstreams asked"
+	case h.sends >= maxSends:
+		return reasonTooManySends
 	case len(h.ran) > 0 && !route.Repeatable():
 		return "not repeatable"
 	case h.usedUp(route) && len(h.spare)+len(h.replaced) == 0:
@@ -136,6 +139,14 @@
 	return tried, slices.Concat([]fleet.UpstreamID{}, h.spare, h.replaced)
 }
 
+// formerUpstreams returns the upstreams that the request was moved from and that have not rejected it
+// lately.
+func (h *history) formerUpstreams() []fleet.UpstreamID {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(h.replaced), func(u fleet.UpstreamID) bool { return slices.Contains(h.rejected, u) })
+}
+
 // counts returns how often the request may have been sent, and the number of different
 // upstreams that may have run it.
 func (h *history) counts() (sends, runs int) {
