mesh: a panicking handler no longer ends the process

What callers saw: every request of a router ended without an answer when the handler of one mesh stream panicked, in the work of another process's message.

Cause: only callers' requests recover their panics. The handler of a mesh stream runs in a goroutine of its own without a recover.

Evidence: without the guard TestPanickingHandlerEndsProcess and TestShutdownWaitsForPanickedHandler end the test's process with "panic: test".

The mesh server runs handlers under it and cuts the stream of one that has panicked by a reset, which tells its opener what the end of the process told it: the outcome is unknown. A code would be taken for the leader's final answer.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,6 +43,7 @@
 	requests  *slog.Logger
 	metrics   metrics.Registry
 	tracer    *telemetry.Tracer
+	guard     *fleet.Guard
 
 	mesh      *mesh.Server
 	pool      *mesh.Pool
@@ -62,6 +63,7 @@
 func StartWith(ctx context.Context, s settings.Settings, w io.Writer, e Extension) (*Agent, error) {
 	a := &Agent{settings: s, extension: e, log: telemetry.NewLogger(s, w), metrics: metrics.NewRegistry(), failed: make(chan error, 4)}
 	a.requests = telemetry.NewRequestLogger(s, "gateway", w)
+	a.guard = a.newGuard()
 	secret, err := readSecret(s.FleetSecretFile)
 	if err != nil {
 		return nil, err
@@ -71,7 +73,7 @@
 	}
 	cfg := mesh.Config{
 		Instance: s.Instance, Secret: secret, MaxFrameBytes: max(s.Limits.MaxFrameBytes, minMeshFrame(s)),
-		MaxStreams: s.Limits.MaxStreams, Logger: a.log.Named("mesh"),
+		MaxStreams: s.Limits.MaxStreams, Guard: a.guard, Logger: a.log.Named("mesh"),
 	}
 	if files := s.Listen.MeshTLS; files.CertificateFile != "" {
 		cfg.TLS = &mesh.TLSFiles{Certificate: files.CertificateFile, Key: files.KeyFile, Authority: files.AuthorityFile}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -116,6 +116,7 @@
 		_, leads := group.LeaderLease()
 		return leads
 	}
+	server.Unconfined(MethodRenew, MethodConfirm) // the grantor decides on leases
 	server.Handle(MethodRenew, mesh.Unary(s.renew))
 	server.Handle(MethodConfirm, mesh.Unary(s.confirm))
 	server.HandleBackground(MethodWatch, s.watch)
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -61,6 +61,9 @@
 	// IdleTimeout is how long a connection with open streams may receive no bytes, pongs
 	// included, before this side closes it; 0 means DefaultIdleTimeout.
 	IdleTimeout time.Duration
+	// Guard confines panics to the stream or connection in whose work they occur; nil lets them
+	// end the process.
+	Guard *fleet.Guard
 	// Logger logs rejected handshakes and lost connections; nil means no logs.
 	Logger hclog.Logger
 }
--- a/internal/mesh/errors.go
+++ b/internal/mesh/errors.go
@@ -19,8 +19,9 @@
 	// ErrConnectionLost ends every stream of a connection that broke. Whether the
 	// peer has processed the messages sent is unknown.
 	ErrConnectionLost = errors.New("mesh connection lost")
-	// ErrReset ends a stream that its opener canceled.
-	ErrReset = errors.New("mesh stream reset by its opener")
+	// ErrReset ends a stream that its opener canceled, or whose handler has panicked. Whether
+	// the peer has processed the messages sent is unknown.
+	ErrReset = errors.New("mesh stream reset by the peer")
 	// ErrClosed is returned by a pool or server after it has been closed.
 	ErrClosed = errors.New("mesh closed")
 	// ErrHandshake reports a peer with another protocol version or without the
--- /dev/null
+++ b/internal/mesh/panic_test.go
@@ -0,0 +1,87 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
+)
+
+// panicLog is what a guard has recorded.
+type panicLog struct {
+	mu    sync.Mutex
+	works []string
+}
+
+// guard returns a guard that records to the log.
+func (l *panicLog) guard() *fleet.Guard {
+	return &fleet.Guard{Record: func(work string, _ any, _ []byte) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.works = append(l.works, work)
+	}}
+}
+
+func (l *panicLog) recorded() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string{}, l.works...)
+}
+
+func TestPanickingHandlerEndsProcess(t *testing.T) {
+	is := is.New(t)
+	var log panicLog
+	cfg := testConfig
+	cfg.Guard = log.guard()
+	release := make(chan struct{})
+	addr := startServer(t, cfg, map[string]Handler{
+		"panic": func(context.Context, *Stream, []byte) error { panic("test") },
+		"wait": func(ctx context.Context, s *Stream, message []byte) error {
+			<-release
+			return s.Send(ctx, message)
+		},
+	})
+	pool := testPool(t, testConfig)
+	other, err := pool.Open(t.Context(), addr, "wait", []byte("x"))
+	is.NoErr(err)
+	s, err := pool.Open(t.Context(), addr, "panic", nil)
+	is.NoErr(err)
+	_, err = s.Recv(t.Context())
+	is.True(errors.Is(err, ErrReset)) // cut, as by the end of the process: what was done is unknown
+	is.Equal(log.recorded(), []string{"mesh stream panic"})
+	close(release)
+	got, err := other.Recv(t.Context())
+	is.NoErr(err)
+	is.Equal(string(got), "x")
+}
+
+// The server of startServer is shut down at the end, which waits for the streams that it counts.
+func TestShutdownWaitsForPanickedHandler(t *testing.T) {
+	is := is.New(t)
+	cfg := testConfig
+	cfg.Guard = new(panicLog).guard()
+	server := NewServer(cfg)
+	server.Handle("panic", func(context.Context, *Stream, []byte) error { panic("test") })
+	s := newStream(newLostConnection(t, nil), 1, false)
+	server.startStream(s, openBody{Method: "panic"})
+	is.NoErr(server.Shutdown(t.Context()))
+}
+
+func TestPanicThatLeavesStateHalfChangedIsConfined(t *testing.T) {
+	is := is.New(t)
+	var log panicLog
+	cfg := testConfig
+	cfg.Guard = log.guard()
+	server := NewServer(cfg)
+	server.Unconfined("panic")
+	defer func() {
+		is.Equal(recover(), "test")
+		is.Equal(len(log.recorded()), 0)
+	}()
+	handler := func(context.Context, *Stream, []byte) error { panic("test") }
+	server.runHandler(t.Context(), handler, newStream(newLostConnection(t, nil), 1, false), openBody{Method: "panic"})
+}
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
 
@@ -23,6 +24,8 @@
 	handlers map[string]Handler
 	// background holds the methods whose streams a shutdown cancels at once.
 	background map[string]bool
+	// unconfined holds the methods whose handlers' panics end the process.
+	unconfined map[string]bool
 	ctx        context.Context
 	cancel     context.CancelFunc
 
@@ -38,7 +41,7 @@
 func NewServer(cfg Config) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
-		cfg: cfg.withDefaults(), handlers: make(map[string]Handler), background: make(map[string]bool),
+		cfg: cfg.withDefaults(), handlers: make(map[string]Handler), background: make(map[string]bool), unconfined: make(map[string]bool),
 		conns: make(map[*connection]struct{}), ctx: ctx, cancel: cancel,
 	}
 	s.idle = sync.NewCond(&s.mu)
@@ -56,6 +59,15 @@
 	s.background[method] = true
 }
 
+// Unconfined lets panics of the handlers of the given methods end the process in spite of
+// Config.Guard, because they may leave state half-changed that must not be used any longer. It
+// must not be called after Serve.
+func (s *Server) Unconfined(methods ...string) {
+	for _, method := range methods {
+		s.unconfined[method] = true
+	}
+}
+
 // acceptPause is the time between two attempts to accept a connection while the process lacks
 // descriptors or memory for it.
 const acceptPause = 100 * time.Millisecond
@@ -156,10 +168,25 @@
 			defer s.addStreams(-1)
 		}
 		defer cancel()
-		st.end(endBodyFor(h(ctx, st, body.Message)))
+		s.runHandler(ctx, h, st, body)
 	}()
 }
 
+// runHandler runs the handler of a stream and ends the stream with its error. The opener of a
+// stream whose handler panics sees it cut, as it would see the end of the process.
+func (s *Server) runHandler(ctx context.Context, h Handler, st *Stream, body openBody) {
+	guard := s.cfg.Guard
+	if s.unconfined[body.Method] {
+		guard = nil
+	}
+	err := guard.Confine("mesh stream "+body.Method, func() error { return h(ctx, st, body.Message) })
+	if errorx.IsOfType(err, fleet.ErrPanic) {
+		st.abort()
+		return
+	}
+	st.end(endBodyFor(err))
+}
+
 // addStreams adds n to the number of streams that a shutdown waits for. A
 // sync.WaitGroup does not fit, because streams may be opened while the shutdown waits.
 func (s *Server) addStreams(n int) {
--- a/internal/mesh/stream.go
+++ b/internal/mesh/stream.go
@@ -194,6 +194,15 @@
 	}
 }
 
+// abort cuts the stream from the side that serves it, unless that has ended it already.
+func (s *Stream) abort() {
+	if !s.closeSend() {
+		return
+	}
+	s.conn.writer.write(frameReset, s.id, nil)
+	s.conn.removeStream(s.id)
+}
+
 // closeSend marks the sending side as ended. It returns false if it was already.
 func (s *Stream) closeSend() bool {
 	s.mu.Lock()
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -89,6 +89,7 @@
 	s.orders = &orders{server: s, runners: make(map[fleet.UpstreamID]*operator.Runner)}
 	s.cache = newCache(s)
 	s.directory.Store(&directory{})
+	server.Unconfined(MethodChat, MethodCall, MethodHandover, MethodServedNotice)
 	server.Handle(MethodChat, s.chat)
 	server.Handle(MethodCall, s.call)
 	server.Handle(MethodHandover, mesh.Unary(s.handleHandover))
