mesh: a panic under a lock no longer leaves it locked

What callers saw: nothing yet; since panics of handlers are confined, one that occurs under the lock of a stream or connection would leave it locked. The end of the stream, the connection's reader and with it all its streams would wait for it.

Cause: most locks of the mesh were released at the end of their section, not by defer.

Change: each section is a method that releases its lock by defer.

--- a/internal/mesh/connection.go
+++ b/internal/mesh/connection.go
@@ -131,17 +131,11 @@
 		return errors.New("received a stream-open frame that is malformed, or on the dialing side, which accepts no streams")
 	}
 	s := newStream(c, f.stream, false)
-	c.mu.Lock()
-	if c.lost {
-		c.mu.Unlock()
-		return ErrConnectionLost
-	}
-	full := len(c.streams) >= c.cfg.MaxStreams
-	if !full {
-		c.streams[f.stream] = s
+	added, err := c.addOpened(s)
+	if err != nil {
+		return err
 	}
-	c.mu.Unlock()
-	if full {
+	if !added {
 		s.end(endBody{Code: CodeTooManyStreams, Step: "mesh.open", Message: "too many streams"})
 		return nil
 	}
@@ -149,6 +143,21 @@
 	return nil
 }
 
+// addOpened adds a stream that the peer has opened, and reports false if too many are open. It
+// returns ErrConnectionLost if the connection is terminated.
+func (c *connection) addOpened(s *Stream) (bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lost {
+		return false, ErrConnectionLost
+	}
+	if len(c.streams) >= c.cfg.MaxStreams {
+		return false, nil
+	}
+	c.streams[s.id] = s
+	return true, nil
+}
+
 // handleEnd ends the receiving side of s with io.EOF or the peer's error.
 func (c *connection) handleEnd(s *Stream, f frame) error {
 	var body endBody
@@ -175,16 +184,25 @@
 	if len(body) > c.cfg.MaxFrameBytes-frameOverheadBytes {
 		return nil, errFrameTooLong
 	}
+	s, err := c.addNext()
+	if err != nil {
+		return nil, err
+	}
+	c.writer.write(frameOpen, s.id, body)
+	return s, nil
+}
+
+// addNext adds the next stream of this side. It returns ErrConnectionLost if the connection is
+// terminated.
+func (c *connection) addNext() (*Stream, error) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.lost {
-		c.mu.Unlock()
 		return nil, ErrConnectionLost
 	}
 	c.lastStreamID++
 	s := newStream(c, c.lastStreamID, true)
 	c.streams[s.id] = s
-	c.mu.Unlock()
-	c.writer.write(frameOpen, s.id, body)
 	return s, nil
 }
 
@@ -199,21 +217,16 @@
 
 func (c *connection) removeStream(id uint32) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	delete(c.streams, id)
-	c.mu.Unlock()
 }
 
 // terminate closes the connection and ends every stream with ErrConnectionLost.
 func (c *connection) terminate() {
-	c.mu.Lock()
-	if c.lost {
-		c.mu.Unlock()
+	streams, first := c.markLost()
+	if !first {
 		return
 	}
-	c.lost = true
-	streams := c.streams
-	c.streams = nil
-	c.mu.Unlock()
 	close(c.done)
 	c.writer.close()
 	_ = c.conn.Close()
@@ -222,6 +235,19 @@
 	}
 }
 
+// markLost marks the connection as lost and removes its streams. It reports whether this is the
+// first call.
+func (c *connection) markLost() (streams map[uint32]*Stream, first bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lost {
+		return nil, false
+	}
+	streams = c.streams
+	c.lost, c.streams = true, nil
+	return streams, true
+}
+
 func (c *connection) isLost() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/mesh/idle.go
+++ b/internal/mesh/idle.go
@@ -30,16 +30,19 @@
 
 // idleTime returns the time since the last received frame, or 0 if no stream is open.
 func (c *connection) idleTime(now time.Duration) time.Duration {
-	c.mu.Lock()
-	open := len(c.streams) > 0
-	c.mu.Unlock()
-	if !open {
+	if !c.hasStreams() {
 		c.lastReceived.Store(int64(now)) // the next stream gets the full timeout
 		return 0
 	}
 	return now - time.Duration(c.lastReceived.Load())
 }
 
+func (c *connection) hasStreams() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.streams) > 0
+}
+
 // pingOrClose sends a ping on a connection that has been idle for PingAfter. It closes the
 // connection after IdleTimeout if the previous check has sent a ping too. It reports
 // whether it has sent a ping.
--- a/internal/mesh/panic_test.go
+++ b/internal/mesh/panic_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -85,3 +86,25 @@
 	handler := func(context.Context, *Stream, []byte) error { panic("test") }
 	server.runHandler(t.Context(), handler, newStream(newLostConnection(t, nil), 1, false), openBody{Method: "panic"})
 }
+
+// The panic occurs while the stream's lock is held, which the end of the stream needs as well.
+func TestPanicUnderLockBlocksStream(t *testing.T) {
+	is := is.New(t)
+	var log panicLog
+	cfg := testConfig
+	cfg.Guard = log.guard()
+	addr := startServer(t, cfg, map[string]Handler{"panic": func(ctx context.Context, s *Stream, _ []byte) error {
+		s.mu.Lock()
+		s.head = -1
+		s.mu.Unlock()
+		_, err := s.Recv(ctx)
+		return err
+	}})
+	s, err := testPool(t, testConfig).Open(t.Context(), addr, "panic", nil)
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_, err = s.Recv(ctx)
+	is.True(errors.Is(err, ErrReset))
+	is.Equal(len(log.recorded()), 1)
+}
--- a/internal/mesh/pool.go
+++ b/internal/mesh/pool.go
@@ -77,9 +77,24 @@
 // connect returns the open connection to addr and dials if there is none. Concurrent
 // callers share the result of one dial.
 func (p *Pool) connect(ctx context.Context, addr string) (*connection, error) {
+	entry, err := p.entry(addr)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-entry.ready:
+		return entry.conn, entry.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// entry returns the open connection to addr or the pending dial, which it starts if there is
+// neither.
+func (p *Pool) entry(addr string) (*poolEntry, error) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.closed {
-		p.mu.Unlock()
 		return nil, ErrClosed
 	}
 	entry := p.conns[addr]
@@ -89,13 +104,7 @@
 		p.watch.Do(func() { go watchIdle(p.ctx, p.cfg, p.liveConnections) })
 		go p.dial(addr, entry)
 	}
-	p.mu.Unlock()
-	select {
-	case <-entry.ready:
-		return entry.conn, entry.err
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return entry, nil
 }
 
 // finished reports whether the dial has ended.
@@ -139,12 +148,7 @@
 // Close waits for pending dials and ends every connection and its streams.
 func (p *Pool) Close() {
 	p.cancel()
-	p.mu.Lock()
-	p.closed = true
-	conns := p.conns
-	p.conns = nil
-	p.mu.Unlock()
-	for _, entry := range conns {
+	for _, entry := range p.markClosed() {
 		<-entry.ready
 		if entry.conn != nil {
 			entry.conn.terminate()
@@ -152,6 +156,15 @@
 	}
 }
 
+// markClosed marks the pool as closed and removes its connections.
+func (p *Pool) markClosed() map[string]*poolEntry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.conns
+	p.closed, p.conns = true, nil
+	return conns
+}
+
 // Unary adapts a function that takes one request and returns one reply to a Handler.
 func Unary[Q any, QP interface {
 	*Q
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -80,13 +80,9 @@
 	if s.cfg.TLS != nil {
 		l = tls.NewListener(l, s.cfg.TLS.serverConfig())
 	}
-	s.mu.Lock()
-	if s.closed {
-		s.mu.Unlock()
+	if !s.setListener(l) {
 		return errors.Join(ErrClosed, l.Close())
 	}
-	s.listener = l
-	s.mu.Unlock()
 	go watchIdle(s.ctx, s.cfg, s.liveConnections)
 	for {
 		conn, err := l.Accept()
@@ -105,6 +101,17 @@
 	}
 }
 
+// setListener sets the listener that Shutdown closes. It reports false if the server is closed.
+func (s *Server) setListener(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.listener = l
+	return true
+}
+
 func (s *Server) isClosed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -129,10 +136,8 @@
 		_ = conn.Close()
 		return
 	}
+	defer s.removeConnection(c)
 	c.run()
-	s.mu.Lock()
-	delete(s.conns, c)
-	s.mu.Unlock()
 }
 
 // addConnection adds a connection. It returns false if the server is closed or has
@@ -147,6 +152,12 @@
 	return true
 }
 
+func (s *Server) removeConnection(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
 // startStream runs the handler of a stream in its own goroutine.
 func (s *Server) startStream(st *Stream, body openBody) {
 	h := s.handlers[body.Method]
@@ -223,10 +234,7 @@
 // streams has ended or ctx ends, and closes the remaining connections. It returns
 // ctx.Err() if streams were cut.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.mu.Lock()
-	s.closed = true
-	listener := s.listener
-	s.mu.Unlock()
+	listener := s.markClosed()
 	s.cancel()
 	if listener != nil {
 		_ = listener.Close()
@@ -252,5 +260,13 @@
 	return err
 }
 
+// markClosed marks the server as closed and returns its listener, nil before Serve.
+func (s *Server) markClosed() net.Listener {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	return s.listener
+}
+
 // flushDelay is the time that a shutdown leaves for writing the last frames.
 const flushDelay = 50 * time.Millisecond
--- a/internal/mesh/stream.go
+++ b/internal/mesh/stream.go
@@ -93,21 +93,9 @@
 // limit the message size.
 func (s *Stream) reserveWindow(ctx context.Context, n int) error {
 	for {
-		s.mu.Lock()
-		if s.sendClosed {
-			s.mu.Unlock()
-			return io.ErrClosedPipe
-		}
-		if err := s.recvErr; err != nil && !errors.Is(err, io.EOF) {
-			s.mu.Unlock()
+		if taken, err := s.takeWindow(n); taken || err != nil {
 			return err
 		}
-		if s.sendWindow > 0 {
-			s.sendWindow -= n
-			s.mu.Unlock()
-			return nil
-		}
-		s.mu.Unlock()
 		select {
 		case <-s.writable:
 		case <-ctx.Done():
@@ -116,20 +104,33 @@
 	}
 }
 
+// takeWindow takes n bytes from the send window, and reports false if that is exhausted.
+func (s *Stream) takeWindow(n int) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sendClosed {
+		return false, io.ErrClosedPipe
+	}
+	if err := s.recvErr; err != nil && !errors.Is(err, io.EOF) {
+		return false, err
+	}
+	if s.sendWindow <= 0 {
+		return false, nil
+	}
+	s.sendWindow -= n
+	return true, nil
+}
+
 // Recv returns the next message. It returns io.EOF after the peer's last message, a
 // *RemoteError if the peer ended the stream with an error, and ErrConnectionLost or
 // ErrReset if the stream was cut.
 func (s *Stream) Recv(ctx context.Context) ([]byte, error) {
 	for {
-		s.mu.Lock()
-		if s.head < len(s.queue) {
-			message := s.dequeue()
-			s.mu.Unlock()
+		message, ok, err := s.next()
+		if ok {
 			s.sendWindowUpdate(len(message))
 			return message, nil
 		}
-		err := s.recvErr
-		s.mu.Unlock()
 		if err != nil {
 			return nil, err
 		}
@@ -141,6 +142,17 @@
 	}
 }
 
+// next removes and returns the oldest unread message. If there is none, ok is false, and err tells
+// why no more will be received, if so.
+func (s *Stream) next() (message []byte, ok bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.head < len(s.queue) {
+		return s.dequeue(), true, nil
+	}
+	return nil, false, s.recvErr
+}
+
 // dequeue removes and returns the oldest unread message. It reuses the queue's array from
 // the start once all messages were read. The caller holds mu.
 func (s *Stream) dequeue() []byte {
@@ -168,18 +180,26 @@
 // sendWindowUpdate returns n read bytes to the peer's send window, in steps of at least
 // half a window.
 func (s *Stream) sendWindowUpdate(n int) {
+	due := s.takeUnreturned(n)
+	if due == 0 {
+		return
+	}
+	var body [4]byte
+	binary.BigEndian.PutUint32(body[:], uint32(due))
+	s.conn.writer.write(frameWindow, s.id, body[:])
+}
+
+// takeUnreturned counts n read bytes and returns how many are to be returned now; 0 for none.
+func (s *Stream) takeUnreturned(n int) int {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.unreturned += n
 	due := s.unreturned
 	if due < s.conn.cfg.WindowBytes/2 || s.recvErr != nil {
-		s.mu.Unlock()
-		return
+		return 0
 	}
 	s.unreturned = 0
-	s.mu.Unlock()
-	var body [4]byte
-	binary.BigEndian.PutUint32(body[:], uint32(due))
-	s.conn.writer.write(frameWindow, s.id, body[:])
+	return due
 }
 
 // end ends the sending side of the stream with body, unless it has ended already.
@@ -218,10 +238,7 @@
 // stream has ended already.
 func (s *Stream) Close() {
 	s.conn.removeStream(s.id)
-	s.mu.Lock()
-	finished := s.recvErr != nil
-	s.mu.Unlock()
-	if finished {
+	if s.Err() != nil {
 		return
 	}
 	s.fail(ErrReset)
@@ -252,10 +269,9 @@
 // failed before.
 func (s *Stream) setCancel(cancel context.CancelFunc) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.cancel = cancel
-	failed := s.recvErr != nil && !errors.Is(s.recvErr, io.EOF)
-	s.mu.Unlock()
-	if failed {
+	if s.recvErr != nil && !errors.Is(s.recvErr, io.EOF) {
 		cancel()
 	}
 }
@@ -263,12 +279,7 @@
 // fail ends the receiving side with err, unless it has ended already, and wakes blocked
 // calls. An err other than io.EOF cancels the handler's context too.
 func (s *Stream) fail(err error) {
-	s.mu.Lock()
-	if s.recvErr == nil {
-		s.recvErr = err
-	}
-	cancel := s.cancel
-	s.mu.Unlock()
+	cancel := s.setRecvErr(err)
 	signal(s.readable)
 	signal(s.writable)
 	if cancel != nil && !errors.Is(err, io.EOF) {
@@ -276,11 +287,22 @@
 	}
 }
 
+// setRecvErr sets the reason why no more messages will be received, unless there is one, and
+// returns the function that cancels the handler's context, if any.
+func (s *Stream) setRecvErr(err error) context.CancelFunc {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.recvErr == nil {
+		s.recvErr = err
+	}
+	return s.cancel
+}
+
 // extendWindow adds the n bytes that the peer has read to the send window.
 func (s *Stream) extendWindow(n int) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.sendWindow += n
-	s.mu.Unlock()
 	signal(s.writable)
 }
 
--- a/internal/mesh/writer.go
+++ b/internal/mesh/writer.go
@@ -34,28 +34,33 @@
 // write queues one frame for run. It returns false if the writer is closed.
 func (w *frameWriter) write(kind frameKind, stream uint32, body []byte) bool {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.closed {
-		w.mu.Unlock()
 		return false
 	}
-	first := len(w.buf) == 0
-	w.buf = appendFrame(w.buf, kind, stream, body)
-	w.mu.Unlock()
-	if first {
+	if len(w.buf) == 0 {
 		signal(w.wake) // run writes the whole buffer, later frames included
 	}
+	w.buf = appendFrame(w.buf, kind, stream, body)
 	return true
 }
 
+// take returns the queued frames and whether the writer is closed, and queues the next ones in
+// the given buffer.
+func (w *frameWriter) take(spare []byte) (out []byte, closed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out = w.buf
+	w.buf = spare[:0]
+	return out, w.closed
+}
+
 // run writes queued frames until the writer is closed or a write fails.
 func (w *frameWriter) run() error {
 	var spare []byte
 	for range w.wake {
 		runtime.Gosched() // lets other runnable streams add their frames first
-		w.mu.Lock()
-		out, closed := w.buf, w.closed
-		w.buf = spare[:0]
-		w.mu.Unlock()
+		out, closed := w.take(spare)
 		if len(out) > 0 {
 			w.renewDeadline(time.Now())
 			if _, err := w.conn.Write(out); err != nil {
@@ -93,7 +98,7 @@
 
 func (w *frameWriter) close() {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.closed = true
-	w.mu.Unlock()
 	signal(w.wake)
 }
