mesh: a panic in the work of one connection ends only that connection

Cause: these goroutines have no recover.

Change: they run under the mesh's guard. The connection is closed, its streams end with ErrConnectionLost, and a dial ends with an error.

No test makes a dial panic.

--- a/internal/mesh/connection.go
+++ b/internal/mesh/connection.go
@@ -45,16 +45,16 @@
 	return c
 }
 
-// run reads and writes frames until the connection is lost. It logs the reason unless
-// the connection was closed by either side.
+// run reads and writes frames until the connection is lost, as it is after a panic. It logs the
+// reason unless the connection was closed by either side.
 func (c *connection) run() {
 	go func() {
-		if err := c.writer.run(); err != nil {
+		if err := c.cfg.Guard.Confine("mesh connection: write", c.writer.run); err != nil {
 			c.cfg.Logger.Debug("mesh write failed", "peer", c.peer, "error", err)
 		}
 		_ = c.conn.Close()
 	}()
-	err := c.readFrames()
+	err := c.cfg.Guard.Confine("mesh connection: read", c.readFrames)
 	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		c.cfg.Logger.Info("mesh connection lost", "peer", c.peer, "error", err)
 	}
--- a/internal/mesh/panic_test.go
+++ b/internal/mesh/panic_test.go
@@ -1,9 +1,13 @@
 package mesh
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
+	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -108,3 +112,97 @@
 	is.True(errors.Is(err, ErrReset))
 	is.Equal(len(log.recorded()), 1)
 }
+
+// brokenConn is a connection whose reads, writes or both panic.
+type brokenConn struct {
+	net.Conn
+	reads, writes bool
+}
+
+// Read implements net.Conn.
+func (c brokenConn) Read(b []byte) (int, error) {
+	if c.reads {
+		panic("test")
+	}
+	return c.Conn.Read(b)
+}
+
+// Write implements net.Conn.
+func (c brokenConn) Write(b []byte) (int, error) {
+	if c.writes {
+		panic("test")
+	}
+	return c.Conn.Write(b)
+}
+
+func TestPanicInConnectionEndsProcess(t *testing.T) {
+	cases := map[string]struct {
+		broken   brokenConn
+		onOpen   func(*Stream, openBody)
+		recorded string
+	}{
+		"read":   {broken: brokenConn{reads: true}, recorded: "mesh connection: read"},
+		"write":  {broken: brokenConn{writes: true}, recorded: "mesh connection: write"},
+		"handle": {onOpen: func(*Stream, openBody) { panic("test") }, recorded: "mesh connection: read"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var log panicLog
+			cfg := testConfig
+			cfg.Guard = log.guard()
+			near, far := net.Pipe()
+			defer func() { _ = far.Close() }()
+			test.broken.Conn = near
+			c := newConnection(cfg.withDefaults(), test.broken, bufio.NewReader(test.broken), "peer")
+			c.onOpen = test.onOpen
+			s, err := c.openStream("m", nil)
+			is.NoErr(err)
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+			if test.onOpen != nil {
+				f := openFrame(t, "m")
+				go func() { _, _ = far.Write(appendFrame(nil, f.kind, s.id+1, f.body)) }()
+			}
+			c.run()
+			is.True(c.isLost())
+			_, err = s.Recv(t.Context())
+			is.True(errors.Is(err, ErrConnectionLost))
+			is.Equal(log.recorded(), []string{test.recorded})
+		})
+	}
+}
+
+// brokenListener returns a broken connection first.
+type brokenListener struct {
+	net.Listener
+	accepted atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *brokenListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil && !l.accepted.Swap(true) {
+		return brokenConn{Conn: conn, reads: true}, nil
+	}
+	return conn, err
+}
+
+func TestPanicInHandshakeEndsProcess(t *testing.T) {
+	is := is.New(t)
+	var log panicLog
+	cfg := testConfig
+	cfg.Guard = log.guard()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := NewServer(cfg)
+	server.Handle("count", countTo(1))
+	go func() { _ = server.Serve(&brokenListener{Listener: inner}) }()
+	defer func() { _ = server.Shutdown(t.Context()) }()
+	pool := testPool(t, testConfig)
+	_, err = pool.Open(t.Context(), inner.Addr().String(), "count", nil)
+	var dial *DialError
+	is.True(errors.As(err, &dial)) // the server has closed the connection
+	is.Equal(log.recorded(), []string{"mesh handshake"})
+	_, err = pool.Open(t.Context(), inner.Addr().String(), "count", nil)
+	is.NoErr(err)
+}
--- a/internal/mesh/pool.go
+++ b/internal/mesh/pool.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"errors"
 	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -129,6 +130,19 @@
 		entry.err = err
 		return
 	}
+	entry.err = p.cfg.Guard.Confine("mesh dial", func() (err error) {
+		entry.conn, err = p.authenticate(conn, addr)
+		return err
+	})
+	if entry.err != nil {
+		_ = conn.Close()
+		return
+	}
+	go entry.conn.run()
+}
+
+// authenticate returns the connection to the peer at addr once both sides have authenticated.
+func (p *Pool) authenticate(conn net.Conn, addr string) (*connection, error) {
 	if p.cfg.TLS != nil {
 		conn = tls.Client(conn, p.cfg.TLS.clientConfig(addr))
 	}
@@ -136,13 +150,10 @@
 	r := bufio.NewReaderSize(conn, readBufferBytes)
 	peer, err := dialHandshake(conn, r, p.cfg)
 	if err != nil {
-		_ = conn.Close()
-		entry.err = err
-		return
+		return nil, err
 	}
 	_ = conn.SetDeadline(time.Time{})
-	entry.conn = newConnection(p.cfg, conn, r, peer)
-	go entry.conn.run()
+	return newConnection(p.cfg, conn, r, peer), nil
 }
 
 // Close waits for pending dials and ends every connection and its streams.
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -123,7 +123,11 @@
 func (s *Server) serveConn(conn net.Conn) {
 	r := bufio.NewReaderSize(conn, readBufferBytes)
 	_ = conn.SetDeadline(time.Now().Add(s.cfg.DialTimeout))
-	peer, err := acceptHandshake(conn, r, s.cfg)
+	var peer string
+	err := s.cfg.Guard.Confine("mesh handshake", func() (err error) {
+		peer, err = acceptHandshake(conn, r, s.cfg)
+		return err
+	})
 	if err != nil {
 		s.cfg.Logger.Warn("mesh handshake rejected", "peer", conn.RemoteAddr().String(), "error", err)
 		_ = conn.Close()
