mesh, gateway: a panic in one tick of periodic work no longer ends the process

What callers saw: every request of a router ended without an answer when one check of idle mesh connections, or one trim of idle connections to upstreams, panicked.

Cause: the goroutines of periodic work have no recover.

Change: both run by Guard.Every. A tick that panics is given up; neither leaves state half-changed: the idle check replaces what it has seen at its end, and a trim closes and announces entry by entry, under locks that are released by defer.

--- a/internal/agent/extension.go
+++ b/internal/agent/extension.go
@@ -43,6 +43,7 @@
 	Requests *slog.Logger
 	Metrics  metrics.Registry
 	Tracer   *telemetry.Tracer
+	Guard    *fleet.Guard
 	Mesh     *mesh.Server
 	Pool     *mesh.Pool
 }
@@ -68,7 +69,7 @@
 type ControlOptions struct{ Join, Adopt, AcceptChangedFileIDs bool }
 
 func (a *Agent) parts(clock fleet.Clock) Parts {
-	return Parts{Clock: clock, Logger: a.log, Requests: a.requests, Metrics: a.metrics, Tracer: a.tracer, Mesh: a.mesh, Pool: a.pool}
+	return Parts{Clock: clock, Logger: a.log, Requests: a.requests, Metrics: a.metrics, Tracer: a.tracer, Guard: a.guard, Mesh: a.mesh, Pool: a.pool}
 }
 
 // newRouter creates the router role, the extension's if it has one.
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -57,6 +57,8 @@
 	Retries      balance.RetryLimits
 	// ListInterval is the time between two reads of the upstream list.
 	ListInterval time.Duration
+	// Guard confines panics of background work; nil lets them end the process.
+	Guard *fleet.Guard
 	// Memory is the memory in bytes that the process may use; 0 if that is not known.
 	Memory int64
 }
@@ -170,11 +172,14 @@
 	r.cancel = cancel
 	r.wg.Go(func() { r.keeper.Run(ctx) })
 	r.wg.Go(func() { r.list.run(ctx) })
-	r.wg.Go(func() {
-		fleet.Every(ctx, trimInterval, func(context.Context) {
-			r.pool.Trim()
-			r.balancer.UpdateConditions(r.cfg.Clock())
-		})
+	r.wg.Go(func() { r.trim(ctx, trimInterval) })
+}
+
+// trim closes idle connections and logs ended rests once per interval until ctx ends.
+func (r *Router) trim(ctx context.Context, interval time.Duration) {
+	r.cfg.Guard.Every(ctx, "trim", interval, func(context.Context) {
+		r.pool.Trim()
+		r.balancer.UpdateConditions(r.cfg.Clock())
 	})
 }
 
--- a/internal/mesh/idle.go
+++ b/internal/mesh/idle.go
@@ -5,8 +5,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
 
 // A connection can stop delivering bytes without TCP noticing: a proxy or firewall on the
@@ -63,7 +61,7 @@
 // check has pinged it, so that a process that was paused itself pings before it closes.
 func watchIdle(ctx context.Context, cfg *Config, conns func() []*connection) {
 	pinged := make(map[*connection]bool)
-	fleet.Every(ctx, cfg.PingAfter/2, func(context.Context) {
+	cfg.Guard.Every(ctx, "mesh idle check", cfg.PingAfter/2, func(context.Context) {
 		now := monotonicNow()
 		next := make(map[*connection]bool)
 		for _, c := range conns() {
--- a/internal/mesh/panic_test.go
+++ b/internal/mesh/panic_test.go
@@ -206,3 +206,21 @@
 	_, err = pool.Open(t.Context(), inner.Addr().String(), "count", nil)
 	is.NoErr(err)
 }
+
+func TestPanickingIdleCheckEndsProcess(t *testing.T) {
+	is := is.New(t)
+	var log panicLog
+	cfg := testConfig
+	cfg.Guard, cfg.PingAfter = log.guard(), 2*time.Millisecond
+	ctx, cancel := context.WithCancel(t.Context())
+	checks := 0
+	watchIdle(ctx, cfg.withDefaults(), func() []*connection {
+		if checks++; checks == 1 {
+			panic("test")
+		}
+		cancel()
+		return nil
+	})
+	is.Equal(log.recorded(), []string{"mesh idle check"})
+	is.True(checks >= 2)
+}
