gateway: a source that has no list yet no longer makes an old list fresh

What callers saw: nothing known. A router whose upstream list was out of date could take it for fresh, and go on sending to upstreams that leave, for as long as it asked sources that were reading their first list.

Cause: a search for a fresh list (peek) applied a pending update, which says only that the first list is being read, as an update without changes: the router adopted its own list with the present time. The follower of a source tells them apart.

Evidence: found by reading, beside the work on panics. On the commit before, TestPendingUpdateMakesStaleListFresh finds a list of 59 minutes after the clock's origin at 60 minutes.

Change: a pending update ends the search at that source with errListGap, as for a router without a list.

Result: the test passes with the race detector.

--- a/internal/gateway/list_search.go
+++ b/internal/gateway/list_search.go
@@ -115,6 +115,9 @@
 	}
 	defer stream.Close()
 	u, err := receiveUpdate(ctx, stream, idleTimeout(known))
+	if err == nil && u.Pending {
+		err = errListGap
+	}
 	if err != nil {
 		return fleet.At(err, "gateway.peek", addr)
 	}
