gateway: a panic while the upstream list is kept no longer ends the process at once

What callers saw: every request of a router ended without an answer when a message of another router or a page of the platform's list made the work on the upstream list panic. Routers pass such messages on, so that one may end all of them.

Cause: the list is kept, searched for and reported on in goroutines without a recover.

Evidence: with a guard that confines nothing (trial), TestPanickingListReadEndsProcess, TestPanickingUpdateOfSourceEndsProcess, TestPanickingReportOfSourceEndsProcess and TestPanicInAdoptedListEndsProcess end in their panics.

Change: a read of the platform's list and an update of a source, which change nothing until they are adopted, fail by an error: the former list stays, or another source is asked. A report of loads, suspicions or leaving upstreams, which is advice, is left out. Any other panic may leave a list half passed on, and stops the process as on SIGTERM. The lock of the list is released by defer.

--- a/internal/gateway/list_search.go
+++ b/internal/gateway/list_search.go
@@ -64,7 +64,7 @@
 	}
 	l.searches.Go(func() {
 		defer l.searching.Store(false)
-		f()
+		l.guard.Run("upstream list: search", f)
 	})
 }
 
@@ -114,24 +114,20 @@
 		return fleet.At(err, "gateway.peek", addr)
 	}
 	defer stream.Close()
-	u, err := receiveUpdate(ctx, stream, idleTimeout(known))
+	u, s, err := l.readUpdate(ctx, stream, idleTimeout(known), known)
 	if err == nil && u.Pending {
 		err = errListGap
 	}
 	if err != nil {
 		return fleet.At(err, "gateway.peek", addr)
 	}
-	l.mergeSuspicions(&u.Totals) // before new upstreams may get requests
+	l.mergeReport(&u.Totals, l.mergeSuspicions) // before new upstreams may get requests
 	now := l.clock()
-	s, err := known.apply(now, u)
-	if err != nil {
-		return fleet.At(err, "gateway.peek", addr)
-	}
 	current, _ := l.newest()
 	if current == nil || !s.isStale(now) {
 		l.adopt(s)
 	}
-	l.mergeLeaving(&u.Totals)
+	l.mergeReport(&u.Totals, l.mergeLeaving)
 	if current != nil && isOutdated(now, s, current, 0) {
 		return fleet.At(errListStale, "gateway.peek", addr)
 	}
--- a/internal/gateway/list_source.go
+++ b/internal/gateway/list_source.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/wigeonflow/wigeonflow/internal/balance"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
 	"github.com/wigeonflow/wigeonflow/internal/placement"
@@ -69,6 +70,7 @@
 	// does.
 	needed   func() bool
 	loads    Loads
+	guard    *fleet.Guard
 	onChange func(asOf time.Duration, s *snapshot) // called for each changed list
 }
 
@@ -262,7 +264,11 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	asOf := l.clock()
-	list, err := l.lister.List(ctx)
+	var list []balance.ListedUpstream
+	err := l.guard.Confine("upstream list: read", func() (err error) {
+		list, err = l.lister.List(ctx)
+		return err
+	})
 	l.readFailed.Store(err != nil)
 	if err != nil {
 		l.log.Warn("cannot read the upstream list; keeping the previous one", "error", err)
@@ -287,21 +293,25 @@
 func (l *upstreamList) adopt(s *snapshot) {
 	l.adopting.Lock()
 	defer l.adopting.Unlock()
+	if l.replace(s) {
+		l.onChange(s.asOf, s)
+	}
+}
+
+// replace makes s the current list unless it is older, and reports whether its contents differ.
+func (l *upstreamList) replace(s *snapshot) bool {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.updated = l.clock()
 	former := l.current
 	if former != nil && former.asOf > s.asOf {
-		l.mu.Unlock()
-		return // older than the current list
+		return false
 	}
 	s.numberAfter(former)
 	l.current = s
 	close(l.changed)
 	l.changed = make(chan struct{})
-	l.mu.Unlock()
-	if former == nil || former.number != s.number {
-		l.onChange(s.asOf, s)
-	}
+	return former == nil || former.number != s.number
 }
 
 // hasList reports whether there is a list.
--- a/internal/gateway/list_stream.go
+++ b/internal/gateway/list_stream.go
@@ -34,7 +34,7 @@
 	var reported lastReport
 	var pace searchPace
 	for {
-		u, err := receiveUpdate(ctx, stream, timeout)
+		u, next, err := l.readUpdate(ctx, stream, timeout, known)
 		if err != nil {
 			return fleet.At(err, "gateway.follow", addr)
 		}
@@ -46,17 +46,15 @@
 			continue
 		}
 		timeout = sourceIdleTimeout
-		l.mergeSuspicions(&u.Totals) // before new upstreams may get requests
+		l.mergeReport(&u.Totals, l.mergeSuspicions) // before new upstreams may get requests
 		now := l.clock()
-		if known, err = known.apply(now, u); err != nil {
-			return fleet.At(err, "gateway.follow", addr)
-		}
+		known = next
 		if current, _ := l.newest(); current != nil && isOutdated(now, known, current, patience) {
 			return fleet.At(errListStale, "gateway.follow", addr)
 		}
 		patience = catchUpTime
 		l.adopt(known)
-		l.mergeLeaving(&u.Totals) // after the list that it refers to
+		l.mergeReport(&u.Totals, l.mergeLeaving) // after the list that it refers to
 		if err = l.exchangeLoads(ctx, stream, known, u, &received, &reported); err != nil {
 			return fleet.At(err, "gateway.follow", addr)
 		}
@@ -108,6 +106,22 @@
 	return sourceIdleTimeout
 }
 
+// readUpdate receives the next update and returns it with the list that results from it; that is
+// the known one if the update is pending.
+func (l *upstreamList) readUpdate(ctx context.Context, stream *mesh.Stream, timeout time.Duration, known *snapshot) (u *ListUpdate, next *snapshot, err error) {
+	err = l.guard.Confine("upstream list: read an update", func() (err error) {
+		if u, err = receiveUpdate(ctx, stream, timeout); err != nil {
+			return err
+		}
+		next, err = known, nil
+		if !u.Pending {
+			next, err = known.apply(l.clock(), u)
+		}
+		return err
+	})
+	return u, next, err
+}
+
 // receiveUpdate receives the next update. The end of the stream is an error as well.
 func receiveUpdate(ctx context.Context, stream *mesh.Stream, timeout time.Duration) (*ListUpdate, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -219,27 +219,40 @@
 			l.log.Warn("cannot decode load report", "peer", stream.Peer(), "error", err)
 			return
 		}
-		l.mergeSuspicions(&r)
-		l.mergeLeaving(&r)
+		l.mergeReport(&r, l.mergeSuspicions)
+		l.mergeReport(&r, l.mergeLeaving)
 		list := known()
 		if list == nil {
 			continue
 		}
-		if activities := list.decodeReport(list.number, &r, &last); activities != nil {
-			l.loadTotals.setReport(stream, activities)
-			l.loads.SetPeerActivities(l.clock(), l.loadTotals.peerActivities())
-		}
+		l.mergeReport(&r, func(r *LoadReport) {
+			if activities := list.decodeReport(list.number, r, &last); activities != nil {
+				l.loadTotals.setReport(stream, activities)
+				l.loads.SetPeerActivities(l.clock(), l.loadTotals.peerActivities())
+			}
+		})
 	}
 }
 
+// mergeReport calls f, which merges a part of another router's report. Reports are advice: one that
+// is lost in a panic costs no request its answer.
+func (l *upstreamList) mergeReport(r *LoadReport, f func(*LoadReport)) {
+	_ = l.guard.Confine("upstream list: merge a report", func() error { // the guard has logged it
+		f(r)
+		return nil
+	})
+}
+
 // exchangeLoads applies the totals of an update and replies with a report of this
 // router's subtree. received and sent are the latest totals and report of the stream, and are
 // updated.
 func (l *upstreamList) exchangeLoads(ctx context.Context, stream *mesh.Stream, list *snapshot, u *ListUpdate, received *decodedReport, sent *lastReport) error {
-	if totals := list.decodeReport(u.Number, &u.Totals, received); totals != nil {
-		l.loadTotals.setTotals(totals, sent.activities)
-		l.loads.SetPeerActivities(l.clock(), l.loadTotals.peerActivities())
-	}
+	l.mergeReport(&u.Totals, func(r *LoadReport) {
+		if totals := list.decodeReport(u.Number, r, received); totals != nil {
+			l.loadTotals.setTotals(totals, sent.activities)
+			l.loads.SetPeerActivities(l.clock(), l.loadTotals.peerActivities())
+		}
+	})
 	subtree := l.loadTotals.subtreeActivities(l.clock())
 	message, err := l.newReport(list, u.Number, subtree, u.AcceptsChanges, sent).MarshalMsg(nil)
 	if err != nil {
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -115,7 +115,7 @@
 	})
 	r.list = newUpstreamList(upstreamListConfig{
 		log: r.log.Named("list"), clock: cfg.Clock, self: r.self, lister: cfg.Lister, interval: cfg.ListInterval,
-		pool: pool, relays: r.keeper.Relays, needed: r.needsList, loads: r.balancer, onChange: r.applyList,
+		pool: pool, relays: r.keeper.Relays, needed: r.needsList, loads: r.balancer, guard: cfg.Guard, onChange: r.applyList,
 	})
 	server.HandleBackground(MethodList, r.list.serve)
 	metrics.NewRegisteredFunctionalGauge(telemetry.MetricName("gateway_config_age_ms"), cfg.Metrics, func() int64 {
@@ -171,7 +171,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	r.wg.Go(func() { r.keeper.Run(ctx) })
-	r.wg.Go(func() { r.list.run(ctx) })
+	r.wg.Go(func() { r.cfg.Guard.Run("upstream list", func() { r.list.run(ctx) }) })
 	r.wg.Go(func() { r.trim(ctx, trimInterval) })
 }
 
