member, gateway: a panic in the session no longer ends the process at once

What callers saw: every request of a router ended without an answer when a reply of the control leader, a note of another router or a new configuration made the router's session panic. All routers get a configuration, so that one may end all of them, again after each start.

Cause: the session's goroutines have no recover, and two sections of the keeper didn't release their lock by defer.

Change: a call of the leader, a fetch, a router's changes and the decoding of a table change nothing before their last step, and fail by an error: the session isn't renewed, or the previous table stays in force. A note, which is advice, is left out. A fetched version is brought into force also if the work after it panicked. Any other panic may leave lease or membership half changed, and stops the process as on SIGTERM; leases and confirmations run out by the clock meanwhile. Both locks are released by defer.

--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -14,7 +14,10 @@
 	"github.com/wigeonflow/wigeonflow/internal/balance"
 	"github.com/wigeonflow/wigeonflow/internal/exchange"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
+	"github.com/wigeonflow/wigeonflow/internal/member"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
+	"github.com/wigeonflow/wigeonflow/internal/operator"
+	"github.com/wigeonflow/wigeonflow/internal/routes"
 )
 
 // panicLog is what a guard has recorded, and the error with which it has stopped the process.
@@ -156,3 +159,18 @@
 	is.True(!l.hasList())
 	is.True(l.adopting.TryLock())
 }
+
+// All routers get a table, so that one whose decoder panics would end them all, again after each start.
+func TestPanickingTableDecoderEndsProcess(t *testing.T) {
+	is := is.New(t)
+	var log panicLog
+	r := &Router{log: hclog.NewNullLogger(), cfg: Config{Guard: log.guard(), Decode: func([]byte) (*routes.Table, error) { panic("test") }}}
+	r.keeper = member.NewKeeper(member.Config{Logger: hclog.NewNullLogger()})
+	_, err := r.keeper.View().Apply(&operator.Update{Full: &operator.State{Version: 3, Routes: routes.NewDocument(7, []byte("{}"))}})
+	is.NoErr(err)
+	r.applyConfig()
+	works, stopped := log.recorded()
+	is.Equal(works, []string{"configuration: decode the routing table"})
+	is.NoErr(stopped)
+	is.Equal(r.inForce.Load(), uint64(0))
+}
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -104,7 +104,7 @@
 	r.keeper = member.NewKeeper(member.Config{
 		Self:    r.self,
 		Session: session.Settings{Lease: s.Session.Lease, RenewInterval: s.Session.RenewInterval},
-		Clock:   cfg.Clock, Control: r.control, Server: server, Pool: pool, Logger: r.log, Owner: placement.NewRings().Owner,
+		Clock:   cfg.Clock, Control: r.control, Server: server, Pool: pool, Guard: cfg.Guard, Logger: r.log, Owner: placement.NewRings().Owner,
 		InForce:  func() fleet.ConfigVersion { return fleet.ConfigVersion(r.inForce.Load()) },
 		OnConfig: r.applyConfig, OnConfirmed: r.checkStarted, Note: r.quarantineNote, OnNote: r.applyNote,
 	})
@@ -192,12 +192,19 @@
 	index := r.keeper.View().Index()
 	doc := index.Routes()
 	if doc != nil && (r.table.Load() == nil || r.table.Load().Version() < doc.Version()) {
-		table, err := r.cfg.Decode(doc.Bytes())
+		var table *routes.Index
+		err := r.cfg.Guard.Confine("configuration: decode the routing table", func() error {
+			decoded, err := r.cfg.Decode(doc.Bytes())
+			if err == nil {
+				table = routes.NewIndex(decoded)
+			}
+			return err
+		})
 		if err != nil {
 			r.log.Error("cannot decode the routing table; the previous one stays in force", "table", doc.Version(), "error", err)
 			return
 		}
-		r.table.Store(routes.NewIndex(table))
+		r.table.Store(table)
 	}
 	r.inForce.Store(uint64(index.Version()))
 	r.log.Info("configuration in force", "version", uint64(index.Version()), "table", r.tableVersion())
--- a/internal/member/keeper.go
+++ b/internal/member/keeper.go
@@ -39,6 +39,9 @@
 	// without Pool it reads them only from the control group.
 	Server *mesh.Server
 	Pool   *mesh.Pool
+	// Guard confines panics of what peers send, and stops the process after others; nil lets
+	// them end it.
+	Guard  *fleet.Guard
 	Logger hclog.Logger
 	// Owner returns the member that owns a key.
 	Owner session.OwnerFunc
@@ -162,8 +165,8 @@
 // Run renews the lease and follows the control leader's notices until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { k.renewLoop(ctx) })
-	wg.Go(func() { k.watchLoop(ctx) })
+	wg.Go(func() { k.cfg.Guard.Run("session", func() { k.renewLoop(ctx) }) })
+	wg.Go(func() { k.cfg.Guard.Run("session notices", func() { k.watchLoop(ctx) }) })
 	wg.Wait()
 }
 
@@ -232,18 +235,22 @@
 	case <-k.leaderAnswered:
 	}
 	k.cfg.Control.Watch(ctx, func(n session.Notice) {
-		k.mu.Lock()
-		now := k.cfg.Clock()
-		k.announce(n.Version)
-		k.holder.HandleNotice(now, n)
-		due := k.holder.NextRenewal() <= now
-		k.mu.Unlock()
-		if due {
+		if k.handleNotice(n) {
 			k.wake()
 		}
 	})
 }
 
+// handleNotice applies a notice and reports whether a renewal is due.
+func (k *Keeper) handleNotice(n session.Notice) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.cfg.Clock()
+	k.announce(n.Version)
+	k.holder.HandleNotice(now, n)
+	return k.holder.NextRenewal() <= now
+}
+
 // wake makes renewLoop recompute the time of the next renewal.
 func (k *Keeper) wake() {
 	select {
@@ -274,7 +281,10 @@
 	k.announce(reply.Version)
 	k.cfg.Control.SetAddrs(reply.Control)
 	if len(reply.Note) > 0 && k.cfg.OnNote != nil {
-		k.cfg.OnNote(reply.Note, reply.NoteAge)
+		_ = k.cfg.Guard.Confine("session: apply a note", func() error { // the guard has logged it
+			k.cfg.OnNote(reply.Note, reply.NoteAge)
+			return nil
+		})
 	}
 	if len(reply.Relays) > 0 {
 		k.relays.Store(&reply.Relays)
@@ -298,7 +308,9 @@
 func (k *Keeper) callLeader(ctx context.Context, request *session.RenewRequest, reply *session.RenewReply) error {
 	ctx, cancel := context.WithTimeout(ctx, k.cfg.Session.Lease/2)
 	defer cancel()
-	return k.cfg.Control.Call(ctx, control.MethodRenew, request, reply)
+	return k.cfg.Guard.Confine("session: call the leader", func() error {
+		return k.cfg.Control.Call(ctx, control.MethodRenew, request, reply)
+	})
 }
 
 // Request returns the renewal request to send now.
@@ -332,17 +344,11 @@
 // applyReply applies a renewal's reply and calls the callbacks; own holds the
 // loads that the request reported.
 func (k *Keeper) applyReply(reply *session.RenewReply, own []session.PoolLoad) {
-	k.mu.Lock()
-	before := k.holder.Authority()
-	accepted := k.holder.HandleReply(k.cfg.Clock(), reply)
-	after := k.holder.Authority()
-	means := k.holder.PoolMeans()
-	k.publish()
-	k.mu.Unlock()
+	accepted, changed, means := k.handleReply(reply)
 	if !accepted {
 		return
 	}
-	if k.cfg.OnSessionChange != nil && k.sessionChanged(before, after) {
+	if k.cfg.OnSessionChange != nil && changed {
 		k.cfg.OnSessionChange()
 	}
 	if k.cfg.OnPoolMeans != nil {
@@ -350,6 +356,17 @@
 	}
 }
 
+// handleReply applies a renewal's reply to the session, and reports whether it was accepted and
+// whether the session has changed.
+func (k *Keeper) handleReply(reply *session.RenewReply) (accepted, changed bool, means []session.PoolMean) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	before := k.holder.Authority()
+	accepted = k.holder.HandleReply(k.cfg.Clock(), reply)
+	k.publish()
+	return accepted, k.sessionChanged(before, k.holder.Authority()), k.holder.PoolMeans()
+}
+
 // sessionChanged reports whether the membership, the settled epoch or the validity of the
 // lease differ.
 func (k *Keeper) sessionChanged(before, after session.Authority) bool {
@@ -362,21 +379,29 @@
 func (k *Keeper) fetchControl(ctx context.Context, atLeast fleet.ConfigVersion, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	changed, err := k.fetcher.Fetch(ctx, k.view, atLeast)
+	before := k.view.Version()
+	err := k.cfg.Guard.Confine("configuration: fetch", func() error {
+		_, err := k.fetcher.Fetch(ctx, k.view, atLeast)
+		return err
+	})
+	if k.view.Version() > before {
+		k.reportFetched()
+	}
 	if err != nil {
 		k.log.Warn("configuration not fetched", "version", uint64(atLeast), "error", err)
 		return false
 	}
-	if changed {
-		k.reportFetched()
-	}
 	return k.view.Version() >= atLeast
 }
 
 // applyRelayed applies an update from another router to the view and reports whether it
 // succeeded.
 func (k *Keeper) applyRelayed(u *operator.Update) bool {
-	changed, err := k.view.Apply(u)
+	changed := false
+	err := k.cfg.Guard.Confine("configuration: apply a router's changes", func() (err error) {
+		changed, err = k.view.Apply(u)
+		return err
+	})
 	if err != nil {
 		k.log.Warn("cannot apply the configuration changes that another router sent", "error", err)
 		return false
--- a/internal/member/relay.go
+++ b/internal/member/relay.go
@@ -246,7 +246,10 @@
 	defer cancel()
 	request := control.FetchRequest{After: k.view.Version(), AtLeast: atLeast}
 	var reply control.FetchReply
-	if err := k.cfg.Pool.Call(ctx, source.Addr, MethodRelay, &request, &reply); err != nil {
+	err := k.cfg.Guard.Confine("configuration: read from a router", func() error {
+		return k.cfg.Pool.Call(ctx, source.Addr, MethodRelay, &request, &reply)
+	})
+	if err != nil {
 		k.log.Info("configuration changes not read from a router", "peer", string(source.ID), "version", uint64(atLeast), "error", err)
 		return false
 	}
