control, agent: a panic in sending, in a shared question or in accepting no longer ends the process at once

What callers saw: every request of a process that is both router and control member ended without an answer when a message to another member, or the question to the leader that routers share, panicked; and of any router when accepting mesh connections did.

Cause: these goroutines have no recover.

No test makes accepting panic; TestPanicInNeededWorkDoesNotFailProcess plays what follows.

Change: a panic of the transport to one member ends its stream and drops what is queued, as a lost connection does: the protocol sends it again. One of a shared question is its error. One of accepting stops the process as on SIGTERM. Neither touches log, state machine or leases, whose panics go on ending the process.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -124,7 +124,7 @@
 		OperatorAddr: advertisedAddr(s.Listen.Operators, s.Listen.Mesh),
 		Join:         a.extension.Control.Join, Adopt: a.extension.Control.Adopt,
 		AcceptChangedFileIDs: a.extension.Control.AcceptChangedFileIDs,
-		Clock:                clock, Logger: a.log, Metrics: a.metrics,
+		Clock:                clock, Guard: a.guard, Logger: a.log, Metrics: a.metrics,
 	}, a.mesh, a.pool)
 	return err
 }
@@ -151,7 +151,7 @@
 	if err != nil {
 		return fleet.At(err, "agent.listen", bind)
 	}
-	go func() { a.reportFailure(a.mesh.Serve(meshListener)) }()
+	go a.guard.Run("mesh accept", func() { a.reportFailure(a.mesh.Serve(meshListener)) })
 	if a.control != nil {
 		a.operators = a.httpServer(a.operatorsHandler())
 		if err := a.serve(a.operators, s.Listen.Operators, s.Listen.OperatorsTLS); err != nil {
--- a/internal/control/batcher.go
+++ b/internal/control/batcher.go
@@ -5,13 +5,15 @@
 	"sync"
 	"time"
 
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/session"
 )
 
 // batcher makes one call for all that ask for its result while an earlier call runs. Everyone gets
 // the result of a call that began after it had asked. It is safe for concurrent use.
 type batcher[T any] struct {
-	call func() (T, error)
+	call  func() (T, error)
+	guard *fleet.Guard // confines panics of call to those that wait for it
 
 	mu      sync.Mutex
 	next    *batch[T] // of those that ask while a call runs; nil for none
@@ -55,7 +57,10 @@
 // run makes calls until nobody asks for one.
 func (b *batcher[T]) run() {
 	for current := b.take(); current != nil; current = b.take() {
-		current.result, current.err = b.call()
+		current.err = b.guard.Confine("control batch", func() (err error) {
+			current.result, err = b.call()
+			return err
+		})
 		close(current.done)
 	}
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -46,8 +46,11 @@
 	// OperatorAddr is the address of this member's operators' HTTP API, IP:port.
 	OperatorAddr string
 	Clock        fleet.Clock
-	Logger       hclog.Logger
-	Metrics      metrics.Registry
+	// Guard confines panics of work that leaves log, state machine and leases alone; nil lets
+	// them end the process, as all others do.
+	Guard   *fleet.Guard
+	Logger  hclog.Logger
+	Metrics metrics.Registry
 }
 
 // Server is one member of the control group.
@@ -100,7 +103,7 @@
 	s.stateMachine.addPart(tagRoster, s.roster)
 	s.stateMachine.addPart(tagConfig, s.config)
 	s.stateMachine.addPart(tagLedger, s.ledger)
-	group, err := consensus.Start(s.consensusConfig(newTransport(ctx, pool, s.log.Named("transport"))))
+	group, err := consensus.Start(s.consensusConfig(newTransport(ctx, pool, cfg.Guard, s.log.Named("transport"))))
 	if err != nil {
 		cancel()
 		return nil, fleet.At(err, "control.start", cfg.Dir)
@@ -111,7 +114,7 @@
 		roster: s.roster, config: s.config, ledger: s.ledger, limits: cfg.Ledger, stateMachine: s.stateMachine, wake: wake, notices: newNoticePublisher(),
 	}
 	server.HandleBackground(MethodStep, receiveHandler(group))
-	s.confirmations.call = s.askLeader
+	s.confirmations.call, s.confirmations.guard = s.askLeader, cfg.Guard
 	s.leaseGate.leads = func() bool {
 		_, leads := group.LeaderLease()
 		return leads
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/wigeonflow/wigeonflow/internal/consensus"
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
 )
 
@@ -30,13 +31,16 @@
 	pool *mesh.Pool
 	log  hclog.Logger
 	ctx  context.Context
+	// guard confines panics of sending to the messages that are queued: the protocol sends them
+	// again.
+	guard *fleet.Guard
 
 	mu    sync.Mutex
 	peers map[consensus.MemberID]chan consensus.Message
 }
 
-func newTransport(ctx context.Context, pool *mesh.Pool, log hclog.Logger) *transport {
-	return &transport{ctx: ctx, pool: pool, log: log, peers: make(map[consensus.MemberID]chan consensus.Message)}
+func newTransport(ctx context.Context, pool *mesh.Pool, guard *fleet.Guard, log hclog.Logger) *transport {
+	return &transport{ctx: ctx, pool: pool, guard: guard, log: log, peers: make(map[consensus.MemberID]chan consensus.Message)}
 }
 
 // Send implements consensus.Transport. It never blocks: it drops the message if the
@@ -65,7 +69,8 @@
 // sendLoop sends the messages to one member, over a new stream after each failure.
 func (t *transport) sendLoop(to consensus.MemberID, q chan consensus.Message) {
 	for t.ctx.Err() == nil {
-		if err := t.sendOverStream(to, q); err != nil {
+		err := t.guard.Confine("control transport", func() error { return t.sendOverStream(to, q) })
+		if err != nil {
 			t.log.Debug("consensus stream ended", "peer", string(to), "error", err)
 		}
 		select {
