agent: a panic in an operators' call leaves a trace

What operators saw: a connection that was closed without an answer, and no line in the log.

Cause: the HTTP server recovers panics of its handlers, but its own messages are logged at the debug level.

Evidence: the handler is wrapped nowhere before; TestPanicOfOperatorsCallLeavesNoTrace doesn't build there, as the wrapper is new.

Change: such a panic is logged with its stack and counted like those of background work. The connection is closed as before, since whether the call has changed anything is unknown.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -153,7 +153,7 @@
 	}
 	go a.guard.Run("mesh accept", func() { a.reportFailure(a.mesh.Serve(meshListener)) })
 	if a.control != nil {
-		a.operators = a.httpServer(a.operatorsHandler())
+		a.operators = a.httpServer(a.recordPanics("operators' call", a.operatorsHandler()))
 		if err := a.serve(a.operators, s.Listen.Operators, s.Listen.OperatorsTLS); err != nil {
 			return err
 		}
--- a/internal/agent/guard_test.go
+++ b/internal/agent/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -36,3 +37,18 @@
 	a.newGuard().Run("session", func() { panic("test") })
 	is.True(errorx.IsOfType(<-a.Failed(), fleet.ErrPanic))
 }
+
+func TestPanicOfOperatorsCallLeavesNoTrace(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	a := &Agent{log: telemetry.NewLogger(settings.Settings{}, &out), metrics: metrics.NewRegistry()}
+	a.guard = a.newGuard()
+	server := httptest.NewServer(a.recordPanics("operators' call", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("test") })))
+	resp, err := server.Client().Get(server.URL)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	is.True(err != nil) // the connection is closed
+	server.Close()
+	is.True(strings.Contains(out.String(), "background work panicked"))
+}
--- a/internal/agent/operators.go
+++ b/internal/agent/operators.go
@@ -21,6 +21,20 @@
 	return m
 }
 
+// recordPanics records the panics of a handler, which the HTTP server logs only at the debug level.
+// The connection is closed without an answer: whether the call has changed anything is unknown.
+func (a *Agent) recordPanics(work string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		err := a.guard.Confine(work, func() error {
+			next.ServeHTTP(w, r)
+			return nil
+		})
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	})
+}
+
 // operatorKeyDigests returns the digests of all operators' keys. Package settings has checked
 // that they are SHA-256 digests in hex.
 func operatorKeyDigests(a *Agent) []operator.KeyDigest {
