router: a panic in a call between plan homes and borrowers no longer ends the process

What callers of the product's own interface saw: every request of a router ended without an answer when a reply of a plan home or of a borrower made its reader panic.

Cause: these calls run in goroutines without a recover.

Change: the calls run under the router's guard, and a panic is a call that failed. It is confined before a reply is applied: the state of homes and borrowers is only changed under a lock that is released by defer.

--- a/internal/agent/extension.go
+++ b/internal/agent/extension.go
@@ -78,7 +78,7 @@
 		return a.extension.Router(a.parts(clock), a.settings)
 	}
 	return router.New(router.Config{
-		Settings: a.settings, Clock: clock, Logger: a.log, Metrics: a.metrics, Tracer: a.tracer,
+		Settings: a.settings, Clock: clock, Logger: a.log, Metrics: a.metrics, Tracer: a.tracer, Guard: a.guard,
 	}, a.mesh, a.pool)
 }
 
--- a/internal/router/homes.go
+++ b/internal/router/homes.go
@@ -124,8 +124,10 @@
 			continue
 		}
 		wg.Go(func() {
-			var reply owner.Empty
-			err := p.router.pool.Call(ctx, member.Addr, MethodUsageRecords, &UsageRecordsRequest{Books: records}, &reply)
+			err := p.router.cfg.Guard.Confine("plan: hand over usage records", func() error {
+				var reply owner.Empty
+				return p.router.pool.Call(ctx, member.Addr, MethodUsageRecords, &UsageRecordsRequest{Books: records}, &reply)
+			})
 			if err != nil {
 				p.router.log.Info("cannot hand over usage records to the new plan home", "peer", member.Addr, "error", err)
 			}
@@ -176,8 +178,11 @@
 func (p *plans) requestReport(ctx context.Context, member fleet.Member, workspaces []fleet.WorkspaceID) {
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
-	var reply owner.Empty
-	if err := p.router.pool.Call(ctx, member.Addr, MethodReport, &ReportRequest{Workspaces: workspaces}, &reply); err != nil {
+	err := p.router.cfg.Guard.Confine("plan: request a report", func() error {
+		var reply owner.Empty
+		return p.router.pool.Call(ctx, member.Addr, MethodReport, &ReportRequest{Workspaces: workspaces}, &reply)
+	})
+	if err != nil {
 		p.router.log.Debug("cannot ask the router for a report of use", "peer", member.Addr, "error", err)
 	}
 }
--- a/internal/router/plans.go
+++ b/internal/router/plans.go
@@ -197,7 +197,11 @@
 func (p *plans) sendRequest(request plan.BorrowRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 	defer cancel()
-	answer, err := p.callHome(ctx, request)
+	var answer BorrowAnswer
+	err := p.router.cfg.Guard.Confine("plan: borrow credits", func() (err error) {
+		answer, err = p.callHome(ctx, request)
+		return err
+	})
 	reply := answer.Reply
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,6 +29,8 @@
 	Logger   hclog.Logger
 	Metrics  metrics.Registry
 	Tracer   *telemetry.Tracer
+	// Guard confines panics of calls between plan homes and borrowers; nil lets them end the process.
+	Guard *fleet.Guard
 }
 
 // Router is the router role of one instance.
