exchange: a panic of the concurrent writer no longer ends the process

What callers saw: every request of a router ended without an answer when the writer of one long request panicked.

Cause: a request over 4 KiB is written by a goroutine without a recover.

Change: the writer runs under the pool's guard. The connection is closed after a panic, since the upstream would wait for the rest, and the exchange fails in the phase in which the request may have arrived.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -8,6 +8,10 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
 
 const (
@@ -77,7 +81,7 @@
 	} else {
 		written := make(chan error, 1)
 		r.written = written
-		go func() { written <- r.conn.writeBoth(head, req.Body) }()
+		go func() { written <- r.writeBoth(head, req.Body) }()
 	}
 	for range maxMisdelivered {
 		resp, err := r.readHeader(req.Method)
@@ -98,6 +102,16 @@
 	return ErrUnmatched.New("received %d answers to other requests and none to this one", maxMisdelivered)
 }
 
+// writeBoth writes the head and the body of a request. It closes the connection if that panics:
+// the upstream would wait for the rest.
+func (r *Response) writeBoth(head, body []byte) error {
+	err := r.pool.Guard.Confine("upstream: write a request", func() error { return r.conn.writeBoth(head, body) })
+	if errorx.IsOfType(err, fleet.ErrPanic) {
+		r.conn.close()
+	}
+	return err
+}
+
 // preferWriterError returns the concurrent writer's error if it has failed, which explains
 // why there is no answer, and err otherwise.
 func (r *Response) preferWriterError(err error) error {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/socket"
 )
 
@@ -33,6 +34,10 @@
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
+	// Guard confines panics of what runs beside an exchange's own goroutine to that exchange; nil
+	// lets them end the process. It must not change once the pool is used.
+	Guard *fleet.Guard
+
 	dialer net.Dialer
 
 	mu     sync.Mutex
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -97,6 +97,7 @@
 		control: control.NewClient(pool, s.Control.Members),
 		pool:    exchange.NewPool(), started: make(chan struct{}),
 	}
+	r.pool.Guard = cfg.Guard
 	r.balancer = balance.New(balance.Config{
 		Zone: s.Zone, Seed: xxhash.Sum64String(string(s.Instance)), Retries: cfg.Retries,
 		OnQuarantine: r.logQuarantine, OnTransition: r.logTransition, OnMalformed: r.logMalformed,
