gateway: a panic while a follower's reports are received no longer ends the process

What callers saw: every request of a router ended without an answer when a follower of its upstream list sent a report that made the router panic before the report was merged.

Cause: the reports are received by a goroutine beside the stream's handler, without a recover.

Evidence: with a guard that confines nothing (trial), TestPanickingReportOfFollowerEndsProcess ends in its panic.

Change: the goroutine runs under the router's guard, and its panic ends the follower's stream. The follower opens a new one.

--- a/internal/gateway/list_stream.go
+++ b/internal/gateway/list_stream.go
@@ -148,7 +148,13 @@
 	received := make(chan struct{})
 	go func() {
 		defer close(received)
-		l.receiveReports(ctx, stream, sent.Load)
+		err := l.guard.Confine("upstream list: receive reports", func() error {
+			l.receiveReports(ctx, stream, sent.Load)
+			return nil
+		})
+		if err != nil {
+			cancel() // the follower opens a new stream
+		}
 	}()
 	defer func() {
 		cancel()
--- a/internal/gateway/panic_test.go
+++ b/internal/gateway/panic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"testing"
@@ -174,3 +175,27 @@
 	is.NoErr(stopped)
 	is.Equal(r.inForce.Load(), uint64(0))
 }
+
+// The list without a logger panics when it can't decode a report.
+func TestPanickingReportOfFollowerEndsProcess(t *testing.T) {
+	is := is.New(t)
+	l, log := newGuardedList(t, fleet.MonotonicClock(), nil)
+	l.log = nil
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	source := mesh.NewServer(mesh.Config{Instance: "source"})
+	source.HandleBackground(MethodList, l.serve)
+	go func() { _ = source.Serve(listener) }()
+	t.Cleanup(func() { _ = source.Shutdown(context.Background()) })
+	message, err := new(ListRequest).MarshalMsg(nil)
+	is.NoErr(err)
+	stream, err := l.pool.Open(t.Context(), listener.Addr().String(), MethodList, message)
+	is.NoErr(err)
+	is.NoErr(stream.Send(t.Context(), []byte{0xc1}))
+	_, err = stream.Recv(t.Context())
+	var remote *mesh.RemoteError
+	is.True(errors.As(err, &remote)) // the source has ended the stream
+	works, stopped := log.recorded()
+	is.Equal(works, []string{"upstream list: receive reports"})
+	is.NoErr(stopped)
+}
