member: a process whose session has panicked no longer waits for the end of its grace period

What operators saw: nothing yet; since such a panic stops the process as planned, it ran on until the end of the grace period without requests and without a lease.

Cause: a planned stop waits until the lease is released, which nobody does once the renewals have ended.

--- a/internal/member/keeper.go
+++ b/internal/member/keeper.go
@@ -97,7 +97,8 @@
 	leaderAnswered     chan struct{} // closed once the leader itself has answered a renewal
 	leaderAnsweredOnce sync.Once
 
-	woken chan struct{} // capacity 1; signals that the next renewal may be due earlier
+	woken        chan struct{} // capacity 1; signals that the next renewal may be due earlier
+	renewalEnded atomic.Bool
 }
 
 // NewKeeper returns a Keeper. Run must be called to start it.
@@ -165,7 +166,10 @@
 // Run renews the lease and follows the control leader's notices until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { k.cfg.Guard.Run("session", func() { k.renewLoop(ctx) }) })
+	wg.Go(func() {
+		defer k.renewalEnded.Store(true)
+		k.cfg.Guard.Run("session", func() { k.renewLoop(ctx) })
+	})
 	wg.Go(func() { k.cfg.Guard.Run("session notices", func() { k.watchLoop(ctx) }) })
 	wg.Wait()
 }
@@ -187,11 +191,12 @@
 	k.wake()
 }
 
-// HasLeft reports whether the control leader has confirmed the release of the lease.
+// HasLeft reports whether the control leader has confirmed the release of the lease, or the lease
+// is no longer renewed, so that nothing will release it before it ends.
 func (k *Keeper) HasLeft() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.holder.HasLeft()
+	return k.holder.HasLeft() || k.renewalEnded.Load()
 }
 
 func (k *Keeper) renewLoop(ctx context.Context) {
