--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,6 +43,7 @@
 	requests  *slog.Logger
 	metrics   metrics.Registry
 	tracer    *telemetry.Tracer
+	guard     *fleet.Guard
 
 	mesh      *mesh.Server
 	pool      *mesh.Pool
@@ -62,6 +63,7 @@
 func StartWith(ctx context.Context, s settings.Settings, w io.Writer, e Extension) (*Agent, error) {
 	a := &Agent{settings: s, extension: e, log: telemetry.NewLogger(s, w), metrics: metrics.NewRegistry(), failed: make(chan error, 4)}
 	a.requests = telemetry.NewRequestLogger(s, "gateway", w)
+	a.guard = a.newGuard()
 	secret, err := readSecret(s.FleetSecretFile)
 	if err != nil {
 		return nil, err
@@ -71,7 +73,7 @@
 	}
 	cfg := mesh.Config{
 		Instance: s.Instance, Secret: secret, MaxFrameBytes: max(s.Limits.MaxFrameBytes, minMeshFrame(s)),
-		MaxStreams: s.Limits.MaxStreams, Logger: a.log.Named("mesh"),
+		MaxStreams: s.Limits.MaxStreams, Guard: a.guard, Logger: a.log.Named("mesh"),
 	}
 	if files := s.Listen.MeshTLS; files.CertificateFile != "" {
 		cfg.TLS = &mesh.TLSFiles{Certificate: files.CertificateFile, Key: files.KeyFile, Authority: files.AuthorityFile}
@@ -122,7 +124,7 @@
 		OperatorAddr: advertisedAddr(s.Listen.Operators, s.Listen.Mesh),
 		Join:         a.extension.Control.Join, Adopt: a.extension.Control.Adopt,
 		AcceptChangedFileIDs: a.extension.Control.AcceptChangedFileIDs,
-		Clock:                clock, Logger: a.log, Metrics: a.metrics,
+		Clock:                clock, Guard: a.guard, Logger: a.log, Metrics: a.metrics,
 	}, a.mesh, a.pool)
 	return err
 }
@@ -149,9 +151,9 @@
 	if err != nil {
 		return fleet.At(err, "agent.listen", bind)
 	}
-	go func() { a.reportFailure(a.mesh.Serve(meshListener)) }()
+	go a.guard.Run("mesh accept", func() { a.reportFailure(a.mesh.Serve(meshListener)) })
 	if a.control != nil {
-		a.operators = a.httpServer(a.operatorsHandler())
+		a.operators = a.httpServer(a.recordPanics("operators' call", a.operatorsHandler()))
 		if err := a.serve(a.operators, s.Listen.Operators, s.Listen.OperatorsTLS); err != nil {
 			return err
 		}
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -57,6 +57,8 @@
 	Retries      balance.RetryLimits
 	// ListInterval is the time between two reads of the upstream list.
 	ListInterval time.Duration
+	// Guard confines panics of background work; nil lets them end the process.
+	Guard *fleet.Guard
 	// Memory is the memory in bytes that the process may use; 0 if that is not known.
 	Memory int64
 }
@@ -95,6 +97,7 @@
 		control: control.NewClient(pool, s.Control.Members),
 		pool:    exchange.NewPool(), started: make(chan struct{}),
 	}
+	r.pool.Guard = cfg.Guard
 	r.balancer = balance.New(balance.Config{
 		Zone: s.Zone, Seed: xxhash.Sum64String(string(s.Instance)), Retries: cfg.Retries,
 		OnQuarantine: r.logQuarantine, OnTransition: r.logTransition, OnMalformed: r.logMalformed,
@@ -102,7 +105,7 @@
 	r.keeper = member.NewKeeper(member.Config{
 		Self:    r.self,
 		Session: session.Settings{Lease: s.Session.Lease, RenewInterval: s.Session.RenewInterval},
-		Clock:   cfg.Clock, Control: r.control, Server: server, Pool: pool, Logger: r.log, Owner: placement.NewRings().Owner,
+		Clock:   cfg.Clock, Control: r.control, Server: server, Pool: pool, Guard: cfg.Guard, Logger: r.log, Owner: placement.NewRings().Owner,
 		InForce:  func() fleet.ConfigVersion { return fleet.ConfigVersion(r.inForce.Load()) },
 		OnConfig: r.applyConfig, OnConfirmed: r.checkStarted, Note: r.quarantineNote, OnNote: r.applyNote,
 	})
@@ -113,7 +116,7 @@
 	})
 	r.list = newUpstreamList(upstreamListConfig{
 		log: r.log.Named("list"), clock: cfg.Clock, self: r.self, lister: cfg.Lister, interval: cfg.ListInterval,
-		pool: pool, relays: r.keeper.Relays, needed: r.needsList, loads: r.balancer, onChange: r.applyList,
+		pool: pool, relays: r.keeper.Relays, needed: r.needsList, loads: r.balancer, guard: cfg.Guard, onChange: r.applyList,
 	})
 	server.HandleBackground(MethodList, r.list.serve)
 	metrics.NewRegisteredFunctionalGauge(telemetry.MetricName("gateway_config_age_ms"), cfg.Metrics, func() int64 {
@@ -169,12 +172,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	r.wg.Go(func() { r.keeper.Run(ctx) })
-	r.wg.Go(func() { r.list.run(ctx) })
-	r.wg.Go(func() {
-		fleet.Every(ctx, trimInterval, func(context.Context) {
-			r.pool.Trim()
-			r.balancer.UpdateConditions(r.cfg.Clock())
-		})
+	r.wg.Go(func() { r.cfg.Guard.Run("upstream list", func() { r.list.run(ctx) }) })
+	r.wg.Go(func() { r.trim(ctx, trimInterval) })
+}
+
+// trim closes idle connections and logs ended rests once per interval until ctx ends.
+func (r *Router) trim(ctx context.Context, interval time.Duration) {
+	r.cfg.Guard.Every(ctx, "trim", interval, func(context.Context) {
+		r.pool.Trim()
+		r.balancer.UpdateConditions(r.cfg.Clock())
 	})
 }
 
@@ -187,12 +193,19 @@
 	index := r.keeper.View().Index()
 	doc := index.Routes()
 	if doc != nil && (r.table.Load() == nil || r.table.Load().Version() < doc.Version()) {
-		table, err := r.cfg.Decode(doc.Bytes())
+		var table *routes.Index
+		err := r.cfg.Guard.Confine("configuration: decode the routing table", func() error {
+			decoded, err := r.cfg.Decode(doc.Bytes())
+			if err == nil {
+				table = routes.NewIndex(decoded)
+			}
+			return err
+		})
 		if err != nil {
 			r.log.Error("cannot decode the routing table; the previous one stays in force", "table", doc.Version(), "error", err)
 			return
 		}
-		r.table.Store(routes.NewIndex(table))
+		r.table.Store(table)
 	}
 	r.inForce.Store(uint64(index.Version()))
 	r.log.Info("configuration in force", "version", uint64(index.Version()), "table", r.tableVersion())
--- a/internal/mesh/idle.go
+++ b/internal/mesh/idle.go
@@ -5,8 +5,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
 
 // A connection can stop delivering bytes without TCP noticing: a proxy or firewall on the
@@ -30,16 +28,19 @@
 
 // idleTime returns the time since the last received frame, or 0 if no stream is open.
 func (c *connection) idleTime(now time.Duration) time.Duration {
-	c.mu.Lock()
-	open := len(c.streams) > 0
-	c.mu.Unlock()
-	if !open {
+	if !c.hasStreams() {
 		c.lastReceived.Store(int64(now)) // the next stream gets the full timeout
 		return 0
 	}
 	return now - time.Duration(c.lastReceived.Load())
 }
 
+func (c *connection) hasStreams() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.streams) > 0
+}
+
 // pingOrClose sends a ping on a connection that has been idle for PingAfter. It closes the
 // connection after IdleTimeout if the previous check has sent a ping too. It reports
 // whether it has sent a ping.
@@ -60,7 +61,7 @@
 // check has pinged it, so that a process that was paused itself pings before it closes.
 func watchIdle(ctx context.Context, cfg *Config, conns func() []*connection) {
 	pinged := make(map[*connection]bool)
-	fleet.Every(ctx, cfg.PingAfter/2, func(context.Context) {
+	cfg.Guard.Every(ctx, "mesh idle check", cfg.PingAfter/2, func(context.Context) {
 		now := monotonicNow()
 		next := make(map[*connection]bool)
 		for _, c := range conns() {
--- a/internal/mesh/pool.go
+++ b/internal/mesh/pool.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"errors"
 	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -77,9 +78,24 @@
 // connect returns the open connection to addr and dials if there is none. Concurrent
 // callers share the result of one dial.
 func (p *Pool) connect(ctx context.Context, addr string) (*connection, error) {
+	entry, err := p.entry(addr)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-entry.ready:
+		return entry.conn, entry.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// entry returns the open connection to addr or the pending dial, which it starts if there is
+// neither.
+func (p *Pool) entry(addr string) (*poolEntry, error) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.closed {
-		p.mu.Unlock()
 		return nil, ErrClosed
 	}
 	entry := p.conns[addr]
@@ -89,13 +105,7 @@
 		p.watch.Do(func() { go watchIdle(p.ctx, p.cfg, p.liveConnections) })
 		go p.dial(addr, entry)
 	}
-	p.mu.Unlock()
-	select {
-	case <-entry.ready:
-		return entry.conn, entry.err
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return entry, nil
 }
 
 // finished reports whether the dial has ended.
@@ -120,6 +130,19 @@
 		entry.err = err
 		return
 	}
+	entry.err = p.cfg.Guard.Confine("mesh dial", func() (err error) {
+		entry.conn, err = p.authenticate(conn, addr)
+		return err
+	})
+	if entry.err != nil {
+		_ = conn.Close()
+		return
+	}
+	go entry.conn.run()
+}
+
+// authenticate returns the connection to the peer at addr once both sides have authenticated.
+func (p *Pool) authenticate(conn net.Conn, addr string) (*connection, error) {
 	if p.cfg.TLS != nil {
 		conn = tls.Client(conn, p.cfg.TLS.clientConfig(addr))
 	}
@@ -127,24 +150,16 @@
 	r := bufio.NewReaderSize(conn, readBufferBytes)
 	peer, err := dialHandshake(conn, r, p.cfg)
 	if err != nil {
-		_ = conn.Close()
-		entry.err = err
-		return
+		return nil, err
 	}
 	_ = conn.SetDeadline(time.Time{})
-	entry.conn = newConnection(p.cfg, conn, r, peer)
-	go entry.conn.run()
+	return newConnection(p.cfg, conn, r, peer), nil
 }
 
 // Close waits for pending dials and ends every connection and its streams.
 func (p *Pool) Close() {
 	p.cancel()
-	p.mu.Lock()
-	p.closed = true
-	conns := p.conns
-	p.conns = nil
-	p.mu.Unlock()
-	for _, entry := range conns {
+	for _, entry := range p.markClosed() {
 		<-entry.ready
 		if entry.conn != nil {
 			entry.conn.terminate()
@@ -152,6 +167,15 @@
 	}
 }
 
+// markClosed marks the pool as closed and removes its connections.
+func (p *Pool) markClosed() map[string]*poolEntry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.conns
+	p.closed, p.conns = true, nil
+	return conns
+}
+
 // Unary adapts a function that takes one request and returns one reply to a Handler.
 func Unary[Q any, QP interface {
 	*Q
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 )
 
@@ -23,6 +24,8 @@
 	handlers map[string]Handler
 	// background holds the methods whose streams a shutdown cancels at once.
 	background map[string]bool
+	// unconfined holds the methods whose handlers' panics end the process.
+	unconfined map[string]bool
 	ctx        context.Context
 	cancel     context.CancelFunc
 
@@ -38,7 +41,7 @@
 func NewServer(cfg Config) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
-		cfg: cfg.withDefaults(), handlers: make(map[string]Handler), background: make(map[string]bool),
+		cfg: cfg.withDefaults(), handlers: make(map[string]Handler), background: make(map[string]bool), unconfined: make(map[string]bool),
 		conns: make(map[*connection]struct{}), ctx: ctx, cancel: cancel,
 	}
 	s.idle = sync.NewCond(&s.mu)
@@ -56,6 +59,15 @@
 	s.background[method] = true
 }
 
+// Unconfined lets panics of the handlers of the given methods end the process in spite of
+// Config.Guard, because they may leave state half-changed that must not be used any longer. It
+// must not be called after Serve.
+func (s *Server) Unconfined(methods ...string) {
+	for _, method := range methods {
+		s.unconfined[method] = true
+	}
+}
+
 // acceptPause is the time between two attempts to accept a connection while the process lacks
 // descriptors or memory for it.
 const acceptPause = 100 * time.Millisecond
@@ -68,13 +80,9 @@
 	if s.cfg.TLS != nil {
 		l = tls.NewListener(l, s.cfg.TLS.serverConfig())
 	}
-	s.mu.Lock()
-	if s.closed {
-		s.mu.Unlock()
+	if !s.setListener(l) {
 		return errors.Join(ErrClosed, l.Close())
 	}
-	s.listener = l
-	s.mu.Unlock()
 	go watchIdle(s.ctx, s.cfg, s.liveConnections)
 	for {
 		conn, err := l.Accept()
@@ -93,6 +101,17 @@
 	}
 }
 
+// setListener sets the listener that Shutdown closes. It reports false if the server is closed.
+func (s *Server) setListener(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.listener = l
+	return true
+}
+
 func (s *Server) isClosed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,7 +123,11 @@
 func (s *Server) serveConn(conn net.Conn) {
 	r := bufio.NewReaderSize(conn, readBufferBytes)
 	_ = conn.SetDeadline(time.Now().Add(s.cfg.DialTimeout))
-	peer, err := acceptHandshake(conn, r, s.cfg)
+	var peer string
+	err := s.cfg.Guard.Confine("mesh handshake", func() (err error) {
+		peer, err = acceptHandshake(conn, r, s.cfg)
+		return err
+	})
 	if err != nil {
 		s.cfg.Logger.Warn("mesh handshake rejected", "peer", conn.RemoteAddr().String(), "error", err)
 		_ = conn.Close()
@@ -117,10 +140,8 @@
 		_ = conn.Close()
 		return
 	}
+	defer s.removeConnection(c)
 	c.run()
-	s.mu.Lock()
-	delete(s.conns, c)
-	s.mu.Unlock()
 }
 
 // addConnection adds a connection. It returns false if the server is closed or has
@@ -135,6 +156,12 @@
 	return true
 }
 
+func (s *Server) removeConnection(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
 // startStream runs the handler of a stream in its own goroutine.
 func (s *Server) startStream(st *Stream, body openBody) {
 	h := s.handlers[body.Method]
@@ -156,10 +183,25 @@
 			defer s.addStreams(-1)
 		}
 		defer cancel()
-		st.end(endBodyFor(h(ctx, st, body.Message)))
+		s.runHandler(ctx, h, st, body)
 	}()
 }
 
+// runHandler runs the handler of a stream and ends the stream with its error. The opener of a
+// stream whose handler panics sees it cut, as it would see the end of the process.
+func (s *Server) runHandler(ctx context.Context, h Handler, st *Stream, body openBody) {
+	guard := s.cfg.Guard
+	if s.unconfined[body.Method] {
+		guard = nil
+	}
+	err := guard.Confine("mesh stream "+body.Method, func() error { return h(ctx, st, body.Message) })
+	if errorx.IsOfType(err, fleet.ErrPanic) {
+		st.abort()
+		return
+	}
+	st.end(endBodyFor(err))
+}
+
 // addStreams adds n to the number of streams that a shutdown waits for. A
 // sync.WaitGroup does not fit, because streams may be opened while the shutdown waits.
 func (s *Server) addStreams(n int) {
@@ -196,10 +238,7 @@
 // streams has ended or ctx ends, and closes the remaining connections. It returns
 // ctx.Err() if streams were cut.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.mu.Lock()
-	s.closed = true
-	listener := s.listener
-	s.mu.Unlock()
+	listener := s.markClosed()
 	s.cancel()
 	if listener != nil {
 		_ = listener.Close()
@@ -225,5 +264,13 @@
 	return err
 }
 
+// markClosed marks the server as closed and returns its listener, nil before Serve.
+func (s *Server) markClosed() net.Listener {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	return s.listener
+}
+
 // flushDelay is the time that a shutdown leaves for writing the last frames.
 const flushDelay = 50 * time.Millisecond
