agent: a stop tells how far the requests of the connections that it closes had come

Nothing told the possible causes apart: connections left in the accept queue, bytes left in the kernel's buffer, a head that was read in part, requests that still run, and requests that are on their way while an idle connection is closed.

Change: one line per stop with a number for each, callers_connections_dropped{cause} at any time, and socket.Waiting, which looks at a listener's accept queue.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -299,7 +299,9 @@
 	var errs []error
 	if a.router != nil {
 		a.router.Drain(ctx)
-		errs = append(errs, a.callers.drain(ctx), a.callers.Shutdown(ctx), a.router.Stop(ctx))
+		errs = append(errs, a.callers.drain(ctx))
+		a.callers.logStop(a.log)
+		errs = append(errs, a.callers.Shutdown(ctx), a.router.Stop(ctx))
 	}
 	if a.control != nil {
 		errs = append(errs, a.control.Close(ctx), a.operators.Shutdown(ctx))
--- a/internal/agent/callers.go
+++ b/internal/agent/callers.go
@@ -7,12 +7,14 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/routes"
+	"github.com/wigeonflow/wigeonflow/internal/socket"
 )
 
 const (
@@ -50,6 +52,10 @@
 	room chan struct{}
 	// closedIdle counts the connections that were closed because they were idle.
 	closedIdle metrics.Counter
+	// dropped counts the connections that were closed before a request on them had been read, by cause.
+	dropped map[dropCause]metrics.Counter
+	// stop is what happened to connections since the drain began.
+	stop stopCounts
 }
 
 // callerState is what a callerServer knows of a connection.
@@ -64,7 +70,7 @@
 func newCallerServer(s *http.Server) *callerServer {
 	c := &callerServer{
 		Server: s, conns: make(map[net.Conn]*callerState), limits: func() routes.CallerLimits { return routes.CallerLimits{} },
-		room: make(chan struct{}, 1), closedIdle: metrics.NewCounter(),
+		room: make(chan struct{}, 1), closedIdle: metrics.NewCounter(), dropped: newDropCounters(metrics.NewRegistry()),
 	}
 	s.ConnState = c.trackState
 	return c
@@ -120,6 +126,9 @@
 // Close closes the listener unless it is closed.
 func (l onceListener) Close() error { return l.close() }
 
+// SyscallConn implements syscall.Conn.
+func (l onceListener) SyscallConn() (syscall.RawConn, error) { return rawConn(l.Listener) }
+
 // trackState implements http.Server.ConnState.
 func (s *callerServer) trackState(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
@@ -128,6 +137,9 @@
 	if state == http.StateClosed && last != nil && last.expired && last.isIdle(c) && !s.draining {
 		s.closedIdle.Inc(1)
 	}
+	if state == http.StateClosed && last != nil {
+		s.countClosed(c, last)
+	}
 	if state == http.StateClosed || state == http.StateHijacked || state != http.StateNew && isHTTP2(c) {
 		delete(s.conns, c)
 		return
@@ -156,7 +168,11 @@
 	listener := s.listener
 	s.mu.Unlock()
 	if listener != nil {
+		waiting := socket.Waiting(listener)
 		_ = listener.Close() // Shutdown returns its error
+		s.mu.Lock()
+		s.stop.waiting = waiting
+		s.mu.Unlock()
 	}
 	began := time.Now()
 	if !fleet.Await(ctx, drainPoll, func() bool { return s.expireIdle(time.Since(began) >= firstRequestWait) == 0 }) {
--- a/internal/agent/connections.go
+++ b/internal/agent/connections.go
@@ -119,6 +119,7 @@
 		})
 	}
 	s.closedIdle = metrics.GetOrRegisterCounter(telemetry.MetricName("callers_connections_closed_idle"), registry)
+	s.dropped = newDropCounters(registry)
 }
 
 // countIdle returns the number of HTTP/1 connections between two requests. s.mu must be held.
@@ -136,10 +137,15 @@
 	net.Conn
 	readAt  atomic.Pointer[time.Time]
 	onClose func()
+	// unreadAtClose reports whether bytes that nobody had read were dropped by Close.
+	unreadAtClose atomic.Bool
 }
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
+	if socket.Unread(c.Conn) {
+		c.unreadAtClose.Store(true)
+	}
 	err := c.Conn.Close()
 	c.onClose()
 	return err
@@ -180,3 +186,15 @@
 	}
 	return socket.Unread(c)
 }
+
+// hasPartOfHead reports whether bytes of a request's head, but not all of it, have been read.
+func (s *callerState) hasPartOfHead(c net.Conn) bool {
+	if s.ConnState == http.StateActive {
+		return false
+	}
+	if _, secure := c.(*tls.Conn); secure && s.ConnState == http.StateNew {
+		return false // what was read may be the handshake
+	}
+	conn := callerConnOf(c)
+	return conn != nil && conn.readAt.Load() != nil
+}
--- a/internal/agent/listener.go
+++ b/internal/agent/listener.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -30,3 +31,16 @@
 		time.Sleep(acceptPause)
 	}
 }
+
+// SyscallConn implements syscall.Conn.
+func (l retryListener) SyscallConn() (syscall.RawConn, error) { return rawConn(l.Listener) }
+
+// rawConn returns the descriptor of the listener below another one. It returns
+// errors.ErrUnsupported if that has none.
+func rawConn(l net.Listener) (syscall.RawConn, error) {
+	sys, ok := l.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return sys.SyscallConn()
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -128,3 +128,24 @@
 	}
 	return true, nil
 }
+
+// Waiting reports whether a connection waits to be accepted by a listener. It is false for a
+// listener without a descriptor. It may run beside an Accept.
+func Waiting(listener net.Listener) bool {
+	sys, ok := listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	var pollErr error
+	if err := raw.Control(func(fd uintptr) { // Read would wait for an Accept under way
+		n, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	}); err != nil {
+		return false // the listener is closed
+	}
+	return pollErr == nil && n > 0
+}
