agent: a stop accepts the connections that wait before it closes their listener

What callers saw: a connection whose handshake was over was reset, its request unread, if the router closed its listener before it had accepted it. The same happened to a connection that had been taken from the queue, but that the server didn't know of yet when it found no connection left.

Cause: a drain closed the listener first. The kernel resets what waits in its queue. Also, http.Server learns of a connection only after Accept has returned, and the drain didn't wait for that.

Change: the drain closes the listener once the queue is empty, and counts connections only once Serve has ended. While a server drains it accepts beyond its bound, as waiting for room would leave the queue to the reset; idle connections are ended meanwhile, so that descriptors become free. One that is accepted late has the usual time for its first request, from its acceptance on.

Left: a handshake that ends between the last look at the queue and the close.

--- a/internal/agent/callers.go
+++ b/internal/agent/callers.go
@@ -39,8 +39,11 @@
 
 	mu       sync.Mutex
 	listener net.Listener
+	served   chan struct{} // closed once no more connections are accepted from listener
 	draining bool
-	conns    map[net.Conn]*callerState // HTTP/1 connections
+	// drainStart is when the drain began.
+	drainStart time.Time
+	conns      map[net.Conn]*callerState // HTTP/1 connections
 	// limits returns the limits in force. Of its times, 0 means no limit.
 	limits func() routes.CallerLimits
 	// bound is the number of connections at which no more are accepted; 0 means no bound.
@@ -92,13 +95,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go fleet.Every(ctx, expiryInterval, func(context.Context) { s.closeExpired(time.Now()) })
+	served := make(chan struct{})
 	s.mu.Lock()
-	s.listener = once
+	s.listener, s.served = once, served
 	if s.draining {
 		_ = once.Close() // drained before it served
 	}
 	s.mu.Unlock()
 	err := serve(callerListener{once, s})
+	close(served)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining && errors.Is(err, net.ErrClosed) {
@@ -160,22 +165,29 @@
 	return ok && secure.ConnectionState().NegotiatedProtocol == "h2"
 }
 
-// drain closes the listener and waits until each request that was read has been answered
-// and each connection is closed. It returns an error if ctx ends first.
+// drain accepts the connections that wait at the listener, closes it, and waits until each request
+// that was read has been answered and each connection is closed. It returns an error if ctx ends
+// first. A connection whose handshake ends between the last look at the listener and its
+// close is reset.
 func (s *callerServer) drain(ctx context.Context) error {
 	s.mu.Lock()
-	s.draining = true
-	listener := s.listener
+	if !s.draining {
+		s.draining, s.drainStart = true, time.Now()
+	}
+	listener, served := s.listener, s.served
 	s.mu.Unlock()
 	if listener != nil {
-		waiting := socket.Waiting(listener)
+		fleet.Await(ctx, drainPoll, func() bool {
+			s.expireIdle(time.Now()) // frees descriptors that the next connections need
+			return !socket.Waiting(listener)
+		})
 		_ = listener.Close() // Shutdown returns its error
-		s.mu.Lock()
-		s.stop.waiting = waiting
-		s.mu.Unlock()
+		select {
+		case <-served: // each accepted connection is among s.conns
+		case <-ctx.Done():
+		}
 	}
-	began := time.Now()
-	if !fleet.Await(ctx, drainPoll, func() bool { return s.expireIdle(time.Since(began) >= firstRequestWait) == 0 }) {
+	if !fleet.Await(ctx, drainPoll, func() bool { return s.expireIdle(time.Now()) == 0 }) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		return errDrained.New("the grace period ended with %d callers' connections in use", len(s.conns))
@@ -184,20 +196,33 @@
 }
 
 // expireIdle makes the reads of idle connections time out, which ends the connections that
-// have received nothing. With unused set, those that wait for their first request count as
-// idle. One that holds bytes which nobody has read yet is left alone. It returns the number of
+// have received nothing. Those that have waited long enough for their first request at now count
+// as idle. One that holds bytes which nobody has read yet is left alone. It returns the number of
 // connections that are left.
-func (s *callerServer) expireIdle(unused bool) int {
+func (s *callerServer) expireIdle(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, state := range s.conns {
-		if (state.ConnState == http.StateIdle || state.ConnState == http.StateNew && unused) && !unread(c) {
+		if state.ConnState != http.StateActive && s.isDrained(state, now) && !unread(c) {
 			state.expire(c)
 		}
 	}
 	return len(s.conns)
 }
 
+// isDrained reports whether at now a draining server awaits no more of a connection that has no
+// request. s.mu must be held.
+func (s *callerServer) isDrained(state *callerState, now time.Time) bool {
+	if state.ConnState == http.StateIdle {
+		return true
+	}
+	since := state.since
+	if since.Before(s.drainStart) {
+		since = s.drainStart
+	}
+	return now.Sub(since) >= firstRequestWait
+}
+
 // expire makes the reads of c time out.
 func (s *callerState) expire(c net.Conn) {
 	s.expired = true
--- a/internal/agent/connections.go
+++ b/internal/agent/connections.go
@@ -28,7 +28,8 @@
 }
 
 // Accept implements net.Listener. At the bound it closes the connection that has been idle for
-// longest, and waits for one to be closed before it accepts the next.
+// longest, and waits for one to be closed before it accepts the next. While the server drains it
+// accepts beyond the bound, as those that it leaves in the queue are reset.
 func (l callerListener) Accept() (net.Conn, error) {
 	for !l.server.makeRoom() {
 		select {
@@ -42,30 +43,38 @@
 	if err != nil {
 		return nil, err
 	}
-	l.server.addOpen(1)
-	return &callerConn{Conn: c, onClose: sync.OnceFunc(func() { l.server.addOpen(-1) })}, nil
+	l.server.addAccepted()
+	return &callerConn{Conn: c, onClose: sync.OnceFunc(l.server.removeOpen)}, nil
 }
 
-// addOpen adds n to the number of open connections.
-func (s *callerServer) addOpen(n int) {
+// addAccepted counts an accepted connection.
+func (s *callerServer) addAccepted() {
 	s.mu.Lock()
-	s.open += n
+	s.open++
+	if s.draining {
+		s.stop.accepted++
+	}
 	s.mu.Unlock()
-	if n < 0 {
-		select {
-		case s.room <- struct{}{}:
-		default:
-		}
+}
+
+// removeOpen counts an accepted connection that was closed.
+func (s *callerServer) removeOpen() {
+	s.mu.Lock()
+	s.open--
+	s.mu.Unlock()
+	select {
+	case s.room <- struct{}{}:
+	default:
 	}
 }
 
-// makeRoom reports whether one more connection may be accepted. If not, it begins to close the
+// makeRoom reports whether one more connection is accepted. If not, it begins to close the
 // one that has been idle for longest.
 func (s *callerServer) makeRoom() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.full = false
-	if s.bound <= 0 || s.open < s.bound {
+	if s.bound <= 0 || s.open < s.bound || s.draining {
 		return true
 	}
 	c, state := s.longestIdle()
--- a/internal/agent/stop_counts.go
+++ b/internal/agent/stop_counts.go
@@ -22,8 +22,8 @@
 
 // stopCounts are numbers of callers' connections since a drain began.
 type stopCounts struct {
-	// waiting reports whether connections awaited their acceptance when the listener was closed.
-	waiting bool
+	// accepted connections were taken from the listener's queue.
+	accepted int
 	// idle connections were closed between two requests, unused ones before their first.
 	idle, unused int
 	// dropped connections were closed although a part of a request had been received.
@@ -88,7 +88,7 @@
 			unreadLeft++
 		}
 	}
-	log.Info("callers' connections drained", "waiting_at_close", s.stop.waiting, "closed_idle", s.stop.idle, "closed_unused", s.stop.unused,
+	log.Info("callers' connections drained", "accepted", s.stop.accepted, "closed_idle", s.stop.idle, "closed_unused", s.stop.unused,
 		"closed_unread", s.stop.dropped[droppedUnread], "closed_in_head", s.stop.dropped[droppedHead],
 		"left", len(s.conns), "left_in_use", inUse, "left_unread", unreadLeft)
 }
