agent: a stop leaves a connection open on which a request's head has begun

What callers saw: a connection was closed although the router had read a part of a request's head, if the rest of it arrived after the drain had begun.

Cause: net/http counts a connection as idle until it has parsed the head, and the drain looked only for bytes that nobody had read.

Change: the drain leaves such a connection alone until the header timeout has passed.

Evidence: on the unfixed code TestDrainDropsRequestWhoseHeadHasBegun fails with "unexpected EOF".

Measured: the test and TestDrainAwaitsHeadForever pass three times under the race detector, and so do the package's other tests.

--- a/internal/agent/callers.go
+++ b/internal/agent/callers.go
@@ -197,13 +197,15 @@
 
 // expireIdle makes the reads of idle connections time out, which ends the connections that
 // have received nothing. Those that have waited long enough for their first request at now count
-// as idle. One that holds bytes which nobody has read yet is left alone. It returns the number of
-// connections that are left.
+// as idle. One that holds bytes which nobody has read yet is left alone, and one that is sending
+// a request's head has the header timeout for it. It returns the number of connections that are
+// left.
 func (s *callerServer) expireIdle(now time.Time) int {
+	limit := s.limits().HeaderTimeout
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, state := range s.conns {
-		if state.ConnState != http.StateActive && s.isDrained(state, now) && !unread(c) {
+		if state.ConnState != http.StateActive && s.isDrained(c, state, now, limit) && !unread(c) {
 			state.expire(c)
 		}
 	}
@@ -212,7 +214,11 @@
 
 // isDrained reports whether at now a draining server awaits no more of a connection that has no
 // request. s.mu must be held.
-func (s *callerServer) isDrained(state *callerState, now time.Time) bool {
+func (s *callerServer) isDrained(c net.Conn, state *callerState, now time.Time, headerTimeout time.Duration) bool {
+	if state.hasPartOfHead(c) {
+		begun, _ := state.headSince(c)
+		return headerTimeout > 0 && now.Sub(begun) > headerTimeout
+	}
 	if state.ConnState == http.StateIdle {
 		return true
 	}
