agent: a request that arrives while its connection is closed as idle is read

What callers saw: a connection was reset with a request unread that had arrived before the close.

Cause: whether a connection is closed as idle was decided by a look at its receive buffer, and carried out by a read deadline. A read whose deadline has passed returns without looking for bytes, so that what arrived after the look was dropped, at a stop, at the idle timeout and at the bound alike.

Change: the read that times out looks once more and, if bytes have arrived, lifts the deadline and reads them.

Left: what arrives between that look and the close a few instructions later, and what is still on its way.

--- a/internal/agent/callers.go
+++ b/internal/agent/callers.go
@@ -229,10 +229,17 @@
 	return now.Sub(since) >= firstRequestWait
 }
 
-// expire makes the reads of c time out.
+// pastDeadline is a deadline that has passed.
+var pastDeadline = time.Unix(1, 0)
+
+// expire makes the reads of c time out. A callerConn still reads what has arrived before.
 func (s *callerState) expire(c net.Conn) {
 	s.expired = true
-	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	if conn := callerConnOf(c); conn != nil {
+		conn.expire()
+		return
+	}
+	_ = c.SetReadDeadline(pastDeadline) // fails only on a closed connection
 }
 
 // closeExpired closes the connections that at now have been idle between two requests for longer
--- a/internal/agent/connections.go
+++ b/internal/agent/connections.go
@@ -2,8 +2,10 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -146,6 +148,8 @@
 	net.Conn
 	readAt  atomic.Pointer[time.Time]
 	onClose func()
+	// expired reports whether reads time out.
+	expired atomic.Bool
 	// unreadAtClose reports whether bytes that nobody had read were dropped by Close.
 	unreadAtClose atomic.Bool
 }
@@ -169,9 +173,21 @@
 	return nil
 }
 
-// Read implements net.Conn.
+// expire makes reads time out once there is nothing left to read.
+func (c *callerConn) expire() {
+	c.expired.Store(true)
+	_ = c.Conn.SetReadDeadline(pastDeadline) // fails only on a closed connection
+}
+
+// Read implements net.Conn. What has arrived is read also after reads were made to time out, since
+// the last look for it was taken before.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.expired.Load() && socket.Unread(c.Conn) {
+		c.expired.Store(false)
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
+		n, err = c.Conn.Read(b)
+	}
 	if n > 0 && c.readAt.Load() == nil {
 		now := time.Now()
 		c.readAt.Store(&now)
--- a/internal/agent/stop_counts.go
+++ b/internal/agent/stop_counts.go
@@ -50,7 +50,7 @@
 	case conn.unreadAtClose.Load():
 		s.countDropped(droppedUnread)
 		return
-	case last.expired && last.hasPartOfHead(c):
+	case conn.expired.Load() && last.hasPartOfHead(c):
 		s.countDropped(droppedHead)
 		return
 	}
--- a/internal/agent/stop_counts_test.go
+++ b/internal/agent/stop_counts_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
@@ -35,14 +36,9 @@
 }
 
 // awaitUnread waits until bytes have arrived at a connection.
-func awaitUnread(t *testing.T, c *callerConn) {
-	t.Helper()
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := raw.Read(func(uintptr) bool { return socket.Unread(c.Conn) }); err != nil {
-		t.Fatal(err)
+func awaitUnread(c *callerConn) {
+	for !socket.Unread(c.Conn) {
+		time.Sleep(time.Millisecond)
 	}
 }
 
@@ -80,7 +76,7 @@
 			s.trackState(c, test.state)
 			_, err := io.WriteString(caller, "GET")
 			is.NoErr(err)
-			awaitUnread(t, c)
+			awaitUnread(c)
 			if test.read {
 				_, err := io.ReadFull(c, make([]byte, 3))
 				is.NoErr(err)
