agent: a stop closes connections behind the answers that end on them

What callers saw: around planned stops some requests ended without an answer. Their connection was closed while they were on their way, which leaves no line at the router: it never had them.

Cause: an answer that is sent during a stop tells the caller to close the connection, but one whose head went out before can't. Its connection stayed open, was closed as idle up to 25 ms later during the drain, or with all others when the notice was over, and requests crossed the close. Class: the end of a connection that its caller takes for usable.

Change: from the beginning of a stop, the notice included, a connection is closed right behind its answer, unless its next request has arrived. net/http does the same once it shuts down. closed_answered counts these.

Left: connections that were idle when the stop began and unused in the notice. HTTP/1 has no way to announce their end, and to hold them open until a request comes would cost more callers an attempt than the close does. They are counted as closed_idle.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -298,6 +298,7 @@
 func (a *Agent) Stop(ctx context.Context) error {
 	var errs []error
 	if a.router != nil {
+		a.callers.beginStop()
 		a.router.Drain(ctx)
 		errs = append(errs, a.callers.drain(ctx))
 		a.callers.logStop(a.log)
--- a/internal/agent/callers.go
+++ b/internal/agent/callers.go
@@ -41,6 +41,8 @@
 	listener net.Listener
 	served   chan struct{} // closed once no more connections are accepted from listener
 	draining bool
+	// stopping reports whether connections are closed behind the answer that is being sent on them.
+	stopping bool
 	// drainStart is when the drain began.
 	drainStart time.Time
 	conns      map[net.Conn]*callerState // HTTP/1 connections
@@ -67,6 +69,8 @@
 	since time.Time // of ConnState
 	// expired reports whether the reads of the connection were made to time out.
 	expired bool
+	// ended reports whether the connection became idle after a stop had begun.
+	ended bool
 }
 
 // newCallerServer returns a server with the settings of s, which it takes over.
@@ -139,7 +143,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last := s.conns[c]
-	if state == http.StateClosed && last != nil && last.expired && last.isIdle(c) && !s.draining {
+	if state == http.StateClosed && last != nil && last.expired && last.isIdle(c) && !s.stopping {
 		s.closedIdle.Inc(1)
 	}
 	if state == http.StateClosed && last != nil {
@@ -151,12 +155,21 @@
 	}
 	if state == http.StateActive && last != nil && last.expired {
 		// The next request was read while its connection was being closed as idle.
+		if conn := callerConnOf(c); conn != nil {
+			conn.expired.Store(false)
+		}
 		_ = c.SetReadDeadline(time.Time{})
 	}
-	if conn := callerConnOf(c); conn != nil && state == http.StateIdle {
-		conn.readAt.Store(nil)
+	next := &callerState{ConnState: state, since: time.Now()}
+	if conn := callerConnOf(c); conn != nil {
+		if state == http.StateIdle {
+			conn.readAt.Store(nil)
+			next.ended = s.stopping && conn.hasDescriptor()
+		}
+		next.expired = next.ended
+		conn.endsIdle.Store(next.ended)
 	}
-	s.conns[c] = &callerState{ConnState: state, since: time.Now()}
+	s.conns[c] = next
 }
 
 // isHTTP2 reports whether a connection has negotiated HTTP/2. Its handshake is over.
@@ -165,11 +178,21 @@
 	return ok && secure.ConnectionState().NegotiatedProtocol == "h2"
 }
 
+// beginStop closes each connection from now on right behind the answer that is sent on it, unless
+// its next request has arrived. An answer that began before can't tell the caller to close the
+// connection, and a request that is sent later may cross the close.
+func (s *callerServer) beginStop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+}
+
 // drain accepts the connections that wait at the listener, closes it, and waits until each request
 // that was read has been answered and each connection is closed. It returns an error if ctx ends
 // first. A connection whose handshake ends between the last look at the listener and its
 // close is reset.
 func (s *callerServer) drain(ctx context.Context) error {
+	s.beginStop()
 	s.mu.Lock()
 	if !s.draining {
 		s.draining, s.drainStart = true, time.Now()
--- a/internal/agent/connections.go
+++ b/internal/agent/connections.go
@@ -8,6 +8,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -150,6 +151,9 @@
 	onClose func()
 	// expired reports whether reads time out.
 	expired atomic.Bool
+	// endsIdle makes the next read deadline one that has passed. It is set between an answer and
+	// the deadline that net/http then sets for the next request.
+	endsIdle atomic.Bool
 	// unreadAtClose reports whether bytes that nobody had read were dropped by Close.
 	unreadAtClose atomic.Bool
 }
@@ -173,12 +177,27 @@
 	return nil
 }
 
+// hasDescriptor reports whether bytes that have arrived can be told before they are read.
+func (c *callerConn) hasDescriptor() bool {
+	_, ok := c.Conn.(syscall.Conn)
+	return ok
+}
+
 // expire makes reads time out once there is nothing left to read.
 func (c *callerConn) expire() {
 	c.expired.Store(true)
 	_ = c.Conn.SetReadDeadline(pastDeadline) // fails only on a closed connection
 }
 
+// SetReadDeadline implements net.Conn.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if c.endsIdle.CompareAndSwap(true, false) {
+		c.expire()
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Read implements net.Conn. What has arrived is read also after reads were made to time out, since
 // the last look for it was taken before.
 func (c *callerConn) Read(b []byte) (int, error) {
--- a/internal/agent/stop_counts.go
+++ b/internal/agent/stop_counts.go
@@ -20,12 +20,13 @@
 	droppedHead dropCause = "head"
 )
 
-// stopCounts are numbers of callers' connections since a drain began.
+// stopCounts are numbers of callers' connections since a stop began.
 type stopCounts struct {
-	// accepted connections were taken from the listener's queue.
+	// accepted connections were taken from the listener's queue after the notice.
 	accepted int
-	// idle connections were closed between two requests, unused ones before their first.
-	idle, unused int
+	// answered connections were closed behind an answer that ended after the stop had begun, idle
+	// ones later between two requests, and unused ones before their first.
+	answered, idle, unused int
 	// dropped connections were closed although a part of a request had been received.
 	dropped map[dropCause]int
 }
@@ -55,7 +56,9 @@
 		return
 	}
 	switch {
-	case !s.draining:
+	case !s.stopping:
+	case last.ended:
+		s.stop.answered++
 	case last.ConnState == http.StateNew:
 		s.stop.unused++
 	default:
@@ -66,7 +69,7 @@
 // countDropped counts a connection that was closed for a cause. s.mu must be held.
 func (s *callerServer) countDropped(cause dropCause) {
 	s.dropped[cause].Inc(1)
-	if !s.draining {
+	if !s.stopping {
 		return
 	}
 	if s.stop.dropped == nil {
@@ -75,7 +78,7 @@
 	s.stop.dropped[cause]++
 }
 
-// logStop logs what became of the connections since the drain began, those left included. A
+// logStop logs what became of the connections since the stop began, those left included. A
 // connection with requests that run is in use.
 func (s *callerServer) logStop(log hclog.Logger) {
 	s.mu.Lock()
@@ -88,7 +91,7 @@
 			unreadLeft++
 		}
 	}
-	log.Info("callers' connections drained", "accepted", s.stop.accepted, "closed_idle", s.stop.idle, "closed_unused", s.stop.unused,
+	log.Info("callers' connections drained", "accepted", s.stop.accepted, "closed_answered", s.stop.answered, "closed_idle", s.stop.idle, "closed_unused", s.stop.unused,
 		"closed_unread", s.stop.dropped[droppedUnread], "closed_in_head", s.stop.dropped[droppedHead],
 		"left", len(s.conns), "left_in_use", inUse, "left_unread", unreadLeft)
 }
--- a/internal/agent/stop_counts_test.go
+++ b/internal/agent/stop_counts_test.go
@@ -71,9 +71,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newCallerServer(&http.Server{})
-			s.draining = true
 			caller, c := acceptedPair(t, s)
 			s.trackState(c, test.state)
+			s.beginStop()
 			_, err := io.WriteString(caller, "GET")
 			is.NoErr(err)
 			awaitUnread(c)
@@ -102,9 +102,9 @@
 		t.Run(state.String(), func(t *testing.T) {
 			is := is.New(t)
 			s := newCallerServer(&http.Server{})
-			s.draining = true
 			_, c := acceptedPair(t, s)
 			s.trackState(c, state)
+			s.beginStop()
 			s.conns[c].expire(c)
 			is.NoErr(c.Close())
 			s.trackState(c, http.StateClosed)
