agent: a stop answers the operators' requests that it has read

What operators saw: a call whose head was read after a control member had begun to stop got no answer, and connections that waited to be accepted were reset.

Cause: the operators' server was stopped by http.Server.Shutdown, which drops each request whose head it reads from then on; callers' connections have had a drain of their own for that reason.

Change: operators' connections are served and drained by the same server as callers'.

Left: mesh servers close their listener at once; their peers dial again, and callers' requests have ended by then. Readiness, metrics and profiles are served until the process ends.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -49,7 +49,7 @@
 	control   *control.Server
 	router    Router
 	callers   *callerServer
-	operators *http.Server
+	operators *callerServer
 	failed    chan error
 }
 
@@ -151,7 +151,10 @@
 	}
 	go func() { a.reportFailure(a.mesh.Serve(meshListener)) }()
 	if a.control != nil {
-		a.operators = a.httpServer(a.operatorsHandler())
+		a.operators = newCallerServer(a.httpServer(a.operatorsHandler()))
+		a.operators.limits = func() routes.CallerLimits {
+			return routes.CallerLimits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		}
 		if err := a.serve(a.operators, s.Listen.Operators, s.Listen.OperatorsTLS); err != nil {
 			return err
 		}
@@ -305,7 +308,7 @@
 		errs = append(errs, a.callers.Shutdown(ctx), a.router.Stop(ctx))
 	}
 	if a.control != nil {
-		errs = append(errs, a.control.Close(ctx), a.operators.Shutdown(ctx))
+		errs = append(errs, a.control.Close(ctx), a.operators.drain(ctx), a.operators.Shutdown(ctx))
 	}
 	errs = append(errs, a.mesh.Shutdown(ctx))
 	a.pool.Close()
