--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -50,7 +50,7 @@
 	control   *control.Server
 	router    Router
 	callers   *callerServer
-	operators *http.Server
+	operators *callerServer
 	failed    chan error
 }
 
@@ -153,7 +153,10 @@
 	}
 	go a.guard.Run("mesh accept", func() { a.reportFailure(a.mesh.Serve(meshListener)) })
 	if a.control != nil {
-		a.operators = a.httpServer(a.recordPanics("operators' call", a.operatorsHandler()))
+		a.operators = newCallerServer(a.httpServer(a.recordPanics("operators' call", a.operatorsHandler())))
+		a.operators.limits = func() routes.CallerLimits {
+			return routes.CallerLimits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		}
 		if err := a.serve(a.operators, s.Listen.Operators, s.Listen.OperatorsTLS); err != nil {
 			return err
 		}
@@ -300,11 +303,14 @@
 func (a *Agent) Stop(ctx context.Context) error {
 	var errs []error
 	if a.router != nil {
+		a.callers.beginStop()
 		a.router.Drain(ctx)
-		errs = append(errs, a.callers.drain(ctx), a.callers.Shutdown(ctx), a.router.Stop(ctx))
+		errs = append(errs, a.callers.drain(ctx))
+		a.callers.logStop(a.log)
+		errs = append(errs, a.callers.Shutdown(ctx), a.router.Stop(ctx))
 	}
 	if a.control != nil {
-		errs = append(errs, a.control.Close(ctx), a.operators.Shutdown(ctx))
+		errs = append(errs, a.control.Close(ctx), a.operators.drain(ctx), a.operators.Shutdown(ctx))
 	}
 	errs = append(errs, a.mesh.Shutdown(ctx))
 	a.pool.Close()
--- a/internal/agent/connections.go
+++ b/internal/agent/connections.go
@@ -2,10 +2,13 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -28,7 +31,8 @@
 }
 
 // Accept implements net.Listener. At the bound it closes the connection that has been idle for
-// longest, and waits for one to be closed before it accepts the next.
+// longest, and waits for one to be closed before it accepts the next. While the server drains it
+// accepts beyond the bound, as those that it leaves in the queue are reset.
 func (l callerListener) Accept() (net.Conn, error) {
 	for !l.server.makeRoom() {
 		select {
@@ -42,30 +46,38 @@
 	if err != nil {
 		return nil, err
 	}
-	l.server.addOpen(1)
-	return &callerConn{Conn: c, onClose: sync.OnceFunc(func() { l.server.addOpen(-1) })}, nil
+	l.server.addAccepted()
+	return &callerConn{Conn: c, onClose: sync.OnceFunc(l.server.removeOpen)}, nil
 }
 
-// addOpen adds n to the number of open connections.
-func (s *callerServer) addOpen(n int) {
+// addAccepted counts an accepted connection.
+func (s *callerServer) addAccepted() {
 	s.mu.Lock()
-	s.open += n
+	s.open++
+	if s.draining {
+		s.stop.accepted++
+	}
 	s.mu.Unlock()
-	if n < 0 {
-		select {
-		case s.room <- struct{}{}:
-		default:
-		}
+}
+
+// removeOpen counts an accepted connection that was closed.
+func (s *callerServer) removeOpen() {
+	s.mu.Lock()
+	s.open--
+	s.mu.Unlock()
+	select {
+	case s.room <- struct{}{}:
+	default:
 	}
 }
 
-// makeRoom reports whether one more connection may be accepted. If not, it begins to close the
+// makeRoom reports whether one more connection is accepted. If not, it begins to close the
 // one that has been idle for longest.
 func (s *callerServer) makeRoom() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.full = false
-	if s.bound <= 0 || s.open < s.bound {
+	if s.bound <= 0 || s.open < s.bound || s.draining {
 		return true
 	}
 	c, state := s.longestIdle()
@@ -119,6 +131,7 @@
 		})
 	}
 	s.closedIdle = metrics.GetOrRegisterCounter(telemetry.MetricName("callers_connections_closed_idle"), registry)
+	s.dropped = newDropCounters(registry)
 }
 
 // countIdle returns the number of HTTP/1 connections between two requests. s.mu must be held.
@@ -136,10 +149,20 @@
 	net.Conn
 	readAt  atomic.Pointer[time.Time]
 	onClose func()
+	// expired reports whether reads time out.
+	expired atomic.Bool
+	// endsIdle makes the next read deadline one that has passed. It is set between an answer and
+	// the deadline that net/http then sets for the next request.
+	endsIdle atomic.Bool
+	// unreadAtClose reports whether bytes that nobody had read were dropped by Close.
+	unreadAtClose atomic.Bool
 }
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
+	if socket.Unread(c.Conn) {
+		c.unreadAtClose.Store(true)
+	}
 	err := c.Conn.Close()
 	c.onClose()
 	return err
@@ -154,9 +177,36 @@
 	return nil
 }
 
-// Read implements net.Conn.
+// hasDescriptor reports whether bytes that have arrived can be told before they are read.
+func (c *callerConn) hasDescriptor() bool {
+	_, ok := c.Conn.(syscall.Conn)
+	return ok
+}
+
+// expire makes reads time out once there is nothing left to read.
+func (c *callerConn) expire() {
+	c.expired.Store(true)
+	_ = c.Conn.SetReadDeadline(pastDeadline) // fails only on a closed connection
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if c.endsIdle.CompareAndSwap(true, false) {
+		c.expire()
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read implements net.Conn. What has arrived is read also after reads were made to time out, since
+// the last look for it was taken before.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.expired.Load() && socket.Unread(c.Conn) {
+		c.expired.Store(false)
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
+		n, err = c.Conn.Read(b)
+	}
 	if n > 0 && c.readAt.Load() == nil {
 		now := time.Now()
 		c.readAt.Store(&now)
@@ -180,3 +230,15 @@
 	}
 	return socket.Unread(c)
 }
+
+// hasPartOfHead reports whether bytes of a request's head, but not all of it, have been read.
+func (s *callerState) hasPartOfHead(c net.Conn) bool {
+	if s.ConnState == http.StateActive {
+		return false
+	}
+	if _, secure := c.(*tls.Conn); secure && s.ConnState == http.StateNew {
+		return false // what was read may be the handshake
+	}
+	conn := callerConnOf(c)
+	return conn != nil && conn.readAt.Load() != nil
+}
