--- a/internal/agent/operators_stop_test.go
+++ b/internal/agent/operators_stop_test.go
@@ -2,12 +2,9 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"testing"
 
-	"github.com/matryer/is"
-
 	"github.com/wigeonflow/wigeonflow/internal/operator"
 	"github.com/wigeonflow/wigeonflow/internal/settings"
 )
@@ -31,29 +28,6 @@
 
 // Like TestStopDropsRequestOfAcceptedConnection, of an operator.
 func TestStopDropsOperatorsRequestOfAcceptedConnection(t *testing.T) {
-	is := is.New(t)
 	a, addr := startControlWith(t, serveAll)
-	c, err := net.Dial("tcp", addr)
-	is.NoErr(err)
-	defer c.Close()
-	later, err := net.Dial("tcp", addr)
-	is.NoErr(err)
-	send(t, later)
-	_, err = readAnswer(later) // c was accepted before
-	is.NoErr(err)
-	is.NoErr(later.Close())
-	stopped := make(chan error, 1)
-	go func() { stopped <- a.Stop(t.Context()) }()
-	for { // until the listener is closed
-		extra, err := net.Dial("tcp", addr)
-		if err != nil {
-			break
-		}
-		_ = extra.Close()
-	}
-	send(t, c)
-	status, err := readAnswer(c)
-	is.NoErr(err) // no answer to a request that was read
-	is.Equal(status, http.StatusOK)
-	is.NoErr(<-stopped)
+	checkStopAnswersAcceptedConnection(t, a, addr)
 }
--- a/internal/agent/stop_test.go
+++ b/internal/agent/stop_test.go
@@ -81,8 +81,15 @@
 
 // The first request of an accepted connection arrives after the router has stopped listening.
 func TestStopDropsRequestOfAcceptedConnection(t *testing.T) {
-	is := is.New(t)
 	a, addr := startRouter(t, serveAll)
+	checkStopAnswersAcceptedConnection(t, a, addr)
+}
+
+// checkStopAnswersAcceptedConnection checks that an agent that stops answers a request on a connection
+// that it has accepted before. The request is sent once the listener is closed.
+func checkStopAnswersAcceptedConnection(t *testing.T, a *Agent, addr string) {
+	t.Helper()
+	is := is.New(t)
 	c, err := net.Dial("tcp", addr)
 	is.NoErr(err)
 	defer c.Close()
--- a/internal/gateway/return_test.go
+++ b/internal/gateway/return_test.go
@@ -26,6 +26,36 @@
 	c.endStream()
 }
 
+// checkStream checks that a caller gets a stream that ends with the given event, and that no attempt is
+// left.
+func (r *testGateway) checkStream(is *is.I, last int) {
+	is.Helper()
+	_, body, err := r.send()
+	is.NoErr(err)
+	is.Equal(body, encodeEvents(1, last))
+	r.awaitIdle()
+}
+
+// sendAtFirstUpstream sends requests that all reach the first upstream, before the others are listed,
+// and returns the errors with which they ended.
+func (r *testGateway) sendAtFirstUpstream(count int) []error {
+	r.listUpstreams(r.upstreams[:1])
+	ended := make(chan error, count)
+	for range count {
+		go func() {
+			_, _, err := r.send()
+			ended <- err
+		}()
+	}
+	r.awaitArrivals(count)
+	r.listUpstreams(r.upstreams)
+	errs := make([]error, count)
+	for i := range errs {
+		errs[i] = <-ended
+	}
+	return errs
+}
+
 // sendThenBreakOff sends one event and breaks off.
 func sendThenBreakOff(c *conn) {
 	after := eventNumber(c.request.Header.Get("After"))
@@ -68,9 +98,7 @@
 			r = newTestGateway(t, resumableRoute, pauseThenResume(&r, pauseLength), sendThenBreakOff)
 			r.setRetries(balance.RetryLimits{Window: time.Minute, Slack: tc.slack})
 			r.startServer()
-			_, body, err := r.send()
-			is.NoErr(err)
-			is.Equal(body, encodeEvents(1, 6))
+			r.checkStream(is, 6)
 			is.Equal(r.arrivals(), tc.arrivals)
 			r.awaitIdle()
 		})
@@ -104,9 +132,7 @@
 				}
 				first(c)
 			}, sendThenBreakOff)
-			_, body, err := r.send()
-			is.NoErr(err)
-			is.Equal(body, encodeEvents(1, 6))
+			r.checkStream(is, 6)
 			want := append([]string{"u0 a", "u1 a"}, slices.Repeat([]string{"u0 a"}, 1+rejections)...)
 			is.Equal(r.arrivals(), want)
 			r.awaitIdle()
@@ -131,10 +157,7 @@
 		scripts = append(scripts, other)
 	}
 	r = newTestGateway(t, resumableRoute, scripts...)
-	_, body, err := r.send()
-	is.NoErr(err)
-	is.Equal(body, encodeEvents(1, 6))
-	r.awaitIdle()
+	r.checkStream(is, 6)
 }
 
 // A stream whose upstream broke off was cut, since no other one took it at that moment.
@@ -151,10 +174,7 @@
 			}
 			resume(c, 6)
 		})
-		_, body, err := r.send()
-		is.NoErr(err)
-		is.Equal(body, encodeEvents(1, 6))
-		r.awaitIdle()
+		r.checkStream(is, 6)
 	})
 	t.Run("no retry left", func(t *testing.T) {
 		t.Parallel()
@@ -168,9 +188,7 @@
 				r.balancer.CountRequest(r.server.cfg.Clock(), poolName)
 			}
 		}()
-		_, body, err := r.send()
-		is.NoErr(err)
-		is.Equal(body, encodeEvents(1, 6))
+		r.checkStream(is, 6)
 	})
 	t.Run("out of service", func(t *testing.T) {
 		t.Parallel()
@@ -185,9 +203,7 @@
 			time.Sleep(300 * time.Millisecond)
 			out.Store(false)
 		}()
-		_, body, err := r.send()
-		is.NoErr(err)
-		is.Equal(body, encodeEvents(1, 6))
+		r.checkStream(is, 6)
 	})
 }
 
@@ -228,10 +244,7 @@
 		r = newTestGateway(t, resumableRoute, pauseThenResume(&r, pauseLength), sendThenHang)
 		r.setRetries(balance.RetryLimits{Window: time.Minute, Slack: 2.5})
 		r.startServer()
-		_, body, err := r.send()
-		is.NoErr(err)
-		is.Equal(body, encodeEvents(1, 6))
-		r.awaitIdle()
+		r.checkStream(is, 6)
 	})
 	t.Run("requests", func(t *testing.T) {
 		t.Parallel()
@@ -247,10 +260,7 @@
 		}
 		scripts := append([]func(*conn){pauseThenResume(&r, 2*pauseLength)}, slices.Repeat([]func(*conn){other}, maxSends)...)
 		r = newTestGateway(t, resumableRoute, scripts...)
-		_, body, err := r.send()
-		is.NoErr(err)
-		is.Equal(body, encodeEvents(1, 6))
-		r.awaitIdle()
+		r.checkStream(is, 6)
 	})
 }
 
@@ -296,10 +306,7 @@
 			}
 			r.setRetries(tc.limits)
 			r.startServer()
-			_, body, err := r.send()
-			is.NoErr(err)
-			is.Equal(body, encodeEvents(1, 6))
-			r.awaitIdle()
+			r.checkStream(is, 6)
 		})
 	}
 }
@@ -318,25 +325,11 @@
 		}
 		c.endStream()
 	})
-	r.setRetries(balance.RetryLimits{Window: time.Minute, Slack: 15}) // routers use ten of them
-	r.listUpstreams(r.upstreams[:1])
+	r.setRetries(balance.RetryLimits{Window: time.Minute, Slack: 15}) // of which ten may move streams
 	r.startServer()
-	failed := make(chan error, streams)
-	for range streams {
-		go func() {
-			_, _, err := r.send()
-			failed <- err
-		}()
-	}
-	r.awaitArrivals(streams)
-	r.listUpstreams(r.upstreams)
-	cut := 0
-	for range streams {
-		if err := <-failed; err != nil {
-			cut++
-		}
+	for _, err := range r.sendAtFirstUpstream(streams) {
+		is.NoErr(err)
 	}
-	is.Equal(cut, 0)
 }
 
 // Two stalls in a row have ejected the first upstream, and no other request probes it.
@@ -354,18 +347,8 @@
 		c.writeEvents(1, 2)
 		awaitClose(c)
 	}, sendThenHang)
-	r.listUpstreams(r.upstreams[:1])
-	failed := make(chan error, streams)
-	for range streams {
-		go func() {
-			_, _, err := r.send()
-			failed <- err
-		}()
-	}
-	r.awaitArrivals(streams)
-	r.listUpstreams(r.upstreams)
-	for range streams {
-		is.NoErr(<-failed)
+	for _, err := range r.sendAtFirstUpstream(streams) {
+		is.NoErr(err)
 	}
 	r.awaitIdle()
 }
@@ -383,10 +366,7 @@
 		resume(c, 6)
 	}
 	r := newTestGateway(t, resumableRoute, append([]func(*conn){breakOff}, slices.Repeat([]func(*conn){other}, maxSends)...)...)
-	_, body, err := r.send()
-	is.NoErr(err)
-	is.Equal(body, encodeEvents(1, 6))
-	r.awaitIdle()
+	r.checkStream(is, 6)
 }
 
 // The only upstream left had begun as a replacement without an event, and is full when asked again.
@@ -414,10 +394,7 @@
 			resume(c, 6)
 		}
 	})
-	_, body, err := r.send()
-	is.NoErr(err)
-	is.Equal(body, encodeEvents(1, 6))
-	r.awaitIdle()
+	r.checkStream(is, 6)
 }
 
 // No other upstream accepts connections, so that no retry of the stream arrives anywhere.
