gateway: a request without an answer gets one before the grace period of a planned stop ends

Cause: the gateway decided by PlannedStop.Admits which requests a stopping router takes, but never used PlannedStop.Cap, as internal/entry does for services. A request that was taken, before the stop or in it, waited for its start-up, its body or an upstream until its own time limit, and the process ended first. Evidence: both cases of TestRequestThatWaitsIsUnansweredAtEndOfGracePeriod failed before with "context deadline exceeded". Change: one timer for each stop ends, at PlannedStop.Cap, the requests whose answers have not begun, and those that arrive later: 504 if the request may have run, and otherwise 503 with Retry-After. The attempts' contexts are children of a context of the request that ends with that cause, so that no deadline changes; a pending read of the body is interrupted by the read deadline. An answer that has begun goes on until the end of the grace period, and a stream begins only if its request has not been ended, in one step under a lock. The upstream of a canceled attempt is not blamed. A caller that still sends its body gets a tenth of a second to read the answer. The line of such a request has no_attempt="planned stop". Answers that come within the last 250 ms of the grace period are the price: their callers get 504. Each of nine mutations (no timer at the drain, no check of late requests, no interrupted read, no claim, begun answers ended as well, upstream blamed, 502 for 504, start-up wait not ended, body not drained) fails a test.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -81,7 +81,7 @@
 func (f *forwarder) newAttempt(pick *balance.Pick) *attempt {
 	a := &attempt{pick: pick, after: f.position.get(), began: f.server.cfg.Clock(), outcome: balance.OutcomeUnknown}
 	a.resumes = a.after != f.call.After
-	a.ctx, a.cancel = context.WithCancelCause(f.r.Context())
+	a.ctx, a.cancel = context.WithCancelCause(f.ctx)
 	a.deadline = time.AfterFunc(f.deadline-a.began, func() { a.cancel(errDeadline) })
 	a.held = f.server.held.open(heldStream, a.cancel)
 	a.span, a.trace = f.server.cfg.Tracer.Start("gateway.attempt", f.trace)
@@ -272,11 +272,14 @@
 	case errors.Is(cause, errNotNeeded), errors.Is(cause, errNoEvent):
 		a.err = cause
 		return balance.OutcomeUnknown
-	case errors.Is(cause, errDeadline), errors.Is(cause, errIdleTimeout), errors.Is(cause, errSlow), errorx.IsOfType(cause, errBudget):
+	case errors.Is(cause, errDeadline), errors.Is(cause, errIdleTimeout), errors.Is(cause, errSlow), errors.Is(cause, errPlannedStop), errorx.IsOfType(cause, errBudget):
 		a.err = cause
 	}
 	f.logDecision("attempt failed", "error", a.err, "upstream", string(a.pick.Upstream.ID), "boot", string(a.pick.Upstream.Boot),
 		"reused", onIdleConnection(err), "events", events, "fingerprint", formatHash(f.fingerprint), "parts", formatParts(f.call.Parts))
+	if errors.Is(cause, errPlannedStop) {
+		return balance.OutcomeUnknown
+	}
 	if errors.Is(cause, errDeadline) {
 		return balance.OutcomeError
 	}
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"sync"
@@ -34,8 +35,9 @@
 // an answer.
 type forwarder struct {
 	server *Server
-	w      http.ResponseWriter
+	w      *answerWriter
 	r      *http.Request
+	ctx    context.Context // of the attempts: ends with that of r, or by the planned stop
 	start  time.Duration
 	held   time.Duration // for which the request has waited, see awaitStartup
 
@@ -206,6 +208,8 @@
 	switch {
 	case f.r.Context().Err() != nil:
 		f.noAttempt = "caller disconnected"
+	case f.isStopped():
+		f.noAttempt = stopEndsRequest
 	case f.server.cfg.Clock() >= f.deadline:
 		f.noAttempt = "deadline reached"
 	default:
@@ -277,11 +281,13 @@
 	case failed != nil:
 		failed.held.move(heldAnswer, nil)
 		f.writeAnswer(failed)
+	case runs == 0 && f.noAttempt == stopEndsRequest:
+		f.reject(f.rejectStopped())
 	case runs == 0 && f.quarantineLeft > 0:
 		f.reject(&rejection{status: http.StatusServiceUnavailable, reason: f.failureReason(), base: f.quarantineLeft})
 	case runs == 0:
 		f.reject(f.unserved())
-	case errors.Is(f.lastErr, errDeadline):
+	case errors.Is(f.lastErr, errDeadline), f.noAttempt == stopEndsRequest:
 		f.reject(&rejection{status: http.StatusGatewayTimeout, reason: f.failureReason()})
 	default:
 		f.reject(&rejection{status: http.StatusBadGateway, reason: f.failureReason()})
--- a/internal/gateway/log_bench_test.go
+++ b/internal/gateway/log_bench_test.go
@@ -28,7 +28,7 @@
 				KeysUntil: func() time.Duration { return 0 }, ConfirmedAt: func() time.Duration { return 0 }, ListAge: func() time.Duration { return 0 },
 			})
 			f := &forwarder{
-				server: server, w: httptest.NewRecorder(), r: httptest.NewRequest("GET", "/", nil), route: &routes.Route{Name: "r-vz3pfi6"}, workspace: &routes.Workspace{ID: "hule930"},
+				server: server, w: &answerWriter{ResponseWriter: httptest.NewRecorder()}, r: httptest.NewRequest("GET", "/", nil), route: &routes.Route{Name: "r-vz3pfi6"}, workspace: &routes.Workspace{ID: "hule930"},
 				table: routes.NewIndex(&routes.Table{Version: 7}), call: Call{ID: "9c41d07be2a35f68"}, history: history{sends: 1, ran: []fleet.UpstreamID{"i-7f3a91c2"}},
 				pick: &balance.Pick{Upstream: fleet.Upstream{ID: "i-7f3a91c2"}, Load: 3, Mean: 2.5},
 			}
--- a/internal/gateway/request_body.go
+++ b/internal/gateway/request_body.go
@@ -16,6 +16,9 @@
 	minBodyBuffer = 4 << 10
 	// drainTime bounds the reading of a body whose request is already answered.
 	drainTime = 2 * time.Second
+	// stopDrainShare divides drainTime for a request that the planned stop has ended: the process ends
+	// soon.
+	stopDrainShare = 20
 )
 
 // readBody reads the complete body, so that the request can be sent more than once. A body that the
@@ -30,12 +33,14 @@
 	}
 	f.bodyHeld = f.server.bodies.open(f.workspaceID())
 	body := http.MaxBytesReader(f.w, f.r.Body, limit)
-	var err error
-	if f.r.ContentLength >= 0 {
-		f.body, err = f.bodyHeld.readLength(body, f.r.ContentLength)
-	} else {
-		f.body, err = f.bodyHeld.readAll(body, limit)
-	}
+	err := f.w.readBody(func() (err error) {
+		if f.r.ContentLength >= 0 {
+			f.body, err = f.bodyHeld.readLength(body, f.r.ContentLength)
+		} else {
+			f.body, err = f.bodyHeld.readAll(body, limit)
+		}
+		return err
+	})
 	if err != nil {
 		f.bodyHeld.release()
 		return f.rejectBody(err, limit)
@@ -54,7 +59,7 @@
 		rejected.drain = limit
 		return rejected
 	default:
-		return bodyMissing(err)
+		return f.bodyMissing(err)
 	}
 }
 
@@ -65,8 +70,14 @@
 	return rejected
 }
 
-// bodyMissing returns the rejection of a request whose body can't be read.
-func bodyMissing(err error) *rejection {
+// bodyMissing returns the rejection of a request whose body can't be read, or that the planned stop
+// has ended before.
+func (f *forwarder) bodyMissing(err error) *rejection {
+	if errors.Is(err, errPlannedStop) {
+		rejected := f.rejectStopped()
+		rejected.drain = defaultMaxBody
+		return rejected
+	}
 	return &rejection{status: http.StatusBadRequest, reason: "the body did not arrive: " + err.Error()}
 }
 
@@ -117,8 +128,12 @@
 	if f.r.Header.Get("Expect") != "" {
 		return
 	}
+	wait := f.server.drainTime
+	if f.isStopped() {
+		wait /= stopDrainShare
+	}
 	c := http.NewResponseController(f.w)
-	if c.Flush() != nil || c.SetReadDeadline(time.Now().Add(f.server.drainTime)) != nil {
+	if c.Flush() != nil || c.SetReadDeadline(time.Now().Add(wait)) != nil {
 		return // the caller is gone
 	}
 	_, _ = io.CopyN(io.Discard, f.r.Body, limit) // net/http closes a connection whose body is not read completely
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -302,6 +302,7 @@
 	r.log.Info("draining", "running", r.server.Running())
 	r.stop.Store(fleet.NewPlannedStop(ctx, r.cfg.Clock(), r.cfg.Settings.DrainNotice))
 	r.stopping.Store(true)
+	r.server.beginStop()
 	fleet.Pause(ctx, r.cfg.Settings.DrainNotice)
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -82,6 +83,9 @@
 	overload overload
 	// drainTime is the constant, longer in tests.
 	drainTime time.Duration
+
+	stopOnce       sync.Once   // see beginStop
+	endsUnanswered atomic.Bool // see the method endUnanswered
 }
 
 // requestLabels are the labels of the request metrics.
@@ -114,10 +118,15 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	answer := &answerWriter{ResponseWriter: w, stopping: s.cfg.Stopping, started: s.cfg.Clock()}
-	f := &forwarder{server: s, w: answer, r: r, start: answer.started}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	answer := &answerWriter{ResponseWriter: w, stopping: s.cfg.Stopping, started: s.cfg.Clock(), cancel: cancel}
+	f := &forwarder{server: s, w: answer, r: r, ctx: ctx, start: answer.started}
 	s.inFlight.Store(r, answer)
 	defer s.inFlight.Delete(r)
+	if s.beginStop(); s.endsUnanswered.Load() { // after the request is in inFlight
+		answer.end()
+	}
 	defer func() { f.bodyHeld.release() }()
 	span, trace := s.cfg.Tracer.Start("gateway.request", r.Header.Get(telemetry.HeaderTraceparent))
 	f.trace = trace
@@ -152,7 +161,7 @@
 		return rejected
 	}
 	if err := f.awaitStartup(); err != nil {
-		return bodyMissing(err)
+		return f.bodyMissing(err)
 	}
 	f.confirmedAt = s.cfg.ConfirmedAt() // before the table: a newer one holds what is confirmed as well
 	table := s.cfg.Table()
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -72,7 +72,7 @@
 
 // awaitStartup holds the request until the router can serve it, for as long as startupWait allows.
 // The body is read before, because a caller may abandon a request that
-// isn't read. The error is that of reading it.
+// isn't read. The error is that of reading it, or errPlannedStop.
 func (f *forwarder) awaitStartup() error {
 	gate := &f.server.startup
 	if gate.isOpen() {
@@ -92,10 +92,13 @@
 	defer timer.Stop()
 	select {
 	case <-gate.started:
-	case <-f.r.Context().Done():
+	case <-f.ctx.Done():
 	case <-timer.C:
 	}
 	f.held = f.server.cfg.Clock() - now
+	if f.isStopped() {
+		return errPlannedStop
+	}
 	return nil
 }
 
@@ -103,7 +106,11 @@
 // body can be read as before.
 func (f *forwarder) bufferBody() (complete bool, err error) {
 	body := f.r.Body
-	read, err := io.ReadAll(io.LimitReader(body, maxHeldBody+1))
+	var read []byte
+	err = f.w.readBody(func() (err error) {
+		read, err = io.ReadAll(io.LimitReader(body, maxHeldBody+1))
+		return err
+	})
 	if err != nil {
 		return false, err
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -35,8 +35,9 @@
 	eventSequence
 	w         http.ResponseWriter
 	flusher   *http.ResponseController
-	writeHead func() // writes the answer's head
-	begun     bool   // the head was written
+	claim     func() error // is called before the head of an answer that goes on; nil for none
+	writeHead func()       // writes the answer's head
+	begun     bool         // the head was written
 }
 
 // begin writes the answer's head on its first call.
@@ -124,7 +125,7 @@
 // the first event is relayed; until then, any other answer may take its place.
 func (f *forwarder) openStream(resp *exchange.Response) {
 	if f.stream == nil {
-		f.stream = &eventRelay{w: f.w, flusher: http.NewResponseController(f.w), eventSequence: eventSequence{last: &f.position, lastID: eventNumber(f.call.After)}}
+		f.stream = &eventRelay{w: f.w, claim: f.w.claim, flusher: http.NewResponseController(f.w), eventSequence: eventSequence{last: &f.position, lastID: eventNumber(f.call.After)}}
 	}
 	if f.stream.begun {
 		return
@@ -203,6 +204,11 @@
 		begin += end
 	}
 	if out > 0 {
+		if !r.begun && r.claim != nil {
+			if err := r.claim(); err != nil {
+				return err
+			}
+		}
 		r.begin()
 		if _, err := r.w.Write(r.pending[:out]); err != nil {
 			return &callerGoneError{err}
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,11 +48,18 @@
 	stopping func() bool
 	started  time.Duration // when the request started
 	begun    atomic.Bool
+	cancel   context.CancelCauseFunc // of forwarder.ctx
+
+	mu      sync.Mutex
+	claimed bool // the planned stop can't end the request any more
+	ended   bool // by the planned stop
+	reading bool // the body
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *answerWriter) WriteHeader(status int) {
 	if status >= http.StatusOK && !w.begun.Swap(true) {
+		_ = w.claim() // also an ended request gets its answer
 		if w.stopping() {
 			w.Header().Set("Connection", "close")
 		}
