--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,15 +40,15 @@
 // attempt is one exchange of a request with an upstream. It is opened by the request's
 // forwarder, or as a replacement by the watcher of the attempt before it.
 type attempt struct {
-	pick    *balance.Pick
-	after   string // ID of the event after which a stream resumes; empty for the start
-	resumes bool   // after is an event that this router has relayed
-	began   time.Duration
-	span    telemetry.Span
-	trace   string
-	retry   bool // a retry was taken for it out of the budget
-	again   bool // the upstream may have run the request before
-	returns bool // an earlier attempt at the upstream was canceled for another one; it may be asked again
+	pick     *balance.Pick
+	after    string // ID of the event after which a stream resumes; empty for the start
+	resumes  bool   // after is an event that this router has relayed
+	began    time.Duration
+	span     telemetry.Span
+	trace    string
+	retry    bool // a retry was taken for it out of the budget
+	again    bool // the upstream may have run the request before
+	isReturn bool // an earlier attempt at the upstream was canceled for another one; it may be asked again
 
 	answering atomic.Bool // the answer has begun
 	writing   atomic.Bool // the answer, or a part of it, is being written to the caller
--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -39,7 +39,7 @@
 	h.sends++
 	h.tried = append(h.tried, id)
 	is := func(u fleet.UpstreamID) bool { return u == id }
-	a.returns = slices.Contains(h.replaced, id) || slices.Contains(h.spare, id)
+	a.isReturn = slices.Contains(h.replaced, id) || slices.Contains(h.spare, id)
 	h.spare, h.replaced = slices.DeleteFunc(h.spare, is), slices.DeleteFunc(h.replaced, is)
 	if a.again = slices.Contains(h.ran, id); !a.again {
 		h.ran = append(h.ran, id)
@@ -61,7 +61,7 @@
 	}
 	if !a.ran && needed {
 		h.rejected = append(h.rejected, id)
-		if a.returns {
+		if a.isReturn {
 			h.replaced = append(h.replaced, id)
 		}
 	}
