agent: a stopping router's listener stays open until no handshake is under way

Callers saw: a connection that was reset although its handshake was over, its request unread and without a line (soak: a router that was frozen in its stop woke, answered all its callers and closed its listener 2 ms later, as they came again). Cause: the listener was closed at the first look that found its queue empty. Callers connect within a round trip of the last answers, and handshakes take one more. Change: the listener is closed once no connection has come from one look to the next (25 ms), after 0.1 s at the latest while the queue is empty.

--- a/internal/agent/callers.go
+++ b/internal/agent/callers.go
@@ -23,6 +23,9 @@
 	// firstRequestWait is how long a draining server waits for the first request of a
 	// connection that it accepted before. Callers send it as soon as they are connected.
 	firstRequestWait = 500 * time.Millisecond
+	// lateAccept is how long a draining server goes on accepting although its queue is empty,
+	// while connections keep coming.
+	lateAccept = 4 * drainPoll
 	// expiryInterval is the time between two searches for connections that have exceeded a limit.
 	expiryInterval = time.Second
 )
@@ -189,8 +192,8 @@
 
 // drain accepts the connections that wait at the listener, closes it, and waits until each request
 // that was read has been answered and each connection is closed. It returns an error if ctx ends
-// first. A connection whose handshake ends between the last look at the listener and its
-// close is reset.
+// first. The listener stays open until none has come from one look at it to the next, so that
+// handshakes under way can end; one that ends between the last look and the close is reset.
 func (s *callerServer) drain(ctx context.Context) error {
 	s.beginStop()
 	s.mu.Lock()
@@ -200,9 +203,12 @@
 	listener, served := s.listener, s.served
 	s.mu.Unlock()
 	if listener != nil {
+		accepted := -1
 		fleet.Await(ctx, drainPoll, func() bool {
 			s.expireIdle(time.Now()) // frees descriptors that the next connections need
-			return !socket.Waiting(listener)
+			before := accepted
+			accepted = s.acceptedInStop()
+			return !socket.Waiting(listener) && (accepted == before || time.Since(s.drainStart) >= lateAccept)
 		})
 		_ = listener.Close() // Shutdown returns its error
 		select {
--- a/internal/agent/connections.go
+++ b/internal/agent/connections.go
@@ -60,6 +60,13 @@
 	s.mu.Unlock()
 }
 
+// acceptedInStop returns the number of connections that were accepted since the drain began.
+func (s *callerServer) acceptedInStop() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stop.accepted
+}
+
 // removeOpen counts an accepted connection that was closed.
 func (s *callerServer) removeOpen() {
 	s.mu.Lock()
--- a/internal/agent/queue_test.go
+++ b/internal/agent/queue_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/http"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -61,6 +63,59 @@
 	is.Equal(stopLine(t, s)["accepted"], 3.0)
 }
 
+// lookedAtListener is a heldListener that calls after once, behind the first look at its queue.
+type lookedAtListener struct {
+	heldListener
+	after func()
+}
+
+func (l lookedAtListener) SyscallConn() (syscall.RawConn, error) {
+	raw, err := l.TCPListener.SyscallConn()
+	return lookedAtConn{raw, l.after}, err
+}
+
+type lookedAtConn struct {
+	syscall.RawConn
+	after func()
+}
+
+func (c lookedAtConn) Control(f func(fd uintptr)) error {
+	defer c.after()
+	return c.RawConn.Control(f)
+}
+
+// A connection whose handshake was under way at the last look was reset by the close.
+func TestStopResetsConnectionBehindLastLook(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	hold := make(chan struct{})
+	callers := make(chan net.Conn, 1)
+	listener := lookedAtListener{heldListener{l.(*net.TCPListener), hold}, sync.OnceFunc(func() {
+		c, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		callers <- c
+		time.AfterFunc(4*drainPoll, func() { close(hold) })
+	})}
+	s := newCallerServer(&http.Server{Handler: serveAll})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(listener) }()
+	defer s.Close()
+	for !isServing(s) {
+		time.Sleep(time.Millisecond)
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- s.drain(t.Context()) }()
+	c := <-callers
+	defer c.Close()
+	send(t, c)
+	status, err := readAnswer(c)
+	is.NoErr(err) // the connection was reset
+	is.Equal(status, http.StatusOK)
+	is.NoErr(<-drained)
+	is.Equal(<-served, http.ErrServerClosed)
+}
+
 // isServing reports whether Serve has been called.
 func isServing(s *callerServer) bool {
 	s.mu.Lock()
