--- /dev/null
+++ b/review/_standins2/types.go
@@ -0,0 +1,8 @@
+package main
+
+import "net/http"
+
+type (
+	httpRequest    = http.Request
+	responseWriter = http.ResponseWriter
+)
