--- a/review/_standins2/case_part.go
+++ b/review/_standins2/case_part.go
@@ -34,6 +34,14 @@
 	}
 }
 
+// chatRoute is a route of streams that may not be resumed.
+func chatRoute() map[string]any {
+	return map[string]any{
+		"name": "r-chat", "host": host, "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 12000, "target_latency_ms": 300, "priority": 0,
+		"service": "press", "max_attempts": 1, "public_access": false, "session_affinity": true, "stream_resumption": false, "target_gap_ms": 200,
+	}
+}
+
 // note is a request for a stream with the given parts before its own.
 func note(parts string) question {
 	return question{
@@ -54,7 +62,6 @@
 	var crashes []time.Time
 	deadlyPart := deadlyParts[strings.LastIndex(deadlyParts, "dead"):]
 	deadlyPart, _, _ = strings.Cut(deadlyPart, ":")
-	reset := 0
 	for i := range replicas {
 		r := &replica{
 			lab: l, key: fmt.Sprint("p", i), service: "press", addr: fmt.Sprintf("%s.4.%d:8463", l.net, 10+i), zone: []string{zoneA, zoneB}[i%2], slots: 64,
@@ -72,7 +79,7 @@
 		if trouble {
 			r.deadly = func(q *httpRequest) bool { return has(q.Header.Get("X-Wigeonflow-Prompt-Prefix")) }
 		}
-		answer := stream(30*time.Millisecond, 5*time.Millisecond, 10)
+		answer := stream(30*time.Millisecond, 60*time.Millisecond, 10)
 		r.work = func(w responseWriter, q *httpRequest, rep *replica) {
 			if trouble && r.deadly(q) {
 				mu.Lock()
@@ -84,7 +91,9 @@
 		}
 		r.start(false)
 	}
-	l.configure(engineConfig(7, 2, 0, 0))
+	config := engineConfig(7, 2, 0, 0)
+	config["routes"] = append(config["routes"].([]any), chatRoute())
+	l.configure(config)
 	l.awaitReady()
 	time.Sleep(2 * time.Second)
 	clients := []*client{{addr: l.fronts[0].front()}, {addr: l.fronts[1].front()}}
@@ -96,7 +105,6 @@
 		result := fmt.Sprint(a.status)
 		if !a.whole {
 			result = "cut"
-			reset++
 		}
 		statuses[kind+" "+result]++
 	}
@@ -104,7 +112,17 @@
 	wg.Add(1)
 	go func() {
 		defer wg.Done()
-		every(rate, stop, func(n int) { count("sound", clients[n%2].ask(note(soundParts(n)))) })
+		every(rate, stop, func(n int) {
+			q, kind := note(soundParts(n)), "sound, may be resumed:"
+			if rand.IntN(2) == 0 { // may not be repeated
+				q.path, kind = "/chat/x", "sound, may not be resumed:"
+			}
+			a := clients[n%2].ask(q)
+			if !a.whole {
+				l.note("client: the answer to the sound request %s %s was cut", a.id, q.path)
+			}
+			count(kind, a)
+		})
 	}()
 	time.Sleep(4 * time.Second)
 	wg.Add(1)
--- a/review/_standins2/case_rest.go
+++ b/review/_standins2/case_rest.go
@@ -149,10 +149,7 @@
 	defer close(stopList)
 	go l.list.refresh(stopList)
 	config := engineConfig(7, 2, 3, coldPerSecond)
-	config["routes"] = append(config["routes"].([]any), map[string]any{
-		"name": "r-chat", "host": host, "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 12000, "target_latency_ms": 300, "priority": 0,
-		"service": "press", "max_attempts": 1, "public_access": false, "session_affinity": true, "stream_resumption": false, "target_gap_ms": 200,
-	})
+	config["routes"] = append(config["routes"].([]any), chatRoute())
 	l.configure(config)
 	l.awaitReady()
 	time.Sleep(2 * time.Second)
--- a/review/_standins2/main.go
+++ b/review/_standins2/main.go
@@ -10,7 +10,7 @@
 
 // cases are the cases by name. Each tells whether the rule held.
 var cases = map[string]func(trouble bool, record string) bool{
-	"part-idle": partOnIdleConnections, "part-followed": partFollowed, "foreign": foreignEntry, "cold": coldAfterCrash,
+	"part-idle": partOnIdleConnections, "part-followed": partFollowed, "foreign": foreignEntry, "cold": coldAfterCrash, "away": awayAfterCrash,
 }
 
 func main() {
--- a/review/_standins2/replica.go
+++ b/review/_standins2/replica.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -22,9 +23,13 @@
 	coldUntil time.Time
 	deadly    bool
 	cold      bool
+	away      bool // the replica turns it away
 	tenant    string
 }
 
+// restFor is what a replica that turns a request away says in Retry-After.
+const restFor = 4 * time.Second
+
 // replica is a stand-in for one replica of a service. Each start has an ID of its own, unless
 // sameID is set.
 type replica struct {
@@ -43,6 +48,7 @@
 	id        string
 	started   time.Time
 	coldUntil time.Time
+	awayUntil time.Time // until then the replica turns all requests away
 	server    *http.Server
 	conns     map[net.Conn]bool
 	running   int
@@ -129,7 +135,7 @@
 // serve answers one request as PROTOCOL.md says.
 func (r *replica) serve(w http.ResponseWriter, q *http.Request, firstUse bool) {
 	r.mu.Lock()
-	id, cold := r.id, r.coldUntil
+	id, cold, away := r.id, r.coldUntil, r.awayUntil
 	r.mu.Unlock()
 	if q.Method == http.MethodGet && q.URL.Path == "/health" {
 		w.Header().Set("X-Wigeonflow-Instance-Id", id)
@@ -151,7 +157,14 @@
 	a := arrival{at: time.Now(), id: attempt, replica: r.key, from: host, firstUse: firstUse, tenant: q.Header.Get("X-Wigeonflow-Tenant")}
 	a.deadly = r.deadly != nil && r.deadly(q)
 	a.cold = time.Now().Before(cold)
+	a.away = time.Now().Before(away)
 	r.arrived(a, q)
+	if a.away {
+		w.Header().Set("X-Wigeonflow-Not-Executed", "1")
+		w.Header().Set("Retry-After", strconv.Itoa(int(restFor/time.Second)))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	r.mu.Lock()
 	r.running++
 	running := r.running
