--- a/review/_standins2/client.go
+++ b/review/_standins2/client.go
@@ -52,16 +52,29 @@
 type client struct {
 	addr string
 	mu   sync.Mutex
-	idle []net.Conn
+	idle []idleConn // the longest idle first
 }
 
+// idleConn is a connection between two requests.
+type idleConn struct {
+	net.Conn
+	since time.Time
+}
+
+// maxIdle is four fifths of the configuration's idle_timeout_ms, as PROTOCOL.md says of clients.
+const maxIdle = 12 * time.Second
+
 func (c *client) conn() (net.Conn, error) {
 	c.mu.Lock()
+	for len(c.idle) > 0 && time.Since(c.idle[0].since) > maxIdle {
+		c.idle[0].Close()
+		c.idle = c.idle[1:]
+	}
 	if n := len(c.idle); n > 0 {
 		conn := c.idle[n-1]
 		c.idle = c.idle[:n-1]
 		c.mu.Unlock()
-		return conn, nil
+		return conn.Conn, nil
 	}
 	c.mu.Unlock()
 	return net.DialTimeout("tcp", c.addr, time.Second)
@@ -92,7 +105,7 @@
 	}
 	_ = conn.SetDeadline(time.Time{})
 	c.mu.Lock()
-	c.idle = append(c.idle, conn)
+	c.idle = append(c.idle, idleConn{conn, time.Now()})
 	c.mu.Unlock()
 	return out
 }
