Review: order the cases, the gravest first

The renewed core becomes case 6; the cases of list entry, followed part, used connections and cold start move to 7 to 10.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/wigeonflow ] && [ -x target/review-2/lab ] || { echo "build first" >&2; exit 2; }
-exec target/review-2/lab away "$here/record.txt"
+exec target/review-2/lab cold "$here/record.txt"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 go build -o target/review-2/lab ./review/_standins2
+go build -o target/review-2/core ./review/_standins3
