--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,5 +3,5 @@
 # disruption out.
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
-[ -x target/wigeonflow ] && [ -x target/review-2/lab ] || { echo "build first" >&2; exit 2; }
-exec target/review-2/lab cold "$here/record.txt"
+[ -x target/wigeonflow ] && [ -x target/review-2/core ] || { echo "build first" >&2; exit 2; }
+exec target/review-2/core deadly-restart "$here/record.txt"
--- a/review/_standins3/fleet.go
+++ b/review/_standins3/fleet.go
@@ -224,6 +224,9 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	startedMu.Lock()
+	started = append(started, cmd.Process)
+	startedMu.Unlock()
 	exited := make(chan struct{})
 	m.cmd, m.exited = cmd, exited
 	go func() {
@@ -283,3 +286,18 @@
 		fmt.Println("kept", f.dir)
 	}
 }
+
+// started are all processes that this one has started.
+var (
+	startedMu sync.Mutex
+	started   []*os.Process
+)
+
+// killStarted ends all of them.
+func killStarted() {
+	startedMu.Lock()
+	defer startedMu.Unlock()
+	for _, p := range started {
+		_ = p.Kill() // fails if it has ended
+	}
+}
--- a/review/_standins3/main.go
+++ b/review/_standins3/main.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // cases maps the name of a case to its run, which reports whether the rule held.
@@ -18,6 +21,9 @@
 	exitFailed = 2
 )
 
+// longestRun is less than the 120 s that a script may run.
+const longestRun = 115 * time.Second
+
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: core CASE RECORD")
@@ -28,6 +34,16 @@
 		fmt.Println(err)
 		os.Exit(exitFailed)
 	}
+	go func() { // whatever ends the run, no process is left
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+		select {
+		case <-signals:
+		case <-time.After(longestRun):
+		}
+		killStarted()
+		os.Exit(exitFailed)
+	}()
 	held, err := cases[os.Args[1]](rec, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
