control: silent voters of an odd group are removed, and those whose successors vote soon

Cause: only a single removal that lowers the quorum was made, so that an odd group kept all of its silent voters for good. Successors that had joined before were not known as such, or no longer after an election. Change: the membership holds the number of initial members. Silent voters beyond it are removed after 2 s, others after 10 s, where one removal or two together lower the quorum; due changes follow at once. The leader publishes how many losses the group bears, and logs when these are too few. Statuses name the number of initial members.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -122,7 +122,8 @@
 			MaxAge: s.Ledger.MaxAge, MaxRecords: s.Ledger.MaxRecords, MaxAnswer: int(s.Ledger.MaxAnswerBytes),
 		},
 		OperatorAddr: advertisedAddr(s.Listen.Operators, s.Listen.Mesh),
-		Join:         a.extension.Control.Join, Adopt: a.extension.Control.Adopt,
+		Join:         a.extension.Control.Join, Initial: a.extension.Control.Initial, Adopt: a.extension.Control.Adopt,
+		RequiredLosses:       cmp.Or(a.extension.Control.RequiredLosses, (len(s.Control.Members)-1)/2),
 		AcceptChangedFileIDs: a.extension.Control.AcceptChangedFileIDs,
 		Clock:                clock, Guard: a.guard, Logger: a.log, Metrics: a.metrics,
 	}, a.mesh, a.pool)
--- a/internal/agent/extension.go
+++ b/internal/agent/extension.go
@@ -66,7 +66,11 @@
 // ControlOptions are a platform's options of a control member; see control.Config.
 // AcceptChangedFileIDs accepts a data directory whose files have other inode numbers than
 // before.
-type ControlOptions struct{ Join, Adopt, AcceptChangedFileIDs bool }
+type ControlOptions struct {
+	Join, Initial, Adopt, AcceptChangedFileIDs bool
+	// RequiredLosses replaces the largest minority of the members if set.
+	RequiredLosses int
+}
 
 func (a *Agent) parts(clock fleet.Clock) Parts {
 	return Parts{Clock: clock, Logger: a.log, Requests: a.requests, Metrics: a.metrics, Tracer: a.tracer, Guard: a.guard, Mesh: a.mesh, Pool: a.pool}
--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -40,8 +40,8 @@
 	return index, c.hard.Term, nil
 }
 
-// fillFromWaiting completes a change that adds a learner with the store and
-// address from the hello of the waiting member.
+// fillFromWaiting completes a change that adds a learner with what the hello of the
+// waiting member says.
 func (c *Core) fillFromWaiting(now time.Duration, ch Change) Change {
 	w, ok := c.waitingStore(now, ch.ID)
 	if ch.Kind != ChangeAddLearner || !ok {
@@ -53,6 +53,7 @@
 	if ch.Addr == "" {
 		ch.Addr = w.Addr
 	}
+	ch.Initial = w.Initial
 	return ch
 }
 
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -67,6 +67,9 @@
 	// peer with the lowest ID does so, once every peer has confirmed that it has
 	// no log either. Without it the member waits to be added as a learner.
 	Bootstrap bool
+	// Initial marks a member that isn't one of Peers but starts together with the group, see
+	// MemberSet.Size.
+	Initial bool
 	// ElectionTimeout is the shortest time without a message from a leader after which
 	// a follower starts an election. Until then the follower grants no vote either. 0
 	// means DefaultElectionTimeout.
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -48,6 +48,8 @@
 	ID    MemberID
 	Addr  string
 	Store StoreID
+	// Initial is set if the member starts together with the group, see MemberSet.Size.
+	Initial bool
 
 	lastHello time.Duration // time of the last hello or pre-vote
 }
@@ -102,7 +104,7 @@
 
 func (c *Core) sendHello(to MemberID) {
 	if to != c.opts.ID {
-		c.messages = append(c.messages, c.withSender(Message{Type: MessageHello, To: to, Addr: c.opts.Addr, Round: c.formation.round}))
+		c.messages = append(c.messages, c.withSender(Message{Type: MessageHello, To: to, Addr: c.opts.Addr, Round: c.formation.round, Initial: c.opts.Initial}))
 	}
 }
 
@@ -137,7 +139,7 @@
 func (c *Core) handleHello(now time.Duration, m Message) {
 	if !c.uninitialized() {
 		if known := c.membership().Find(m.From); known == nil || known.Store != m.FromStore {
-			c.waiting[m.From] = WaitingStore{ID: m.From, Addr: m.Addr, Store: m.FromStore, lastHello: now}
+			c.waiting[m.From] = WaitingStore{ID: m.From, Addr: m.Addr, Store: m.FromStore, Initial: m.Initial, lastHello: now}
 		}
 		c.reply(m, Message{Type: MessageHelloResponse, Reject: true, Known: c.membership().memberIDs()})
 		return
@@ -187,7 +189,7 @@
 	if !c.opts.Bootstrap || c.formation.groupExists || c.founder() != c.opts.ID {
 		return
 	}
-	set, term, stores := MemberSet{}, c.hard.Term, map[MemberID]StoreID{}
+	set, term, stores := MemberSet{Size: uint32(len(c.peers()))}, c.hard.Term, map[MemberID]StoreID{}
 	for _, p := range c.peers() {
 		peer, ok := c.formation.ready[p.ID]
 		if p.ID == c.opts.ID {
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -37,7 +37,10 @@
 	AcceptChangedFileIDs bool
 	// Bootstrap lets members without a log form the group. Without it, a member
 	// with an empty data directory waits to be added as a learner.
-	Bootstrap         bool
+	Bootstrap bool
+	// Initial marks a member that waits to be added although it starts together with the
+	// group, see MemberSet.Size.
+	Initial           bool
 	ElectionTimeout   time.Duration // default DefaultElectionTimeout
 	Heartbeat         time.Duration // default DefaultHeartbeat
 	ClockDrift        float64       // default DefaultClockDrift
@@ -146,7 +149,7 @@
 
 func (c *Config) options() Options {
 	return Options{
-		ID: c.ID, Addr: c.Addr, Peers: c.Peers, Bootstrap: c.Bootstrap,
+		ID: c.ID, Addr: c.Addr, Peers: c.Peers, Bootstrap: c.Bootstrap, Initial: c.Initial,
 		ElectionTimeout: c.ElectionTimeout, Heartbeat: c.Heartbeat,
 		ClockDrift: c.ClockDrift, Rand: c.Rand,
 	}
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -26,6 +26,8 @@
 	ID    MemberID
 	Addr  string
 	Store StoreID
+	// Initial marks an added learner as one of the initial members, see MemberSet.Size.
+	Initial bool
 }
 
 // Find returns the member with the given ID, or nil.
@@ -60,7 +62,7 @@
 
 // apply returns the membership after the change.
 func (s MemberSet) apply(ch Change) (MemberSet, error) {
-	next := MemberSet{Members: slices.Clone(s.Members)}
+	next := MemberSet{Members: slices.Clone(s.Members), Size: s.Size}
 	current := next.Find(ch.ID)
 	switch ch.Kind {
 	case ChangeAddLearner:
@@ -78,6 +80,9 @@
 	default:
 		return s, ErrRejected.New("unknown kind of membership change: %d", ch.Kind)
 	}
+	if next.Size == 0 {
+		next.Size = uint32(s.Voters())
+	}
 	if next.Voters() == 0 {
 		return s, ErrRejected.New("%s can't be removed: it is the last voter", ch.ID)
 	}
@@ -91,6 +96,9 @@
 	if current != nil && current.Store == ch.Store {
 		return s, ErrRejected.New("%s is already a member with store ID %d", ch.ID, ch.Store)
 	}
+	if current == nil && ch.Initial {
+		s.Size++
+	}
 	s.remove(ch.ID)
 	s.Members = append(s.Members, Member{ID: ch.ID, Addr: ch.Addr, Store: ch.Store, Learner: true})
 	slices.SortFunc(s.Members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -22,8 +22,8 @@
 	EntryMembers
 )
 
-//msgp:tuple Entry Member MemberSet Snapshot SnapshotChunk Message
-//msgp:vartuple HardState
+//msgp:tuple Entry Member Snapshot SnapshotChunk
+//msgp:vartuple HardState MemberSet Message
 
 // Entry is one entry of the log.
 type Entry struct {
@@ -47,6 +47,9 @@
 // MemberSet is the membership of the group, ordered by ID.
 type MemberSet struct {
 	Members []Member
+	// Size is the number of initial members: those with which the group was set up. It stays
+	// the same when a member is replaced. It is 0 in data of earlier releases.
+	Size uint32
 }
 
 // Snapshot replaces the log up to and including Index.
@@ -127,6 +130,8 @@
 	Addr    string
 	// Known are the members in the membership of a MessageHelloResponse's sender.
 	Known []MemberID
+	// Initial marks the MessageHello of an initial member, see MemberSet.Size.
+	Initial bool
 }
 
 // HardState must be synced before any message that depends on it is sent.
--- a/internal/consensus/types_gen.go
+++ b/internal/consensus/types_gen.go
@@ -290,8 +290,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *MemberSet) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
 	for za0001 := range z.Members {
 		o, err = z.Members[za0001].MarshalMsg(o)
@@ -300,6 +300,7 @@
 			return
 		}
 	}
+	o = msgp.AppendUint32(o, z.Size)
 	return
 }
 
@@ -311,27 +312,43 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Members")
-		return
-	}
-	if cap(z.Members) >= int(zb0002) {
-		z.Members = (z.Members)[:zb0002]
-	} else {
-		z.Members = make([]Member, zb0002)
-	}
-	for za0001 := range z.Members {
-		bts, err = z.Members[za0001].UnmarshalMsg(bts)
+	for zb0001 > 0 {
+		var zb0002 uint32
+		zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
+			err = msgp.WrapError(err, "Members")
 			return
 		}
+		if cap(z.Members) >= int(zb0002) {
+			z.Members = (z.Members)[:zb0002]
+		} else {
+			z.Members = make([]Member, zb0002)
+		}
+		for za0001 := range z.Members {
+			bts, err = z.Members[za0001].UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0001)
+				return
+			}
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Size, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Size")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		for ; zb0001 > 0; zb0001-- {
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -343,14 +360,15 @@
 	for za0001 := range z.Members {
 		s += z.Members[za0001].Msgsize()
 	}
+	s += msgp.Uint32Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 16
-	o = append(o, 0xdc, 0x0, 0x10)
+	// array header, size 17
+	o = append(o, 0xdc, 0x0, 0x11)
 	o = msgp.AppendUint8(o, uint8(z.Type))
 	o = msgp.AppendString(o, string(z.From))
 	o = msgp.AppendUint64(o, uint64(z.FromStore))
@@ -385,6 +403,7 @@
 	for za0002 := range z.Known {
 		o = msgp.AppendString(o, string(z.Known[za0002]))
 	}
+	o = msgp.AppendBool(o, z.Initial)
 	return
 }
 
@@ -396,145 +415,206 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 16 {
-		err = msgp.ArrayError{Wanted: 16, Got: zb0001}
-		return
-	}
-	{
-		var zb0002 uint8
-		zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+	for zb0001 > 0 {
+		{
+			var zb0002 uint8
+			zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Type")
+				return
+			}
+			z.Type = MessageType(zb0002)
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		{
+			var zb0003 string
+			zb0003, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+			z.From = MemberID(zb0003)
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		{
+			var zb0004 uint64
+			zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FromStore")
+				return
+			}
+			z.FromStore = StoreID(zb0004)
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		{
+			var zb0005 uint64
+			zb0005, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ToStore")
+				return
+			}
+			z.ToStore = StoreID(zb0005)
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Term, bts, err = msgp.ReadUint64Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Type")
+			err = msgp.WrapError(err, "Term")
 			return
 		}
-		z.Type = MessageType(zb0002)
-	}
-	{
-		var zb0003 string
-		zb0003, bts, err = msgp.ReadStringBytes(bts)
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Index, bts, err = msgp.ReadUint64Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "From")
+			err = msgp.WrapError(err, "Index")
 			return
 		}
-		z.From = MemberID(zb0003)
-	}
-	{
-		var zb0004 uint64
-		zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.LogTerm, bts, err = msgp.ReadUint64Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "FromStore")
+			err = msgp.WrapError(err, "LogTerm")
 			return
 		}
-		z.FromStore = StoreID(zb0004)
-	}
-	{
-		var zb0005 uint64
-		zb0005, bts, err = msgp.ReadUint64Bytes(bts)
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Commit, bts, err = msgp.ReadUint64Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "ToStore")
+			err = msgp.WrapError(err, "Commit")
 			return
 		}
-		z.ToStore = StoreID(zb0005)
-	}
-	z.Term, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Term")
-		return
-	}
-	z.Index, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Index")
-		return
-	}
-	z.LogTerm, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "LogTerm")
-		return
-	}
-	z.Commit, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Commit")
-		return
-	}
-	z.Round, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Round")
-		return
-	}
-	z.Reject, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Reject")
-		return
-	}
-	z.Hint, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Hint")
-		return
-	}
-	z.Forced, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Forced")
-		return
-	}
-	var zb0006 uint32
-	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Entries")
-		return
-	}
-	if cap(z.Entries) >= int(zb0006) {
-		z.Entries = (z.Entries)[:zb0006]
-	} else {
-		z.Entries = make([]Entry, zb0006)
-	}
-	for za0001 := range z.Entries {
-		bts, err = z.Entries[za0001].UnmarshalMsg(bts)
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Round, bts, err = msgp.ReadUint64Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Entries", za0001)
+			err = msgp.WrapError(err, "Round")
 			return
 		}
-	}
-	if msgp.IsNil(bts) {
-		bts, err = msgp.ReadNilBytes(bts)
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Reject, bts, err = msgp.ReadBoolBytes(bts)
 		if err != nil {
+			err = msgp.WrapError(err, "Reject")
 			return
 		}
-		z.Chunk = nil
-	} else {
-		if z.Chunk == nil {
-			z.Chunk = new(SnapshotChunk)
+		if zb0001--; zb0001 == 0 {
+			break
 		}
-		bts, err = z.Chunk.UnmarshalMsg(bts)
+		z.Hint, bts, err = msgp.ReadUint64Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Chunk")
+			err = msgp.WrapError(err, "Hint")
 			return
 		}
-	}
-	z.Addr, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Addr")
-		return
-	}
-	var zb0007 uint32
-	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Known")
-		return
-	}
-	if cap(z.Known) >= int(zb0007) {
-		z.Known = (z.Known)[:zb0007]
-	} else {
-		z.Known = make([]MemberID, zb0007)
-	}
-	for za0002 := range z.Known {
-		{
-			var zb0008 string
-			zb0008, bts, err = msgp.ReadStringBytes(bts)
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Forced, bts, err = msgp.ReadBoolBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Forced")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		var zb0006 uint32
+		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries")
+			return
+		}
+		if cap(z.Entries) >= int(zb0006) {
+			z.Entries = (z.Entries)[:zb0006]
+		} else {
+			z.Entries = make([]Entry, zb0006)
+		}
+		for za0001 := range z.Entries {
+			bts, err = z.Entries[za0001].UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries", za0001)
+				return
+			}
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		if msgp.IsNil(bts) {
+			bts, err = msgp.ReadNilBytes(bts)
+			if err != nil {
+				return
+			}
+			z.Chunk = nil
+		} else {
+			if z.Chunk == nil {
+				z.Chunk = new(SnapshotChunk)
+			}
+			bts, err = z.Chunk.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Chunk")
+				return
+			}
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Addr, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Addr")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		var zb0007 uint32
+		zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Known")
+			return
+		}
+		if cap(z.Known) >= int(zb0007) {
+			z.Known = (z.Known)[:zb0007]
+		} else {
+			z.Known = make([]MemberID, zb0007)
+		}
+		for za0002 := range z.Known {
+			{
+				var zb0008 string
+				zb0008, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Known", za0002)
+					return
+				}
+				z.Known[za0002] = MemberID(zb0008)
+			}
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Initial, bts, err = msgp.ReadBoolBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Initial")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		for ; zb0001 > 0; zb0001-- {
+			bts, err = msgp.Skip(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Known", za0002)
+				err = msgp.WrapError(err)
 				return
 			}
-			z.Known[za0002] = MemberID(zb0008)
 		}
 	}
 	o = bts
@@ -556,6 +636,7 @@
 	for za0002 := range z.Known {
 		s += msgp.StringPrefixSize + len(string(z.Known[za0002]))
 	}
+	s += msgp.BoolSize
 	return
 }
 
@@ -594,8 +675,8 @@
 	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.Index)
 	o = msgp.AppendUint64(o, z.Term)
-	// array header, size 1
-	o = append(o, 0x91)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members.Members)))
 	for za0001 := range z.Members.Members {
 		o, err = z.Members.Members[za0001].MarshalMsg(o)
@@ -604,6 +685,7 @@
 			return
 		}
 	}
+	o = msgp.AppendUint32(o, z.Members.Size)
 	o = msgp.AppendBytes(o, z.Data)
 	return
 }
@@ -636,27 +718,43 @@
 		err = msgp.WrapError(err, "Members")
 		return
 	}
-	if zb0002 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0002}
-		return
-	}
-	var zb0003 uint32
-	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Members", "Members")
-		return
-	}
-	if cap(z.Members.Members) >= int(zb0003) {
-		z.Members.Members = (z.Members.Members)[:zb0003]
-	} else {
-		z.Members.Members = make([]Member, zb0003)
-	}
-	for za0001 := range z.Members.Members {
-		bts, err = z.Members.Members[za0001].UnmarshalMsg(bts)
+	for zb0002 > 0 {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", "Members", za0001)
+			err = msgp.WrapError(err, "Members", "Members")
+			return
+		}
+		if cap(z.Members.Members) >= int(zb0003) {
+			z.Members.Members = (z.Members.Members)[:zb0003]
+		} else {
+			z.Members.Members = make([]Member, zb0003)
+		}
+		for za0001 := range z.Members.Members {
+			bts, err = z.Members.Members[za0001].UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", "Members", za0001)
+				return
+			}
+		}
+		if zb0002--; zb0002 == 0 {
+			break
+		}
+		z.Members.Size, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", "Size")
 			return
 		}
+		if zb0002--; zb0002 == 0 {
+			break
+		}
+		for ; zb0002 > 0; zb0002-- {
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	z.Data, bts, err = msgp.ReadBytesBytes(bts, z.Data)
 	if err != nil {
@@ -673,7 +771,7 @@
 	for za0001 := range z.Members.Members {
 		s += z.Members.Members[za0001].Msgsize()
 	}
-	s += msgp.BytesPrefixSize + len(z.Data)
+	s += msgp.Uint32Size + msgp.BytesPrefixSize + len(z.Data)
 	return
 }
 
@@ -684,8 +782,8 @@
 	o = append(o, 0x96)
 	o = msgp.AppendUint64(o, z.Index)
 	o = msgp.AppendUint64(o, z.Term)
-	// array header, size 1
-	o = append(o, 0x91)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members.Members)))
 	for za0001 := range z.Members.Members {
 		o, err = z.Members.Members[za0001].MarshalMsg(o)
@@ -694,6 +792,7 @@
 			return
 		}
 	}
+	o = msgp.AppendUint32(o, z.Members.Size)
 	o = msgp.AppendUint64(o, z.Size)
 	o = msgp.AppendUint64(o, z.Offset)
 	o = msgp.AppendBytes(o, z.Data)
@@ -728,27 +827,43 @@
 		err = msgp.WrapError(err, "Members")
 		return
 	}
-	if zb0002 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0002}
-		return
-	}
-	var zb0003 uint32
-	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Members", "Members")
-		return
-	}
-	if cap(z.Members.Members) >= int(zb0003) {
-		z.Members.Members = (z.Members.Members)[:zb0003]
-	} else {
-		z.Members.Members = make([]Member, zb0003)
-	}
-	for za0001 := range z.Members.Members {
-		bts, err = z.Members.Members[za0001].UnmarshalMsg(bts)
+	for zb0002 > 0 {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", "Members", za0001)
+			err = msgp.WrapError(err, "Members", "Members")
+			return
+		}
+		if cap(z.Members.Members) >= int(zb0003) {
+			z.Members.Members = (z.Members.Members)[:zb0003]
+		} else {
+			z.Members.Members = make([]Member, zb0003)
+		}
+		for za0001 := range z.Members.Members {
+			bts, err = z.Members.Members[za0001].UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", "Members", za0001)
+				return
+			}
+		}
+		if zb0002--; zb0002 == 0 {
+			break
+		}
+		z.Members.Size, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", "Size")
 			return
 		}
+		if zb0002--; zb0002 == 0 {
+			break
+		}
+		for ; zb0002 > 0; zb0002-- {
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	z.Size, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
@@ -775,7 +890,7 @@
 	for za0001 := range z.Members.Members {
 		s += z.Members.Members[za0001].Msgsize()
 	}
-	s += msgp.Uint64Size + msgp.Uint64Size + msgp.BytesPrefixSize + len(z.Data)
+	s += msgp.Uint32Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BytesPrefixSize + len(z.Data)
 	return
 }
 
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/wigeonflow/wigeonflow/internal/consensus"
@@ -24,8 +26,8 @@
 	// it removes the member. It is longer than a restart or a freeze; a member that
 	// comes back later joins the group again.
 	silentTimeout = 10 * time.Second
-	// replacedTimeout is silentTimeout for a member that was silent when another one
-	// joined, once that one votes: the silent member then only raises the quorum.
+	// replacedTimeout is silentTimeout while the group has more voters than initial members:
+	// others have joined in the place of the silent ones, which only raise the quorum.
 	replacedTimeout = 2 * time.Second
 	// minVoters is the number of voters that removals must leave: a smaller group
 	// tolerates no failure.
@@ -40,22 +42,16 @@
 	// silentSince holds the time since which the leader has received nothing from
 	// each inactive member.
 	silentSince map[consensus.MemberID]time.Duration
-	// replacedBy maps each voter that was silent when a new member joined to that member.
-	// One that is heard again is deleted.
-	replacedBy map[consensus.MemberID]consensus.MemberID
 }
 
 func newRepairPlanner(adopt bool) *repairPlanner {
-	return &repairPlanner{
-		adopt: adopt, silentSince: make(map[consensus.MemberID]time.Duration), replacedBy: make(map[consensus.MemberID]consensus.MemberID),
-	}
+	return &repairPlanner{adopt: adopt, silentSince: make(map[consensus.MemberID]time.Duration)}
 }
 
 // nextChange returns the change that is due now; ok is false if there is none. In order
 // of priority: add a member whose disk was replaced as a learner, promote a
-// learner that has nearly caught up to a voter, add a new member as a learner, remove a member from which
-// nothing was received for silentTimeout, or replacedTimeout if another one has joined
-// in its place, see removableMember.
+// learner that has nearly caught up to a voter, add a new member as a learner, remove a member
+// that is silent, see removableMember.
 func (r *repairPlanner) nextChange(now time.Duration, status consensus.Status) (change consensus.Change, ok bool) {
 	r.observe(now, status)
 	if w, ok := replacedDisk(status); ok {
@@ -70,7 +66,6 @@
 		return consensus.Change{}, false
 	}
 	if w, ok := unlistedMember(status); ok {
-		r.recordSuccessor(w.ID, status)
 		return consensus.Change{Kind: consensus.ChangeAddLearner, ID: w.ID, Addr: w.Addr, Store: w.Store}, true
 	}
 	if id, ok := r.removableMember(now, status); ok {
@@ -80,77 +75,71 @@
 }
 
 // reset discards what was observed under an earlier leadership.
-func (r *repairPlanner) reset() {
-	clear(r.silentSince)
-	clear(r.replacedBy)
-}
+func (r *repairPlanner) reset() { clear(r.silentSince) }
 
 // observe records since when the leader has received nothing from each inactive member.
 func (r *repairPlanner) observe(now time.Duration, status consensus.Status) {
 	for _, m := range status.Members {
 		if m.Active {
 			delete(r.silentSince, m.ID)
-			delete(r.replacedBy, m.ID)
 		} else if _, known := r.silentSince[m.ID]; !known {
 			r.silentSince[m.ID] = now
 		}
 	}
 }
 
-// recordSuccessor records the joining member as the successor of the voter that has been
-// silent longest and has none, if there is one.
-func (r *repairPlanner) recordSuccessor(joining consensus.MemberID, status consensus.Status) {
-	var replaced consensus.MemberID
+// removableMember returns a silent learner or else a voter that is to be removed. If the group
+// has more voters than initial members, the voters beyond that number are removed after
+// replacedTimeout, and others after silentTimeout.
+func (r *repairPlanner) removableMember(now time.Duration, status consensus.Status) (consensus.MemberID, bool) {
+	var replaced, gone []consensus.MemberID
 	for _, m := range status.Members {
-		since, silent := r.silentSince[m.ID]
-		switch successor := r.replacedBy[m.ID]; {
-		case successor == joining:
-			return
-		case m.Learner || !silent || successor != "":
-		case replaced == "" || since < r.silentSince[replaced]:
-			replaced = m.ID
+		silence := r.silence(now, m)
+		switch {
+		case m.Learner && silence >= silentTimeout:
+			return m.ID, true
+		case m.Learner:
+			continue
+		}
+		if silence >= replacedTimeout {
+			replaced = append(replaced, m.ID)
+		}
+		if silence >= silentTimeout {
+			gone = append(gone, m.ID)
 		}
 	}
-	if replaced != "" {
-		r.replacedBy[replaced] = joining
+	voters := voterCount(status)
+	if status.Size > 0 {
+		if id, ok := r.removableVoter(replaced, voters, max(status.Size, minVoters)); ok {
+			return id, true
+		}
 	}
+	return r.removableVoter(gone, voters, minVoters)
 }
 
-// timeoutOf returns how long a member must be silent before it is removed.
-func (r *repairPlanner) timeoutOf(id consensus.MemberID, status consensus.Status) time.Duration {
-	successor := r.replacedBy[id]
-	for _, m := range status.Members {
-		if m.ID == successor && m.Active && !m.Learner {
-			return replacedTimeout
-		}
-	}
-	return silentTimeout
+// removableVoter returns the one of the silent voters that has been silent longest. It returns
+// false unless removals of silent voters that leave at least remaining ones lower the quorum.
+// That of one lowers the quorum of an even number of voters, and that of two the quorum of an
+// odd number. Any other removal would tolerate no further loss, but the member could not vote
+// when it returns.
+func (r *repairPlanner) removableVoter(silent []consensus.MemberID, voters, remaining int) (consensus.MemberID, bool) {
+	needed := 1 + voters%2
+	if len(silent) < needed || voters-needed < remaining {
+		return "", false
+	}
+	return slices.MinFunc(silent, func(a, b consensus.MemberID) int {
+		return cmp.Or(cmp.Compare(r.silentSince[a], r.silentSince[b]), cmp.Compare(a, b))
+	}), true
 }
 
-// removableMember returns a member that has been silent for its timeout, learners first.
-// It returns a voter only if more than minVoters voters are listed and the removal lowers
-// the quorum. Otherwise the removal would tolerate no further loss, but the member could
-// not vote when it returns.
-func (r *repairPlanner) removableMember(now time.Duration, status consensus.Status) (consensus.MemberID, bool) {
-	voters := 0
-	for _, m := range status.Members {
-		if !m.Learner {
-			voters++
-		}
-	}
-	var found consensus.MemberID
-	for _, m := range status.Members {
-		since, silent := r.silentSince[m.ID]
-		if m.Active || !silent || now-since < r.timeoutOf(m.ID, status) {
-			continue
-		}
-		if m.Learner {
-			return m.ID, true
-		}
-		found = m.ID
+// silence returns for how long the leader has received nothing from a member; 0 if it is
+// active.
+func (r *repairPlanner) silence(now time.Duration, m consensus.MemberStatus) time.Duration {
+	since, silent := r.silentSince[m.ID]
+	if m.Active || !silent {
+		return 0
 	}
-	lowersQuorum := voters%2 == 0
-	return found, found != "" && voters > minVoters && lowersQuorum
+	return now - since
 }
 
 // replacedDisk returns a waiting store with the ID of a listed member, but another
@@ -185,26 +174,34 @@
 // member at a time.
 func (s *Server) repairLoop(ctx context.Context) {
 	planner := newRepairPlanner(s.cfg.Adopt)
-	fleet.Every(ctx, repairInterval, func(ctx context.Context) { s.repair(ctx, planner) })
+	tolerance := newToleranceMonitor(s.log, s.cfg.RequiredLosses, s.cfg.Metrics)
+	fleet.Every(ctx, repairInterval, func(ctx context.Context) {
+		for s.repair(ctx, planner, tolerance) {
+		}
+	})
 }
 
-// repair makes the change of the membership that is due, if any.
-func (s *Server) repair(ctx context.Context, planner *repairPlanner) {
+// repair makes the change of the membership that is due. It reports whether there was one
+// and it was committed.
+func (s *Server) repair(ctx context.Context, planner *repairPlanner, tolerance *toleranceMonitor) bool {
 	if _, leading := s.group.LeaderLease(); !leading {
 		planner.reset()
-		return
+		tolerance.reset()
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	status, err := s.group.Status(ctx)
 	if err != nil {
 		s.log.Warn("cannot read the membership of the control group", "error", err)
-		return
+		return false
 	}
 	s.members.Store(memberAddrs(status))
-	change, due := planner.nextChange(s.cfg.Clock(), status)
+	now := s.cfg.Clock()
+	tolerance.observe(now, status)
+	change, due := planner.nextChange(now, status)
 	if !due {
-		return
+		return false
 	}
 	peer := string(change.ID)
 	switch change.Kind {
@@ -218,8 +215,19 @@
 		s.log.Info("membership change of the control group ended: promote learner to voter", "peer", peer, "error", err)
 	case consensus.ChangeRemove:
 		err = s.group.Remove(ctx, change.ID)
-		s.log.Info("membership change of the control group ended: remove silent member", "peer", peer, "silent", planner.timeoutOf(change.ID, status).String(), "error", err)
+		s.log.Info("membership change of the control group ended: remove silent member", "peer", peer, "voters", voterCount(status), "initial", status.Size, "error", err)
+	}
+	return err == nil
+}
+
+// voterCount returns the number of voters.
+func voterCount(status consensus.Status) (n int) {
+	for _, m := range status.Members {
+		if !m.Learner {
+			n++
+		}
 	}
+	return n
 }
 
 // memberAddrs returns the mesh addresses of the group's members.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -25,9 +25,15 @@
 	// Join is set on a member that isn't one of Members, or whose empty data
 	// directory must not form a group: it waits to be added.
 	Join bool
+	// Initial is set on a member that joins, but starts together with the group: with the other
+	// initial members it makes up the size to which silent members are removed soon.
+	Initial bool
 	// Adopt makes the leader add members that the group doesn't list, and remove those
 	// from which it has received nothing for silentTimeout.
 	Adopt bool
+	// RequiredLosses is the number of members that the group is meant to bear the loss of. The
+	// leader logs when it can't.
+	RequiredLosses int
 	// AcceptChangedFileIDs is set if the inode numbers of the data directory's files may
 	// change, as after a restore. A copied data directory is then not detected.
 	AcceptChangedFileIDs bool
@@ -142,7 +148,7 @@
 	}
 	return consensus.Config{
 		Group: groupName, ID: consensus.MemberID(s.cfg.Addr), Addr: s.cfg.Addr, Dir: s.cfg.Dir, Disk: s.cfg.Disk,
-		Peers: peers, Bootstrap: !s.cfg.Join, AcceptChangedFileIDs: s.cfg.AcceptChangedFileIDs,
+		Peers: peers, Bootstrap: !s.cfg.Join, Initial: s.cfg.Initial, AcceptChangedFileIDs: s.cfg.AcceptChangedFileIDs,
 		ElectionTimeout: s.cfg.ElectionTimeout, Heartbeat: s.cfg.ElectionTimeout / heartbeatsPerElectionTimeout,
 		Machine: s.stateMachine, Transport: t,
 		Logger: s.log.Named("consensus"), Metrics: s.cfg.Metrics,
