balance: sound parts behind a deadly prompt part don't hide it

Cause: a quarantine needs two different parts behind the suspected one, since a part that always follows may be to blame itself. That holds no longer once it was served, but nothing looked at that. Evidence: TestDeadlyPartBeforeTheSameSoundPartIsQuarantined failed on the former code. Change: a break tells the prompt's last part, and whether the next one was served shortly before or since. Sound next parts are left out, and the last part is the branch. Marks spread with the reports. The same elsewhere: a prompt with a sound part that is only repeated stays one branch (new case of TestQuarantineBlamesNothingElse). A test's call lost a parameter that is a field now.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -92,11 +92,13 @@
 
 // New returns a Balancer without upstreams.
 func New(cfg Config) *Balancer {
-	return &Balancer{
+	b := &Balancer{
 		cfg: cfg, states: make(map[fleet.UpstreamID]*upstreamState), pools: make(map[fleet.PoolID][]*upstreamState),
 		notices: make(map[Incarnation]*notices), budgets: make(map[fleet.PoolID]*budget), parts: newPartLRU(),
-		suspects: newSuspects(cfg.OnQuarantine), served: new(servedRequests),
+		served: new(servedRequests),
 	}
+	b.suspects = newSuspects(b.servedAt, cfg.OnQuarantine)
+	return b
 }
 
 // SetUpstreams replaces the upstream list; asOf is the time at which the list was
--- a/internal/balance/suspects.go
+++ b/internal/balance/suspects.go
@@ -16,8 +16,8 @@
 	// requests, but it is one upstream.
 	quarantineUpstreams = 3
 	// quarantineBranches is how many different parts must have followed a part in the broken
-	// prompts. If the same one always follows, that one may be to blame as well, or the prompt
-	// as a whole.
+	// prompts, sound ones left out. If the same one always follows, that one may be to blame as
+	// well, or the prompt as a whole.
 	quarantineBranches = 2
 	// unexplainedUpstreams is how many upstreams there must be under a request that no other
 	// request explains, see rivals.
@@ -75,6 +75,9 @@
 type Break struct {
 	Upstream uint64 // hash of the upstream's ID and boot
 	Next     uint64 // ID of the part that followed in the prompt; 0 for a whole request
+	Last     uint64 // ID of the prompt's last part; 0 for a whole request
+	// NextSound is set if the part that followed was served, so that it isn't to blame.
+	NextSound bool
 	// Late is set if the upstream had written enough of the answer to show that beginning
 	// with the request does it no harm.
 	Late bool
@@ -103,6 +106,7 @@
 	order   *list.List // of *suspect, the one that changed longest ago first
 	changes uint64     // number of changes of the evidence
 
+	servedAt    servedFunc
 	quarantines map[SuspectKey]time.Duration // ends, as judge last found them
 	judged      bool                         // quarantines follows from the evidence
 	expiredAt   time.Duration                // when expire last ran
@@ -124,32 +128,33 @@
 }
 
 type upstreamBreak struct {
-	upstream, next uint64
-	late           bool
-	at             time.Duration
+	upstream, next, last uint64
+	nextSound            bool
+	late                 bool
+	at                   time.Duration
 }
 
 // servedFunc returns when this router last saw a part or request served.
 type servedFunc func(SuspectKey) (at time.Duration, ok bool)
 
-func newSuspects(onQuarantine func(key SuspectKey, upstreams, branches int)) *suspects {
+func newSuspects(servedAt servedFunc, onQuarantine func(key SuspectKey, upstreams, branches int)) *suspects {
 	return &suspects{
-		byKey: make(map[SuspectKey]*suspect), order: list.New(),
+		byKey: make(map[SuspectKey]*suspect), order: list.New(), servedAt: servedAt,
 		quarantines: make(map[SuspectKey]time.Duration), judged: true, onQuarantine: onQuarantine,
 	}
 }
 
 // recordPartBreaks records that an upstream broke off a request with the given parts. The
 // last one belongs to the request or its session alone and isn't blamed.
-func (s *suspects) recordPartBreaks(now time.Duration, upstream uint64, parts []PromptPart, servedAt servedFunc) {
+func (s *suspects) recordPartBreaks(now time.Duration, upstream uint64, parts []PromptPart) {
 	for i := range len(parts) - 1 {
-		s.recordBreak(now, PartKey(parts[i].ID), upstreamBreak{upstream: upstream, next: parts[i+1].ID, at: now}, servedAt)
+		s.recordBreak(now, PartKey(parts[i].ID), upstreamBreak{upstream: upstream, next: parts[i+1].ID, last: parts[len(parts)-1].ID, at: now})
 	}
 }
 
 // recordBreak records a break under a suspect, unless it was served lately.
-func (s *suspects) recordBreak(now time.Duration, key SuspectKey, b upstreamBreak, servedAt servedFunc) {
-	at, served := servedAt(key)
+func (s *suspects) recordBreak(now time.Duration, key SuspectKey, b upstreamBreak) {
+	at, served := s.servedAt(key)
 	if served && now-at < soundFor {
 		s.recordServed(key, at)
 		return
@@ -159,6 +164,30 @@
 		s.setServed(x, at)
 	}
 	s.addBreak(x, b)
+	s.clearSoundNext(x)
+}
+
+// clearSoundNext marks the breaks whose next part was served.
+func (s *suspects) clearSoundNext(x *suspect) {
+	changed := false
+	for i := range x.breaks {
+		if b := &x.breaks[i]; !b.nextSound && b.next != b.last && s.wasServed(PartKey(b.next), b.at) {
+			b.nextSound, changed = true, true
+		}
+	}
+	if changed {
+		s.recordChange(x, len(x.breaks))
+	}
+}
+
+// wasServed reports whether a suspect is known to have been served after the given time or less
+// than soundFor before it.
+func (s *suspects) wasServed(key SuspectKey, at time.Duration) bool {
+	if servedAt, ok := s.servedAt(key); ok && at-servedAt < soundFor {
+		return true
+	}
+	x := s.byKey[key]
+	return x != nil && x.served && at-x.servedAt < soundFor
 }
 
 // find returns the evidence on a suspect, which it adds if there is none. It makes room by
@@ -244,9 +273,9 @@
 	}
 	for i := range x.breaks {
 		if known := &x.breaks[i]; known.upstream == b.upstream && known.next == b.next {
-			known.at = min(known.at, b.at)
-			if known.late && !b.late {
-				known.late = false
+			known.at, known.last = min(known.at, b.at), min(known.last, b.last)
+			if known.late && !b.late || b.nextSound && !known.nextSound {
+				known.late, known.nextSound = known.late && b.late, known.nextSound || b.nextSound
 				s.recordChange(x, len(x.breaks))
 			}
 			return
@@ -274,15 +303,27 @@
 	return len(x.breaks) - 2
 }
 
-// count returns the numbers of different upstreams and next parts among the breaks for
-// which counts returns true, and the time of the newest of these.
+// count returns the numbers of different upstreams and branches among the breaks for which
+// counts returns true, and the time of the newest of these. The branch of a break is the next
+// part or, if that is sound, the last one.
 func (x *suspect) count(counts func(upstreamBreak) bool) (upstreams, branches int, latest time.Duration) {
+	sound := make(map[uint64]bool)
+	for _, b := range x.breaks {
+		if b.nextSound {
+			sound[b.next] = true
+		}
+	}
 	seen, followed := make(map[uint64]bool, len(x.breaks)), make(map[uint64]bool, len(x.breaks))
 	for _, b := range x.breaks {
-		if counts(b) {
-			seen[b.upstream], followed[b.next] = true, true
-			latest = b.at
+		if !counts(b) {
+			continue
+		}
+		branch := b.next
+		if sound[b.next] {
+			branch = b.last
 		}
+		seen[b.upstream], followed[branch] = true, true
+		latest = b.at
 	}
 	return len(seen), len(followed), latest
 }
@@ -323,8 +364,7 @@
 	}
 }
 
-// isSuspected reports whether enough upstreams broke off under a part that different parts
-// followed.
+// isSuspected reports whether enough upstreams broke off under a part in enough branches.
 func (s *suspects) isSuspected(part uint64) bool {
 	x := s.byKey[PartKey(part)]
 	if x == nil {
@@ -435,6 +475,7 @@
 		if key.Kind == SuspectRequest {
 			age = requestBreakAge
 		}
+		s.clearSoundNext(x)
 		before := len(x.breaks)
 		x.breaks = slices.DeleteFunc(x.breaks, func(b upstreamBreak) bool { return now-b.at >= age })
 		if before >= quarantineUpstreams && len(x.breaks) < before {
@@ -504,7 +545,7 @@
 func (x *suspect) report(now time.Duration) Suspicion {
 	r := Suspicion{Key: x.key, Served: x.served, SinceServed: now - x.servedAt}
 	for _, b := range x.breaks {
-		r.Breaks = append(r.Breaks, Break{Upstream: b.upstream, Next: b.next, Late: b.late, Age: now - b.at})
+		r.Breaks = append(r.Breaks, Break{Upstream: b.upstream, Next: b.next, Last: b.last, NextSound: b.nextSound, Late: b.late, Age: now - b.at})
 	}
 	return r
 }
@@ -518,18 +559,19 @@
 }
 
 // merge adds what another router knows.
-func (s *suspects) merge(now time.Duration, reports []Suspicion, servedAt servedFunc) {
+func (s *suspects) merge(now time.Duration, reports []Suspicion) {
 	for _, r := range reports {
 		x := s.find(now, r.Key)
-		if at, served := servedAt(r.Key); served {
+		if at, served := s.servedAt(r.Key); served {
 			s.setServed(x, at)
 		}
 		if at := now - r.SinceServed; r.Served && (!x.served || at > x.servedAt+servedTolerance) {
 			s.setServed(x, at)
 		}
 		for _, b := range r.Breaks {
-			s.addBreak(x, upstreamBreak{upstream: b.Upstream, next: b.Next, late: b.Late, at: now - b.Age})
+			s.addBreak(x, upstreamBreak{upstream: b.Upstream, next: b.Next, last: b.Last, nextSound: b.NextSound, late: b.Late, at: now - b.Age})
 		}
+		s.clearSoundNext(x)
 	}
 }
 
@@ -571,10 +613,10 @@
 	defer b.mu.Unlock()
 	upstream := xxhash.Sum64String(string(p.Upstream.ID) + "/" + string(p.Upstream.Boot))
 	if len(parts) > 0 {
-		b.suspects.recordPartBreaks(now, upstream, parts, b.servedAt)
+		b.suspects.recordPartBreaks(now, upstream, parts)
 	}
 	if p.fingerprint != 0 {
-		b.suspects.recordBreak(now, RequestKey(p.fingerprint), upstreamBreak{upstream: upstream, late: late, at: now}, b.servedAt)
+		b.suspects.recordBreak(now, RequestKey(p.fingerprint), upstreamBreak{upstream: upstream, late: late, at: now})
 	}
 	b.suspects.judge(now)
 }
@@ -650,6 +692,6 @@
 func (b *Balancer) MergeSuspicions(now time.Duration, reports []Suspicion) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.suspects.merge(now, reports, b.servedAt)
+	b.suspects.merge(now, reports)
 	b.suspects.judge(now)
 }
--- a/internal/balance/suspects_test.go
+++ b/internal/balance/suspects_test.go
@@ -123,6 +123,26 @@
 	}
 }
 
+// A deadly part that one sound part always followed was never quarantined.
+func TestDeadlyPartBeforeTheSameSoundPartIsQuarantined(t *testing.T) {
+	for _, server := range []int{0, 3} { // a router that sees the ends, and another one
+		is := is.New(t)
+		f := newPromptFleet(7, 12)
+		f.serve(t, server, 0, prompt(partGuide, partSound, 90))
+		f.breakOff(t, 0, time.Second, prompt(partDeadly, partSound, 100))
+		f.exchange(time.Second)
+		is.True(!f.quarantined(time.Second, 0, partDeadly, partSound, 101)) // one prompt may be at fault as a whole
+		f.breakOff(t, 1, 1500*time.Millisecond, prompt(partDeadly, partSound, 101))
+		f.exchange(2 * time.Second)
+		f.exchange(3500 * time.Millisecond)
+		for router := range f.routers {
+			is.True(f.quarantined(3500*time.Millisecond, router, partDeadly, partSound, 102))
+			is.True(!f.quarantined(3500*time.Millisecond, router, partGuide, partSound, 103))
+		}
+		is.True(f.quarantined(2*soundFor+time.Second, 2, partDeadly, partSound, 104)) // the sound part is forgotten first
+	}
+}
+
 func TestQuarantineBlamesNothingElse(t *testing.T) {
 	second := time.Second
 	cases := []struct {
@@ -144,6 +164,11 @@
 			f.breakOff(t, 0, second, prompt(partGuide, partDeadly, 100))
 			f.breakOff(t, 1, second, prompt(partGuide, partDeadly, 100))
 		}},
+		{"a prompt with a sound part is retried by its caller at several engines", func(f *promptFleet, t *testing.T) {
+			f.serve(t, 0, second, prompt(partSound, 90))
+			f.breakOff(t, 0, second, prompt(partGuide, partDeadly, partSound, 100))
+			f.breakOff(t, 1, second, prompt(partGuide, partDeadly, partSound, 100))
+		}},
 		{"the part was served shortly before", func(f *promptFleet, t *testing.T) {
 			f.serve(t, 2, 0, prompt(partGuide, partDeadly, 99))
 			f.exchange(0)
@@ -229,7 +254,7 @@
 			f.routers[to].MergeSuspicions(now, suspicions(f.routers[from], now))
 		}
 		for sound := range uint64(6) { // a request that was in flight all the time
-			f.routers[rng.IntN(len(f.routers))].suspects.merge(now, []Suspicion{{Key: PartKey(10 + sound), Served: true}}, func(SuspectKey) (time.Duration, bool) { return 0, false })
+			f.routers[rng.IntN(len(f.routers))].suspects.merge(now, []Suspicion{{Key: PartKey(10 + sound), Served: true}})
 		}
 		now += time.Second
 		f.exchange(now)
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -25,6 +25,8 @@
 type RequestBreak struct {
 	Upstream uint64 `msg:"u"`
 	Next     uint64 `msg:"n,omitempty"`
+	Last     uint64 `msg:"z,omitempty"`
+	Sound    bool   `msg:"o,omitempty"` // Break.NextSound
 	Late     bool   `msg:"l,omitempty"`
 	// Age is in milliseconds.
 	Age int64 `msg:"a"`
@@ -39,7 +41,7 @@
 			e.SinceServed = max(s.SinceServed.Milliseconds(), 0)
 		}
 		for _, b := range s.Breaks {
-			e.Breaks = append(e.Breaks, RequestBreak{Upstream: b.Upstream, Next: b.Next, Late: b.Late, Age: b.Age.Milliseconds()})
+			e.Breaks = append(e.Breaks, RequestBreak{Upstream: b.Upstream, Next: b.Next, Last: b.Last, Sound: b.NextSound, Late: b.Late, Age: b.Age.Milliseconds()})
 		}
 		out = append(out, e)
 	}
@@ -56,7 +58,7 @@
 		}
 		s := balance.Suspicion{Key: key, Served: e.SinceServed >= 0, SinceServed: milliseconds(e.SinceServed)}
 		for _, b := range e.Breaks {
-			s.Breaks = append(s.Breaks, balance.Break{Upstream: b.Upstream, Next: b.Next, Late: b.Late, Age: milliseconds(b.Age)})
+			s.Breaks = append(s.Breaks, balance.Break{Upstream: b.Upstream, Next: b.Next, Last: b.Last, NextSound: b.Sound, Late: b.Late, Age: milliseconds(b.Age)})
 		}
 		out = append(out, s)
 	}
--- a/internal/gateway/suspicions_gen.go
+++ b/internal/gateway/suspicions_gen.go
@@ -10,17 +10,25 @@
 func (z *RequestBreak) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
 	if z.Next == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
-	if z.Late == false {
+	if z.Last == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.Sound == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Late == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -35,6 +43,16 @@
 			o = msgp.AppendUint64(o, z.Next)
 		}
 		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendUint64(o, z.Last)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "o"
+			o = append(o, 0xa1, 0x6f)
+			o = msgp.AppendBool(o, z.Sound)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "l"
 			o = append(o, 0xa1, 0x6c)
 			o = msgp.AppendBool(o, z.Late)
@@ -76,6 +94,18 @@
 				err = msgp.WrapError(err, "Next")
 				return
 			}
+		case "z":
+			z.Last, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Last")
+				return
+			}
+		case "o":
+			z.Sound, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sound")
+				return
+			}
 		case "l":
 			z.Late, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -102,7 +132,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RequestBreak) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size
 	return
 }
 
