balance: engines that end on connections used before count against a prompt part

Cause: such a break may be an idle connection that the upstream closes, and was never counted against the parts of the prompt. Whether the upstream has ended shows elsewhere. Evidence: TestDeadlyPartOnIdleConnectionsIsQuarantined and TestIdleConnectionThatBreaksOffAfterTheEndCounts failed with the former calls. Change: such breaks are kept for each upstream and counted once it has ended: another connection breaks off within its answer or refuses, or a second idle one breaks off, within 3 s, or the list shows a new start within 10 s. TestClosedIdleConnectionsBlameNoPart guards the other side.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -122,6 +122,9 @@
 			s.firstListed = asOf
 			b.states[l.ID] = s
 			if replaced != nil {
+				if replaced.Boot != l.Boot {
+					replaced.recordRestart(asOf, b.suspects)
+				}
 				moved = append(moved, replaced.Addr)
 				former = append(former, replaced)
 			}
@@ -137,6 +140,7 @@
 		}
 	}
 	b.groupByPool()
+	b.suspects.judge(asOf)
 	return moved
 }
 
--- a/internal/balance/suspects.go
+++ b/internal/balance/suspects.go
@@ -146,9 +146,9 @@
 
 // recordPartBreaks records that an upstream broke off a request with the given parts. The
 // last one belongs to the request or its session alone and isn't blamed.
-func (s *suspects) recordPartBreaks(now time.Duration, upstream uint64, parts []PromptPart) {
+func (s *suspects) recordPartBreaks(at time.Duration, upstream uint64, parts []PromptPart) {
 	for i := range len(parts) - 1 {
-		s.recordBreak(now, PartKey(parts[i].ID), upstreamBreak{upstream: upstream, next: parts[i+1].ID, last: parts[len(parts)-1].ID, at: now})
+		s.recordBreak(at, PartKey(parts[i].ID), upstreamBreak{upstream: upstream, next: parts[i+1].ID, last: parts[len(parts)-1].ID, at: at})
 	}
 }
 
@@ -599,22 +599,42 @@
 // RecordBreak records that the upstream broke off before it had written the start of the
 // answer. The parts of the prompt and the request as a whole are suspected.
 func (p *Pick) RecordBreak(now time.Duration) {
-	p.balancer.recordBreak(now, p, p.parts, false)
+	p.recordBreak(now, func(upstream uint64) {
+		p.state.recordEnd(now, p.balancer.suspects)
+		p.balancer.suspects.recordPartBreaks(now, upstream, p.parts)
+	}, false)
 }
 
-// RecordRequestBreak records that the upstream broke off on a connection that had been idle,
-// or late, see Break. Only the request as a whole is suspected.
-func (p *Pick) RecordRequestBreak(now time.Duration, late bool) {
-	p.balancer.recordBreak(now, p, nil, late)
+// RecordLateBreak records that the upstream broke off late, see Break. Only the request as a
+// whole is suspected.
+func (p *Pick) RecordLateBreak(now time.Duration) {
+	p.recordBreak(now, func(uint64) { p.state.recordEnd(now, p.balancer.suspects) }, true)
 }
 
-func (b *Balancer) recordBreak(now time.Duration, p *Pick, parts []PromptPart, late bool) {
+// RecordIdleBreak records that a connection that had been idle broke off before anything of the
+// answer. The upstream may have closed it before the request arrived, so that the parts of the
+// prompt are suspected only if the upstream itself has ended.
+func (p *Pick) RecordIdleBreak(now time.Duration) {
+	p.recordBreak(now, func(upstream uint64) {
+		p.state.recordIdleBreak(idleBreak{upstream: upstream, parts: p.parts, at: now}, p.balancer.suspects)
+	}, false)
+}
+
+// RecordEnd records that the upstream accepts no connections, so that it has ended.
+func (p *Pick) RecordEnd(now time.Duration) {
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	p.state.recordEnd(now, p.balancer.suspects)
+	p.balancer.suspects.judge(now)
+}
+
+// recordBreak records a break of the whole request, and that of its parts by recordParts.
+func (p *Pick) recordBreak(now time.Duration, recordParts func(upstream uint64), late bool) {
+	b := p.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	upstream := xxhash.Sum64String(string(p.Upstream.ID) + "/" + string(p.Upstream.Boot))
-	if len(parts) > 0 {
-		b.suspects.recordPartBreaks(now, upstream, parts)
-	}
+	recordParts(upstream)
 	if p.fingerprint != 0 {
 		b.suspects.recordBreak(now, RequestKey(p.fingerprint), upstreamBreak{upstream: upstream, late: late, at: now})
 	}
--- a/internal/balance/suspects_test.go
+++ b/internal/balance/suspects_test.go
@@ -321,7 +321,11 @@
 	for fingerprint, router := range requests {
 		p := f.sendRequest(t, router, now, fingerprint)
 		p.Upstream.ID, p.Upstream.Boot = "e0", fleet.BootID(boot)
-		p.RecordRequestBreak(now, late)
+		if late {
+			p.RecordLateBreak(now)
+		} else {
+			p.RecordIdleBreak(now)
+		}
 		p.End(now, OutcomeBroken)
 	}
 }
--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -64,6 +64,9 @@
 	announced     [conditionCount]announced
 	malformedAt   time.Duration // time of the latest call of OnMalformed; 0 for none
 
+	endedAt    time.Duration // when a connection last showed that the upstream has ended; 0 for never
+	idleBreaks []idleBreak   // newest last
+
 	lastByte time.Duration // time of the newest byte that served a request, or of the first request after idleness
 	health   health
 	outcomes outcomes
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -259,6 +259,9 @@
 		if context.Cause(a.ctx) == nil {
 			a.outcome = balance.OutcomeBroken
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			a.pick.RecordEnd(f.server.cfg.Clock())
+		}
 		return
 	}
 	a.sent, a.ran = true, true
@@ -296,12 +299,14 @@
 
 // recordBreak records that the upstream broke off after the given number of events.
 func (a *attempt) recordBreak(now time.Duration, err error, events int) {
-	late := events >= provenEvents
-	if late || onIdleConnection(err) {
-		a.pick.RecordRequestBreak(now, late)
-		return
+	switch {
+	case events >= provenEvents:
+		a.pick.RecordLateBreak(now)
+	case onIdleConnection(err):
+		a.pick.RecordIdleBreak(now)
+	default:
+		a.pick.RecordBreak(now)
 	}
-	a.pick.RecordBreak(now)
 }
 
 // endedConnection reports whether an exchange failed because the upstream ended the
