balance: an engine that answers in between has not ended

Change: the second break counts only if the upstream has answered nothing since the first one. Evidence: the gateway's test failed and passes; TestClosedIdleConnectionsBlameNoPart covers it with 20 closes 10 ms apart.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -399,6 +399,7 @@
 // recordDelivery records that the upstream serves the request. The balancer's mu must be held.
 func (p *Pick) recordDelivery(now time.Duration) {
 	p.state.lastByte = max(p.state.lastByte, now)
+	p.state.answeredAt = max(p.state.answeredAt, now)
 	p.idleBytes, p.idleSince = 0, 0
 }
 
--- a/internal/balance/ends.go
+++ b/internal/balance/ends.go
@@ -24,13 +24,17 @@
 }
 
 // recordIdleBreak counts the break against the parts of the prompt if the upstream has ended: by
-// other connections, or by a second break, as an upstream that closes idle connections hardly
-// does that twice at the moment of a request. Otherwise the break is kept.
+// other connections, or by a second break since the upstream last answered. Otherwise the break
+// is kept.
 func (s *upstreamState) recordIdleBreak(b idleBreak, suspects *suspects) {
 	s.dropIdleBreaks(b.at)
 	s.idleBreaks = append(s.idleBreaks, b)
 	ended := s.endedAt > 0 && b.at-s.endedAt < endWindow
-	if n := len(s.idleBreaks); ended || n > 1 && b.at-s.idleBreaks[n-2].at < endWindow {
+	if n := len(s.idleBreaks); n > 1 {
+		previous := s.idleBreaks[n-2].at
+		ended = ended || b.at-previous < endWindow && s.answeredAt <= previous
+	}
+	if ended {
 		s.blameIdleBreaks(b.at-endWindow, suspects)
 	}
 }
--- a/internal/balance/ends_test.go
+++ b/internal/balance/ends_test.go
@@ -78,6 +78,10 @@
 		f.breakOffIdle(t, now, prompt(partGuide, partDeadly, 100+i))
 		now += endWindow
 	}
+	for i := range uint64(20) { // closed again and again at short intervals, while it answers others
+		f.breakOffIdle(t, now, prompt(partGuide, partDeadly, 300+i)).RecordBytes(now + time.Millisecond)
+		now += 10 * time.Millisecond
+	}
 	is.True(!f.quarantined(now, 0, partGuide, partDeadly, 200))
 	for _, s := range f.routers[0].states {
 		is.True(len(s.idleBreaks) <= maxIdleBreaks)
--- a/internal/balance/upstream.go
+++ b/internal/balance/upstream.go
@@ -64,6 +64,7 @@
 	announced     [conditionCount]announced
 	malformedAt   time.Duration // time of the latest call of OnMalformed; 0 for none
 
+	answeredAt time.Duration // time of the newest byte that served a request; 0 for never
 	endedAt    time.Duration // when a connection last showed that the upstream has ended; 0 for never
 	idleBreaks []idleBreak   // newest last
 
