control: quarantines outlast a kill of all processes

Cause: quarantines lived in the memory of the routers, with a note in that of the control leader only. A new leader hands it out with its first confirmation, which routers need before they serve. The same elsewhere: whole requests that end upstreams stand in the same note; a mere election no longer loses it.

--- a/internal/control/join_test.go
+++ b/internal/control/join_test.go
@@ -20,6 +20,7 @@
 	"github.com/wigeonflow/wigeonflow/internal/ledger"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
 	"github.com/wigeonflow/wigeonflow/internal/operator"
+	"github.com/wigeonflow/wigeonflow/internal/session"
 )
 
 // seededMember is one member of a control group whose members know only the addresses of
@@ -220,3 +221,33 @@
 	awaitVoters([]string{addr}, j)
 	is.Equal(j.member.Backend().Leader(), "")
 }
+
+// A kill of all processes made the fleet forget what it had quarantined.
+func TestNoteOutlastsStopOfTheControlGroup(t *testing.T) {
+	is := is.New(t)
+	addr := unusedAddr(t)
+	j := &seededMember{t: t, addr: addr, seeds: []string{addr}, dir: filepath.Join(t.TempDir(), "data")}
+	renew := func(r session.RenewRequest) *session.RenewReply {
+		for {
+			if reply := j.member.leader.renew(&r); reply != nil && reply.Status != session.StatusNotLeader {
+				return reply
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	stored := func() (n session.StoredNote) {
+		j.member.stateMachine.withReadLock(func() { n = j.member.notes.Get() })
+		return n
+	}
+	j.start()
+	renew(session.RenewRequest{Instance: "r", Boot: "a", Seq: 1, Note: []byte("note"), NoteID: 7})
+	for stored().ID != 7 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	j.stop()
+	j.start()
+	defer j.stop()
+	reply := renew(session.RenewRequest{Instance: "r", Boot: "b", Seq: 1})
+	is.Equal(string(reply.Note), "note")
+	is.True(reply.NoteAge >= 0 && reply.NoteAge < time.Minute)
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -31,7 +31,8 @@
 	roster       *session.Roster // read under stateMachine.withReadLock
 	ledger       *ledger.State   // read under stateMachine.withReadLock
 	config       *operator.Config
-	wake         chan struct{} // capacity 1; signals that a command was applied
+	notes        *session.NoteStore // read under stateMachine.withReadLock
+	wake         chan struct{}      // capacity 1; signals that a command was applied
 
 	ledgerClock ledgerClock
 	notices     *noticePublisher
@@ -84,6 +85,8 @@
 	}
 	l.stateMachine.withReadLock(func() {
 		l.grantor = session.NewGrantor(l.clock(), change.Term, l.settings, l.roster, l.configVersion())
+		note := l.notes.Get()
+		l.grantor.RestoreNote(l.clock(), note, time.Since(time.UnixMilli(note.At)))
 		l.ledgerClock.set(ledger.NewClock(l.ledger, l.clock()))
 	})
 	now, proof := l.leadershipProof()
@@ -106,6 +109,7 @@
 		now := l.clock()
 		l.grantor.SetRoster(now, l.roster)
 		l.grantor.SetVersion(now, l.configVersion())
+		l.grantor.SetStoredNote(l.notes.Get())
 	})
 	l.publishNotice()
 }
@@ -119,9 +123,12 @@
 	}
 }
 
-// tick proposes the membership commands that are due, and ends the ledger records of
-// orphaned processes.
+// tick proposes the membership commands and the note that are due, and ends the ledger records
+// of orphaned processes.
 func (l *leader) tick(ctx context.Context) {
+	if note, due := l.dueNote(); due {
+		go l.propose(ctx, tagged(tagNote, note))
+	}
 	for _, command := range l.dueCommands() {
 		encoded, err := command.MarshalMsg(nil)
 		if err != nil {
@@ -180,6 +187,27 @@
 	return l.grantor.Tick(now, proof)
 }
 
+// dueNote returns the encoded note that the grantor wants committed.
+func (l *leader) dueNote() (encoded []byte, due bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.grantor == nil {
+		return nil, false
+	}
+	now, proof := l.leadershipProof()
+	note, age, due := l.grantor.DueNote(now, proof)
+	if !due {
+		return nil, false
+	}
+	note.At = time.Now().Add(-age).UnixMilli()
+	encoded, err := note.MarshalMsg(nil)
+	if err != nil {
+		l.log.Error("cannot encode the note of the routers", "error", err)
+		return nil, false
+	}
+	return encoded, true
+}
+
 // propose commits a command of the leader itself. It does not retry: what the command
 // is for stays due until it is committed, and is proposed again at a later tick.
 func (l *leader) propose(ctx context.Context, command []byte) {
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -22,6 +22,7 @@
 	tagRoster partTag = 1
 	tagConfig partTag = 2
 	tagLedger partTag = 3
+	tagNote   partTag = 4
 )
 
 // stateMachine is the consensus state machine. It dispatches each command to its part.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -72,6 +72,7 @@
 	copyPacer    pacer                // limits the rate of copies
 	relays       placement.RelayCache // of the committed membership
 	ledger       *ledger.State
+	notes        *session.NoteStore
 	leader       *leader
 	// confirmations are the leader's, for routers that this member answers in its place.
 	confirmations batcher[*session.RenewReply]
@@ -108,7 +109,9 @@
 	s.ledger = ledger.NewState()
 	s.stateMachine.addPart(tagRoster, s.roster)
 	s.stateMachine.addPart(tagConfig, s.config)
+	s.notes = new(session.NoteStore)
 	s.stateMachine.addPart(tagLedger, s.ledger)
+	s.stateMachine.addPart(tagNote, s.notes)
 	group, err := consensus.Start(s.consensusConfig(newTransport(ctx, pool, cfg.Guard, s.log.Named("transport"))))
 	if err != nil {
 		cancel()
@@ -117,7 +120,7 @@
 	s.group = group
 	s.leader = &leader{
 		log: s.log, clock: cfg.Clock, group: group, settings: cfg.Session,
-		roster: s.roster, config: s.config, ledger: s.ledger, limits: cfg.Ledger, stateMachine: s.stateMachine, wake: wake, notices: newNoticePublisher(),
+		roster: s.roster, config: s.config, ledger: s.ledger, notes: s.notes, limits: cfg.Ledger, stateMachine: s.stateMachine, wake: wake, notices: newNoticePublisher(),
 	}
 	server.HandleBackground(MethodStep, receiveHandler(group))
 	s.confirmations.call, s.confirmations.guard = s.askLeader, cfg.Guard
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -147,6 +147,8 @@
 	is.True(ok)
 
 	restarted := newRouter()
+	is.Equal(noteID(before.quarantineNote()), noteID(before.quarantineNote()))
+	is.True(noteID(before.quarantineNote()) != noteID([]byte("not a note")))
 	restarted.applyNote(before.quarantineNote(), 4*time.Second)
 	_, restored, ok := restarted.balancer.Quarantined(time.Hour, []balance.PromptPart{{ID: 0xdd}})
 	is.True(ok)
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -107,7 +107,7 @@
 		Session: session.Settings{Lease: s.Session.Lease, RenewInterval: s.Session.RenewInterval},
 		Clock:   cfg.Clock, Control: r.control, Server: server, Pool: pool, Guard: cfg.Guard, Logger: r.log, Owner: placement.NewRings().Owner,
 		InForce:  func() fleet.ConfigVersion { return fleet.ConfigVersion(r.inForce.Load()) },
-		OnConfig: r.applyConfig, OnConfirmed: r.checkStarted, Note: r.quarantineNote, OnNote: r.applyNote,
+		OnConfig: r.applyConfig, OnConfirmed: r.checkStarted, Note: r.quarantineNote, NoteID: noteID, OnNote: r.applyNote,
 	})
 	r.server = NewServer(ServerConfig{
 		Clock: cfg.Clock, Protocol: cfg.Protocol, Table: r.table.Load, SessionState: r.sessionState, KeysUntil: r.keysUntil, ListAge: r.listAge,
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -1,8 +1,13 @@
 package gateway
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wigeonflow/wigeonflow/internal/balance"
 	"github.com/wigeonflow/wigeonflow/internal/fleet"
 	"github.com/wigeonflow/wigeonflow/internal/mesh"
@@ -70,7 +75,7 @@
 	return time.Duration(min(max(ms, 0), fleet.MaxDuration.Milliseconds())) * time.Millisecond
 }
 
-// SuspicionNote is the note by which routers keep quarantines at the control leader.
+// SuspicionNote is the note by which routers keep quarantines in the control group.
 type SuspicionNote struct {
 	Suspicions []Suspicion `msg:"s"`
 }
@@ -84,7 +89,7 @@
 }
 
 // quarantineNote returns the note with the quarantined parts and requests, or nil if there are none. The
-// control leader keeps it for routers that restart while no other router can tell them.
+// control group keeps it for routers that restart while no other router can tell them.
 func (r *Router) quarantineNote() []byte {
 	suspicions := r.balancer.QuarantinedSuspicions(r.cfg.Clock())
 	for len(suspicions) > 0 {
@@ -97,6 +102,20 @@
 	return nil
 }
 
+// noteID returns the ID of a note, which depends on what is quarantined alone.
+func noteID(note []byte) uint64 {
+	var n SuspicionNote
+	if err := mesh.Decode(note, &n); err != nil {
+		return 0
+	}
+	keys := make([]string, 0, len(n.Suspicions))
+	for _, s := range n.Suspicions {
+		keys = append(keys, fmt.Sprint(s.ID, s.Request))
+	}
+	slices.Sort(keys)
+	return max(xxhash.Sum64String(strings.Join(keys, ",")), 1)
+}
+
 // applyNote merges the quarantined parts and requests of a note that was sent age ago.
 func (r *Router) applyNote(note []byte, age time.Duration) {
 	var n SuspicionNote
--- a/internal/member/keeper.go
+++ b/internal/member/keeper.go
@@ -68,6 +68,8 @@
 	// Note returns the note to send with a renewal, see session.RenewRequest; nil means
 	// none.
 	Note func() []byte
+	// NoteID returns the NoteID of a note that Note has returned; it may be nil.
+	NoteID func(note []byte) uint64
 	// OnNote is called with a note that another router sent and its age, before the reply's
 	// configuration comes into force; it may be nil.
 	OnNote func(note []byte, age time.Duration)
@@ -331,6 +333,9 @@
 	if k.cfg.Note != nil {
 		request.Note = k.cfg.Note()
 	}
+	if k.cfg.NoteID != nil && len(request.Note) > 0 {
+		request.NoteID = k.cfg.NoteID(request.Note)
+	}
 	k.publish()
 	return request
 }
--- a/internal/session/grantor.go
+++ b/internal/session/grantor.go
@@ -25,8 +25,7 @@
 	config     configRequirement
 	loads      loadSums
 	lastNotice Notice
-	note       []byte        // newest note of any router; nil for none
-	notedAt    time.Duration // when note was received
+	note       heldNote      // newest note of any router
 	nextChange time.Duration // earliest time of the next membership change
 
 	packed      []byte // membership as in RenewReply.Packed; nil until a router asks for it
@@ -180,7 +179,7 @@
 	reply.Epoch = g.membership.Epoch
 	reply.Version = g.config.version
 	reply.Pace = g.pace()
-	g.exchangeNotes(now, req, reply)
+	g.note.exchange(now, req, reply)
 	return reply
 }
 
@@ -206,16 +205,22 @@
 	return reply
 }
 
-// exchangeNotes keeps the request's note or, if it has none, adds the newest note to the
-// reply. So it outlasts a restart of all routers, unless the leader is lost as well.
-func (g *Grantor) exchangeNotes(now time.Duration, req *RenewRequest, reply *RenewReply) {
-	switch n := len(req.Note); {
-	case n > MaxNote:
-	case n > 0:
-		g.note, g.notedAt = req.Note, now
-	case g.note != nil && now-g.notedAt < noteLife:
-		reply.Note, reply.NoteAge = g.note, now-g.notedAt
+// RestoreNote adopts the note of the log, whose time of day is age ago. It is called before the
+// first renewal, so that routers which have all restarted know of it before they serve.
+func (g *Grantor) RestoreNote(now time.Duration, n StoredNote, age time.Duration) {
+	g.note.restore(now, n, max(age, 0))
+}
+
+// SetStoredNote records the note that the log holds now.
+func (g *Grantor) SetStoredNote(n StoredNote) { g.note.stored = n.ID }
+
+// DueNote returns the note that is to be written to the log, without its time of day, and its age.
+// ok is false if there is none, and without a valid proof.
+func (g *Grantor) DueNote(now time.Duration, proof Proof) (n StoredNote, age time.Duration, ok bool) {
+	if !g.proven(now, proof) {
+		return StoredNote{}, 0, false
 	}
+	return g.note.due(now)
 }
 
 // recordJoiner records a boot that requests to become a member.
--- a/internal/session/message.go
+++ b/internal/session/message.go
@@ -61,6 +61,9 @@
 	// Note is data that the router wants new routers to have, up to MaxNote bytes; empty for
 	// none. The leader doesn't read it.
 	Note []byte `msg:"no,omitempty"`
+	// NoteID names what Note is about: it changes when that does, unlike the note's details. The
+	// log holds one note for each ID; 0 keeps the note out of it.
+	NoteID uint64 `msg:"ni,omitempty"`
 }
 
 const (
--- a/internal/session/message_gen.go
+++ b/internal/session/message_gen.go
@@ -714,8 +714,8 @@
 func (z *RenewRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(14)
-	var zb0001Mask uint16 /* 14 bits */
+	zb0001Len := uint32(15)
+	var zb0001Mask uint16 /* 15 bits */
 	_ = zb0001Mask
 	if z.Weight == 0 {
 		zb0001Len--
@@ -745,6 +745,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
+	if z.NoteID == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -833,6 +837,11 @@
 			o = append(o, 0xa2, 0x6e, 0x6f)
 			o = msgp.AppendBytes(o, z.Note)
 		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// string "ni"
+			o = append(o, 0xa2, 0x6e, 0x69)
+			o = msgp.AppendUint64(o, z.NoteID)
+		}
 	}
 	return
 }
@@ -952,6 +961,12 @@
 				err = msgp.WrapError(err, "Note")
 				return
 			}
+		case "ni":
+			z.NoteID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NoteID")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -970,7 +985,7 @@
 	for za0001 := range z.Loads {
 		s += z.Loads[za0001].Msgsize()
 	}
-	s += 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.BytesPrefixSize + len(z.Note)
+	s += 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.BoolSize + 3 + msgp.BytesPrefixSize + len(z.Note) + 3 + msgp.Uint64Size
 	return
 }
 
