agent: tests of accepted connections no longer keep the listener open themselves

What was seen: TestStopDropsRequestOfAcceptedConnection and its operators' sibling failed whole runs of make check now and then, with EOF in place of an answer. Cause: the test. It dialed in a loop until the listener was closed, and a stopping server keeps its listener open while connections keep coming. After 500 ms, firstRequestWait, the connection under test counted as idle. Change: the tests wait for the close at the server, and then as before until a dial is refused. What is checked is the same: a request that is sent after that is answered.

--- a/internal/agent/operators_stop_test.go
+++ b/internal/agent/operators_stop_test.go
@@ -29,5 +29,5 @@
 // Like TestStopDropsRequestOfAcceptedConnection, of an operator.
 func TestStopDropsOperatorsRequestOfAcceptedConnection(t *testing.T) {
 	a, addr := startControlWith(t, serveAll)
-	checkStopAnswersAcceptedConnection(t, a, addr)
+	checkStopAnswersAcceptedConnection(t, a, a.operators, addr)
 }
--- a/internal/agent/stop_test.go
+++ b/internal/agent/stop_test.go
@@ -82,12 +82,12 @@
 // The first request of an accepted connection arrives after the router has stopped listening.
 func TestStopDropsRequestOfAcceptedConnection(t *testing.T) {
 	a, addr := startRouter(t, serveAll)
-	checkStopAnswersAcceptedConnection(t, a, addr)
+	checkStopAnswersAcceptedConnection(t, a, a.callers, addr)
 }
 
 // checkStopAnswersAcceptedConnection checks that an agent that stops answers a request on a connection
-// that it has accepted before. The request is sent once the listener is closed.
-func checkStopAnswersAcceptedConnection(t *testing.T, a *Agent, addr string) {
+// that its server has accepted before. The request is sent once the listener is closed.
+func checkStopAnswersAcceptedConnection(t *testing.T, a *Agent, server *callerServer, addr string) {
 	t.Helper()
 	is := is.New(t)
 	c, err := net.Dial("tcp", addr)
@@ -101,7 +101,11 @@
 	is.NoErr(later.Close())
 	stopped := make(chan error, 1)
 	go func() { stopped <- a.Stop(t.Context()) }()
-	for { // until the listener is closed
+	server.mu.Lock()
+	listener := server.listener.(onceListener)
+	server.mu.Unlock()
+	<-listener.closed // dials before that would keep it open
+	for {             // until it refuses
 		extra, err := net.Dial("tcp", addr)
 		if err != nil {
 			break
