consensus, balance, docs: the number of initial members has a name, and a changed last part is told

MemberSet.Size read like the number of members; it is InitialSize now. A break whose last part changes by a merge is reported on and judged again, as its other fields are: routers could have come to other verdicts until the next change (by reading; not seen). Result: the tests of consensus, control and balance pass.

--- a/internal/balance/suspects.go
+++ b/internal/balance/suspects.go
@@ -167,7 +167,8 @@
 	s.clearSoundNext(x)
 }
 
-// clearSoundNext marks the breaks whose next part was served.
+// clearSoundNext marks the breaks whose next part was served. Marks stay, since services are
+// forgotten sooner than a quarantine ends.
 func (s *suspects) clearSoundNext(x *suspect) {
 	changed := false
 	for i := range x.breaks {
@@ -265,17 +266,19 @@
 func (x *suspect) blames(b upstreamBreak) bool { return !x.served || b.at >= x.servedAt+soundFor }
 
 // addBreak adds a break unless the suspect isn't to blame for it. Of the same break, the
-// earlier time wins, and one that isn't late. If there is no room, the newest break of a pair
-// with the same next part is dropped, so that upstreams and next parts stay different.
+// earlier time, the lower last part, a sound next part, and one that isn't late win. If there
+// is no room, the newest break of a pair with the same next part is dropped, so that upstreams
+// and next parts stay different.
 func (s *suspects) addBreak(x *suspect, b upstreamBreak) {
 	if !x.blames(b) {
 		return
 	}
 	for i := range x.breaks {
 		if known := &x.breaks[i]; known.upstream == b.upstream && known.next == b.next {
+			former := *known
 			known.at, known.last = min(known.at, b.at), min(known.last, b.last)
-			if known.late && !b.late || b.nextSound && !known.nextSound {
-				known.late, known.nextSound = known.late && b.late, known.nextSound || b.nextSound
+			known.late, known.nextSound = known.late && b.late, known.nextSound || b.nextSound
+			if former.at = known.at; former != *known {
 				s.recordChange(x, len(x.breaks))
 			}
 			return
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -68,7 +68,7 @@
 	// no log either. Without it the member waits to be added as a learner.
 	Bootstrap bool
 	// Initial marks a member that isn't one of Peers but starts together with the group, see
-	// MemberSet.Size.
+	// MemberSet.InitialSize.
 	Initial bool
 	// ElectionTimeout is the shortest time without a message from a leader after which
 	// a follower starts an election. Until then the follower grants no vote either. 0
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -48,7 +48,7 @@
 	ID    MemberID
 	Addr  string
 	Store StoreID
-	// Initial is set if the member starts together with the group, see MemberSet.Size.
+	// Initial is set if the member starts together with the group, see MemberSet.InitialSize.
 	Initial bool
 
 	lastHello time.Duration // time of the last hello or pre-vote
@@ -189,7 +189,7 @@
 	if !c.opts.Bootstrap || c.formation.groupExists || c.founder() != c.opts.ID {
 		return
 	}
-	set, term, stores := MemberSet{Size: uint32(len(c.peers()))}, c.hard.Term, map[MemberID]StoreID{}
+	set, term, stores := MemberSet{InitialSize: uint32(len(c.peers()))}, c.hard.Term, map[MemberID]StoreID{}
 	for _, p := range c.peers() {
 		peer, ok := c.formation.ready[p.ID]
 		if p.ID == c.opts.ID {
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -39,7 +39,7 @@
 	// with an empty data directory waits to be added as a learner.
 	Bootstrap bool
 	// Initial marks a member that waits to be added although it starts together with the
-	// group, see MemberSet.Size.
+	// group, see MemberSet.InitialSize.
 	Initial           bool
 	ElectionTimeout   time.Duration // default DefaultElectionTimeout
 	Heartbeat         time.Duration // default DefaultHeartbeat
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -26,7 +26,7 @@
 	ID    MemberID
 	Addr  string
 	Store StoreID
-	// Initial marks an added learner as one of the initial members, see MemberSet.Size.
+	// Initial marks an added learner as one of the initial members, see MemberSet.InitialSize.
 	Initial bool
 }
 
@@ -62,7 +62,7 @@
 
 // apply returns the membership after the change.
 func (s MemberSet) apply(ch Change) (MemberSet, error) {
-	next := MemberSet{Members: slices.Clone(s.Members), Size: s.Size}
+	next := MemberSet{Members: slices.Clone(s.Members), InitialSize: s.InitialSize}
 	current := next.Find(ch.ID)
 	switch ch.Kind {
 	case ChangeAddLearner:
@@ -80,8 +80,8 @@
 	default:
 		return s, ErrRejected.New("unknown kind of membership change: %d", ch.Kind)
 	}
-	if next.Size == 0 {
-		next.Size = uint32(s.Voters())
+	if next.InitialSize == 0 {
+		next.InitialSize = uint32(s.Voters())
 	}
 	if next.Voters() == 0 {
 		return s, ErrRejected.New("%s can't be removed: it is the last voter", ch.ID)
@@ -97,7 +97,7 @@
 		return s, ErrRejected.New("%s is already a member with store ID %d", ch.ID, ch.Store)
 	}
 	if current == nil && ch.Initial {
-		s.Size++
+		s.InitialSize++
 	}
 	s.remove(ch.ID)
 	s.Members = append(s.Members, Member{ID: ch.ID, Addr: ch.Addr, Store: ch.Store, Learner: true})
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -26,8 +26,8 @@
 	// the group.
 	Halted  bool
 	Members []MemberStatus
-	// Size is the number of initial members, see MemberSet.Size.
-	Size int
+	// InitialSize is the number of initial members, see MemberSet.InitialSize.
+	InitialSize int
 	// ChangePending is set while the membership in force isn't committed, so that Members
 	// may still be reverted.
 	ChangePending bool
@@ -71,7 +71,7 @@
 		Leader: c.leader, LeaderAddr: c.memberAddr(c.leader),
 		Commit: c.log.commit, Applied: c.log.applied, Last: c.log.last(), Snapshot: c.snapshot.Index,
 		Transferring: c.leadership.transfer != nil, Halted: c.halted, LossesLeft: -1, Dropped: c.dropped,
-		Size:          int(c.membership().Size),
+		InitialSize:   int(c.membership().InitialSize),
 		ChangePending: c.log.commit < c.lastChangeIndex(),
 	}
 	for _, m := range c.membership().Members {
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -47,9 +47,9 @@
 // MemberSet is the membership of the group, ordered by ID.
 type MemberSet struct {
 	Members []Member
-	// Size is the number of initial members: those with which the group was set up. It stays
+	// InitialSize is the number of initial members: those with which the group was set up. It stays
 	// the same when a member is replaced. It is 0 in data of earlier releases.
-	Size uint32
+	InitialSize uint32
 }
 
 // Snapshot replaces the log up to and including Index.
@@ -130,7 +130,7 @@
 	Addr    string
 	// Known are the members in the membership of a MessageHelloResponse's sender.
 	Known []MemberID
-	// Initial marks the MessageHello of an initial member, see MemberSet.Size.
+	// Initial marks the MessageHello of an initial member, see MemberSet.InitialSize.
 	Initial bool
 }
 
--- a/internal/consensus/types_gen.go
+++ b/internal/consensus/types_gen.go
@@ -300,7 +300,7 @@
 			return
 		}
 	}
-	o = msgp.AppendUint32(o, z.Size)
+	o = msgp.AppendUint32(o, z.InitialSize)
 	return
 }
 
@@ -334,9 +334,9 @@
 		if zb0001--; zb0001 == 0 {
 			break
 		}
-		z.Size, bts, err = msgp.ReadUint32Bytes(bts)
+		z.InitialSize, bts, err = msgp.ReadUint32Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Size")
+			err = msgp.WrapError(err, "InitialSize")
 			return
 		}
 		if zb0001--; zb0001 == 0 {
@@ -685,7 +685,7 @@
 			return
 		}
 	}
-	o = msgp.AppendUint32(o, z.Members.Size)
+	o = msgp.AppendUint32(o, z.Members.InitialSize)
 	o = msgp.AppendBytes(o, z.Data)
 	return
 }
@@ -740,9 +740,9 @@
 		if zb0002--; zb0002 == 0 {
 			break
 		}
-		z.Members.Size, bts, err = msgp.ReadUint32Bytes(bts)
+		z.Members.InitialSize, bts, err = msgp.ReadUint32Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", "Size")
+			err = msgp.WrapError(err, "Members", "InitialSize")
 			return
 		}
 		if zb0002--; zb0002 == 0 {
@@ -792,7 +792,7 @@
 			return
 		}
 	}
-	o = msgp.AppendUint32(o, z.Members.Size)
+	o = msgp.AppendUint32(o, z.Members.InitialSize)
 	o = msgp.AppendUint64(o, z.Size)
 	o = msgp.AppendUint64(o, z.Offset)
 	o = msgp.AppendBytes(o, z.Data)
@@ -849,9 +849,9 @@
 		if zb0002--; zb0002 == 0 {
 			break
 		}
-		z.Members.Size, bts, err = msgp.ReadUint32Bytes(bts)
+		z.Members.InitialSize, bts, err = msgp.ReadUint32Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", "Size")
+			err = msgp.WrapError(err, "Members", "InitialSize")
 			return
 		}
 		if zb0002--; zb0002 == 0 {
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -109,8 +109,8 @@
 		}
 	}
 	voters := voterCount(status)
-	if status.Size > 0 {
-		if id, ok := r.removableVoter(replaced, voters, max(status.Size, minVoters)); ok {
+	if status.InitialSize > 0 {
+		if id, ok := r.removableVoter(replaced, voters, max(status.InitialSize, minVoters)); ok {
 			return id, true
 		}
 	}
@@ -215,7 +215,7 @@
 		s.log.Info("membership change of the control group ended: promote learner to voter", "peer", peer, "error", err)
 	case consensus.ChangeRemove:
 		err = s.group.Remove(ctx, change.ID)
-		s.log.Info("membership change of the control group ended: remove silent member", "peer", peer, "voters", voterCount(status), "initial", status.Size, "error", err)
+		s.log.Info("membership change of the control group ended: remove silent member", "peer", peer, "voters", voterCount(status), "initial", status.InitialSize, "error", err)
 	}
 	return err == nil
 }
--- a/internal/control/repair_test.go
+++ b/internal/control/repair_test.go
@@ -114,17 +114,17 @@
 	is := is.New(t)
 	r := newRepairPlanner(true)
 	members := []consensus.MemberStatus{voter("a", true), voter("b", true), voter("c", true), voter("d", true), voter("gone", false)}
-	status := consensus.Status{Members: members, Size: len(members), Waiting: []consensus.WaitingStore{waitingStore("new")}}
+	status := consensus.Status{Members: members, InitialSize: len(members), Waiting: []consensus.WaitingStore{waitingStore("new")}}
 	change, ok := r.nextChange(0, status)
 	is.True(ok)
 	is.Equal(change.Kind, consensus.ChangeAddLearner)
 
-	status = consensus.Status{Members: append(members, learner("new", true)), Size: len(members)}
+	status = consensus.Status{Members: append(members, learner("new", true)), InitialSize: len(members)}
 	change, ok = r.nextChange(time.Second, status)
 	is.True(ok)
 	is.Equal(change.Kind, consensus.ChangePromote)
 
-	status = consensus.Status{Members: append(members, voter("new", true)), Size: len(members)}
+	status = consensus.Status{Members: append(members, voter("new", true)), InitialSize: len(members)}
 	_, ok = r.nextChange(1500*time.Millisecond, status)
 	is.True(!ok) // it may only have restarted
 	change, ok = r.nextChange(3*time.Second, status)
@@ -139,7 +139,7 @@
 	members := []consensus.MemberStatus{
 		voter("a", true), voter("b", true), voter("c", true), voter("d", true), voter("e", true), voter("f", false), voter("g", false),
 	}
-	status := consensus.Status{Members: members, Size: 5}
+	status := consensus.Status{Members: members, InitialSize: 5}
 	r.observe(0, status)
 	_, ok := r.nextChange(replacedTimeout-1, status)
 	is.True(!ok)
@@ -157,7 +157,7 @@
 func TestSilentInitialMembersKeepTheirPlaceForAWhile(t *testing.T) {
 	is := is.New(t)
 	r := newRepairPlanner(true)
-	status := consensus.Status{Size: 5, Members: []consensus.MemberStatus{
+	status := consensus.Status{InitialSize: 5, Members: []consensus.MemberStatus{
 		voter("a", true), voter("b", true), voter("c", true), voter("d", false), voter("e", false),
 	}}
 	r.observe(0, status)
