--- a/internal/control/repair_model_test.go
+++ b/internal/control/repair_model_test.go
@@ -36,12 +36,14 @@
 	sent     []sentMessage
 	cut      string // zone that is cut off; empty for none
 	losses   int    // number of machines that may be lost at once
-	changed  time.Duration
-	led      time.Duration // when there was last a leader
-	missing  int           // number of machines stopped for good whose successors haven't started
-	next     int
-	plan     []modelEvent
-	failure  string
+	// largeZones also asks for the loss of a zone with half of the machines or more.
+	largeZones bool
+	changed    time.Duration
+	led        time.Duration // when there was last a leader
+	missing    int           // number of machines stopped for good whose successors haven't started
+	next       int
+	plan       []modelEvent
+	failure    string
 }
 
 type modelEvent struct {
@@ -242,7 +244,7 @@
 			status, g.led = &s, g.now
 		}
 	}
-	tooMany := len(lost) > g.losses && (len(zones) > 1 || 2*len(lost) >= len(g.machines))
+	tooMany := len(lost) > g.losses && (len(zones) > 1 || 2*len(lost) >= len(g.machines) && !g.largeZones)
 	if tooMany || g.now < g.changed+modelCatchUp {
 		g.led = g.now
 		return
@@ -254,8 +256,8 @@
 		return
 	}
 	for zone, ids := range byZone {
-		if 2*len(ids) >= len(g.machines) {
-			continue // no majority can be had without it
+		if 2*len(ids) >= len(g.machines) && !g.largeZones {
+			continue // left to TestGroupBearsLossOfZoneWithHalfOfTheMachines
 		}
 		if len(lost) == 0 || len(zones) == 1 && zones[zone] {
 			g.checkLoss(status, ids)
@@ -404,7 +406,12 @@
 }
 
 // A group with several silent voters kept them for good, so that the next loss left no majority.
-func TestGroupBearsPromisedLossesAfterRenewals(t *testing.T) {
+func TestGroupBearsPromisedLossesAfterRenewals(t *testing.T) { runGroupModels(t, false) }
+
+// A machine added to a zone leaves half of an even number of voters there.
+func TestGroupBearsLossOfZoneWithHalfOfTheMachines(t *testing.T) { runGroupModels(t, true) }
+
+func runGroupModels(t *testing.T, largeZones bool) {
 	sites := []struct {
 		perZone []int
 		losses  int
@@ -413,6 +420,7 @@
 		seed := *repairModelFirst + uint64(i)
 		site := sites[seed%uint64(len(sites))]
 		g := newGroupModel(seed, site.perZone, site.losses)
+		g.largeZones = largeZones
 		end := 10 * time.Second
 		for range 2 {
 			end = g.renew(end+g.random(0, 10*time.Second)) + 20*time.Second
