--- a/review/_standins4/standins.go
+++ b/review/_standins4/standins.go
@@ -88,7 +88,6 @@
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		fail("cannot start %s: %v", p.name, err)
-		return
 	}
 	p.cmd, p.exited, p.signaled, p.disturbed = cmd, make(chan struct{}), false, time.Now()
 	go func(ex chan struct{}) {
@@ -113,28 +112,38 @@
 	return p.exited
 }
 
+// allProcs are the processes of the deployment.
+var allProcs []*proc
+
 // endOnSignal ends the processes when this one is to end.
-func endOnSignal(procs []*proc) {
+func endOnSignal() {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
-		for _, p := range procs {
-			p.mu.Lock()
-			if p.cmd != nil {
-				_ = p.cmd.Process.Kill()
-			}
-		}
-		os.Exit(2)
+		fail("ended by a signal")
 	}()
 }
 
+// fail ends the run and its processes because the case can't run.
+func fail(f string, a ...any) {
+	fmt.Println("FAIL", fmt.Sprintf(f, a...))
+	for _, p := range allProcs {
+		if p.mu.TryLock() { // none is started any more
+			defer p.mu.Unlock()
+		}
+		if p.cmd != nil {
+			_ = p.cmd.Process.Kill()
+		}
+	}
+	os.Exit(2)
+}
+
 var (
 	vmu        sync.Mutex
 	violations = map[string]int{}
 )
 
-func fail(f string, a ...any) { fmt.Println("FAIL", fmt.Sprintf(f, a...)); os.Exit(2) }
 func violation(f string, a ...any) {
 	text := fmt.Sprintf(f, a...)
 	kind, _, _ := strings.Cut(text, " ")
@@ -893,7 +902,8 @@
 		p := &proc{name: fmt.Sprintf("front-%d", i), ip: ip(1, 10+i), zone: zones[i%3]}
 		procs, fronts = append(procs, p), append(fronts, p)
 	}
-	endOnSignal(procs)
+	allProcs = procs
+	endOnSignal()
 	if *mode == "first" {
 		first(procs, fronts)
 	}
