review: case 12, a list entry with fields of another type makes another service run bookings

Shown: an entry of another writer whose models are a text and whose cold_remaining_ms is null is taken for a replica and displaces the sound entry with its ID; bookings run at a service to which no configuration sends them (ROUTE). How: review/12/run.sh, real processes with stand-ins, 15 s of 30 bookings a second.

--- a/review/_standins4/standins.go
+++ b/review/_standins4/standins.go
@@ -1,6 +1,6 @@
 // Package main holds stand-ins of a small deployment: clients, replicas, the platform and the operator.
-// They check what clients and replicas see. The mode first is that of the case review/11; the others
-// are those with which the review looked for faults and found none, see review/REPORT-3.md.
+// They check what clients and replicas see. The modes first, part and entry are those of the cases review/11
+// to 13; the others are those with which the review looked for faults and found none, see review/REPORT-3.md.
 package main
 
 import (
@@ -31,13 +31,15 @@
 	block   = flag.Int("block", 77, "second number of the loopback addresses")
 	seconds = flag.Int("seconds", 40, "length of the traffic")
 	seed    = flag.Int64("seed", 1, "seed of what is random")
-	mode    = flag.String("mode", "replicas", "first, or calm, replicas, churn, calmchurn, term, calmterm, kill, config, rest, restnew, storm")
+	mode    = flag.String("mode", "replicas", "first, part, entry, or calm, replicas, churn, calmchurn, term, calmterm, kill, config, rest, restnew, storm")
 	binary  = flag.String("bin", "target/wigeonflow", "the program")
 	nfront  = flag.Int("fronts", 3, "machines of the class front")
 	ncore   = flag.Int("cores", 3, "machines of the class core")
 	killed  = flag.Int("killed", 1, "which seed is killed in the mode first; 0 for none")
 	killMs  = flag.Int("kill-ms", 350, "when it is killed, from the start of the machines on")
-	records = flag.String("record", "", "file for the record of the mode first")
+	records = flag.String("record", "", "file for the record of the modes first, part and entry")
+	digits  = flag.Int("digits", 32, "hexadecimal digits of the IDs of prompt parts in the mode part")
+	trouble = flag.Bool("trouble", true, "whether there is a disruption in the modes part and entry")
 	dir     string
 	began   = time.Now()
 )
@@ -112,6 +114,9 @@
 	return p.exited
 }
 
+// syscallKill ends a process at once.
+const syscallKill = syscall.SIGKILL
+
 // allProcs are the processes of the deployment.
 var allProcs []*proc
 
@@ -365,6 +370,12 @@
 			violation("UNASKED header %s is %q, want %q (%s)", name, got, want, id)
 		}
 	}
+	if *mode == "entry" {
+		foreign.check(r, a)
+	}
+	if deadly.in(a.prefix) {
+		return r.endByPart(a)
+	}
 	ru := &run{replica: r.id, sig: fmt.Sprintf("%s.%x", r.id, rnd.Int63()), status: 200, sound: true, at: time.Now()}
 	a.mu.Lock()
 	a.runs = append(a.runs, ru)
@@ -627,7 +638,10 @@
 			list = append(list, fmt.Sprintf(`{"id":%q,"service":%q,"address":%q,"zone":%q,"version":"v1","slots":64,"state":%q,"cold_remaining_ms":0,"born":%d,"stage":"combined","models":[{"name":"m","version":1,"adapters":[]}]}`, r.id, r.service, r.addr, r.zone, state, r.born))
 		}
 		rmu.Unlock()
-		if *mode != "calm" && *mode != "first" {
+		if e := foreign.entry(); e != "" {
+			list = append(list, e)
+		}
+		if *mode != "calm" && *mode != "first" && *mode != "part" && *mode != "entry" {
 			list = append(list, `{"id":7,"service":"x"}`, `{"id":"q","service":"svc","state":"odd"}`, "{\"id\":\"\xff\xfe\"}")
 		}
 		w.Header().Set("Content-Type", "application/json")
@@ -645,9 +659,9 @@
 	}
 	doc := map[string]any{
 		"version": version,
-		"routes": []any{route("r1", "/once/", "non_idempotent", "svc", 1500, 100, 1, false), route("r2", "/idem/", "idempotent", "svc", 1500, 100, 2, false),
+		"routes": []any{route("r1", "/once/", "non_idempotent", "svc", 1500, 100, 1, false), route("r2", "/idem/", "idempotent", lookups(), 1500, 100, 2, false),
 			route("r3", "/chat/", "streaming", "llm", 4000, 300, 1, false), route("r4", "/note/", "streaming", "llm", 4000, 300, 2, true)},
-		"services": []any{map[string]any{"name": "svc", "health_check_path": "/health", "max_connections": 300, "protocol": "h1", "cold_start_s": 0.0, "cold_per_s": 0.0},
+		"services": []any{map[string]any{"name": "stock", "health_check_path": "/health", "max_connections": 300, "protocol": "h1", "cold_start_s": 0.0, "cold_per_s": 0.0}, map[string]any{"name": "svc", "health_check_path": "/health", "max_connections": 300, "protocol": "h1", "cold_start_s": 0.0, "cold_per_s": 0.0},
 			map[string]any{"name": "llm", "health_check_path": "/health", "max_connections": 370, "cold_start_s": 0.0, "cold_per_s": 0.0, "engine": map[string]any{"slots": 64, "kv_cache_tokens": 450000, "migrations": true, "backups": true}}},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{map[string]any{"name": "t1", "api_keys": []string{"k1a", "k1b"}, "priority": 1}, map[string]any{"name": "t2", "api_keys": []string{"k2"}}},
@@ -884,16 +898,23 @@
 	fmt.Println("folder", dir)
 	go platform()
 	rnd := rand.New(rand.NewSource(*seed))
-	faulty := *mode != "calm" && *mode != "first" && *mode != "rest" && *mode != "restnew" && *mode != "calmterm" && *mode != "calmchurn"
+	faulty := *mode != "calm" && *mode != "first" && *mode != "part" && *mode != "entry" && *mode != "rest" && *mode != "restnew" && *mode != "calmterm" && *mode != "calmchurn"
 	var addrs []string
 	for i := 1; i <= 4; i++ {
 		addrs = append(addrs, ip(4, i)+":8080")
 		newReplica("", "svc", ip(4, i)+":8080", zones[i%3], faulty && i != 4)
 	}
-	for i := 11; i <= 16; i++ {
+	engines := 6
+	if *mode == "part" {
+		engines = 18
+	}
+	for i := 11; i < 11+engines; i++ {
 		addrs = append(addrs, ip(4, i)+":8080")
 		newReplica("", "llm", ip(4, i)+":8080", zones[i%3], faulty && i < 15)
 	}
+	for i := 31; *mode == "entry" && i <= 34; i++ {
+		newReplica("", "stock", ip(4, i)+":8080", zones[i%3], false)
+	}
 	var procs, fronts []*proc
 	for i := 1; i <= *ncore; i++ {
 		procs = append(procs, &proc{name: fmt.Sprintf("core-%d", i), ip: ip(1, i), zone: zones[i%3], core: true})
@@ -904,8 +925,13 @@
 	}
 	allProcs = procs
 	endOnSignal()
-	if *mode == "first" {
+	switch *mode {
+	case "first":
 		first(procs, fronts)
+	case "part":
+		part(procs, fronts)
+	case "entry":
+		entry(procs, fronts)
 	}
 	for _, p := range procs {
 		p.start(true)
