review: case 13, a deadly part that ends replicas after the third event is never quarantined

Shown: three relayed events count as service of the prompt's parts, also in an answer that ends its replica with the next event, so that the part goes on ending replicas (BUDGET).

--- a/review/_standins4/part.go
+++ b/review/_standins4/part.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"io"
 	"math/rand"
+	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -43,16 +45,45 @@
 	return d.id != "" && strings.Contains(prefix, d.id+":")
 }
 
-// endByPart ends the replica because of a request with the deadly part.
-func (r *replica) endByPart(a *attempt) bool {
+// eventPause is the time between two events that a replica writes on the deadly part.
+const eventPause = 20 * time.Millisecond
+
+// endByPart ends the replica because of a request with the deadly part, once it has written the events
+// with which its answer begins.
+func (r *replica) endByPart(a *attempt, c net.Conn, q *http.Request) bool {
 	d := deadly
 	time.Sleep(10 * time.Millisecond) // up to the first token
+	defer r.end(d)
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.reached++
 	if !d.fifth.IsZero() && time.Since(d.fifth) > contact {
 		d.late++
 		d.journal.add("request %s with the part reaches %s, %v after the fifth end", a.id, r.id, time.Since(d.fifth).Round(time.Millisecond))
 	}
+	d.mu.Unlock()
+	r.beginAnswer(a, c, q)
+	d.mu.Lock()
+	return false
+}
+
+// beginAnswer writes the head of an answer and its first events; nothing if there are to be none.
+func (r *replica) beginAnswer(a *attempt, c net.Conn, q *http.Request) {
+	if *written == 0 {
+		return
+	}
+	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Wigeonflow-Attempt-Id: %s\r\nX-Wigeonflow-Server-Signature: %s.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", a.id, r.id, a.id)
+	for i := from + 1; i <= from+*written; i++ {
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, content(a.uri, i))
+		fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		time.Sleep(eventPause)
+	}
+}
+
+// end ends the replica, unless it has ended, and has it come back at its address as another one.
+func (r *replica) end(d *deadlyPart) {
+	d.mu.Lock()
 	first := !r.gone
 	if first {
 		d.ends++
@@ -60,12 +91,12 @@
 			d.fifth = time.Now()
 			d.journal.add("fifth end of a replica")
 		}
+		r.crash()
 	}
 	d.mu.Unlock()
 	if !first {
-		return false
+		return
 	}
-	r.crash()
 	go func() {
 		time.Sleep(backAfter)
 		rmu.Lock()
@@ -73,7 +104,6 @@
 		rmu.Unlock()
 		newReplica("", r.service, r.addr, r.zone, false)
 	}()
-	return false
 }
 
 // partID returns the ID of a part, the same for the same name.
--- a/review/_standins4/standins.go
+++ b/review/_standins4/standins.go
@@ -39,6 +39,7 @@
 	killMs  = flag.Int("kill-ms", 350, "when it is killed, from the start of the machines on")
 	records = flag.String("record", "", "file for the record of the modes first, part and entry")
 	digits  = flag.Int("digits", 32, "hexadecimal digits of the IDs of prompt parts in the mode part")
+	written = flag.Int("events", 0, "events that a replica writes on the deadly part in the mode part before it ends")
 	trouble = flag.Bool("trouble", true, "whether there is a disruption in the modes part and entry")
 	dir     string
 	began   = time.Now()
@@ -374,7 +375,7 @@
 		foreign.check(r, a)
 	}
 	if deadly.in(a.prefix) {
-		return r.endByPart(a)
+		return r.endByPart(a, c, q)
 	}
 	ru := &run{replica: r.id, sig: fmt.Sprintf("%s.%x", r.id, rnd.Int63()), status: 200, sound: true, at: time.Now()}
 	a.mu.Lock()
