--- a/review/_standins4/standins.go
+++ b/review/_standins4/standins.go
@@ -73,7 +73,7 @@
 		fmt.Fprintf(&b, "  - %q\n", ip(1, i)+":8229")
 	}
 	fmt.Fprintf(&b, "bootstrap: %v\ndata_directory: %s\nlimits:\n  link_mbps: 1000.0\n  memory_mb: 284\n  file_descriptors: 4200\n", bootstrap, data)
-	b.WriteString("fault_tolerance:\n  machines: 1\n  zones: 1\n  regions: 0\nbounds:\n  grace_period_s: 8\n  contact_ms: 3000\n  configuration_apply_ms: 2000\n  enforce_revocation: true\n  revocation_ms: 5000\n  retry_budget_ratio: 0.2\n  budget_window_s: 10\n  retry_budget_slack: 540\n  ack_timeout_ms: 4000\n")
+	b.WriteString("fault_tolerance:\n  machines: 1\n  zones: 1\n  regions: 0\nbounds:\n  grace_period_s: 8\n  contact_ms: 3000\n  configuration_apply_ms: 2000\n  enforce_revocation: true\n  revocation_ms: 5000\n  retry_budget_ratio: 0.2\n  budget_window_s: 10\n  retry_budget_slack: 54\n  ack_timeout_ms: 4000\n")
 	fmt.Fprintf(&b, "cloud_api:\n  address: %q\n  rate_per_s: 42.0\n  max_lag_ms: 800\n", ip(9, 1)+":8223")
 	path := filepath.Join(dir, p.name, "local.yaml")
 	_ = os.MkdirAll(filepath.Join(dir, p.name, "data"), 0o755)
